--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/crates/daemon/src/admin.rs
@@ -0,0 +1,1 @@
+//! The operators' HTTP interface.
--- /dev/null
+++ b/crates/daemon/src/event.rs
@@ -0,0 +1,87 @@
+//! Numbered events, kept for a while so that operators can ask what happened.
+//!
+//! Every event goes to the log with its number; those that concern a request
+//! or a catalogue entry are also kept in a ring of fixed size, which
+//! `citronctl explain` reads. `docs/EVENTS.md` lists the numbers.
+
+use std::{cell::RefCell, collections::VecDeque, rc::Rc, time::SystemTime};
+
+use citron_policy::{catalogue::Key, id::RequestId};
+use serde::{Deserialize, Serialize};
+
+/// Most events kept on one daemon.
+pub const MAX_EVENTS: usize = 8_192;
+
+/// One event that concerns a request or entries.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Event {
+    /// Number in the catalogue, such as `CP0203`.
+    pub code: String,
+    /// Request that it concerns, in hex.
+    pub request: Option<String>,
+    /// Catalogue entries that it concerns.
+    pub entries: Vec<Key>,
+    /// What happened, in words.
+    pub text: String,
+    /// When it happened.
+    pub at: SystemTime,
+}
+
+/// The latest events of this daemon; clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct Ring {
+    events: Rc<RefCell<VecDeque<Event>>>,
+}
+
+impl Ring {
+    /// Logs an event and keeps it; the oldest gives way.
+    pub fn record(&self, code: &str, request: Option<RequestId>, entries: &[Key], text: String) {
+        let request = request.map(text_of);
+        match &request {
+            Some(id) => log::info!("{code} request {id}: {text}"),
+            None => log::info!("{code} {text}"),
+        }
+        let mut events = self.events.borrow_mut();
+        if events.len() >= MAX_EVENTS {
+            events.pop_front();
+        }
+        let at = SystemTime::now();
+        events.push_back(Event {
+            code: code.to_owned(),
+            request,
+            entries: entries.to_vec(),
+            text,
+            at,
+        });
+    }
+
+    /// Events of one request, oldest first.
+    #[must_use]
+    pub fn of_request(&self, request: &str) -> Vec<Event> {
+        self.select(|event| event.request.as_deref() == Some(request))
+    }
+
+    /// Events that name an entry, oldest first.
+    #[must_use]
+    pub fn of_entry(&self, key: &Key) -> Vec<Event> {
+        self.select(|event| event.entries.contains(key))
+    }
+
+    fn select<F>(&self, wanted: F) -> Vec<Event>
+    where
+        F: Fn(&Event) -> bool,
+    {
+        self.events
+            .borrow()
+            .iter()
+            .filter(|event| wanted(event))
+            .cloned()
+            .collect()
+    }
+}
+
+/// A request's identity as callers and operators see it.
+#[must_use]
+pub fn text_of(request: RequestId) -> String {
+    format!("{request:016x}")
+}
--- /dev/null
+++ b/crates/daemon/src/follow.rs
@@ -0,0 +1,1 @@
+//! Keeps this daemon's view of the control log current, and serves it to others.
--- /dev/null
+++ b/crates/daemon/src/gossip.rs
@@ -0,0 +1,1 @@
+//! Membership over UDP.
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,16 @@
+//! The router daemon: adapters around the decisions of `citron-policy`.
+//!
+//! Everything that meets the outside stands here: callers, upstreams, peers,
+//! the platform's list, the disk, metrics and traces. One thread runs all of
+//! it, so that adapters share state without locks; a control replica's disk
+//! work has a thread of its own, since a sync must not delay a stream.
+
+pub mod admin;
+pub mod control;
+pub mod event;
+pub mod follow;
+pub mod gossip;
+pub mod peers;
+pub mod platform;
+pub mod slots;
+pub mod upstream;
--- /dev/null
+++ b/crates/daemon/src/peers.rs
@@ -0,0 +1,323 @@
+//! Connections to the other daemons.
+//!
+//! A daemon opens one connection to each peer that it has something to say to,
+//! and answers on the connection that a question came by. Messages to one peer
+//! keep their order. Every queue has a bound: a peer that does not read costs a
+//! dropped message, never memory, and everything above resends what matters.
+
+mod link;
+mod listen;
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use citron_policy::id::InstanceId;
+use citron_wire::{Body, Frame, VERSION};
+use derive_more::{Display, Error};
+use futures_util::future::LocalBoxFuture;
+use indexmap::IndexMap;
+use tokio::sync::{mpsc, oneshot};
+
+pub use listen::listen;
+
+/// Most messages that wait for one peer's connection.
+const LINK_QUEUE: usize = 1_024;
+
+/// Most calls that wait for an answer.
+const MAX_CALLS: usize = 16_384;
+
+/// Why a call got no answer.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum Error {
+    /// No address is known for the instance.
+    #[display("no address is known for instance {peer}: wait until it has joined")]
+    Unknown {
+        /// Instance that was called.
+        peer: InstanceId,
+    },
+    /// Too many messages or calls are waiting.
+    #[display("too many messages wait for instance {peer}: try again later")]
+    Full {
+        /// Instance that was called.
+        peer: InstanceId,
+    },
+    /// The connection ended before the answer came.
+    #[display("connection to instance {peer} was lost: try again")]
+    Lost {
+        /// Instance that was called.
+        peer: InstanceId,
+    },
+    /// No answer came in time.
+    #[display("instance {peer} did not answer in time: try again or another one")]
+    Late {
+        /// Instance that was called.
+        peer: InstanceId,
+    },
+    /// The peer refused the call.
+    #[display("instance {peer} refused the call: {reason}")]
+    Refused {
+        /// Instance that was called.
+        peer: InstanceId,
+        /// What it said.
+        reason: String,
+    },
+}
+
+/// Takes in what peers send.
+pub trait Handler {
+    /// A message that wants no answer; called in the sender's order.
+    fn on_tell(&self, from: &InstanceId, body: Body);
+
+    /// A call; the future gives the answer or the reason of a refusal.
+    fn on_call(
+        &self,
+        from: &InstanceId,
+        body: Body,
+    ) -> LocalBoxFuture<'static, Result<Body, String>>;
+}
+
+/// Counters of the peer connections.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Bytes sent, with their length prefixes.
+    pub sent_bytes: u64,
+    /// Bytes received, with their length prefixes.
+    pub received_bytes: u64,
+    /// Messages sent.
+    pub sent: u64,
+    /// Messages received.
+    pub received: u64,
+    /// Messages dropped since a queue was full.
+    pub dropped: u64,
+    /// Frames refused: garbage, another version, cluster or address.
+    pub refused: u64,
+}
+
+/// All peer connections of this daemon; clones share them.
+#[derive(Clone)]
+pub struct Hub {
+    inner: Rc<Inner>,
+}
+
+struct Inner {
+    me: InstanceId,
+    cluster: String,
+    book: RefCell<IndexMap<InstanceId, SocketAddr>>,
+    links: RefCell<IndexMap<InstanceId, mpsc::Sender<Frame>>>,
+    calls: RefCell<IndexMap<u64, Call>>,
+    next_call: Cell<u64>,
+    counts: Cell<Counts>,
+}
+
+struct Call {
+    peer: InstanceId,
+    reply: oneshot::Sender<Result<Body, Error>>,
+}
+
+impl std::fmt::Debug for Hub {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Hub")
+            .field("me", &self.inner.me)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Hub {
+    /// A hub without peers.
+    #[must_use]
+    pub fn new(me: &str, cluster: &str) -> Self {
+        let inner = Inner {
+            me: me.to_owned(),
+            cluster: cluster.to_owned(),
+            book: RefCell::default(),
+            links: RefCell::default(),
+            calls: RefCell::default(),
+            next_call: Cell::new(1),
+            counts: Cell::default(),
+        };
+        Self {
+            inner: Rc::new(inner),
+        }
+    }
+
+    /// This instance.
+    #[must_use]
+    pub fn me(&self) -> &InstanceId {
+        &self.inner.me
+    }
+
+    /// Replaces the known addresses; connections to others are closed.
+    pub fn set_book(&self, book: IndexMap<InstanceId, SocketAddr>) {
+        let old = self.inner.book.replace(book);
+        let book = self.inner.book.borrow();
+        self.inner
+            .links
+            .borrow_mut()
+            .retain(|peer, _| book.get(peer) == old.get(peer));
+    }
+
+    /// Counters so far.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        self.inner.counts.get()
+    }
+
+    /// Messages waiting in all connection queues.
+    #[must_use]
+    pub fn queued(&self) -> usize {
+        let links = self.inner.links.borrow();
+        links
+            .values()
+            .map(|link| link.max_capacity() - link.capacity())
+            .sum()
+    }
+
+    /// Sends a message that wants no answer; dropped and counted if it cannot wait.
+    pub fn tell(&self, to: &InstanceId, body: Body) {
+        let frame = self.frame(0, false, body);
+        if self.send(to, frame).is_err() {
+            self.count(|counts| counts.dropped += 1);
+        }
+    }
+
+    /// Sends a question and waits for its answer.
+    ///
+    /// # Errors
+    /// [`Error`] when no answer came within `within`; the peer may have acted
+    /// on the question all the same unless it is [`Error::Unknown`] or
+    /// [`Error::Full`].
+    pub async fn call(&self, to: &InstanceId, body: Body, within: Duration) -> Result<Body, Error> {
+        let (reply, answer) = oneshot::channel();
+        let call = self.register(to, reply)?;
+        let _guard = Pending { hub: self, call };
+        self.send(to, self.frame(call, false, body))?;
+        match actix_rt::time::timeout(within, answer).await {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(_)) => Err(Error::Lost { peer: to.clone() }),
+            Err(_) => Err(Error::Late { peer: to.clone() }),
+        }
+    }
+
+    fn register(
+        &self,
+        to: &InstanceId,
+        reply: oneshot::Sender<Result<Body, Error>>,
+    ) -> Result<u64, Error> {
+        let mut calls = self.inner.calls.borrow_mut();
+        if calls.len() >= MAX_CALLS {
+            return Err(Error::Full { peer: to.clone() });
+        }
+        let call = self.inner.next_call.get();
+        self.inner.next_call.set(call + 1);
+        calls.insert(
+            call,
+            Call {
+                peer: to.clone(),
+                reply,
+            },
+        );
+        Ok(call)
+    }
+
+    fn frame(&self, call: u64, answer: bool, body: Body) -> Frame {
+        Frame {
+            version: VERSION,
+            cluster: self.inner.cluster.clone(),
+            from: self.inner.me.clone(),
+            call,
+            answer,
+            body: Some(body),
+        }
+    }
+
+    fn send(&self, to: &InstanceId, frame: Frame) -> Result<(), Error> {
+        let link = self.link(to)?;
+        link.try_send(frame).map_err(|error| match error {
+            mpsc::error::TrySendError::Full(_) => Error::Full { peer: to.clone() },
+            mpsc::error::TrySendError::Closed(_) => Error::Lost { peer: to.clone() },
+        })
+    }
+
+    /// The queue of the connection to `to`, opened on first use.
+    fn link(&self, to: &InstanceId) -> Result<mpsc::Sender<Frame>, Error> {
+        let mut links = self.inner.links.borrow_mut();
+        if let Some(link) = links.get(to)
+            && !link.is_closed()
+        {
+            return Ok(link.clone());
+        }
+        let address = self.inner.book.borrow().get(to).copied();
+        let address = address.ok_or_else(|| Error::Unknown { peer: to.clone() })?;
+        let (sender, queue) = mpsc::channel(LINK_QUEUE);
+        links.insert(to.clone(), sender.clone());
+        actix_rt::spawn(link::run(self.clone(), to.clone(), address, queue));
+        Ok(sender)
+    }
+
+    /// Hands an answer to the call that waits for it; a late or crossed one is dropped.
+    fn complete(&self, from: &InstanceId, call: u64, body: Body) {
+        let mut calls = self.inner.calls.borrow_mut();
+        if calls.get(&call).is_none_or(|waiting| waiting.peer != *from) {
+            return;
+        }
+        let Some(waiting) = calls.swap_remove(&call) else {
+            return;
+        };
+        let outcome = match body {
+            Body::Refusal(reason) => Err(Error::Refused {
+                peer: from.clone(),
+                reason,
+            }),
+            body => Ok(body),
+        };
+        // The caller may have stopped waiting, which is its right.
+        drop(waiting.reply.send(outcome));
+    }
+
+    /// Fails the calls that wait for a peer whose connection ended.
+    fn fail_calls(&self, peer: &InstanceId) {
+        let mut calls = self.inner.calls.borrow_mut();
+        let lost: Vec<u64> = calls
+            .iter()
+            .filter(|(_, waiting)| waiting.peer == *peer)
+            .map(|(call, _)| *call)
+            .collect();
+        for call in lost {
+            if let Some(waiting) = calls.swap_remove(&call) {
+                drop(waiting.reply.send(Err(Error::Lost { peer: peer.clone() })));
+            }
+        }
+    }
+
+    /// Whether a frame may come from this address under this name.
+    fn admits(&self, from: &InstanceId, address: SocketAddr) -> bool {
+        let book = self.inner.book.borrow();
+        book.get(from)
+            .is_some_and(|known| known.ip() == address.ip())
+    }
+
+    fn count<F>(&self, change: F)
+    where
+        F: FnOnce(&mut Counts),
+    {
+        let mut counts = self.inner.counts.get();
+        change(&mut counts);
+        self.inner.counts.set(counts);
+    }
+}
+
+/// Forgets a call when its future ends or is dropped.
+struct Pending<'hub> {
+    hub: &'hub Hub,
+    call: u64,
+}
+
+impl Drop for Pending<'_> {
+    fn drop(&mut self) {
+        self.hub.inner.calls.borrow_mut().swap_remove(&self.call);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/platform.rs
@@ -0,0 +1,1 @@
+//! The platform's instance list, read over HTTP.
--- /dev/null
+++ b/crates/daemon/src/upstream.rs
@@ -0,0 +1,1 @@
+//! Exchanges with upstream runners that know whole from cut and written from not.
--- /dev/null
+++ b/crates/policy/src/catalogue/millis.rs
@@ -0,0 +1,21 @@
+//! Durations written as whole milliseconds.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Deserializer, Serializer};
+
+/// Writes a duration as milliseconds.
+pub(super) fn serialize<S>(value: &Duration, serializer: S) -> Result<S::Ok, S::Error>
+where
+    S: Serializer,
+{
+    serializer.serialize_u64(u64::try_from(value.as_millis()).unwrap_or(u64::MAX))
+}
+
+/// Reads a duration from milliseconds.
+pub(super) fn deserialize<'de, D>(deserializer: D) -> Result<Duration, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    u64::deserialize(deserializer).map(Duration::from_millis)
+}
--- /dev/null
+++ b/crates/policy/src/entry.rs
@@ -0,0 +1,1 @@
+//! Which instances callers should use, best first.
--- /dev/null
+++ b/crates/policy/src/feed.rs
@@ -0,0 +1,44 @@
+//! What every daemon learns from the control log.
+//!
+//! Catalogue changes and crash marks concern all daemons; the ledger does not
+//! and stays with the replicas. Updates carry their index in the log, and a
+//! view never goes back to an older one.
+
+use std::{sync::Arc, time::Instant};
+
+use crate::{
+    catalogue::{Catalogue, Change},
+    crash,
+    id::Index,
+};
+
+/// One committed step that concerns every daemon.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// An accepted catalogue change.
+    Change(Arc<Change>),
+    /// A crash mark set, raised or cleared.
+    Crash(crash::Step),
+}
+
+/// A step with its place in the control log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Update {
+    /// Index in the control log.
+    pub index: Index,
+    /// What changed.
+    pub step: Step,
+}
+
+/// What is in force on this daemon.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// Index of the last update taken in.
+    pub index: Index,
+    /// Catalogue in force.
+    pub catalogue: Arc<Catalogue>,
+    /// Requests known or suspected to crash runners.
+    pub marks: Arc<crash::Table>,
+    /// When the catalogue was last known to be current.
+    pub proved: Option<Instant>,
+}
--- /dev/null
+++ b/crates/policy/src/raft.rs
@@ -0,0 +1,1 @@
+//! The quorum-replicated control log.
--- /dev/null
+++ b/crates/policy/src/relay.rs
@@ -0,0 +1,1 @@
+//! Which daemon gets the feed from which other one.
--- /dev/null
+++ b/crates/policy/src/swim.rs
@@ -0,0 +1,1 @@
+//! Failure detection and gossip among the daemons.
