--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,27 @@
-//! Placeholder.
+//! `citrond`, the router daemon.
 
-fn main() {}
+use std::process::ExitCode;
+
+use citron_daemon::settings::{self, Request};
+
+/// Exit code for wrong settings.
+const EXIT_SETTINGS: u8 = 2;
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    match Request::read(&arguments, |name| std::env::var(name).ok()) {
+        Ok(Request::Help) => print(&settings::help()),
+        Ok(Request::Version) => print(concat!("citrond ", env!("CARGO_PKG_VERSION"), "\n")),
+        Ok(Request::Check(_) | Request::Run(_)) => ExitCode::SUCCESS,
+        Err(faults) => {
+            eprintln!("{faults}");
+            ExitCode::from(EXIT_SETTINGS)
+        }
+    }
+}
+
+fn print(text: &str) -> ExitCode {
+    print!("{text}");
+    ExitCode::SUCCESS
+}
