--- a/crates/policy/src/feed.rs
+++ b/crates/policy/src/feed.rs
@@ -42,3 +42,28 @@
     /// When the catalogue was last known to be current.
     pub proved: Option<Instant>,
 }
+
+/// What a replica on the same instance tells the daemon's own view.
+#[derive(Clone, Debug)]
+pub enum Local {
+    /// The next committed step.
+    Update(Update),
+    /// All state up to an index, after a start or a gap.
+    Snapshot {
+        /// Index in the control log that the state is of.
+        index: Index,
+        /// Catalogue at that index.
+        catalogue: Arc<Catalogue>,
+        /// Crash marks at that index.
+        marks: Arc<crash::Table>,
+    },
+    /// Everything accepted before `at` has an index of at most `index`.
+    ///
+    /// Said only by a leader, after a quorum confirmed it since `at`.
+    Proved {
+        /// Last index committed at the start of the quorum round.
+        index: Index,
+        /// Start of the quorum round.
+        at: Instant,
+    },
+}
