--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -1,1 +1,147 @@
 //! Exchanges with upstream runners that know whole from cut and written from not.
+//!
+//! Each exchange has a connection of its own, so nothing is ever written to a
+//! connection that the other side may have closed, and an answer that comes too
+//! late finds nobody to be mistaken for. Nothing is retried and no redirect is
+//! followed here: whether a request may be made again is the policy's decision,
+//! for which [`Failure::ending`] says what is known. Dropping a [`Response`] or
+//! its body closes the connection, which cancels the work upstream.
+
+mod body;
+mod failure;
+mod head;
+mod metrics;
+pub mod model;
+mod socket;
+
+use std::{net::SocketAddr, time::Duration};
+
+use actix_codec::Framed;
+use actix_http::{
+    Method, StatusCode,
+    header::{HeaderMap, HeaderName},
+};
+use actix_rt::net::TcpStream;
+use bytes::Bytes;
+use tokio::time::{Instant, timeout, timeout_at};
+
+pub use self::{body::Body, failure::Failure, metrics::Metrics};
+use self::{head::Codec, socket::Socket};
+
+/// Header that carries a request's identity upstream and back.
+pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+
+/// Bounds of one exchange.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Longest time to open the connection.
+    pub connect: Duration,
+    /// Longest time from the connection to the head of the answer.
+    pub head: Duration,
+    /// Longest silence within the answer.
+    pub idle: Duration,
+    /// Longest time of the whole exchange.
+    pub whole: Duration,
+    /// Largest head of an answer, in bytes.
+    pub max_head_bytes: usize,
+    /// Largest body of an answer, in bytes.
+    pub max_body_bytes: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_secs(1),
+            head: Duration::from_mins(1),
+            idle: Duration::from_secs(30),
+            whole: Duration::from_mins(10),
+            max_head_bytes: 32 << 10,
+            max_body_bytes: 64 << 20,
+        }
+    }
+}
+
+/// What is sent upstream.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Identity, sent as `X-Request-Id`; the answer must bring it back.
+    pub id: String,
+    /// HTTP method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// Further headers; those about the connection are left out.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+impl Default for Request {
+    fn default() -> Self {
+        Self {
+            id: String::new(),
+            method: Method::GET,
+            path: "/".to_owned(),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+        }
+    }
+}
+
+/// An answer whose head has come.
+#[derive(Debug)]
+pub struct Response {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Headers, without those about the connection.
+    pub headers: HeaderMap,
+    /// The body, still arriving.
+    pub body: Body,
+}
+
+/// Sends a request to `target` and waits for the head of its answer.
+///
+/// # Errors
+/// [`Failure`] says how far the exchange got; the connection is closed.
+pub async fn exchange(
+    target: SocketAddr,
+    request: Request,
+    limits: &Limits,
+) -> Result<Response, Failure> {
+    let end = Instant::now() + limits.whole;
+    let request_head = head::request(target, &request)?;
+    let stream = connect(target, limits).await?;
+    let mut framed = Framed::new(Socket::new(stream), Codec::new());
+    let head_end = end.min(Instant::now() + limits.head);
+    let exchanged = async {
+        head::send(&mut framed, request_head, request.body).await?;
+        head::receive(&mut framed).await
+    };
+    let answer = match timeout_at(head_end, exchanged).await {
+        Ok(outcome) => outcome?,
+        Err(_) if framed.io_ref().wrote() => return Err(Failure::Late),
+        Err(_) => return Err(Failure::Unwritten),
+    };
+    head::check(&answer, &request.id, &request.method, limits)?;
+    Ok(head::response(
+        &answer,
+        framed,
+        &request.method,
+        end,
+        limits,
+    ))
+}
+
+async fn connect(target: SocketAddr, limits: &Limits) -> Result<TcpStream, Failure> {
+    let opened = timeout(limits.connect.min(limits.whole), TcpStream::connect(target)).await;
+    let stream = match opened {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) => return Err(Failure::Refused(error.kind())),
+        Err(_) => return Err(Failure::Unreachable),
+    };
+    // Without it small writes wait for acknowledgements; failing only costs time.
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("CP0601 connection to {target}: {error}");
+    }
+    Ok(stream)
+}
--- /dev/null
+++ b/crates/daemon/src/upstream/head.rs
@@ -0,0 +1,239 @@
+//! Heads of requests and answers.
+
+use std::net::SocketAddr;
+
+use actix_codec::{Decoder, Encoder, Framed};
+use actix_http::{
+    ConnectionType, Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode,
+    Uri,
+    body::BodySize,
+    error::{ParseError, PayloadError},
+    h1::{ClientCodec, ClientPayloadCodec, Message},
+    header::{self, HeaderMap, HeaderName, HeaderValue},
+};
+use bytes::{Bytes, BytesMut};
+use futures_util::{SinkExt, StreamExt};
+use tokio::time::Instant;
+
+use super::{Body, Failure, Limits, REQUEST_ID, Request, Response, Socket};
+
+/// Most interim answers (status 1xx) before the real one.
+const MAX_INTERIM: usize = 8;
+
+/// Headers that belong to one connection, or that the codec writes itself.
+const HOP_BY_HOP: [HeaderName; 11] = [
+    header::CONNECTION,
+    header::CONTENT_LENGTH,
+    header::EXPECT,
+    header::HOST,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::PROXY_AUTHENTICATE,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+thread_local! {
+    // A configuration runs a clock task, so all exchanges of a thread share one.
+    static CONFIG: ServiceConfig = ServiceConfig::default();
+}
+
+/// The library's codec, made from the thread's configuration.
+#[derive(Debug)]
+pub(super) struct Codec(ClientCodec);
+
+impl Codec {
+    pub(super) fn new() -> Self {
+        Self(ClientCodec::new(CONFIG.with(Clone::clone)))
+    }
+
+    pub(super) fn into_payload(self) -> PayloadCodec {
+        PayloadCodec(self.0.into_payload_codec())
+    }
+}
+
+/// The codec of an answer's body.
+pub(super) struct PayloadCodec(ClientPayloadCodec);
+
+impl std::fmt::Debug for PayloadCodec {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("PayloadCodec").finish_non_exhaustive()
+    }
+}
+
+impl Decoder for PayloadCodec {
+    type Item = Option<Bytes>;
+    type Error = PayloadError;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Self::Item>, Self::Error> {
+        self.0.decode(src)
+    }
+}
+
+impl Decoder for Codec {
+    type Item = ResponseHead;
+    type Error = ParseError;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Self::Item>, Self::Error> {
+        self.0.decode(src)
+    }
+}
+
+impl Encoder<Message<(RequestHeadType, BodySize)>> for Codec {
+    type Error = std::io::Error;
+
+    fn encode(
+        &mut self,
+        item: Message<(RequestHeadType, BodySize)>,
+        dst: &mut BytesMut,
+    ) -> Result<(), Self::Error> {
+        self.0.encode(item, dst)
+    }
+}
+
+/// The head of a request, with its identity and target.
+pub(super) fn request(target: SocketAddr, request: &Request) -> Result<RequestHead, Failure> {
+    let uri: Uri = request
+        .path
+        .parse()
+        .map_err(|error| Failure::Invalid(format!("path: {error}")))?;
+    let id = HeaderValue::from_str(&request.id)
+        .map_err(|error| Failure::Invalid(format!("request id: {error}")))?;
+    let host = HeaderValue::from_str(&target.to_string())
+        .map_err(|error| Failure::Invalid(format!("target: {error}")))?;
+    let mut head = RequestHead::default();
+    head.method = request.method.clone();
+    head.uri = uri;
+    head.headers = end_to_end(&request.headers);
+    head.headers.insert(header::HOST, host);
+    head.headers.insert(REQUEST_ID, id);
+    head.set_connection_type(ConnectionType::Close);
+    Ok(head)
+}
+
+/// Writes the request; an error tells whether any of it was handed over.
+pub(super) async fn send(
+    framed: &mut Framed<Socket, Codec>,
+    head: RequestHead,
+    body: Bytes,
+) -> Result<(), Failure> {
+    let size = match (body.len(), &head.method) {
+        (0, &Method::GET | &Method::HEAD) => BodySize::None,
+        (length, _) => BodySize::Sized(length as u64),
+    };
+    let written = async {
+        framed.feed(Message::Item((head.into(), size))).await?;
+        if !body.is_empty() {
+            framed.feed(Message::Chunk(Some(body))).await?;
+        }
+        SinkExt::<Message<(RequestHeadType, BodySize)>>::flush(framed).await
+    };
+    match written.await {
+        Ok(()) => Ok(()),
+        Err(_) if framed.io_ref().wrote() => Err(Failure::PartlyWritten),
+        Err(_) => Err(Failure::Unwritten),
+    }
+}
+
+/// Waits for the head of the answer, past interim ones.
+pub(super) async fn receive(framed: &mut Framed<Socket, Codec>) -> Result<ResponseHead, Failure> {
+    for _ in 0..=MAX_INTERIM {
+        match framed.next().await {
+            Some(Ok(head)) if !head.status.is_informational() => return Ok(head),
+            Some(Ok(head)) if head.status == StatusCode::SWITCHING_PROTOCOLS => {
+                return Err(Failure::Garbled("it switches protocols unasked".to_owned()));
+            }
+            Some(Ok(_)) => {}
+            Some(Err(ParseError::Io(_))) | None => return Err(Failure::Unanswered),
+            Some(Err(error)) => return Err(Failure::Garbled(error.to_string())),
+        }
+    }
+    Err(Failure::Garbled("too many interim answers".to_owned()))
+}
+
+/// Checks that the answer is ours, within bounds and of a stated length.
+pub(super) fn check(
+    head: &ResponseHead,
+    id: &str,
+    method: &Method,
+    limits: &Limits,
+) -> Result<(), Failure> {
+    let mut ids = head.headers.get_all(REQUEST_ID);
+    if ids.next().is_none_or(|it| it.as_bytes() != id.as_bytes()) || ids.next().is_some() {
+        return Err(Failure::Crossed);
+    }
+    if size(&head.headers) > limits.max_head_bytes {
+        let limit = limits.max_head_bytes as u64;
+        return Err(Failure::TooLarge { limit });
+    }
+    let chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
+    let sized = head.headers.contains_key(header::CONTENT_LENGTH);
+    if chunked && sized {
+        return Err(Failure::Garbled("it states two lengths".to_owned()));
+    }
+    // The codec takes such an answer for an empty one, and its true end cannot
+    // be told from a lost connection.
+    if !chunked && !sized && has_body(head.status, method) {
+        return Err(Failure::Garbled("it states no length".to_owned()));
+    }
+    Ok(())
+}
+
+/// The answer, with its body still to come on the connection.
+pub(super) fn response(
+    head: &ResponseHead,
+    framed: Framed<Socket, Codec>,
+    method: &Method,
+    end: Instant,
+    limits: &Limits,
+) -> Response {
+    let empty = head
+        .headers
+        .get(header::CONTENT_LENGTH)
+        .is_some_and(|length| length.as_bytes().iter().all(|digit| *digit == b'0'));
+    let body = if empty || !has_body(head.status, method) {
+        Body::empty()
+    } else {
+        Body::new(framed, end, limits)
+    };
+    Response {
+        status: head.status,
+        headers: end_to_end(&head.headers),
+        body,
+    }
+}
+
+fn has_body(status: StatusCode, method: &Method) -> bool {
+    *method != Method::HEAD
+        && status != StatusCode::NO_CONTENT
+        && status != StatusCode::NOT_MODIFIED
+}
+
+fn size(headers: &HeaderMap) -> usize {
+    headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len())
+        .sum()
+}
+
+/// The headers that concern the ends, not this connection.
+fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<&str> = headers
+        .get_all(header::CONNECTION)
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(str::trim)
+        .collect();
+    let mut kept = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        let listed = named
+            .iter()
+            .any(|it| it.eq_ignore_ascii_case(name.as_str()));
+        if !listed && !HOP_BY_HOP.contains(name) {
+            kept.append(name.clone(), value.clone());
+        }
+    }
+    kept
+}
--- /dev/null
+++ b/crates/daemon/src/upstream/metrics.rs
@@ -0,0 +1,95 @@
+//! Counters of the exchanges with runners.
+
+use citron_policy::retry::Ending;
+use prometheus_client::{
+    encoding::{EncodeLabelSet, EncodeLabelValue},
+    metrics::{counter::Counter, family::Family, gauge::Gauge},
+    registry::Registry,
+};
+
+use super::Failure;
+
+/// Counters of the exchanges with runners.
+#[derive(Clone, Debug, Default)]
+pub struct Metrics {
+    /// Exchanges begun.
+    pub exchanges: Counter,
+    /// Exchanges and streams open now.
+    pub open: Gauge,
+    /// Exchanges that failed, by how they ended.
+    pub failures: Family<Label, Counter>,
+}
+
+/// How an exchange failed.
+#[derive(Clone, Copy, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct Label {
+    /// How it ended.
+    pub ending: Kind,
+}
+
+/// Kinds of failed exchanges.
+#[derive(Clone, Copy, Debug, Hash, PartialEq, Eq, EncodeLabelValue)]
+pub enum Kind {
+    /// No connection.
+    Unconnected,
+    /// Connection failed before the first byte.
+    Unwritten,
+    /// Connection failed within the request.
+    PartlyWritten,
+    /// Connection closed without an answer.
+    Unanswered,
+    /// Not in time.
+    Late,
+    /// Ended before it was whole.
+    Cut,
+    /// Not valid.
+    Garbled,
+    /// Of another request.
+    Crossed,
+    /// Over the limit.
+    TooLarge,
+    /// An error status.
+    Status,
+}
+
+impl Metrics {
+    /// Adds the counters to a registry.
+    pub fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "citron_upstream_exchanges",
+            "Exchanges begun with runners",
+            self.exchanges.clone(),
+        );
+        registry.register(
+            "citron_upstream_open",
+            "Exchanges open with runners",
+            self.open.clone(),
+        );
+        registry.register(
+            "citron_upstream_failures",
+            "Exchanges with runners that failed, by ending",
+            self.failures.clone(),
+        );
+    }
+
+    /// Counts a failed exchange.
+    pub fn fail(&self, failure: &Failure) {
+        let ending = kind_of(failure.ending());
+        self.failures.get_or_create(&Label { ending }).inc();
+    }
+}
+
+fn kind_of(ending: Ending) -> Kind {
+    match ending {
+        Ending::Unconnected => Kind::Unconnected,
+        Ending::Unwritten => Kind::Unwritten,
+        Ending::PartlyWritten => Kind::PartlyWritten,
+        Ending::Unanswered => Kind::Unanswered,
+        Ending::Late => Kind::Late,
+        Ending::Cut => Kind::Cut,
+        Ending::Garbled => Kind::Garbled,
+        Ending::Crossed => Kind::Crossed,
+        Ending::TooLarge => Kind::TooLarge,
+        Ending::Answered(_) => Kind::Status,
+    }
+}
