--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -1,1 +1,240 @@
 //! The platform's instance list, read over HTTP.
+//!
+//! The list is asked for about once a second. When the platform does not
+//! answer, or answers with something that is no list, the last good one stays:
+//! an old list is a better guide than none, and what it says of the daemons is
+//! checked by the membership protocol anyway.
+
+use std::{
+    cell::Cell,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{Arc, atomic::AtomicU64},
+    time::{Duration, Instant},
+};
+
+use awc::Client;
+use citron_policy::platform::List;
+use derive_more::{Display, Error};
+use prometheus_client::{
+    metrics::{counter::Counter, gauge::Gauge},
+    registry::Registry,
+};
+use rand::{Rng, RngExt};
+use tokio::sync::watch;
+
+/// Largest list accepted, in bytes; 8,000 entries take about 1.2 MB.
+pub const MAX_LIST_BYTES: usize = 8 << 20;
+
+/// How the platform's list is read.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Address of the platform's HTTP interface.
+    pub address: SocketAddr,
+    /// Time between two readings.
+    pub interval: Duration,
+    /// Longest time for one reading.
+    pub timeout: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from(([127, 0, 0, 1], 7_400)),
+            interval: Duration::from_secs(1),
+            timeout: Duration::from_secs(2),
+        }
+    }
+}
+
+/// Why one reading failed.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum Failure {
+    /// The platform did not answer.
+    #[display("no answer from {address}: {reason}: check --platform and the platform itself")]
+    Silent {
+        /// Address that was asked.
+        address: SocketAddr,
+        /// What the HTTP client said.
+        reason: String,
+    },
+    /// The platform answered with another status than 200.
+    #[display("{address} answered with status {status}: check --platform")]
+    Status {
+        /// Address that was asked.
+        address: SocketAddr,
+        /// Status that it gave.
+        status: u16,
+    },
+    /// The answer is no list.
+    #[display("{address} sent no valid list: {reason}: report it to the platform's team")]
+    Garbage {
+        /// Address that was asked.
+        address: SocketAddr,
+        /// What is wrong with it.
+        reason: String,
+    },
+}
+
+/// What is counted about the readings.
+#[derive(Clone, Debug, Default)]
+pub struct Metrics {
+    readings: Counter,
+    failures: Counter,
+    age: Gauge<f64, AtomicU64>,
+    entries: Gauge,
+    runners: Gauge,
+}
+
+impl Metrics {
+    /// Adds the metrics to a registry.
+    pub fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "citron_platform_readings",
+            "Readings of the platform's list",
+            self.readings.clone(),
+        );
+        registry.register(
+            "citron_platform_failures",
+            "Readings of the platform's list that failed",
+            self.failures.clone(),
+        );
+        registry.register(
+            "citron_platform_age_seconds",
+            "Age of the last good list",
+            self.age.clone(),
+        );
+        registry.register(
+            "citron_platform_entries",
+            "Entry instances on the last good list",
+            self.entries.clone(),
+        );
+        registry.register(
+            "citron_platform_runners",
+            "Runners on the last good list",
+            self.runners.clone(),
+        );
+    }
+}
+
+/// Reads the platform's list for ever; clones share it.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    list: watch::Receiver<Arc<List>>,
+    read: Rc<Cell<Option<Instant>>>,
+    metrics: Metrics,
+}
+
+impl Platform {
+    /// Starts the readings on this thread.
+    #[must_use]
+    pub fn start(settings: Settings) -> Self {
+        let (sender, list) = watch::channel(Arc::new(List::default()));
+        let platform = Self {
+            list,
+            read: Rc::default(),
+            metrics: Metrics::default(),
+        };
+        actix_rt::spawn(platform.clone().run(settings, sender));
+        platform
+    }
+
+    /// The last good list; empty before the first one.
+    #[must_use]
+    pub fn list(&self) -> watch::Receiver<Arc<List>> {
+        self.list.clone()
+    }
+
+    /// When the last good list was read, if any was.
+    #[must_use]
+    pub fn read_at(&self) -> Option<Instant> {
+        self.read.get()
+    }
+
+    /// Counters of the readings.
+    #[must_use]
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    async fn run(self, settings: Settings, sender: watch::Sender<Arc<List>>) {
+        let client = Client::builder()
+            .timeout(settings.timeout)
+            .disable_redirects()
+            .finish();
+        let mut failing = false;
+        loop {
+            let outcome = read(&client, settings.address).await;
+            self.metrics.readings.inc();
+            match outcome {
+                Ok(list) => {
+                    if failing {
+                        log::info!("CP0551 the platform's list is read again");
+                    }
+                    failing = false;
+                    self.take(list, &sender);
+                }
+                Err(failure) => {
+                    self.metrics.failures.inc();
+                    if !failing {
+                        log::warn!(
+                            "CP0550 the platform's list was not read, the last one stays: {failure}"
+                        );
+                    }
+                    failing = true;
+                }
+            }
+            if let Some(read) = self.read.get() {
+                self.metrics.age.set(read.elapsed().as_secs_f64());
+            }
+            actix_rt::time::sleep(pause(settings.interval, &mut rand::rng())).await;
+        }
+    }
+
+    fn take(&self, list: List, sender: &watch::Sender<Arc<List>>) {
+        self.read.set(Some(Instant::now()));
+        let count = |len: usize| i64::try_from(len).unwrap_or(i64::MAX);
+        self.metrics.entries.set(count(list.entries.len()));
+        self.metrics.runners.set(count(list.runners.len()));
+        sender.send_if_modified(|old| {
+            let changed = **old != list;
+            if changed {
+                *old = Arc::new(list);
+            }
+            changed
+        });
+    }
+}
+
+/// One reading of the list.
+async fn read(client: &Client, address: SocketAddr) -> Result<List, Failure> {
+    let request = client.get(format!("http://{address}/v1/list")).send();
+    let mut response = request.await.map_err(|error| Failure::Silent {
+        address,
+        reason: error.to_string(),
+    })?;
+    if response.status() != awc::http::StatusCode::OK {
+        let status = response.status().as_u16();
+        return Err(Failure::Status { address, status });
+    }
+    let body = response
+        .body()
+        .limit(MAX_LIST_BYTES)
+        .await
+        .map_err(|error| Failure::Garbage {
+            address,
+            reason: error.to_string(),
+        })?;
+    serde_json::from_slice(&body).map_err(|error| Failure::Garbage {
+        address,
+        reason: error.to_string(),
+    })
+}
+
+/// The interval with a fifth of jitter, so that daemons do not ask in step.
+fn pause<R>(interval: Duration, rng: &mut R) -> Duration
+where
+    R: Rng,
+{
+    interval.mul_f64(rng.random_range(0.9..1.1))
+}
