--- /dev/null
+++ b/crates/journal/src/files.rs
@@ -0,0 +1,182 @@
+//! The folder on a disk, as the journal sees it.
+//!
+//! The trait is the edge of the process: tests put a faulty folder behind it.
+//! Nothing written, renamed or removed counts before the matching sync.
+
+use std::{
+    fs::{self, File, OpenOptions, TryLockError},
+    io::{self, Write},
+    path::{Path, PathBuf},
+};
+
+/// Name of the file that keeps a second process out.
+const LOCK_FILE: &str = "lock";
+
+/// One flat folder of files.
+pub trait Files {
+    /// Takes the folder for this process alone; false if another one has it.
+    ///
+    /// # Errors
+    /// The system's error.
+    fn lock(&mut self) -> io::Result<bool>;
+
+    /// Names of all files but the lock.
+    ///
+    /// # Errors
+    /// The system's error.
+    fn list(&mut self) -> io::Result<Vec<String>>;
+
+    /// Whole content of a file.
+    ///
+    /// # Errors
+    /// The system's error.
+    fn read(&mut self, name: &str) -> io::Result<Vec<u8>>;
+
+    /// Writes at the end of a file, which is created if need be.
+    ///
+    /// # Errors
+    /// The system's error.
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
+
+    /// Shortens a file.
+    ///
+    /// # Errors
+    /// The system's error.
+    fn cut(&mut self, name: &str, length: u64) -> io::Result<()>;
+
+    /// Makes the content of a file durable.
+    ///
+    /// # Errors
+    /// The system's error.
+    fn sync(&mut self, name: &str) -> io::Result<()>;
+
+    /// Gives a file another name, in place of any file of that name.
+    ///
+    /// # Errors
+    /// The system's error.
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
+
+    /// Removes a file.
+    ///
+    /// # Errors
+    /// The system's error.
+    fn remove(&mut self, name: &str) -> io::Result<()>;
+
+    /// Makes creations, renames and removals durable.
+    ///
+    /// # Errors
+    /// The system's error.
+    fn sync_folder(&mut self) -> io::Result<()>;
+}
+
+/// A folder of the operating system.
+#[derive(Debug)]
+pub struct Disk {
+    folder: PathBuf,
+    /// Held for as long as the folder is in use.
+    lock: Option<File>,
+    /// The file written last. A failed write-back is reported to the handle
+    /// that wrote, so the sync must go through the same one.
+    open: Option<(String, File)>,
+}
+
+impl Disk {
+    /// The folder at a path, created if need be.
+    ///
+    /// # Errors
+    /// The system's error.
+    pub fn new(folder: &Path) -> io::Result<Self> {
+        fs::create_dir_all(folder)?;
+        if let Some(parent) = folder.parent().filter(|it| !it.as_os_str().is_empty()) {
+            File::open(parent)?.sync_all()?;
+        }
+        Ok(Self {
+            folder: folder.to_owned(),
+            lock: None,
+            open: None,
+        })
+    }
+
+    fn path(&self, name: &str) -> PathBuf {
+        self.folder.join(name)
+    }
+
+    fn handle(&mut self, name: &str) -> io::Result<&mut File> {
+        if self.open.as_ref().is_none_or(|(open, _)| open != name) {
+            let file = OpenOptions::new()
+                .create(true)
+                .append(true)
+                .open(self.path(name))?;
+            self.open = Some((name.to_owned(), file));
+        }
+        match &mut self.open {
+            Some((_, file)) => Ok(file),
+            None => Err(io::ErrorKind::NotFound.into()),
+        }
+    }
+
+    fn forget(&mut self, name: &str) {
+        self.open.take_if(|(open, _)| open == name);
+    }
+}
+
+impl Files for Disk {
+    fn lock(&mut self) -> io::Result<bool> {
+        let file = OpenOptions::new()
+            .create(true)
+            .truncate(false)
+            .write(true)
+            .open(self.path(LOCK_FILE))?;
+        match file.try_lock() {
+            Ok(()) => {
+                self.lock = Some(file);
+                Ok(true)
+            }
+            Err(TryLockError::WouldBlock) => Ok(false),
+            Err(TryLockError::Error(error)) => Err(error),
+        }
+    }
+
+    fn list(&mut self) -> io::Result<Vec<String>> {
+        let mut names = Vec::new();
+        for entry in fs::read_dir(&self.folder)? {
+            let name = entry?.file_name().to_string_lossy().into_owned();
+            if name != LOCK_FILE {
+                names.push(name);
+            }
+        }
+        names.sort();
+        Ok(names)
+    }
+
+    fn read(&mut self, name: &str) -> io::Result<Vec<u8>> {
+        fs::read(self.path(name))
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.handle(name)?.write_all(bytes)
+    }
+
+    fn cut(&mut self, name: &str, length: u64) -> io::Result<()> {
+        self.handle(name)?.set_len(length)
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.handle(name)?.sync_data()
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.forget(from);
+        self.forget(to);
+        fs::rename(self.path(from), self.path(to))
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.forget(name);
+        fs::remove_file(self.path(name))
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        File::open(&self.folder)?.sync_all()
+    }
+}
--- /dev/null
+++ b/crates/journal/src/segment.rs
@@ -0,0 +1,266 @@
+//! Segments of the log: names, the bodies of their frames, and reading one.
+
+use crate::{
+    Error, Index, Record, ReplicaId,
+    frame::{self, HEADER_BYTES, MARKER_BYTES},
+};
+
+/// Version of the format of segments and snapshots.
+pub(crate) const FORMAT: u32 = 1;
+
+/// Start of a segment's file name.
+const PREFIX: &str = "log-";
+
+/// Bytes of a head in front of the hard state.
+const HEAD_BYTES: usize = 28;
+
+/// Bytes of an entry in front of its data.
+const ENTRY_BYTES: usize = 12;
+
+/// File name of a segment.
+pub(crate) fn name(number: u64) -> String {
+    format!("{PREFIX}{number:016x}")
+}
+
+/// Number of the segment with this file name.
+pub(crate) fn number(name: &str) -> Option<u64> {
+    let digits = name.strip_prefix(PREFIX)?;
+    let number = u64::from_str_radix(digits, 16).ok()?;
+    (self::name(number) == name).then_some(number)
+}
+
+/// What stands first in a segment.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Head {
+    /// Replica that the segment belongs to.
+    pub(crate) replica: ReplicaId,
+    /// Index of the last record before the segment; later ones are void.
+    pub(crate) base: Index,
+    /// Hard state when the segment was begun.
+    pub(crate) hard: Vec<u8>,
+}
+
+/// One staged item.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Item {
+    /// A record; later ones of the same or a higher index are void.
+    Entry(Record),
+    /// The hard state.
+    Hard(Vec<u8>),
+}
+
+/// Body of a frame.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Body {
+    /// First frame of a segment.
+    Head(Head),
+    /// Items that were synced together.
+    Batch(Vec<Item>),
+    /// Last frame of a segment: the next one exists.
+    Closed,
+}
+
+const HEAD: u8 = 0;
+const BATCH: u8 = 1;
+const CLOSED: u8 = 2;
+const ENTRY: u8 = 1;
+const HARD: u8 = 2;
+
+impl Body {
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        match self {
+            Self::Head(head) => {
+                bytes.push(HEAD);
+                bytes.extend_from_slice(&[0; 7]);
+                bytes.extend_from_slice(&FORMAT.to_le_bytes());
+                bytes.extend_from_slice(&head.replica.to_le_bytes());
+                bytes.extend_from_slice(&head.base.to_le_bytes());
+                bytes.extend_from_slice(&head.hard);
+            }
+            Self::Batch(items) => {
+                bytes.push(BATCH);
+                for item in items {
+                    encode_item(item, &mut bytes);
+                }
+            }
+            Self::Closed => bytes.push(CLOSED),
+        }
+        bytes
+    }
+
+    /// Parses a body; the format of a head comes first, since another one may
+    /// have any shape.
+    fn decode(bytes: &[u8]) -> Result<Self, Malformed> {
+        let (kind, rest) = bytes.split_first().ok_or(Malformed::Shape)?;
+        match *kind {
+            HEAD => decode_head(bytes).map(Self::Head),
+            BATCH => decode_items(rest).map(Self::Batch),
+            CLOSED if rest.is_empty() => Ok(Self::Closed),
+            _ => Err(Malformed::Shape),
+        }
+    }
+}
+
+/// Why a body with a right checksum is not understood.
+enum Malformed {
+    Shape,
+    Format(u32),
+}
+
+impl Malformed {
+    fn into_error(self, file: &str, offset: usize) -> Error {
+        match self {
+            Self::Shape => Error::Damaged {
+                file: file.to_owned(),
+                offset: offset as u64,
+                reason: "the record has no known shape",
+            },
+            Self::Format(found) => Error::Format {
+                file: file.to_owned(),
+                found,
+                known: FORMAT,
+            },
+        }
+    }
+}
+
+fn encode_item(item: &Item, bytes: &mut Vec<u8>) {
+    match item {
+        Item::Entry(record) => {
+            bytes.push(ENTRY);
+            bytes.extend_from_slice(&record.index.to_le_bytes());
+            push_data(&record.data, bytes);
+        }
+        Item::Hard(data) => {
+            bytes.push(HARD);
+            push_data(data, bytes);
+        }
+    }
+}
+
+fn push_data(data: &[u8], bytes: &mut Vec<u8>) {
+    let length = u32::try_from(data.len()).unwrap_or(u32::MAX);
+    bytes.extend_from_slice(&length.to_le_bytes());
+    bytes.extend_from_slice(data);
+}
+
+fn decode_head(bytes: &[u8]) -> Result<Head, Malformed> {
+    let format = frame::u32_at(bytes, 8).ok_or(Malformed::Shape)?;
+    if format != FORMAT {
+        return Err(Malformed::Format(format));
+    }
+    let replica = frame::u64_at(bytes, 12).ok_or(Malformed::Shape)?;
+    let base = frame::u64_at(bytes, 20).ok_or(Malformed::Shape)?;
+    let hard = bytes.get(HEAD_BYTES..).ok_or(Malformed::Shape)?.to_vec();
+    Ok(Head {
+        replica,
+        base,
+        hard,
+    })
+}
+
+fn decode_items(mut bytes: &[u8]) -> Result<Vec<Item>, Malformed> {
+    let mut items = Vec::new();
+    while let Some((kind, rest)) = bytes.split_first() {
+        let (item, used) = match *kind {
+            ENTRY => {
+                let index = frame::u64_at(rest, 0).ok_or(Malformed::Shape)?;
+                let data = data_at(rest, 8)?;
+                let used = ENTRY_BYTES + data.len();
+                let data = data.to_vec();
+                (Item::Entry(Record { index, data }), used)
+            }
+            HARD => {
+                let data = data_at(rest, 0)?;
+                (Item::Hard(data.to_vec()), 4 + data.len())
+            }
+            _ => return Err(Malformed::Shape),
+        };
+        items.push(item);
+        bytes = rest.get(used..).ok_or(Malformed::Shape)?;
+    }
+    Ok(items)
+}
+
+fn data_at(bytes: &[u8], at: usize) -> Result<&[u8], Malformed> {
+    let length = frame::u32_at(bytes, at).ok_or(Malformed::Shape)?;
+    let length = usize::try_from(length).unwrap_or(usize::MAX);
+    let start = at + 4;
+    let end = start.checked_add(length).ok_or(Malformed::Shape)?;
+    bytes.get(start..end).ok_or(Malformed::Shape)
+}
+
+/// A segment as read from its file.
+#[derive(Debug)]
+pub(crate) struct Segment {
+    /// Its number.
+    pub(crate) number: u64,
+    /// Its first frame.
+    pub(crate) head: Head,
+    /// Items of all batches in order.
+    pub(crate) items: Vec<Item>,
+    /// Whether it ends with a closing frame.
+    pub(crate) closed: bool,
+    /// Offset behind the last whole frame, without its marker.
+    pub(crate) end: usize,
+}
+
+/// Reads a segment; `None` if it was never begun: nothing in it was synced.
+///
+/// A torn tail is left out, and only the caller knows whether this segment may
+/// have one.
+///
+/// # Errors
+/// Damage in front of synced bytes.
+pub(crate) fn read(number: u64, bytes: &[u8]) -> Result<Option<Segment>, Error> {
+    let file = name(number);
+    let Some(body) = frame::decode(number, bytes, 0) else {
+        check_torn(&file, number, bytes, 0)?;
+        return Ok(None);
+    };
+    let head = match Body::decode(body).map_err(|it| it.into_error(&file, 0))? {
+        Body::Head(head) => head,
+        Body::Batch(_) | Body::Closed => return Err(Malformed::Shape.into_error(&file, 0)),
+    };
+    let mut segment = Segment {
+        number,
+        head,
+        items: Vec::new(),
+        closed: false,
+        end: HEADER_BYTES + body.len(),
+    };
+    segment.read_frames(&file, bytes)?;
+    Ok(Some(segment))
+}
+
+impl Segment {
+    fn read_frames(&mut self, file: &str, bytes: &[u8]) -> Result<(), Error> {
+        loop {
+            let offset = self.end + MARKER_BYTES;
+            let Some(body) = frame::decode(self.number, bytes, offset) else {
+                return check_torn(file, self.number, bytes, offset);
+            };
+            match Body::decode(body).map_err(|it| it.into_error(file, offset))? {
+                Body::Batch(items) if !self.closed => self.items.extend(items),
+                Body::Closed if !self.closed => self.closed = true,
+                Body::Head(_) | Body::Batch(_) | Body::Closed => {
+                    return Err(Malformed::Shape.into_error(file, offset));
+                }
+            }
+            self.end = offset + HEADER_BYTES + body.len();
+        }
+    }
+}
+
+/// Refuses bytes at `offset` that are no frame and yet were synced once.
+fn check_torn(file: &str, number: u64, bytes: &[u8], offset: usize) -> Result<(), Error> {
+    if !frame::marker_follows(number, bytes, offset) {
+        return Ok(());
+    }
+    Err(Error::Damaged {
+        file: file.to_owned(),
+        offset: offset as u64,
+        reason: "a record that was synced has a wrong checksum",
+    })
+}
--- /dev/null
+++ b/crates/journal/tests/crash.rs
@@ -0,0 +1,311 @@
+//! Kills and disk failures at every operation: what was synced is there again,
+//! and what was not is there as a whole or not at all.
+
+mod memory;
+
+use citron_journal::{Error, Journal, Record, Recovered, Settings, Snapshot};
+use googletest::prelude::*;
+use memory::{Fault, Lie, Loss, Memory};
+
+/// Identity offered to a folder that has none yet.
+const NEW_ID: u64 = 0x00c1_7209;
+
+/// Small segments, so that a short script closes several.
+fn settings() -> Settings {
+    Settings { segment_bytes: 160 }
+}
+
+const LOSSES: [Loss; 8] = [
+    Loss::Nothing,
+    Loss::Everything,
+    Loss::Some(1),
+    Loss::Some(2),
+    Loss::Some(3),
+    Loss::Some(4),
+    Loss::Some(5),
+    Loss::Some(6),
+];
+
+/// One call of the journal.
+#[derive(Clone, Debug)]
+enum Step {
+    /// Appends records with these first and last indexes.
+    Append(u64, u64),
+    /// Saves the hard state.
+    Hard(u8),
+    /// Syncs.
+    Sync,
+    /// Snapshot at an index.
+    Snapshot(u64),
+    /// Snapshot of another replica.
+    Install(u64),
+}
+
+/// Appends, cuts, several segments, snapshots of every kind.
+const SCRIPT: [Step; 24] = [
+    Step::Hard(1),
+    Step::Append(1, 2),
+    Step::Sync,
+    Step::Append(3, 5),
+    Step::Hard(2),
+    Step::Sync,
+    Step::Append(4, 6),
+    Step::Sync,
+    Step::Append(7, 9),
+    Step::Sync,
+    Step::Snapshot(4),
+    Step::Append(10, 10),
+    Step::Hard(3),
+    Step::Sync,
+    Step::Append(8, 8),
+    Step::Append(9, 12),
+    Step::Sync,
+    Step::Snapshot(12),
+    Step::Append(13, 15),
+    Step::Sync,
+    Step::Install(14),
+    Step::Append(15, 16),
+    Step::Snapshot(40),
+    Step::Append(41, 42),
+];
+
+/// What a journal holds.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Content {
+    hard: Vec<u8>,
+    snapshot: Option<Snapshot>,
+    records: Vec<Record>,
+}
+
+impl Content {
+    fn of(recovered: Recovered) -> Self {
+        Self {
+            hard: recovered.hard,
+            snapshot: recovered.snapshot,
+            records: recovered.records,
+        }
+    }
+
+    fn take(&mut self, step: &Step, salt: usize) {
+        match *step {
+            Step::Append(first, last) => {
+                for record in records(first, last, salt) {
+                    self.records.retain(|it| it.index < record.index);
+                    self.records.push(record);
+                }
+            }
+            Step::Hard(hard) => self.hard = vec![hard; 5],
+            Step::Sync => {}
+            Step::Snapshot(index) => {
+                self.records.retain(|it| it.index > index);
+                self.snapshot = Some(snapshot(index));
+            }
+            Step::Install(index) => {
+                self.records.clear();
+                self.snapshot = Some(snapshot(index));
+            }
+        }
+    }
+}
+
+fn records(first: u64, last: u64, salt: usize) -> Vec<Record> {
+    let data = |index| format!("record {index} of step {salt}").into_bytes();
+    let indexes = first..=last;
+    indexes
+        .map(|index| Record {
+            index,
+            data: data(index),
+        })
+        .collect()
+}
+
+fn snapshot(index: u64) -> Snapshot {
+    let data = format!("state up to {index}").repeat(3).into_bytes();
+    Snapshot { index, data }
+}
+
+fn call(journal: &mut Journal<Memory>, step: &Step, salt: usize) -> std::result::Result<(), Error> {
+    match *step {
+        Step::Append(first, last) => journal.append(&records(first, last, salt)),
+        Step::Hard(hard) => journal.save_hard(&[hard; 5]),
+        Step::Sync => journal.sync(),
+        Step::Snapshot(index) => journal.snapshot(index, &snapshot(index).data),
+        Step::Install(index) => journal.install(index, &snapshot(index).data),
+    }
+}
+
+/// What may be found after a failure.
+#[derive(Debug)]
+struct Promise {
+    /// Contents that are allowed: the last one synced, and what was under way.
+    allowed: Vec<Content>,
+    /// Hard states that are allowed with any of them.
+    hards: Vec<Vec<u8>>,
+}
+
+impl Promise {
+    fn holds(&self, found: &Content) -> bool {
+        let same = |it: &Content| it.snapshot == found.snapshot && it.records == found.records;
+        self.hards.contains(&found.hard) && self.allowed.iter().any(same)
+    }
+}
+
+/// Runs the script until it ends or fails.
+fn run(memory: &Memory) -> (Promise, bool) {
+    let mut synced = Content::default();
+    let mut promise = Promise {
+        allowed: vec![synced.clone()],
+        hards: vec![Vec::new()],
+    };
+    let Ok((mut journal, _)) = Journal::open(settings(), memory.clone(), NEW_ID) else {
+        return (promise, false);
+    };
+    let mut staged = Content::default();
+    for (salt, step) in SCRIPT.iter().enumerate() {
+        let before = staged.clone();
+        staged.take(step, salt);
+        promise.allowed = vec![synced.clone(), before.clone(), staged.clone()];
+        promise.hards = vec![synced.hard.clone(), staged.hard.clone()];
+        if call(&mut journal, step, salt).is_err() {
+            expect_stopped(memory, &mut journal);
+            return (promise, false);
+        }
+        if !matches!(step, Step::Append(..) | Step::Hard(_)) {
+            synced = staged.clone();
+        }
+        promise.allowed = vec![synced.clone()];
+        promise.hards = vec![synced.hard.clone()];
+    }
+    (promise, true)
+}
+
+/// After a failure no call touches the disk again.
+fn expect_stopped(memory: &Memory, journal: &mut Journal<Memory>) {
+    let before = memory.operations();
+    assert!(matches!(journal.sync(), Err(Error::Stopped)));
+    assert!(matches!(journal.save_hard(&[9]), Err(Error::Stopped)));
+    assert!(matches!(journal.append(&[]), Err(Error::Stopped)));
+    assert!(matches!(journal.snapshot(99, &[]), Err(Error::Stopped)));
+    assert!(matches!(journal.install(99, &[]), Err(Error::Stopped)));
+    assert_eq!(memory.operations(), before);
+}
+
+fn reopen(memory: &Memory) -> std::result::Result<Content, String> {
+    let opened = Journal::open(settings(), memory.clone(), NEW_ID);
+    let (_, recovered) = opened.map_err(|error| error.to_string())?;
+    Ok(Content::of(recovered))
+}
+
+/// One crash at operation `at`; `Ok(true)` when the script ended before it.
+fn crash(lie: Lie, at: usize, fault: Fault, loss: Loss) -> std::result::Result<bool, String> {
+    let memory = Memory::with_lie(lie);
+    memory.strike(at, fault);
+    let (promise, done) = run(&memory);
+    memory.restart(loss);
+    let context = |text: String| format!("{lie:?}, {fault:?} at {at}, {loss:?}: {text}");
+    let found = reopen(&memory).map_err(context)?;
+    if !promise.holds(&found) {
+        return Err(context(format!("found {found:?}, allowed {promise:?}")));
+    }
+    // What was reported once must still be there after the machine is lost.
+    memory.restart(Loss::Everything);
+    let again = reopen(&memory).map_err(context)?;
+    if again != found {
+        return Err(context(format!("found {again:?} after {found:?}")));
+    }
+    recover_under_fire(&memory, loss, &found).map_err(context)?;
+    go_on(&memory, found).map_err(context)?;
+    Ok(done)
+}
+
+/// Kills the recovery itself at every operation.
+fn recover_under_fire(
+    memory: &Memory,
+    loss: Loss,
+    expected: &Content,
+) -> std::result::Result<(), String> {
+    for at in 0.. {
+        memory.restart(loss);
+        memory.strike(at, Fault::Stop);
+        let done = reopen(memory).is_ok();
+        memory.restart(loss);
+        let found = reopen(memory)?;
+        if found != *expected {
+            return Err(format!(
+                "found {found:?} after a kill at {at} of the recovery"
+            ));
+        }
+        if done {
+            break;
+        }
+    }
+    Ok(())
+}
+
+/// Writes on after a recovery, and loses the machine once more.
+fn go_on(memory: &Memory, mut expected: Content) -> std::result::Result<(), String> {
+    memory.restart(Loss::Everything);
+    let opened = Journal::open(settings(), memory.clone(), NEW_ID);
+    let (mut journal, _) = opened.map_err(|error| error.to_string())?;
+    for salt in 100..104 {
+        let next = journal.last() + 1;
+        for step in [Step::Append(next, next + 1), Step::Hard(7), Step::Sync] {
+            expected.take(&step, salt);
+            call(&mut journal, &step, salt).map_err(|error| error.to_string())?;
+        }
+    }
+    drop(journal);
+    memory.restart(Loss::Everything);
+    let found = reopen(memory)?;
+    if found != expected {
+        return Err(format!("found {found:?}, wrote {expected:?}"));
+    }
+    Ok(())
+}
+
+/// Every operation, both faults, every loss; the first broken promise.
+fn sweep(lie: Lie) -> std::result::Result<usize, String> {
+    let mut crashes = 0;
+    for fault in [Fault::Stop, Fault::Fail] {
+        for loss in LOSSES {
+            for at in 0.. {
+                crashes += 1;
+                if crash(lie, at, fault, loss)? {
+                    break;
+                }
+            }
+        }
+    }
+    Ok(crashes)
+}
+
+#[gtest]
+fn what_was_synced_survives_a_failure_at_any_operation() {
+    let crashes = sweep(Lie::None).unwrap_or_else(|broken| panic!("{broken}"));
+    expect_that!(crashes, gt(1_000));
+}
+
+#[gtest]
+fn the_sweep_notices_a_missing_sync_of_the_folder() {
+    expect_that!(sweep(Lie::FolderSync), err(anything()));
+}
+
+#[gtest]
+fn the_sweep_notices_a_snapshot_renamed_before_its_sync() {
+    expect_that!(sweep(Lie::FileSync("snapshot.tmp")), err(anything()));
+}
+
+#[gtest]
+fn the_sweep_notices_an_identity_renamed_before_its_sync() {
+    expect_that!(sweep(Lie::FileSync("replica.tmp")), err(anything()));
+}
+
+#[gtest]
+fn the_sweep_notices_a_missing_sync_of_the_log() {
+    expect_that!(sweep(Lie::FileSync("log-")), err(anything()));
+}
+
+#[gtest]
+fn the_sweep_notices_a_torn_tail_that_is_not_cut() {
+    expect_that!(sweep(Lie::Cut), err(anything()));
+}
--- /dev/null
+++ b/crates/journal/tests/memory/mod.rs
@@ -0,0 +1,325 @@
+//! A folder in memory that fails or stops at a chosen operation, and that
+//! loses, tears or keeps what was not synced.
+
+#![allow(dead_code, reason = "each test program uses another part")]
+use std::{cell::RefCell, io, rc::Rc};
+
+use citron_journal::Files;
+
+/// Bytes that a torn write keeps or loses together.
+const BLOCK_BYTES: usize = 16;
+
+/// A promise of the disk that is broken, to see that a test notices.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lie {
+    /// Every promise is kept.
+    None,
+    /// Syncs of the folder do nothing.
+    FolderSync,
+    /// Syncs of files whose name starts so do nothing.
+    FileSync(&'static str),
+    /// Cuts do nothing.
+    Cut,
+}
+
+/// What the chosen operation does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// It and all later ones do nothing: the process was killed.
+    Stop,
+    /// It does half of its work and fails; later ones would work again.
+    Fail,
+}
+
+/// What becomes of unsynced work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    /// All of it is there: only the process was lost.
+    Nothing,
+    /// None of it is there.
+    Everything,
+    /// Any part of it, by this seed.
+    Some(u64),
+}
+
+#[derive(Clone, Debug, Default)]
+struct Inode {
+    synced: Vec<u8>,
+    live: Vec<u8>,
+}
+
+#[derive(Clone, Debug)]
+enum Naming {
+    Create(String, usize),
+    Rename(String, String),
+    Remove(String),
+}
+
+#[derive(Debug, Default)]
+struct State {
+    inodes: Vec<Inode>,
+    synced: Vec<(String, usize)>,
+    live: Vec<(String, usize)>,
+    namings: Vec<Naming>,
+    operations: usize,
+    fault: Option<(usize, Fault)>,
+    lie: Option<Lie>,
+    locked: bool,
+}
+
+/// The folder; clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct Memory {
+    state: Rc<RefCell<State>>,
+}
+
+impl Memory {
+    /// An empty folder on a disk that breaks one promise.
+    pub fn with_lie(lie: Lie) -> Self {
+        let memory = Self::default();
+        memory.state.borrow_mut().lie = Some(lie);
+        memory
+    }
+
+    /// Strikes at the operation of this number, counted from now.
+    pub fn strike(&self, at: usize, fault: Fault) {
+        let mut state = self.state.borrow_mut();
+        state.fault = Some((state.operations + at, fault));
+    }
+
+    /// Operations so far.
+    pub fn operations(&self) -> usize {
+        self.state.borrow().operations
+    }
+
+    /// Starts anew after the process or the machine was lost.
+    pub fn restart(&self, loss: Loss) {
+        let mut state = self.state.borrow_mut();
+        state.fault = None;
+        state.locked = false;
+        match loss {
+            Loss::Nothing => {}
+            Loss::Everything => state.lose(|()| false),
+            Loss::Some(seed) => {
+                let mut random = seed;
+                state.lose(|()| {
+                    // A step of Knuth's MMIX generator; the high bits are good.
+                    random = random
+                        .wrapping_mul(6_364_136_223_846_793_005)
+                        .wrapping_add(1_442_695_040_888_963_407);
+                    random >> 63 == 0
+                });
+            }
+        }
+    }
+
+    /// Changes the content of a file behind the journal's back.
+    pub fn tamper<C>(&self, name: &str, change: C)
+    where
+        C: FnOnce(&mut Vec<u8>),
+    {
+        let mut state = self.state.borrow_mut();
+        let inode = state.find(name).expect("the file exists");
+        change(&mut state.inodes[inode].live);
+        let live = state.inodes[inode].live.clone();
+        state.inodes[inode].synced = live;
+    }
+
+    /// Removes a file behind the journal's back.
+    pub fn lose(&self, name: &str) {
+        let mut state = self.state.borrow_mut();
+        state.live.retain(|(it, _)| it != name);
+        state.synced.retain(|(it, _)| it != name);
+    }
+
+    /// Puts a file there behind the journal's back.
+    pub fn plant(&self, name: &str, bytes: &[u8]) {
+        self.lose(name);
+        let mut state = self.state.borrow_mut();
+        state.inodes.push(Inode {
+            synced: bytes.to_vec(),
+            live: bytes.to_vec(),
+        });
+        let inode = state.inodes.len() - 1;
+        state.live.push((name.to_owned(), inode));
+        state.synced.push((name.to_owned(), inode));
+    }
+
+    /// Names and contents.
+    pub fn files(&self) -> Vec<(String, Vec<u8>)> {
+        let state = self.state.borrow();
+        let content = |inode: usize| state.inodes[inode].live.clone();
+        let files = state.live.iter();
+        files
+            .map(|(name, inode)| (name.clone(), content(*inode)))
+            .collect()
+    }
+
+    fn operate<T, O>(&self, operation: O) -> io::Result<T>
+    where
+        O: FnOnce(&mut State, bool) -> io::Result<T>,
+    {
+        let mut state = self.state.borrow_mut();
+        let number = state.operations;
+        state.operations += 1;
+        match state.fault {
+            Some((at, Fault::Stop)) if number >= at => Err(io::Error::other("killed")),
+            Some((at, Fault::Fail)) if number == at => {
+                drop(operation(&mut state, true));
+                Err(io::Error::other("input/output error"))
+            }
+            _ => operation(&mut state, false),
+        }
+    }
+}
+
+impl State {
+    fn find(&self, name: &str) -> Option<usize> {
+        let found = self.live.iter().find(|(it, _)| it == name);
+        found.map(|(_, inode)| *inode)
+    }
+
+    fn known(&self, name: &str) -> io::Result<usize> {
+        self.find(name)
+            .ok_or_else(|| io::ErrorKind::NotFound.into())
+    }
+
+    fn lose<K>(&mut self, mut keep: K)
+    where
+        K: FnMut(()) -> bool,
+    {
+        for inode in &mut self.inodes {
+            lose_content(inode, &mut keep);
+        }
+        let mut names = std::mem::take(&mut self.synced);
+        for naming in std::mem::take(&mut self.namings) {
+            if keep(()) {
+                apply(&mut names, &naming);
+            }
+        }
+        self.live.clone_from(&names);
+        self.synced = names;
+    }
+}
+
+fn lose_content<K>(inode: &mut Inode, keep: &mut K)
+where
+    K: FnMut(()) -> bool,
+{
+    let synced = std::mem::take(&mut inode.synced);
+    let mut bytes = synced.clone();
+    if keep(()) {
+        bytes.resize(inode.live.len(), 0);
+    }
+    let blocks = bytes
+        .chunks_mut(BLOCK_BYTES)
+        .zip(inode.live.chunks(BLOCK_BYTES));
+    for (block, live) in blocks {
+        if keep(()) {
+            let length = block.len().min(live.len());
+            block[..length].copy_from_slice(&live[..length]);
+        }
+    }
+    inode.live.clone_from(&bytes);
+    inode.synced = bytes;
+}
+
+fn apply(names: &mut Vec<(String, usize)>, naming: &Naming) {
+    match naming {
+        Naming::Create(name, inode) => names.push((name.clone(), *inode)),
+        Naming::Remove(name) => names.retain(|(it, _)| it != name),
+        Naming::Rename(from, to) => {
+            if let Some(at) = names.iter().position(|(it, _)| it == from) {
+                let (_, inode) = names.remove(at);
+                names.retain(|(it, _)| it != to);
+                names.push((to.clone(), inode));
+            }
+        }
+    }
+}
+
+impl Files for Memory {
+    fn lock(&mut self) -> io::Result<bool> {
+        self.operate(|state, _| Ok(!std::mem::replace(&mut state.locked, true)))
+    }
+
+    fn list(&mut self) -> io::Result<Vec<String>> {
+        self.operate(|state, _| Ok(state.live.iter().map(|(name, _)| name.clone()).collect()))
+    }
+
+    fn read(&mut self, name: &str) -> io::Result<Vec<u8>> {
+        self.operate(|state, _| Ok(state.inodes[state.known(name)?].live.clone()))
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.operate(|state, half| {
+            let inode = state.find(name).unwrap_or_else(|| {
+                state.inodes.push(Inode::default());
+                let inode = state.inodes.len() - 1;
+                let naming = Naming::Create(name.to_owned(), inode);
+                apply(&mut state.live, &naming);
+                state.namings.push(naming);
+                inode
+            });
+            let length = if half { bytes.len() / 2 } else { bytes.len() };
+            state.inodes[inode].live.extend_from_slice(&bytes[..length]);
+            Ok(())
+        })
+    }
+
+    fn cut(&mut self, name: &str, length: u64) -> io::Result<()> {
+        self.operate(|state, half| {
+            let inode = state.known(name)?;
+            let length = usize::try_from(length).expect("a small file");
+            if !half && state.lie != Some(Lie::Cut) {
+                state.inodes[inode].live.resize(length, 0);
+            }
+            Ok(())
+        })
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.operate(|state, half| {
+            let inode = state.known(name)?;
+            let lie = matches!(state.lie, Some(Lie::FileSync(prefix)) if name.starts_with(prefix));
+            if !half && !lie {
+                state.inodes[inode].synced = state.inodes[inode].live.clone();
+            }
+            Ok(())
+        })
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.operate(|state, half| {
+            state.known(from)?;
+            if !half {
+                let naming = Naming::Rename(from.to_owned(), to.to_owned());
+                apply(&mut state.live, &naming);
+                state.namings.push(naming);
+            }
+            Ok(())
+        })
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.operate(|state, half| {
+            state.known(name)?;
+            if !half {
+                let naming = Naming::Remove(name.to_owned());
+                apply(&mut state.live, &naming);
+                state.namings.push(naming);
+            }
+            Ok(())
+        })
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        self.operate(|state, half| {
+            if !half && state.lie != Some(Lie::FolderSync) {
+                state.namings.clear();
+                state.synced = state.live.clone();
+            }
+            Ok(())
+        })
+    }
+}
