--- /dev/null
+++ b/crates/standin/src/engine/answer.rs
@@ -0,0 +1,151 @@
+//! Answers that follow from the prompt alone.
+
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Words that tokens are made of.
+const WORDS: [&str; 16] = [
+    "amber", "bezel", "clasp", "crown", "facet", "gold", "heel", "hook", "lace", "loop", "opal",
+    "prong", "ring", "sole", "stitch", "thread",
+];
+
+/// Longest answer, in means.
+const MAX_MEANS: u64 = 8;
+
+/// A chat request.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Chat {
+    /// Model asked for.
+    pub model: String,
+    /// The conversation.
+    pub messages: Vec<Message>,
+    /// Whether tokens are wanted as they come.
+    #[serde(default)]
+    pub stream: bool,
+    /// Most tokens wanted.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub max_tokens: Option<u64>,
+}
+
+/// One message of a conversation.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Message {
+    /// Who says it.
+    pub role: String,
+    /// What is said.
+    pub content: String,
+}
+
+impl Chat {
+    /// Digest of the first message, which conversations share.
+    #[must_use]
+    pub fn prefix_digest(&self) -> u64 {
+        self.messages
+            .first()
+            .map_or(0, |message| xxh3_64(message.content.as_bytes()))
+    }
+
+    /// Digest of the whole conversation.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        self.messages.iter().fold(0, |digest, message| {
+            xxh3_64_with_seed(message.content.as_bytes(), digest)
+        })
+    }
+}
+
+/// The answer to one prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answer {
+    digest: u64,
+    /// Number of tokens.
+    pub tokens: u64,
+    /// Whether the caller's limit ended it.
+    pub limited: bool,
+}
+
+impl Answer {
+    /// The answer to `chat`, about `mean_tokens` long on average.
+    #[must_use]
+    pub fn new(chat: &Chat, mean_tokens: u32, seed: u64) -> Self {
+        let digest = chat.digest();
+        let natural = length(digest, mean_tokens, seed);
+        let tokens = chat.max_tokens.map_or(natural, |most| most.min(natural));
+        Self {
+            digest,
+            tokens,
+            limited: tokens < natural,
+        }
+    }
+
+    /// The event of one token.
+    #[must_use]
+    pub fn event(&self, id: &str, model: &str, offset: u64) -> String {
+        let finish = (offset + 1 == self.tokens).then(|| self.finish());
+        let event = json!({
+            "id": id,
+            "object": "chat.completion.chunk",
+            "model": model,
+            "offset": offset,
+            "choices": [{
+                "index": 0,
+                "delta": {"content": token_text(self.digest, offset)},
+                "finish_reason": finish,
+            }],
+        });
+        format!("data: {event}\n\n")
+    }
+
+    /// The whole answer from token `from` on.
+    #[must_use]
+    pub fn completion(&self, id: &str, model: &str, from: u64) -> String {
+        json!({
+            "id": id,
+            "object": "chat.completion",
+            "model": model,
+            "choices": [{
+                "index": 0,
+                "message": {"role": "assistant", "content": self.text(from)},
+                "finish_reason": self.finish(),
+            }],
+            "usage": {"completion_tokens": self.tokens},
+        })
+        .to_string()
+    }
+
+    /// The text from token `from` on.
+    #[must_use]
+    pub fn text(&self, from: u64) -> String {
+        (from..self.tokens)
+            .map(|offset| token_text(self.digest, offset))
+            .collect()
+    }
+
+    fn finish(&self) -> &'static str {
+        if self.limited { "length" } else { "stop" }
+    }
+}
+
+/// Text of one token, with its number, so that a reader can check it.
+#[must_use]
+pub fn token_text(digest: u64, offset: u64) -> String {
+    let mixed = xxh3_64_with_seed(&offset.to_le_bytes(), digest);
+    let word = usize::try_from(mixed % WORDS.len() as u64).unwrap_or(0);
+    format!("{}{:02x} ", WORDS[word], mixed >> 56)
+}
+
+/// An exponentially distributed length, which the prompt alone decides.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the drawn length is positive and far below the limits of either type"
+)]
+fn length(digest: u64, mean_tokens: u32, seed: u64) -> u64 {
+    let mixed = xxh3_64_with_seed(&digest.to_le_bytes(), seed);
+    let unit = f64::from((mixed >> 32) as u32) / (f64::from(u32::MAX) + 1.0);
+    let mean = f64::from(mean_tokens);
+    let drawn = -(1.0 - unit).ln() * mean;
+    let longest = u64::from(mean_tokens) * MAX_MEANS;
+    (drawn.ceil() as u64).clamp(1, longest.max(1))
+}
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,112 @@
+//! The platform's instance list, which lags behind what was last set.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::VecDeque,
+    io,
+    time::{Duration, Instant},
+};
+
+use actix_http::{Method, StatusCode};
+use serde_json::{Value, json};
+
+use crate::{
+    fault::Switch,
+    server::{Call, Handler, Link, Next},
+};
+
+/// Most lists that wait for their time.
+const MAX_LISTS: usize = 1_024;
+
+/// A lagging list.
+#[derive(Debug, Default)]
+pub struct Platform {
+    lists: RefCell<VecDeque<(Instant, Value)>>,
+    lag: Cell<Duration>,
+    faults: Switch,
+    reads: Cell<u64>,
+}
+
+impl Platform {
+    /// A platform that shows `list` at once and later ones after `lag`.
+    #[must_use]
+    pub fn new(now: Instant, list: Value, lag: Duration) -> Self {
+        let shown = now.checked_sub(lag).unwrap_or(now);
+        Self {
+            lists: RefCell::new(VecDeque::from([(shown, list)])),
+            lag: Cell::new(lag),
+            ..Self::default()
+        }
+    }
+
+    /// The list that is shown at `now`.
+    fn shown(&self, now: Instant) -> Value {
+        let mut lists = self.lists.borrow_mut();
+        while lists
+            .get(1)
+            .is_some_and(|(set, _)| now.duration_since(*set) >= self.lag.get())
+        {
+            lists.pop_front();
+        }
+        lists
+            .front()
+            .map(|(_, list)| list.clone())
+            .unwrap_or_default()
+    }
+
+    fn set(&self, now: Instant, list: Value) {
+        let mut lists = self.lists.borrow_mut();
+        if lists.len() >= MAX_LISTS {
+            lists.pop_front();
+        }
+        lists.push_back((now, list));
+    }
+
+    async fn read(&self, call: &Call, link: &mut Link) -> io::Result<Next> {
+        self.reads.set(self.reads.get() + 1);
+        let fault = self.faults.hit();
+        if let Some(next) = self.faults.before(&fault, call, link).await? {
+            return Ok(next);
+        }
+        let body = self.shown(Instant::now()).to_string();
+        fault.answer(link, StatusCode::OK, call.id(), body).await
+    }
+
+    fn replace(&self, body: &[u8]) -> Result<Value, String> {
+        let list: Value = serde_json::from_slice(body).map_err(|error| error.to_string())?;
+        let whole = ["entries", "runners"]
+            .iter()
+            .all(|field| list.get(field).is_some_and(Value::is_array));
+        if !whole {
+            return Err("a list has the arrays `entries` and `runners`".to_owned());
+        }
+        self.set(Instant::now(), list);
+        Ok(json!({}))
+    }
+
+    fn set_lag(&self, call: &Call) -> Result<Value, String> {
+        let ms = call.parameter("ms").and_then(|ms| ms.parse().ok());
+        let ms = ms.ok_or("give the lag as ?ms=NUMBER")?;
+        self.lag.set(Duration::from_millis(ms));
+        Ok(json!({}))
+    }
+}
+
+impl Handler for Platform {
+    async fn on_call(&self, call: Call, link: &mut Link) -> io::Result<Next> {
+        let outcome = match (&call.method, call.path.as_str()) {
+            (&Method::GET, "/v1/list") => return self.read(&call, link).await,
+            (&Method::POST, "/fault") => return self.faults.set(&call, link).await,
+            (&Method::POST, "/v1/list") => self.replace(&call.body),
+            (&Method::POST, "/v1/lag") => self.set_lag(&call),
+            (&Method::GET, "/counts") => Ok(json!({"requests": self.reads.get()})),
+            _ => Err("unknown path: use /v1/list, /v1/lag, /fault or /counts".to_owned()),
+        };
+        let (status, value) = match outcome {
+            Ok(value) => (StatusCode::OK, value),
+            Err(text) => (StatusCode::BAD_REQUEST, json!({"error": text})),
+        };
+        link.json(status, call.id(), &value).await?;
+        Ok(Next::Keep)
+    }
+}
