--- /dev/null
+++ b/crates/daemon/tests/peers.rs
@@ -0,0 +1,128 @@
+//! Peer connections over loopback: who is heard, and what becomes of calls.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use actix_rt::net::TcpListener;
+use citron_daemon::peers::{Error, Handler, Hub, listen};
+use citron_policy::id::InstanceId;
+use citron_wire::{Body, generated::status::Message};
+use futures_util::future::LocalBoxFuture;
+use googletest::prelude::*;
+use indexmap::IndexMap;
+
+const LONG: Duration = Duration::from_secs(20);
+
+/// Answers each refusal text with the same text and the sender's name.
+struct Echo;
+
+impl Handler for Echo {
+    fn on_tell(&self, _from: &InstanceId, _body: Body) {}
+
+    fn on_call(
+        &self,
+        from: &InstanceId,
+        body: Body,
+    ) -> LocalBoxFuture<'static, std::result::Result<Body, String>> {
+        let from = from.clone();
+        Box::pin(async move {
+            match body {
+                Body::Status(_) => Ok(body),
+                _ => Err(format!("no answer for {from}")),
+            }
+        })
+    }
+}
+
+async fn server(me: &str, cluster: &str, known: &[(&str, SocketAddr)]) -> (Hub, SocketAddr) {
+    let hub = Hub::new(me, cluster);
+    hub.set_book(book(known));
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("its address");
+    actix_rt::spawn(listen(hub.clone(), listener, Rc::new(Echo)));
+    (hub, address)
+}
+
+fn book(known: &[(&str, SocketAddr)]) -> IndexMap<InstanceId, SocketAddr> {
+    known
+        .iter()
+        .map(|(name, address)| ((*name).to_owned(), *address))
+        .collect()
+}
+
+fn client(me: &str, cluster: &str, server: SocketAddr) -> Hub {
+    let hub = Hub::new(me, cluster);
+    hub.set_book(book(&[("b", server)]));
+    hub
+}
+
+fn anywhere() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1))
+}
+
+fn status() -> Body {
+    Body::Status(Message::default())
+}
+
+#[gtest]
+fn a_known_peer_gets_its_answer_and_its_refusal() {
+    actix_rt::System::new().block_on(async {
+        let (_server, address) = server("b", "one", &[("a", anywhere())]).await;
+        let hub = client("a", "one", address);
+        expect_that!(
+            hub.call(&"b".to_owned(), status(), LONG).await,
+            ok(anything())
+        );
+        let refused = hub
+            .call(&"b".to_owned(), Body::Refusal(String::new()), LONG)
+            .await;
+        expect_that!(
+            refused,
+            err(matches_pattern!(Error::Refused {
+                reason: eq("no answer for a"),
+                ..
+            }))
+        );
+    });
+}
+
+#[gtest]
+fn another_cluster_and_an_unknown_instance_are_refused_and_counted() {
+    actix_rt::System::new().block_on(async {
+        let (server, address) = server("b", "one", &[("a", anywhere())]).await;
+        for (name, cluster) in [("a", "two"), ("stranger", "one")] {
+            let hub = client(name, cluster, address);
+            let outcome = hub.call(&"b".to_owned(), status(), LONG).await;
+            expect_that!(outcome, err(matches_pattern!(Error::Lost { .. })));
+        }
+        expect_that!(server.counts().refused, eq(2));
+    });
+}
+
+#[gtest]
+fn a_peer_without_an_address_is_told_apart() {
+    actix_rt::System::new().block_on(async {
+        let hub = Hub::new("a", "one");
+        let outcome = hub.call(&"b".to_owned(), status(), LONG).await;
+        expect_that!(outcome, err(matches_pattern!(Error::Unknown { .. })));
+    });
+}
+
+#[gtest]
+fn a_silent_peer_costs_bounded_memory() {
+    actix_rt::System::new().block_on(async {
+        // Accepts and never reads.
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let address = listener.local_addr().expect("its address");
+        let hub = client("a", "one", address);
+        let (_stream, ()) = tokio::join!(
+            async { listener.accept().await.expect("a connection") },
+            async {
+                for _ in 0..10_000 {
+                    hub.tell(&"b".to_owned(), Body::Refusal("x".repeat(4_096)));
+                }
+            }
+        );
+        expect_that!(hub.queued(), le(1_024));
+        expect_that!(hub.counts().dropped, ge(1));
+    });
+}
