admin: operators' interface and the status messages between daemons

The JSON bodies stand once, in citron-wire, for daemon and tool. The control log is reached through a trait, since it is an edge of the process; changes are recorded under the name that belongs to the token, whatever the body says.

--- /dev/null
+++ b/crates/daemon/src/admin/status.rs
@@ -0,0 +1,78 @@
+//! The catalogue and the cluster as this daemon sees them.
+
+use std::{rc::Rc, time::Duration};
+
+use actix_http::{Response, body::BoxBody};
+use citron_policy::{id::InstanceId, member};
+use citron_wire::admin::{Catalogue, Member, Replica, Status, replica_text};
+
+use super::{Ports, problem::json};
+use crate::control::{self, Role};
+
+/// Longest time to wait for replicas that do not answer.
+const REPLICA_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The catalogue in force here.
+pub(super) fn catalogue(ports: &Rc<Ports>) -> Response<BoxBody> {
+    let catalogue = std::sync::Arc::clone(&ports.view.borrow().catalogue);
+    json(&Catalogue {
+        revision: catalogue.revision,
+        entries: catalogue.entries().collect(),
+    })
+}
+
+/// Daemons, replicas and leader.
+pub(super) async fn status(ports: &Rc<Ports>) -> Response<BoxBody> {
+    let replicas = ports.log.status(REPLICA_TIMEOUT).await;
+    let newest = replicas.iter().max_by_key(|(_, status)| status.term);
+    let voters = newest.map_or(&[][..], |(_, status)| &status.voters);
+    let members = ports.members.borrow();
+    json(&Status {
+        instance: ports.hub.me().clone(),
+        revision: ports.view.borrow().catalogue.revision,
+        leader: leader(&replicas),
+        members: members.values().map(describe).collect(),
+        replicas: replicas.iter().map(replica).collect(),
+        voters: voters.iter().map(|id| replica_text(*id)).collect(),
+    })
+}
+
+/// The replica that says it leads, in the highest term that any one does.
+fn leader(replicas: &[(InstanceId, control::Status)]) -> Option<InstanceId> {
+    let leaders = replicas
+        .iter()
+        .filter(|(_, status)| status.role == Role::Leader);
+    let newest = leaders.max_by_key(|(_, status)| status.term)?;
+    Some(newest.0.clone())
+}
+
+fn describe(member: &member::Member) -> Member {
+    Member {
+        instance: member.id.clone(),
+        domain: member.domain.clone(),
+        callers: member.callers,
+        state: member.state,
+        revision: member.revision,
+        load: member.load,
+        current: member.current,
+        replica: member.replica.map(replica_text),
+    }
+}
+
+fn replica((instance, status): &(InstanceId, control::Status)) -> Replica {
+    let role = match status.role {
+        Role::Leader => "leader",
+        Role::Follower => "follower",
+        Role::Learner => "learner",
+    };
+    Replica {
+        instance: instance.clone(),
+        replica: replica_text(status.replica),
+        formed: status.formed,
+        role: role.to_owned(),
+        voter: status.voters.contains(&status.replica),
+        term: status.term,
+        last: status.last,
+        commit: status.commit,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/admin/token.rs
@@ -0,0 +1,130 @@
+//! Operators' tokens.
+//!
+//! Only digests are kept, and a given token is compared with all of them in
+//! constant time, so that neither memory nor timing shows one.
+
+use citron_policy::id::OperatorId;
+use derive_more::{Display, Error};
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+/// Fewest bytes of a token.
+const MIN_TOKEN_BYTES: usize = 16;
+
+/// Longest name of an operator, in bytes.
+const MAX_NAME_BYTES: usize = 64;
+
+/// What is wrong with a list of operators.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum Fault {
+    /// No operator could ever come in.
+    #[display("no operator tokens: list one operator a line as NAME TOKEN")]
+    Empty,
+    /// A line has another form.
+    #[display("operator tokens, line {line}: write NAME TOKEN, one operator a line")]
+    Shape {
+        /// Number of the line, from one.
+        line: usize,
+    },
+    /// A name is too long or has other characters.
+    #[display(
+        "operator tokens, line {line}: a name is 1 to {MAX_NAME_BYTES} letters, digits, '-', '_' \
+         or '.'"
+    )]
+    Name {
+        /// Number of the line, from one.
+        line: usize,
+    },
+    /// A token could be guessed.
+    #[display(
+        "operator tokens, line {line}: use a random token of at least {MIN_TOKEN_BYTES} bytes"
+    )]
+    Short {
+        /// Number of the line, from one.
+        line: usize,
+    },
+    /// Two operators share a name or a token.
+    #[display("operator tokens, line {line}: give each operator a name and a token of its own")]
+    Twice {
+        /// Number of the later line, from one.
+        line: usize,
+    },
+}
+
+/// Operators with the digests of their tokens.
+#[derive(Clone, derive_more::Debug, Default)]
+pub struct Tokens {
+    #[debug("{} operators", operators.len())]
+    operators: Vec<(OperatorId, [u8; 32])>,
+}
+
+impl Tokens {
+    /// Reads a list: one operator a line as `NAME TOKEN`, `#` begins a comment.
+    ///
+    /// # Errors
+    /// Every [`Fault`] found; none of them shows a token.
+    pub fn parse(text: &str) -> Result<Self, Vec<Fault>> {
+        let mut tokens = Self::default();
+        let mut faults = Vec::new();
+        for (number, line) in text.lines().enumerate() {
+            let line = line.split('#').next().unwrap_or_default().trim();
+            if line.is_empty() {
+                continue;
+            }
+            if let Err(fault) = tokens.add(number + 1, line) {
+                faults.push(fault);
+            }
+        }
+        if tokens.operators.is_empty() && faults.is_empty() {
+            faults.push(Fault::Empty);
+        }
+        if faults.is_empty() {
+            Ok(tokens)
+        } else {
+            Err(faults)
+        }
+    }
+
+    fn add(&mut self, number: usize, line: &str) -> Result<(), Fault> {
+        let mut words = line.split_whitespace();
+        let (Some(name), Some(token), None) = (words.next(), words.next(), words.next()) else {
+            return Err(Fault::Shape { line: number });
+        };
+        let plain = name
+            .chars()
+            .all(|c| c.is_ascii_alphanumeric() || "-_.".contains(c));
+        if !plain || name.len() > MAX_NAME_BYTES {
+            return Err(Fault::Name { line: number });
+        }
+        if token.len() < MIN_TOKEN_BYTES {
+            return Err(Fault::Short { line: number });
+        }
+        let digest = digest(token.as_bytes());
+        if self
+            .operators
+            .iter()
+            .any(|(known, other)| known == name || *other == digest)
+        {
+            return Err(Fault::Twice { line: number });
+        }
+        self.operators.push((name.to_owned(), digest));
+        Ok(())
+    }
+
+    /// The operator with this token; compares with all, whichever fits.
+    #[must_use]
+    pub fn operator(&self, token: &[u8]) -> Option<&OperatorId> {
+        let given = digest(token);
+        let mut found = None;
+        for (name, known) in &self.operators {
+            if bool::from(known.ct_eq(&given)) {
+                found = Some(name);
+            }
+        }
+        found
+    }
+}
+
+fn digest(token: &[u8]) -> [u8; 32] {
+    Sha256::digest(token).into()
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,8 +6,10 @@
 //! that it does not know refuses the frame: half-understood messages are worse
 //! than none.
 
+pub mod admin;
 pub mod codec;
 pub mod generated;
+pub mod status;
 
 /// Version of every message format here.
 pub const VERSION: u32 = 1;
