--- a/crates/policy/src/ledger.rs
+++ b/crates/policy/src/ledger.rs
@@ -1,12 +1,67 @@
 //! The at-most-once ledger: which idempotency keys were claimed, and how each
 //! claim ended.
+//!
+//! A key is claimed in the control log before the first byte of the call goes
+//! upstream, and settled after. At most one attempt per key is ever told to
+//! run, unless the one before was settled as not run. Time is the latest stamp
+//! of any command, so that every replica comes to the same verdict. A record is
+//! kept for [`Limits::retention`] after its attempt ended; a ledger that is full
+//! refuses new keys and never drops a record early.
 
-use std::time::SystemTime;
+mod table;
+
+use std::time::{Duration, SystemTime};
+
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::id::{AccountId, AttemptId, Fingerprint, InstanceId};
 
+pub use table::{Ledger, Record, State};
+
+/// Bounds of the ledger; equal on every replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// How long a record is kept after its attempt ended.
+    pub retention: Duration,
+    /// How long a freed key remembers the attempts that did not run.
+    pub freed_retention: Duration,
+    /// Most records.
+    pub records: usize,
+    /// Most bytes of records, room for the answers of open claims included.
+    pub bytes: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            retention: Duration::from_hours(24),
+            freed_retention: Duration::from_mins(10),
+            records: 200_000,
+            bytes: 64 << 20,
+        }
+    }
+}
+
+/// Number of the group that a key belongs to.
+#[must_use]
+pub fn group(key: &Key, groups: u32) -> u32 {
+    let mut hash = Xxh3::new();
+    hash.update(key.account.as_bytes());
+    // No account name holds this byte, so no two keys run together.
+    hash.update(&[0]);
+    hash.update(key.name.as_bytes());
+    let place = hash.digest() % u64::from(groups.max(1));
+    u32::try_from(place).unwrap_or(0)
+}
+
+/// Longest idempotency key, in bytes.
+pub const MAX_KEY_BYTES: usize = 255;
+
+/// Longest time from a claim to its deadline.
+pub const MAX_ATTEMPT: Duration = Duration::from_hours(1);
+
 /// An idempotency key, which belongs to one account.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Key {
     /// Account that chose the key.
     pub account: AccountId,
@@ -42,6 +97,14 @@
     pub body: Vec<u8>,
 }
 
+impl Stored {
+    /// Bytes that the answer takes up.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.content_type.len() + self.body.len()
+    }
+}
+
 /// Largest body kept for resends.
 pub const MAX_STORED_BYTES: usize = 64 << 10;
 
--- /dev/null
+++ b/crates/policy/src/ledger/table.rs
@@ -0,0 +1,349 @@
+//! The records of the ledger, and when each of them is due.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, SystemTime},
+};
+
+use indexmap::IndexMap;
+
+use super::{Claim, Key, Limits, MAX_ATTEMPT, MAX_STORED_BYTES, Outcome, Settle, Stored, Verdict};
+use crate::id::{AttemptId, Fingerprint};
+
+/// Room kept for the answer of an open claim: the largest body and its type.
+const OPEN_BYTES: usize = MAX_STORED_BYTES + MAX_TYPE_BYTES;
+
+/// Longest content type that is kept.
+const MAX_TYPE_BYTES: usize = 256;
+
+/// Bytes of a record beside its key and answer.
+const RECORD_BYTES: usize = 256;
+
+/// Most attempts that a key remembers as not run.
+const MAX_FREED: usize = 8;
+
+/// How a key stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum State {
+    /// An attempt may be running.
+    Open {
+        /// That attempt.
+        attempt: AttemptId,
+        /// When it ends at the latest.
+        deadline: SystemTime,
+    },
+    /// It ran, and this is the answer.
+    Done {
+        /// The attempt that ran.
+        attempt: AttemptId,
+        /// Its answer.
+        stored: Arc<Stored>,
+    },
+    /// It may have run.
+    Unknown {
+        /// The attempt that may have run.
+        attempt: AttemptId,
+    },
+    /// Nothing ran; the key may be claimed.
+    Free,
+}
+
+/// What is kept of one key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// Digest that the key is bound to.
+    pub digest: Fingerprint,
+    /// How it stands.
+    pub state: State,
+    /// When the record changes by itself: an open claim lapses, another goes.
+    pub due: SystemTime,
+    /// Attempts that were settled as not run, the latest last.
+    pub freed: Vec<AttemptId>,
+}
+
+/// Every key that is remembered.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Ledger {
+    limits: Limits,
+    records: IndexMap<Arc<Key>, Record>,
+    /// Keys by the time when they are due; the number sets equal times apart.
+    due: BTreeMap<(SystemTime, u64), Arc<Key>>,
+    next: u64,
+    bytes: usize,
+    clock: Option<SystemTime>,
+}
+
+impl Ledger {
+    /// An empty ledger.
+    #[must_use]
+    pub fn new(limits: Limits) -> Self {
+        Self {
+            limits,
+            ..Self::default()
+        }
+    }
+
+    /// Rebuilds a ledger from a snapshot.
+    #[must_use]
+    pub fn from_records<I>(limits: Limits, clock: Option<SystemTime>, records: I) -> Self
+    where
+        I: IntoIterator<Item = (Key, Record)>,
+    {
+        let mut ledger = Self {
+            clock,
+            ..Self::new(limits)
+        };
+        for (key, record) in records {
+            ledger.insert(Arc::new(key), record);
+        }
+        ledger
+    }
+
+    /// Every record, in the order in which they fall due.
+    pub fn records(&self) -> impl Iterator<Item = (&Key, &Record)> {
+        self.due
+            .values()
+            .filter_map(|key| self.records.get(key).map(|record| (key.as_ref(), record)))
+    }
+
+    /// Latest stamp of any command.
+    #[must_use]
+    pub fn clock(&self) -> Option<SystemTime> {
+        self.clock
+    }
+
+    /// Number of records.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether no key is remembered.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Bytes taken up, room for the answers of open claims included.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Moves the clock on, never back; lapses and drops what is due.
+    pub fn advance(&mut self, at: SystemTime) {
+        let clock = self.clock.map_or(at, |clock| clock.max(at));
+        self.clock = Some(clock);
+        while let Some(entry) = self.due.first_entry()
+            && entry.key().0 <= clock
+        {
+            let key = entry.remove();
+            self.on_due(key);
+        }
+    }
+
+    /// Takes in a claim.
+    pub fn claim(&mut self, claim: &Claim) -> Verdict {
+        self.advance(claim.at);
+        let known = self.records.get(&claim.key);
+        if let Some(record) = known
+            && let Some(verdict) = verdict_of(record, claim)
+        {
+            return verdict;
+        }
+        let freed = known.map(|it| it.freed.clone()).unwrap_or_default();
+        if !self.has_room(&claim.key) {
+            return Verdict::Full;
+        }
+        let latest = self.now(claim.at) + MAX_ATTEMPT;
+        let deadline = claim.deadline.min(latest);
+        let record = Record {
+            digest: claim.digest,
+            state: State::Open {
+                attempt: claim.attempt,
+                deadline,
+            },
+            due: deadline,
+            freed,
+        };
+        self.insert(Arc::new(claim.key.clone()), record);
+        // A deadline in the past lapses before the claimant could run anything.
+        self.advance(claim.at);
+        match self.records.get(&claim.key).map(|it| &it.state) {
+            Some(State::Open { .. }) => Verdict::Run,
+            _ => Verdict::Unknown,
+        }
+    }
+
+    /// Takes in how an attempt ended; what contradicts the record is passed over.
+    pub fn settle(&mut self, settle: &Settle) {
+        self.advance(settle.at);
+        let clock = self.now(settle.at);
+        let kept = clock + self.limits.retention;
+        let Some(record) = self.records.get(&settle.key) else {
+            if settle.outcome == Outcome::NotRun {
+                self.forestall(settle, clock);
+            }
+            return;
+        };
+        let attempt = settle.attempt;
+        let state = match (&record.state, &settle.outcome) {
+            (State::Open { attempt: open, .. }, _) if *open != attempt => return,
+            (State::Open { .. }, Outcome::NotRun) => State::Free,
+            (State::Open { .. }, Outcome::Unknown) => State::Unknown { attempt },
+            (State::Open { .. }, Outcome::Done(stored)) => done(attempt, stored),
+            (State::Unknown { attempt: unknown }, Outcome::Done(stored))
+                if *unknown == attempt && self.has_bytes(stored.bytes()) =>
+            {
+                done(attempt, stored)
+            }
+            (State::Free, Outcome::NotRun) => State::Free,
+            (State::Unknown { .. } | State::Done { .. } | State::Free, _) => return,
+        };
+        let free = state == State::Free;
+        let mut record = record.clone();
+        record.state = state;
+        record.due = if free {
+            clock + self.limits.freed_retention
+        } else {
+            kept
+        };
+        if free {
+            remember(&mut record.freed, attempt);
+        }
+        self.insert(Arc::new(settle.key.clone()), record);
+    }
+
+    /// What a caller with this key would get; none if the key may be claimed.
+    #[must_use]
+    pub fn lookup(&self, now: SystemTime, key: &Key, digest: Fingerprint) -> Option<Verdict> {
+        let record = self.records.get(key)?;
+        match &record.state {
+            State::Free => None,
+            _ if record.digest != digest => Some(Verdict::Mismatch),
+            State::Open { deadline, .. } if *deadline <= self.now(now) => Some(Verdict::Unknown),
+            State::Open { deadline, .. } => Some(Verdict::InProgress {
+                deadline: *deadline,
+            }),
+            State::Done { stored, .. } => Some(Verdict::Stored(stored.as_ref().clone())),
+            State::Unknown { .. } => Some(Verdict::Unknown),
+        }
+    }
+
+    fn now(&self, at: SystemTime) -> SystemTime {
+        self.clock.map_or(at, |clock| clock.max(at))
+    }
+
+    /// Remembers an attempt that gave up before its claim was in the log.
+    fn forestall(&mut self, settle: &Settle, clock: SystemTime) {
+        if !self.has_room(&settle.key) {
+            return;
+        }
+        let record = Record {
+            digest: 0,
+            state: State::Free,
+            due: clock + self.limits.freed_retention,
+            freed: vec![settle.attempt],
+        };
+        self.insert(Arc::new(settle.key.clone()), record);
+    }
+
+    /// Whether a key may be opened within the bounds.
+    fn has_room(&self, key: &Key) -> bool {
+        let known = self.records.contains_key(key);
+        let records = known || self.records.len() < self.limits.records;
+        records && self.has_bytes(OPEN_BYTES + RECORD_BYTES + 2 * key_bytes(key))
+    }
+
+    fn has_bytes(&self, more: usize) -> bool {
+        self.bytes + more <= self.limits.bytes
+    }
+
+    fn insert(&mut self, key: Arc<Key>, record: Record) {
+        self.remove(&key);
+        self.bytes += bytes_of(&key, &record);
+        self.due
+            .insert((record.due, self.next), Arc::clone(&key));
+        self.next += 1;
+        self.records.insert(key, record);
+    }
+
+    fn remove(&mut self, key: &Key) -> Option<Record> {
+        let (key, record) = self.records.swap_remove_entry(key)?;
+        self.bytes -= bytes_of(&key, &record);
+        let due = self
+            .due
+            .range((record.due, 0)..=(record.due, u64::MAX))
+            .find(|(_, it)| **it == key)
+            .map(|(due, _)| *due);
+        if let Some(due) = due {
+            self.due.remove(&due);
+        }
+        Some(record)
+    }
+
+    /// Lapses an open claim; drops any other record.
+    fn on_due(&mut self, key: Arc<Key>) {
+        let Some(mut record) = self.remove(&key) else {
+            return;
+        };
+        if let State::Open { attempt, .. } = record.state {
+            record.state = State::Unknown { attempt };
+            record.due += self.limits.retention;
+            self.insert(key, record);
+        }
+    }
+}
+
+/// The verdict of a key that is known; none if it may be claimed.
+fn verdict_of(record: &Record, claim: &Claim) -> Option<Verdict> {
+    let freed = record.freed.contains(&claim.attempt);
+    match &record.state {
+        // A late copy of a claim whose attempt was given up must not run.
+        State::Free if freed => Some(Verdict::Unknown),
+        State::Free => None,
+        _ if record.digest != claim.digest => Some(Verdict::Mismatch),
+        State::Open { attempt, .. } if *attempt == claim.attempt => Some(Verdict::Run),
+        State::Open { deadline, .. } => Some(Verdict::InProgress {
+            deadline: *deadline,
+        }),
+        State::Done { stored, .. } => Some(Verdict::Stored(stored.as_ref().clone())),
+        State::Unknown { .. } => Some(Verdict::Unknown),
+    }
+}
+
+fn done(attempt: AttemptId, stored: &Stored) -> State {
+    let fits = stored.body.len() <= MAX_STORED_BYTES && stored.content_type.len() <= MAX_TYPE_BYTES;
+    if !fits {
+        return State::Unknown { attempt };
+    }
+    State::Done {
+        attempt,
+        stored: Arc::new(stored.clone()),
+    }
+}
+
+fn remember(freed: &mut Vec<AttemptId>, attempt: AttemptId) {
+    if freed.contains(&attempt) {
+        return;
+    }
+    if freed.len() >= MAX_FREED {
+        freed.remove(0);
+    }
+    freed.push(attempt);
+}
+
+fn key_bytes(key: &Key) -> usize {
+    key.account.len() + key.name.len()
+}
+
+fn bytes_of(key: &Key, record: &Record) -> usize {
+    let answer = match &record.state {
+        State::Open { .. } => OPEN_BYTES,
+        State::Done { stored, .. } => stored.bytes(),
+        State::Unknown { .. } | State::Free => 0,
+    };
+    RECORD_BYTES + key_bytes(key) + answer
+}
+
--- /dev/null
+++ b/crates/policy/src/raft/formation.rs
@@ -0,0 +1,188 @@
+//! The one-time formation of a cluster.
+//!
+//! The replica that is asked to form one draws a random formation id and asks
+//! every named voter for a promise, which is durable and given once: a folder
+//! belongs to one formation for ever. Only when all have promised may any of
+//! them campaign. Two formations with a voter in common can therefore not both
+//! begin, and a restart begins nothing: an empty folder has made no promise.
+
+use std::time::Instant;
+
+use indexmap::IndexSet;
+
+use crate::id::ReplicaId;
+
+use super::{
+    Node, Refusal, Token, Voters,
+    message::{Body, Message},
+};
+
+/// Most voters of a formation.
+pub const MAX_VOTERS: usize = 7;
+
+/// The cluster that a folder belongs to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Formation {
+    /// Random identity of the cluster.
+    pub id: u64,
+    /// Voters before the first entry; empty on a replica that joined later.
+    pub voters: Voters,
+    /// Whether every voter has promised.
+    pub active: bool,
+}
+
+/// Promises that are being gathered.
+#[derive(Debug)]
+pub(super) struct Forming {
+    token: Token,
+    accepted: IndexSet<ReplicaId>,
+    /// When to ask again.
+    pub(super) resend: Instant,
+}
+
+impl Node {
+    pub(super) fn init(&mut self, now: Instant, token: Token, voters: Vec<ReplicaId>) {
+        let named = voters.len();
+        let voters = Voters::new(voters);
+        let distinct = voters.ids().len() == named && named <= MAX_VOTERS;
+        if !distinct || !voters.contains(self.id) {
+            self.answer(token, Err(Refusal::Voters));
+            return;
+        }
+        match &self.hard.formation {
+            Some(formation) if formation.active => {
+                self.answer(token, Err(Refusal::Formed));
+                return;
+            }
+            Some(formation) if formation.voters != voters => {
+                let replica = self.id;
+                self.answer(token, Err(Refusal::Promised { replica }));
+                return;
+            }
+            Some(_) => {}
+            None => self.promise(self.chance | 1, voters),
+        }
+        self.forming = Some(Forming {
+            token,
+            accepted: IndexSet::from([self.id]),
+            resend: now,
+        });
+        self.resend_forms(now);
+        self.check_promises(now);
+    }
+
+    fn promise(&mut self, id: u64, voters: Voters) {
+        self.log.set_first_voters(voters.clone());
+        self.hard.formation = Some(Formation {
+            id,
+            voters,
+            active: false,
+        });
+        self.save_hard();
+    }
+
+    pub(super) fn resend_forms(&mut self, now: Instant) {
+        let (Some(forming), Some(formation)) = (&mut self.forming, &self.hard.formation) else {
+            return;
+        };
+        if now < forming.resend {
+            return;
+        }
+        forming.resend = now + self.settings.heartbeat;
+        let voters = formation.voters.clone();
+        let missing: Vec<ReplicaId> = voters
+            .ids()
+            .iter()
+            .copied()
+            .filter(|it| !forming.accepted.contains(it))
+            .collect();
+        for to in missing {
+            let voters = voters.clone();
+            self.send(to, Body::Form { voters });
+        }
+    }
+
+    pub(super) fn on_form(&mut self, from: ReplicaId, id: u64, voters: Voters) {
+        if !voters.contains(self.id) || !voters.contains(from) || id == 0 {
+            return;
+        }
+        if self.hard.formation.is_none() {
+            self.promise(id, voters.clone());
+        }
+        let promised = self.hard.formation.as_ref();
+        let accepted = promised.is_some_and(|it| it.id == id && it.voters == voters);
+        self.effects.push(super::Effect::Send(Message {
+            formation: id,
+            from: self.id,
+            to: from,
+            term: self.hard.term,
+            body: Body::FormAnswer { accepted },
+        }));
+    }
+
+    pub(super) fn on_form_answer(
+        &mut self,
+        now: Instant,
+        from: ReplicaId,
+        id: u64,
+        accepted: bool,
+    ) {
+        let ours = self.hard.formation.as_ref().is_some_and(|it| it.id == id);
+        let Some(forming) = &mut self.forming else {
+            return;
+        };
+        if !ours {
+            return;
+        }
+        if accepted {
+            forming.accepted.insert(from);
+            self.check_promises(now);
+            return;
+        }
+        let token = forming.token;
+        self.forming = None;
+        self.answer(token, Err(Refusal::Promised { replica: from }));
+    }
+
+    /// Begins once every voter has promised.
+    fn check_promises(&mut self, now: Instant) {
+        let (Some(forming), Some(formation)) = (&self.forming, &mut self.hard.formation) else {
+            return;
+        };
+        let voters = formation.voters.ids();
+        if !voters.iter().all(|it| forming.accepted.contains(it)) {
+            return;
+        }
+        formation.active = true;
+        let token = forming.token;
+        self.forming = None;
+        self.save_hard();
+        self.answer(token, Ok(()));
+        self.campaign(now);
+    }
+
+    /// Whether a message is of this folder's formation; an empty folder joins a leader's.
+    pub(super) fn belongs(&mut self, message: &Message) -> bool {
+        let joins = matches!(message.body, Body::Append(_) | Body::Chunk(_));
+        match &mut self.hard.formation {
+            Some(formation) if formation.id != message.formation => false,
+            Some(formation) if formation.active => true,
+            Some(formation) => {
+                formation.active = true;
+                self.forming = None;
+                self.save_hard();
+                true
+            }
+            None if joins && message.formation != 0 => {
+                self.hard.formation = Some(Formation {
+                    id: message.formation,
+                    voters: Voters::default(),
+                    active: true,
+                });
+                self.save_hard();
+                true
+            }
+            None => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/raft/install.rs
@@ -0,0 +1,163 @@
+//! Snapshots for replicas that lag behind the entries held.
+
+use std::{sync::Arc, time::{Duration, Instant}};
+
+use crate::id::{Index, ReplicaId};
+
+use super::{
+    Effect, Node, Seat, Snapshot,
+    message::{Body, Chunk},
+    progress::Flow,
+};
+
+/// Time after which an unanswered part is sent again.
+const RESEND: Duration = Duration::from_secs(1);
+
+/// A snapshot that is coming in.
+#[derive(Debug)]
+pub(super) struct Incoming {
+    index: Index,
+    total: u64,
+    data: Vec<u8>,
+}
+
+impl Node {
+    pub(super) fn start_install(&mut self, now: Instant, to: ReplicaId) {
+        let Some(index) = self.snapshot.as_ref().map(|it| it.index) else {
+            return;
+        };
+        self.send_chunk(now, to, index, 0);
+    }
+
+    pub(super) fn resend_chunk(&mut self, now: Instant, to: ReplicaId) {
+        let Seat::Leader(leader) = &self.seat else {
+            return;
+        };
+        let flow = leader.progress.get(&to).map(|it| &it.flow);
+        if let Some(Flow::Install { index, offset, sent }) = flow
+            && now.saturating_duration_since(*sent) >= RESEND
+        {
+            let (index, offset) = (*index, *offset);
+            self.send_chunk(now, to, index, offset);
+        }
+    }
+
+    /// Sends one part; from the start of the latest snapshot if that is another.
+    fn send_chunk(&mut self, now: Instant, to: ReplicaId, index: Index, offset: u64) {
+        let Some(snapshot) = self.snapshot.clone() else {
+            return;
+        };
+        let offset = if snapshot.index == index { offset } else { 0 };
+        let Seat::Leader(leader) = &mut self.seat else {
+            return;
+        };
+        let Some(progress) = leader.progress.get_mut(&to) else {
+            return;
+        };
+        progress.flow = Flow::Install {
+            index: snapshot.index,
+            offset,
+            sent: now,
+        };
+        let start = usize::try_from(offset).unwrap_or(usize::MAX).min(snapshot.data.len());
+        let end = (start + self.settings.chunk_bytes).min(snapshot.data.len());
+        let chunk = Chunk {
+            round: leader.round,
+            index: snapshot.index,
+            last_term: snapshot.term,
+            voters: snapshot.voters.clone(),
+            total: snapshot.data.len() as u64,
+            offset: start as u64,
+            data: snapshot.data[start..end].to_vec(),
+        };
+        self.send(to, Body::Chunk(chunk));
+    }
+
+    pub(super) fn on_chunk(&mut self, now: Instant, from: ReplicaId, chunk: Chunk) {
+        self.follow(now, self.hard.term, Some(from));
+        let (round, index) = (chunk.round, chunk.index);
+        let offset = self.take_chunk(chunk);
+        self.send(
+            from,
+            Body::ChunkAnswer {
+                round,
+                index,
+                offset,
+            },
+        );
+    }
+
+    /// Adds a part; gives the number of bytes held of its snapshot.
+    fn take_chunk(&mut self, chunk: Chunk) -> u64 {
+        if chunk.index <= self.commit {
+            return chunk.total;
+        }
+        if chunk.total > self.settings.max_snapshot_bytes as u64 {
+            return 0;
+        }
+        let known = self
+            .incoming
+            .take()
+            .filter(|it| it.index == chunk.index && it.total == chunk.total);
+        let mut incoming = known.unwrap_or_else(|| Incoming {
+            index: chunk.index,
+            total: chunk.total,
+            data: Vec::new(),
+        });
+        let held = incoming.data.len() as u64;
+        if chunk.offset == held && held + chunk.data.len() as u64 <= chunk.total {
+            incoming.data.extend_from_slice(&chunk.data);
+        }
+        let held = incoming.data.len() as u64;
+        if held < incoming.total {
+            self.incoming = Some(incoming);
+            return held;
+        }
+        self.install(Arc::new(Snapshot {
+            index: chunk.index,
+            term: chunk.last_term,
+            voters: chunk.voters,
+            data: Arc::from(incoming.data),
+        }));
+        held
+    }
+
+    fn install(&mut self, snapshot: Arc<Snapshot>) {
+        self.log.install(&snapshot);
+        self.commit = snapshot.index;
+        self.snapshot = Some(Arc::clone(&snapshot));
+        self.effects.push(Effect::SaveSnapshot(Arc::clone(&snapshot)));
+        self.effects.push(Effect::Restore(snapshot));
+    }
+
+    pub(super) fn on_chunk_answer(
+        &mut self,
+        now: Instant,
+        from: ReplicaId,
+        round: u64,
+        index: Index,
+        offset: u64,
+    ) {
+        let total = self.snapshot.as_ref().map_or(0, |it| it.data.len() as u64);
+        let Seat::Leader(leader) = &mut self.seat else {
+            return;
+        };
+        let Some(progress) = leader.progress.get_mut(&from) else {
+            return;
+        };
+        progress.active = Some(now);
+        progress.round = progress.round.max(round);
+        let Flow::Install { index: current, offset: sent, .. } = progress.flow else {
+            self.check_rounds(now);
+            return;
+        };
+        if current == index && offset >= total {
+            progress.matched(index);
+            self.replicate(now, from);
+        } else if current != index || offset > sent || offset == 0 {
+            self.send_chunk(now, from, index, offset);
+        }
+        self.advance(now);
+        self.check_rounds(now);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/raft/leader.rs
@@ -0,0 +1,249 @@
+//! A leader's quorum rounds: heartbeats, proofs of currency and stepping down.
+
+use std::{collections::VecDeque, mem, time::Instant};
+
+use indexmap::IndexMap;
+
+use crate::id::{Index, ReplicaId};
+
+use super::{
+    Effect, MAX_REPLICAS, Node, Payload, Proposal, Refusal, Seat, Token, progress::Progress,
+    replace::Replacement,
+};
+
+/// Most reads that wait for a quorum round.
+const MAX_READS: usize = 16_384;
+
+/// One round of messages to every replica.
+#[derive(Debug)]
+struct Round {
+    number: u64,
+    at: Instant,
+    /// Index committed at its start; none before an entry of the leader's term was.
+    commit: Option<Index>,
+    reads: Vec<Token>,
+}
+
+/// What only a leader holds.
+#[derive(Debug)]
+pub(super) struct Leader {
+    pub(super) progress: IndexMap<ReplicaId, Progress>,
+    /// Rounds that no quorum has confirmed yet.
+    rounds: VecDeque<Round>,
+    /// Number of the latest round.
+    pub(super) round: u64,
+    /// Start of the latest round that a quorum confirmed.
+    confirmed: Instant,
+    /// Reads that wait for the next round.
+    reads: Vec<Token>,
+    /// Index of its first entry.
+    pub(super) first: Index,
+    pub(super) replacement: Option<Replacement>,
+    pub(super) next_beat: Instant,
+}
+
+impl Leader {
+    /// Tokens of everything that waits.
+    pub(super) fn tokens(self) -> impl Iterator<Item = Token> {
+        let rounds = self.rounds.into_iter().flat_map(|it| it.reads);
+        let replacement = self.replacement.map(|it| it.token);
+        rounds.chain(self.reads).chain(replacement)
+    }
+}
+
+impl Node {
+    /// Leads the present term.
+    pub(super) fn lead(&mut self, now: Instant) {
+        let last = self.log.last();
+        self.seat = Seat::Leader(Box::new(Leader {
+            progress: IndexMap::new(),
+            rounds: VecDeque::new(),
+            round: 0,
+            confirmed: now,
+            reads: Vec::new(),
+            first: last + 1,
+            replacement: None,
+            next_beat: now,
+        }));
+        self.update_progress(now);
+        // A learner that joins later learns the first voters from the log.
+        let first = if last == 0 {
+            Payload::Voters(self.log.voters().clone())
+        } else {
+            Payload::Nothing
+        };
+        self.push(first);
+        self.beat(now);
+        self.advance(now);
+    }
+
+    /// Steps down when no quorum confirmed a round for an election timeout.
+    pub(super) fn check_quorum(&mut self, now: Instant) {
+        if let Seat::Leader(leader) = &self.seat
+            && now.saturating_duration_since(leader.confirmed) >= self.settings.election
+        {
+            self.follow(now, self.hard.term, None);
+        }
+    }
+
+    /// Adds and drops replicas as voters and peers change.
+    pub(super) fn update_progress(&mut self, now: Instant) {
+        let voters = self.log.voters().clone();
+        let last = self.log.last();
+        let Seat::Leader(leader) = &mut self.seat else {
+            return;
+        };
+        let wanted = voters.ids().iter().chain(&self.peers).copied();
+        let wanted: Vec<ReplicaId> = wanted.filter(|it| *it != self.id).collect();
+        leader.progress.retain(|id, _| wanted.contains(id));
+        for id in wanted {
+            if leader.progress.len() < MAX_REPLICAS {
+                leader
+                    .progress
+                    .entry(id)
+                    .or_insert_with(|| Progress::new(last));
+            }
+        }
+        leader.next_beat = leader.next_beat.min(now + self.settings.heartbeat);
+    }
+
+    /// Sends a heartbeat, and again what was lost.
+    pub(super) fn beat(&mut self, now: Instant) {
+        let Seat::Leader(leader) = &mut self.seat else {
+            return;
+        };
+        leader.next_beat = now + self.settings.heartbeat;
+        for progress in leader.progress.values_mut() {
+            progress.on_beat();
+        }
+        self.ask_all(now);
+    }
+
+    /// Starts a quorum round and sends every replica what it lacks.
+    fn ask_all(&mut self, now: Instant) {
+        self.start_round(now);
+        let Seat::Leader(leader) = &self.seat else {
+            return;
+        };
+        let ids: Vec<ReplicaId> = leader.progress.keys().copied().collect();
+        for id in ids {
+            self.send_beat(now, id);
+        }
+        self.check_rounds(now);
+    }
+
+    fn start_round(&mut self, now: Instant) {
+        let Seat::Leader(leader) = &mut self.seat else {
+            return;
+        };
+        let settled = self.commit >= leader.first;
+        leader.round += 1;
+        let reads = if settled {
+            mem::take(&mut leader.reads)
+        } else {
+            Vec::new()
+        };
+        leader.rounds.push_back(Round {
+            number: leader.round,
+            at: now,
+            commit: settled.then_some(self.commit),
+            reads,
+        });
+    }
+
+    /// Tells what the latest confirmed round proves.
+    pub(super) fn check_rounds(&mut self, now: Instant) {
+        let Seat::Leader(leader) = &mut self.seat else {
+            return;
+        };
+        let (me, round) = (self.id, leader.round);
+        let agreed = self.log.voters().agreed(|id| {
+            if id == me {
+                return round;
+            }
+            leader.progress.get(&id).map_or(0, |it| it.round)
+        });
+        let mut proved = None;
+        let mut answered = Vec::new();
+        while let Some(front) = leader.rounds.pop_front_if(|it| it.number <= agreed) {
+            leader.confirmed = leader.confirmed.max(front.at);
+            proved = front.commit.map(|index| (index, front.at)).or(proved);
+            answered.extend(front.reads);
+        }
+        let more = leader.rounds.is_empty() && !leader.reads.is_empty();
+        let settled = self.commit >= leader.first;
+        if let Some((index, at)) = proved {
+            self.effects.push(Effect::Proved { index, at });
+        }
+        for token in answered {
+            self.answer(token, Ok(()));
+        }
+        if more && settled {
+            self.ask_all(now);
+        }
+    }
+
+    /// Confirms by a quorum round that starts now or later.
+    pub(super) fn read(&mut self, now: Instant, token: Token) {
+        let refusal = self.not_leader();
+        let Seat::Leader(leader) = &mut self.seat else {
+            self.answer(token, Err(refusal));
+            return;
+        };
+        if leader.reads.len() >= MAX_READS {
+            self.answer(token, Err(Refusal::Busy));
+            return;
+        }
+        leader.reads.push(token);
+        self.check_rounds(now);
+    }
+
+    pub(super) fn propose_all(&mut self, now: Instant, proposals: Vec<Proposal>) {
+        for Proposal { token, command } in proposals {
+            let bytes = command.bytes();
+            let limit = self.settings.chunk_bytes;
+            if !matches!(self.seat, Seat::Leader(_)) {
+                let refusal = self.not_leader();
+                self.answer(token, Err(refusal));
+            } else if bytes > limit {
+                self.answer(token, Err(Refusal::TooLarge { bytes, limit }));
+            } else if self.log.bytes_after(self.commit) + bytes > self.settings.max_waiting_bytes {
+                self.answer(token, Err(Refusal::Busy));
+            } else {
+                let index = self.push(Payload::Command(command));
+                let term = self.hard.term;
+                self.effects.push(Effect::Accepted { token, index, term });
+            }
+        }
+        self.replicate_all(now);
+        self.advance(now);
+    }
+
+    /// Puts an entry into the leader's own log.
+    pub(super) fn push(&mut self, payload: Payload) -> Index {
+        let index = self.log.last() + 1;
+        let entry = super::Entry::new(index, self.hard.term, payload);
+        let entry = std::sync::Arc::new(entry);
+        self.log.push(std::sync::Arc::clone(&entry));
+        self.effects.push(Effect::Append(vec![entry]));
+        index
+    }
+
+    /// Commits what a majority holds, if its last entry is of this term.
+    pub(super) fn advance(&mut self, now: Instant) {
+        let Seat::Leader(leader) = &self.seat else {
+            return;
+        };
+        let (me, last) = (self.id, self.log.last());
+        let agreed = self.log.voters().agreed(|id| {
+            if id == me {
+                return last;
+            }
+            leader.progress.get(&id).map_or(0, |it| it.matched)
+        });
+        if agreed > self.commit && self.log.term(agreed) == Some(self.hard.term) {
+            self.commit_to(agreed);
+        }
+        self.step_replacement(now);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/raft/log.rs
@@ -0,0 +1,244 @@
+//! The entries held in memory, and the voters that they name.
+//!
+//! Entries reach back a little behind the snapshot, so that a slow replica is
+//! sent entries and not the whole state.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use crate::id::{Index, Term};
+
+use super::{
+    Entry, Payload, Snapshot, Voters,
+    message::{Append, Last},
+};
+
+/// Entries from `base + 1` on.
+#[derive(Debug)]
+pub(super) struct Log {
+    base: Last,
+    entries: VecDeque<Arc<Entry>>,
+    bytes: usize,
+    /// Voters from each index on, ascending; never empty.
+    voters: Vec<(Index, Voters)>,
+}
+
+impl Log {
+    /// The log that a folder held.
+    ///
+    /// A snapshot that was installed over entries of older terms leaves those
+    /// on the disk behind it; terms never fall within a log, which tells them.
+    pub(super) fn new(
+        first_voters: Voters,
+        snapshot: Option<&Snapshot>,
+        entries: Vec<Arc<Entry>>,
+    ) -> Self {
+        let mut log = Self::empty(first_voters, snapshot);
+        for entry in entries {
+            let end = log.end();
+            if entry.index <= end.index {
+                continue;
+            }
+            if entry.index != end.index + 1 || entry.term < end.term {
+                break;
+            }
+            log.push(entry);
+        }
+        log
+    }
+
+    fn empty(first_voters: Voters, snapshot: Option<&Snapshot>) -> Self {
+        let (base, voters) = match snapshot {
+            Some(it) => (
+                Last {
+                    term: it.term,
+                    index: it.index,
+                },
+                it.voters.clone(),
+            ),
+            None => (Last { term: 0, index: 0 }, first_voters),
+        };
+        Self {
+            base,
+            entries: VecDeque::new(),
+            bytes: 0,
+            voters: vec![(base.index, voters)],
+        }
+    }
+
+    /// Starts anew after a snapshot, keeping the entries that follow it.
+    pub(super) fn install(&mut self, snapshot: &Snapshot) {
+        if self.term(snapshot.index) == Some(snapshot.term) {
+            self.shrink(snapshot.index, 0);
+        } else {
+            *self = Self::empty(Voters::default(), Some(snapshot));
+        }
+    }
+
+    /// Index and term of the last entry.
+    pub(super) fn end(&self) -> Last {
+        self.entries.back().map_or(self.base, |it| Last {
+            term: it.term,
+            index: it.index,
+        })
+    }
+
+    pub(super) fn last(&self) -> Index {
+        self.end().index
+    }
+
+    /// Index before the first entry held.
+    pub(super) fn base(&self) -> Index {
+        self.base.index
+    }
+
+    pub(super) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Term of an index; none if it is no longer or not yet held.
+    pub(super) fn term(&self, index: Index) -> Option<Term> {
+        if index == self.base.index {
+            return Some(self.base.term);
+        }
+        self.get(index).map(|it| it.term)
+    }
+
+    fn get(&self, index: Index) -> Option<&Arc<Entry>> {
+        let place = index.checked_sub(self.base.index + 1)?;
+        self.entries.get(usize::try_from(place).ok()?)
+    }
+
+    /// Entries from `first` to `last`.
+    pub(super) fn range(&self, first: Index, last: Index) -> Vec<Arc<Entry>> {
+        (first..=last)
+            .filter_map(|index| self.get(index))
+            .map(Arc::clone)
+            .collect()
+    }
+
+    /// Entries from `first` on, one at least and else at most `max_bytes`.
+    pub(super) fn batch(&self, first: Index, max_bytes: usize) -> Vec<Arc<Entry>> {
+        let mut bytes = 0;
+        let mut batch = Vec::new();
+        for index in first..=self.last() {
+            let Some(entry) = self.get(index) else { break };
+            bytes += entry.bytes();
+            if bytes > max_bytes && !batch.is_empty() {
+                break;
+            }
+            batch.push(Arc::clone(entry));
+        }
+        batch
+    }
+
+    /// Bytes of the entries after an index.
+    pub(super) fn bytes_after(&self, index: Index) -> usize {
+        let held = self.entries.iter().rev();
+        held.take_while(|it| it.index > index)
+            .map(|it| it.bytes())
+            .sum()
+    }
+
+    /// Whether the entry before an append is the leader's.
+    ///
+    /// What lies before the entries held is committed, so it is the leader's.
+    pub(super) fn fits(&self, append: &Append) -> bool {
+        append.prev_index < self.base.index
+            || self.term(append.prev_index) == Some(append.prev_term)
+    }
+
+    /// Where a leader whose append did not fit should look next.
+    pub(super) fn hint(&self, append: &Append) -> Index {
+        let mut hint = append.prev_index.saturating_sub(1).min(self.last());
+        while hint > self.base.index && self.term(hint).is_some_and(|it| it > append.prev_term) {
+            hint -= 1;
+        }
+        hint
+    }
+
+    /// The part of an append that is new here; cuts a tail that differs.
+    pub(super) fn merge(&mut self, commit: Index, entries: &[Arc<Entry>]) -> Vec<Arc<Entry>> {
+        let known = entries
+            .iter()
+            .take_while(|it| {
+                it.index <= self.base.index || self.term(it.index) == Some(it.term)
+            })
+            .count();
+        let fresh = entries.get(known..).unwrap_or_default();
+        let Some(first) = fresh.first() else {
+            return Vec::new();
+        };
+        assert!(
+            first.index > commit,
+            "committed entry {} would be replaced",
+            first.index
+        );
+        self.cut(first.index);
+        for entry in fresh {
+            self.push(Arc::clone(entry));
+        }
+        fresh.to_vec()
+    }
+
+    pub(super) fn push(&mut self, entry: Arc<Entry>) {
+        if let Payload::Voters(voters) = &entry.payload {
+            self.voters.push((entry.index, voters.clone()));
+        }
+        self.bytes += entry.bytes();
+        self.entries.push_back(entry);
+    }
+
+    fn cut(&mut self, from: Index) {
+        while self.entries.back().is_some_and(|it| it.index >= from) {
+            if let Some(entry) = self.entries.pop_back() {
+                self.bytes -= entry.bytes();
+            }
+        }
+        self.voters
+            .retain(|(index, _)| *index < from || *index <= self.base.index);
+    }
+
+    /// Drops entries up to `index` until at most `kept_bytes` of them are held.
+    pub(super) fn shrink(&mut self, index: Index, kept_bytes: usize) {
+        let after = self.bytes_after(index);
+        while self.bytes - after > kept_bytes {
+            let Some(entry) = self.entries.pop_front() else {
+                break;
+            };
+            self.bytes -= entry.bytes();
+            self.base = Last {
+                term: entry.term,
+                index: entry.index,
+            };
+        }
+        let base = self.base.index;
+        let superseded = self.voters.partition_point(|(from, _)| *from <= base);
+        self.voters.drain(..superseded.saturating_sub(1));
+    }
+
+    /// The latest voters, committed or not.
+    pub(super) fn voters(&self) -> &Voters {
+        &self.voters[self.voters.len() - 1].1
+    }
+
+    /// Index of the entry that named the latest voters.
+    pub(super) fn voters_since(&self) -> Index {
+        self.voters[self.voters.len() - 1].0
+    }
+
+    /// The voters at an index.
+    pub(super) fn voters_at(&self, index: Index) -> &Voters {
+        let after = self.voters.partition_point(|(from, _)| *from <= index);
+        &self.voters[after.saturating_sub(1)].1
+    }
+
+    /// Replaces the voters from before the first entry.
+    pub(super) fn set_first_voters(&mut self, voters: Voters) {
+        if self.base.index == 0
+            && let Some(first) = self.voters.first_mut()
+            && first.0 == 0
+        {
+            first.1 = voters;
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/raft/replace.rs
@@ -0,0 +1,145 @@
+//! One replica in place of another, one change of voters at a time.
+//!
+//! A swap in one entry is unsafe: of the voters A, B, C and A, B, D the
+//! majorities {A, C} and {B, D} share nobody. Two changes of one voter each are
+//! safe, since any majority before and any after one such change meet. Their
+//! order follows from whether the old replica still answers:
+//!
+//! - it answers: the new one is added first, so that four count for a while, any
+//!   three of which are a majority, and a loss meanwhile stops nothing;
+//! - it is lost: it is removed first. The others were all needed before, and
+//!   are after; adding first would let the new one's loss stop the rest.
+//!
+//! Either way the new one must hold everything committed when the change that
+//! lets it count is proposed, and the caller hears of success only when both
+//! changes are committed.
+
+use std::time::Instant;
+
+use crate::id::ReplicaId;
+
+use super::{Node, Payload, Refusal, Seat, Token, Voters, leader::Leader};
+
+/// Entries that a replica may still lack when its replacement begins; none when it counts.
+const MAX_LAG: u64 = 1_024;
+
+/// A replacement that is under way.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Replacement {
+    pub(super) token: Token,
+    old: ReplicaId,
+    new: ReplicaId,
+}
+
+impl Node {
+    pub(super) fn replace(&mut self, now: Instant, token: Token, old: ReplicaId, new: ReplicaId) {
+        if let Err(refusal) = self.check_replacement(old, new) {
+            self.answer(token, Err(refusal));
+            return;
+        }
+        let Seat::Leader(leader) = &mut self.seat else {
+            return;
+        };
+        if let Some(superseded) = leader.replacement.replace(Replacement { token, old, new }) {
+            self.answer(superseded.token, Err(Refusal::Busy));
+        }
+        self.step_replacement(now);
+    }
+
+    fn check_replacement(&self, old: ReplicaId, new: ReplicaId) -> Result<(), Refusal> {
+        let Seat::Leader(leader) = &self.seat else {
+            return Err(self.not_leader());
+        };
+        if !self.voters_settled(leader) {
+            return Err(Refusal::Busy);
+        }
+        let voters = self.log.voters();
+        if old == new {
+            return Err(Refusal::NoVoter { replica: old });
+        }
+        if voters.contains(new) {
+            return Ok(());
+        }
+        if !voters.contains(old) && voters.removed() != Some(old) {
+            return Err(Refusal::NoVoter { replica: old });
+        }
+        match self.missing(leader, new) {
+            0..=MAX_LAG => Ok(()),
+            entries => Err(Refusal::Behind {
+                replica: new,
+                entries,
+            }),
+        }
+    }
+
+    /// Whether the latest voters, and an entry of this term, are committed.
+    fn voters_settled(&self, leader: &Leader) -> bool {
+        self.commit >= leader.first && self.commit >= self.log.voters_since()
+    }
+
+    /// Committed entries that a replica has not synced.
+    fn missing(&self, leader: &Leader, id: ReplicaId) -> u64 {
+        let matched = leader.progress.get(&id).map_or(0, |it| it.matched);
+        self.commit.saturating_sub(matched)
+    }
+
+    /// Takes the next step of a replacement once the one before is committed.
+    pub(super) fn step_replacement(&mut self, now: Instant) {
+        let Seat::Leader(leader) = &self.seat else {
+            return;
+        };
+        if !self.voters_settled(leader) {
+            return;
+        }
+        if let Some(replacement) = leader.replacement {
+            match self.next_voters(now, leader, replacement) {
+                Step::Wait => {}
+                Step::Propose(voters) => {
+                    self.push(Payload::Voters(voters));
+                    self.update_progress(now);
+                    self.replicate_all(now);
+                    self.advance(now);
+                    return;
+                }
+                Step::Done => self.finish_replacement(replacement.token),
+            }
+        }
+        // A leader that no longer counts has committed that, and makes way.
+        if !self.is_voter() && matches!(self.seat, Seat::Leader(_)) {
+            self.follow(now, self.hard.term, None);
+        }
+    }
+
+    fn next_voters(&self, now: Instant, leader: &Leader, replacement: Replacement) -> Step {
+        let Replacement { old, new, .. } = replacement;
+        let voters = self.log.voters();
+        match (voters.contains(old), voters.contains(new)) {
+            (false, true) => Step::Done,
+            (true, true) => Step::Propose(voters.without(old).awaiting(None)),
+            (_, false) if self.missing(leader, new) > 0 => Step::Wait,
+            (true, false) if !self.answers(now, leader, old) => Step::Propose(voters.without(old)),
+            (_, false) => Step::Propose(voters.with(new)),
+        }
+    }
+
+    fn answers(&self, now: Instant, leader: &Leader, id: ReplicaId) -> bool {
+        let active = leader.progress.get(&id).and_then(|it| it.active);
+        id == self.id
+            || active
+                .is_some_and(|at| now.saturating_duration_since(at) < self.settings.election)
+    }
+
+    fn finish_replacement(&mut self, token: Token) {
+        if let Seat::Leader(leader) = &mut self.seat {
+            leader.replacement = None;
+        }
+        self.answer(token, Ok(()));
+    }
+}
+
+/// What a replacement needs next.
+enum Step {
+    Wait,
+    Propose(Voters),
+    Done,
+}
--- /dev/null
+++ b/crates/policy/src/raft/replicate.rs
@@ -0,0 +1,151 @@
+//! Entries from the leader's log to the others'.
+
+use std::time::Instant;
+
+use crate::id::{Index, ReplicaId};
+
+use super::{
+    Effect, Node, Seat,
+    message::{Append, Body, Fit},
+    progress::Flow,
+};
+
+impl Node {
+    pub(super) fn replicate_all(&mut self, now: Instant) {
+        let Seat::Leader(leader) = &self.seat else {
+            return;
+        };
+        let ids: Vec<ReplicaId> = leader.progress.keys().copied().collect();
+        for id in ids {
+            self.replicate(now, id);
+        }
+    }
+
+    /// Sends batches for as long as the replica may be sent more.
+    pub(super) fn replicate(&mut self, now: Instant, to: ReplicaId) {
+        while self.wants_entries(to) {
+            self.send_entries(now, to);
+        }
+    }
+
+    fn wants_entries(&self, to: ReplicaId) -> bool {
+        let Seat::Leader(leader) = &self.seat else {
+            return false;
+        };
+        leader.progress.get(&to).is_some_and(|it| {
+            it.ready(self.settings.max_inflight) && it.next <= self.log.last()
+        })
+    }
+
+    /// Sends what is due at a heartbeat: entries, a part of a snapshot or nothing.
+    pub(super) fn send_beat(&mut self, now: Instant, to: ReplicaId) {
+        let Seat::Leader(leader) = &self.seat else {
+            return;
+        };
+        let (installs, matched) = leader
+            .progress
+            .get(&to)
+            .map_or((false, 0), |it| (matches!(it.flow, Flow::Install { .. }), it.matched));
+        if installs {
+            self.resend_chunk(now, to);
+        }
+        if self.wants_entries(to) {
+            self.replicate(now, to);
+        } else {
+            // Before `matched` the logs are equal, so this confirms the round alone.
+            let prev_index = matched.max(self.log.base()).min(self.log.last());
+            let prev_index = if installs || matched < self.log.base() {
+                0
+            } else {
+                prev_index
+            };
+            self.send_append(to, prev_index, 0);
+        }
+    }
+
+    fn send_entries(&mut self, now: Instant, to: ReplicaId) {
+        let Seat::Leader(leader) = &self.seat else {
+            return;
+        };
+        let Some(next) = leader.progress.get(&to).map(|it| it.next) else {
+            return;
+        };
+        if next <= self.log.base() {
+            self.start_install(now, to);
+            return;
+        }
+        let last = self.send_append(to, next - 1, self.settings.max_batch_bytes);
+        if let Seat::Leader(leader) = &mut self.seat
+            && let Some(progress) = leader.progress.get_mut(&to)
+        {
+            progress.sent(last);
+        }
+    }
+
+    /// Sends entries after an index, none if `max_bytes` is zero; gives the last one's index.
+    fn send_append(&mut self, to: ReplicaId, prev_index: Index, max_bytes: usize) -> Index {
+        let Seat::Leader(leader) = &self.seat else {
+            return prev_index;
+        };
+        let entries = if max_bytes == 0 {
+            Vec::new()
+        } else {
+            self.log.batch(prev_index + 1, max_bytes)
+        };
+        let last = entries.last().map_or(prev_index, |it| it.index);
+        let append = Append {
+            round: leader.round,
+            prev_index,
+            prev_term: self.log.term(prev_index).unwrap_or(0),
+            entries,
+            commit: self.commit,
+        };
+        self.send(to, Body::Append(append));
+        last
+    }
+
+    pub(super) fn on_append(&mut self, now: Instant, from: ReplicaId, append: &Append) {
+        self.follow(now, self.hard.term, Some(from));
+        let round = append.round;
+        if !self.log.fits(append) {
+            let fit = Fit::Gap {
+                prev_index: append.prev_index,
+                hint: self.log.hint(append),
+            };
+            self.send(from, Body::AppendAnswer { round, fit });
+            return;
+        }
+        let fresh = self.log.merge(self.commit, &append.entries);
+        if !fresh.is_empty() {
+            self.effects.push(Effect::Append(fresh));
+        }
+        let matched = append.entries.last().map_or(append.prev_index, |it| it.index);
+        let fit = Fit::Matched(matched);
+        self.send(from, Body::AppendAnswer { round, fit });
+        self.commit_to(append.commit.min(matched));
+    }
+
+    pub(super) fn on_append_answer(
+        &mut self,
+        now: Instant,
+        from: ReplicaId,
+        round: u64,
+        fit: Fit,
+    ) {
+        let Seat::Leader(leader) = &mut self.seat else {
+            return;
+        };
+        let Some(progress) = leader.progress.get_mut(&from) else {
+            return;
+        };
+        progress.active = Some(now);
+        progress.round = progress.round.max(round);
+        match fit {
+            Fit::Matched(index) => progress.matched(index.min(self.log.last())),
+            Fit::Gap { prev_index, hint } => progress.gap(prev_index, hint),
+        }
+        self.replicate(now, from);
+        self.advance(now);
+        self.check_rounds(now);
+    }
+}
