--- a/crates/policy/src/crash.rs
+++ b/crates/policy/src/crash.rs
@@ -30,3 +30,22 @@
     /// Marks in the order in which they were set.
     pub marks: IndexMap<Fingerprint, Mark>,
 }
+
+impl Table {
+    /// Takes in a committed step.
+    pub fn apply(&mut self, step: &Step) {
+        match step {
+            Step::Suspected(fingerprints) => {
+                for fingerprint in fingerprints {
+                    self.marks.entry(*fingerprint).or_insert(Mark::Suspected);
+                }
+            }
+            Step::Quarantined(fingerprint) => {
+                self.marks.insert(*fingerprint, Mark::Quarantined);
+            }
+            Step::Cleared(fingerprint) => {
+                self.marks.shift_remove(fingerprint);
+            }
+        }
+    }
+}
--- a/crates/policy/src/ledger/table.rs
+++ b/crates/policy/src/ledger/table.rs
@@ -1,10 +1,6 @@
 //! The records of the ledger, and when each of them is due.
 
-use std::{
-    collections::BTreeMap,
-    sync::Arc,
-    time::{Duration, SystemTime},
-};
+use std::{collections::BTreeMap, sync::Arc, time::SystemTime};
 
 use indexmap::IndexMap;
 
@@ -181,24 +177,28 @@
         self.advance(settle.at);
         let clock = self.now(settle.at);
         let kept = clock + self.limits.retention;
-        let Some(record) = self.records.get(&settle.key) else {
+        let attempt = settle.attempt;
+        let Some(record) = self.records.get_mut(&settle.key) else {
             if settle.outcome == Outcome::NotRun {
                 self.forestall(settle, clock);
             }
             return;
         };
-        let attempt = settle.attempt;
         let state = match (&record.state, &settle.outcome) {
-            (State::Open { attempt: open, .. }, _) if *open != attempt => return,
-            (State::Open { .. }, Outcome::NotRun) => State::Free,
+            (State::Open { attempt: open, .. }, outcome) if *open != attempt => {
+                if *outcome == Outcome::NotRun {
+                    remember(&mut record.freed, attempt);
+                }
+                return;
+            }
+            (State::Open { .. } | State::Free, Outcome::NotRun) => State::Free,
             (State::Open { .. }, Outcome::Unknown) => State::Unknown { attempt },
             (State::Open { .. }, Outcome::Done(stored)) => done(attempt, stored),
             (State::Unknown { attempt: unknown }, Outcome::Done(stored))
-                if *unknown == attempt && self.has_bytes(stored.bytes()) =>
+                if *unknown == attempt && self.bytes + stored.bytes() <= self.limits.bytes =>
             {
                 done(attempt, stored)
             }
-            (State::Free, Outcome::NotRun) => State::Free,
             (State::Unknown { .. } | State::Done { .. } | State::Free, _) => return,
         };
         let free = state == State::Free;
@@ -263,8 +263,7 @@
     fn insert(&mut self, key: Arc<Key>, record: Record) {
         self.remove(&key);
         self.bytes += bytes_of(&key, &record);
-        self.due
-            .insert((record.due, self.next), Arc::clone(&key));
+        self.due.insert((record.due, self.next), Arc::clone(&key));
         self.next += 1;
         self.records.insert(key, record);
     }
@@ -346,4 +345,3 @@
     };
     RECORD_BYTES + key_bytes(key) + answer
 }
-
--- a/crates/policy/src/raft.rs
+++ b/crates/policy/src/raft.rs
@@ -234,12 +234,12 @@
     SaveHard(Hard),
     /// Persist entries; the first may cut the tail from its index on.
     Append(Vec<Arc<Entry>>),
-    /// Persist a snapshot; entries that it covers may go.
+    /// Persist a snapshot of the own state; entries that it covers may go.
     SaveSnapshot(Arc<Snapshot>),
+    /// Persist a snapshot in place of the whole log, and of the state machine.
+    Install(Arc<Snapshot>),
     /// Send a message.
     Send(Message),
-    /// Replace the state machine by the snapshot's.
-    Restore(Arc<Snapshot>),
     /// Apply these entries.
     Commit(Vec<Arc<Entry>>),
     /// Everything accepted before `at` is at or below `index`.
--- a/crates/policy/src/raft/election.rs
+++ b/crates/policy/src/raft/election.rs
@@ -118,7 +118,7 @@
         }
         match message.body {
             Body::Form { voters } => {
-                self.on_form(message.from, message.formation, voters);
+                self.on_form(message.from, message.formation, &voters);
                 return;
             }
             Body::FormAnswer { accepted } => {
--- a/crates/policy/src/raft/formation.rs
+++ b/crates/policy/src/raft/formation.rs
@@ -102,7 +102,7 @@
         }
     }
 
-    pub(super) fn on_form(&mut self, from: ReplicaId, id: u64, voters: Voters) {
+    pub(super) fn on_form(&mut self, from: ReplicaId, id: u64, voters: &Voters) {
         if !voters.contains(self.id) || !voters.contains(from) || id == 0 {
             return;
         }
@@ -110,7 +110,7 @@
             self.promise(id, voters.clone());
         }
         let promised = self.hard.formation.as_ref();
-        let accepted = promised.is_some_and(|it| it.id == id && it.voters == voters);
+        let accepted = promised.is_some_and(|it| it.id == id && it.voters == *voters);
         self.effects.push(super::Effect::Send(Message {
             formation: id,
             from: self.id,
--- a/crates/policy/src/raft/install.rs
+++ b/crates/policy/src/raft/install.rs
@@ -1,11 +1,15 @@
 //! Snapshots for replicas that lag behind the entries held.
 
-use std::{sync::Arc, time::{Duration, Instant}};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use crate::id::{Index, ReplicaId};
 
 use super::{
-    Effect, Node, Seat, Snapshot,
+    Effect, Node, Seat, Snapshot, Voters,
+    log::Log,
     message::{Body, Chunk},
     progress::Flow,
 };
@@ -34,7 +38,11 @@
             return;
         };
         let flow = leader.progress.get(&to).map(|it| &it.flow);
-        if let Some(Flow::Install { index, offset, sent }) = flow
+        if let Some(Flow::Install {
+            index,
+            offset,
+            sent,
+        }) = flow
             && now.saturating_duration_since(*sent) >= RESEND
         {
             let (index, offset) = (*index, *offset);
@@ -59,7 +67,9 @@
             offset,
             sent: now,
         };
-        let start = usize::try_from(offset).unwrap_or(usize::MAX).min(snapshot.data.len());
+        let start = usize::try_from(offset)
+            .unwrap_or(usize::MAX)
+            .min(snapshot.data.len());
         let end = (start + self.settings.chunk_bytes).min(snapshot.data.len());
         let chunk = Chunk {
             round: leader.round,
@@ -89,6 +99,10 @@
 
     /// Adds a part; gives the number of bytes held of its snapshot.
     fn take_chunk(&mut self, chunk: Chunk) -> u64 {
+        // Entries that end as the snapshot does are the leader's, up to there.
+        if self.log.term(chunk.index) == Some(chunk.last_term) {
+            self.commit_to(chunk.index);
+        }
         if chunk.index <= self.commit {
             return chunk.total;
         }
@@ -123,11 +137,10 @@
     }
 
     fn install(&mut self, snapshot: Arc<Snapshot>) {
-        self.log.install(&snapshot);
+        self.log = Log::new(Voters::default(), Some(&snapshot), Vec::new());
         self.commit = snapshot.index;
         self.snapshot = Some(Arc::clone(&snapshot));
-        self.effects.push(Effect::SaveSnapshot(Arc::clone(&snapshot)));
-        self.effects.push(Effect::Restore(snapshot));
+        self.effects.push(Effect::Install(snapshot));
     }
 
     pub(super) fn on_chunk_answer(
@@ -147,7 +160,12 @@
         };
         progress.active = Some(now);
         progress.round = progress.round.max(round);
-        let Flow::Install { index: current, offset: sent, .. } = progress.flow else {
+        let Flow::Install {
+            index: current,
+            offset: sent,
+            ..
+        } = progress.flow
+        else {
             self.check_rounds(now);
             return;
         };
--- a/crates/policy/src/raft/log.rs
+++ b/crates/policy/src/raft/log.rs
@@ -24,9 +24,6 @@
 
 impl Log {
     /// The log that a folder held.
-    ///
-    /// A snapshot that was installed over entries of older terms leaves those
-    /// on the disk behind it; terms never fall within a log, which tells them.
     pub(super) fn new(
         first_voters: Voters,
         snapshot: Option<&Snapshot>,
@@ -35,12 +32,12 @@
         let mut log = Self::empty(first_voters, snapshot);
         for entry in entries {
             let end = log.end();
-            if entry.index <= end.index {
-                continue;
-            }
-            if entry.index != end.index + 1 || entry.term < end.term {
-                break;
-            }
+            assert!(
+                entry.index == end.index + 1 && entry.term >= end.term,
+                "entry {} does not follow entry {}",
+                entry.index,
+                end.index
+            );
             log.push(entry);
         }
         log
@@ -65,15 +62,6 @@
         }
     }
 
-    /// Starts anew after a snapshot, keeping the entries that follow it.
-    pub(super) fn install(&mut self, snapshot: &Snapshot) {
-        if self.term(snapshot.index) == Some(snapshot.term) {
-            self.shrink(snapshot.index, 0);
-        } else {
-            *self = Self::empty(Voters::default(), Some(snapshot));
-        }
-    }
-
     /// Index and term of the last entry.
     pub(super) fn end(&self) -> Last {
         self.entries.back().map_or(self.base, |it| Last {
@@ -160,9 +148,7 @@
     pub(super) fn merge(&mut self, commit: Index, entries: &[Arc<Entry>]) -> Vec<Arc<Entry>> {
         let known = entries
             .iter()
-            .take_while(|it| {
-                it.index <= self.base.index || self.term(it.index) == Some(it.term)
-            })
+            .take_while(|it| it.index <= self.base.index || self.term(it.index) == Some(it.term))
             .count();
         let fresh = entries.get(known..).unwrap_or_default();
         let Some(first) = fresh.first() else {
--- a/crates/policy/src/raft/replace.rs
+++ b/crates/policy/src/raft/replace.rs
@@ -125,8 +125,7 @@
     fn answers(&self, now: Instant, leader: &Leader, id: ReplicaId) -> bool {
         let active = leader.progress.get(&id).and_then(|it| it.active);
         id == self.id
-            || active
-                .is_some_and(|at| now.saturating_duration_since(at) < self.settings.election)
+            || active.is_some_and(|at| now.saturating_duration_since(at) < self.settings.election)
     }
 
     fn finish_replacement(&mut self, token: Token) {
--- a/crates/policy/src/raft/replicate.rs
+++ b/crates/policy/src/raft/replicate.rs
@@ -32,9 +32,10 @@
         let Seat::Leader(leader) = &self.seat else {
             return false;
         };
-        leader.progress.get(&to).is_some_and(|it| {
-            it.ready(self.settings.max_inflight) && it.next <= self.log.last()
-        })
+        leader
+            .progress
+            .get(&to)
+            .is_some_and(|it| it.ready(self.settings.max_inflight) && it.next <= self.log.last())
     }
 
     /// Sends what is due at a heartbeat: entries, a part of a snapshot or nothing.
@@ -42,10 +43,9 @@
         let Seat::Leader(leader) = &self.seat else {
             return;
         };
-        let (installs, matched) = leader
-            .progress
-            .get(&to)
-            .map_or((false, 0), |it| (matches!(it.flow, Flow::Install { .. }), it.matched));
+        let (installs, matched) = leader.progress.get(&to).map_or((false, 0), |it| {
+            (matches!(it.flow, Flow::Install { .. }), it.matched)
+        });
         if installs {
             self.resend_chunk(now, to);
         }
@@ -119,19 +119,16 @@
         if !fresh.is_empty() {
             self.effects.push(Effect::Append(fresh));
         }
-        let matched = append.entries.last().map_or(append.prev_index, |it| it.index);
+        let matched = append
+            .entries
+            .last()
+            .map_or(append.prev_index, |it| it.index);
         let fit = Fit::Matched(matched);
         self.send(from, Body::AppendAnswer { round, fit });
         self.commit_to(append.commit.min(matched));
     }
 
-    pub(super) fn on_append_answer(
-        &mut self,
-        now: Instant,
-        from: ReplicaId,
-        round: u64,
-        fit: Fit,
-    ) {
+    pub(super) fn on_append_answer(&mut self, now: Instant, from: ReplicaId, round: u64, fit: Fit) {
         let Seat::Leader(leader) = &mut self.seat else {
             return;
         };
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -1,14 +1,25 @@
 //! The replicated state: catalogue, answers to change ids, ledger and marks.
+//!
+//! Every replica applies the same commands in the same order and comes to the
+//! same state and answers; time comes from the commands' own stamps.
 
-use std::{sync::Arc, time::SystemTime};
+mod digest;
+mod machine;
+
+use std::{mem, sync::Arc, time::SystemTime};
 
 use crate::{
     catalogue::{Change, Fault, Key},
     crash,
     id::{OperatorId, Revision},
-    ledger::{Claim, Settle, Verdict},
+    ledger::{Claim, MAX_ATTEMPT, Outcome, Settle, Verdict},
 };
 
+pub use machine::{Applied, Kept, Limits, Machine, Snapshot};
+
+/// Most authors that a conflict names.
+pub const MAX_AUTHORS: usize = 32;
+
 /// One entry of the control log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Command {
@@ -29,6 +40,61 @@
     Crash(crash::Step),
 }
 
+impl Command {
+    /// The command with the leader's time as its stamp.
+    ///
+    /// The claimant's clock only gives the length of its attempt, so that one
+    /// clock that is wrong does not move the ledger's.
+    #[must_use]
+    pub fn stamped(self, now: SystemTime) -> Self {
+        match self {
+            Self::Nothing | Self::Crash(_) => self,
+            Self::Change { change, .. } => Self::Change { change, at: now },
+            Self::Claim(claim) => {
+                let length = claim.deadline.duration_since(claim.at).unwrap_or_default();
+                Self::Claim(Claim {
+                    deadline: now + length.min(MAX_ATTEMPT),
+                    at: now,
+                    ..claim
+                })
+            }
+            Self::Settle(settle) => Self::Settle(Settle { at: now, ..settle }),
+        }
+    }
+
+    /// Estimated size in bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        match self {
+            Self::Nothing => 0,
+            Self::Change { change, .. } => bytes_of_change(change),
+            Self::Claim(claim) => {
+                mem::size_of::<Claim>()
+                    + claim.key.account.len()
+                    + claim.key.name.len()
+                    + claim.daemon.len()
+            }
+            Self::Settle(settle) => {
+                let answer = match &settle.outcome {
+                    Outcome::Done(stored) => stored.bytes(),
+                    Outcome::NotRun | Outcome::Unknown => 0,
+                };
+                let key = settle.key.account.len() + settle.key.name.len();
+                mem::size_of::<Settle>() + key + answer
+            }
+            Self::Crash(crash::Step::Suspected(marks)) => mem::size_of_val(marks.as_slice()),
+            Self::Crash(_) => mem::size_of::<crash::Step>(),
+        }
+    }
+}
+
+/// Estimated size of a change in bytes.
+fn bytes_of_change(change: &Change) -> usize {
+    let puts: usize = change.puts.iter().map(digest::bytes_of).sum();
+    let removes: usize = change.removes.iter().map(|key| key.name.len() + 8).sum();
+    change.id.len() + change.operator.len() + puts + removes
+}
+
 /// What a command came to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Answer {
--- /dev/null
+++ b/crates/policy/src/state/digest.rs
@@ -0,0 +1,126 @@
+//! The digest that tells two changes with one id apart.
+//!
+//! It is kept in snapshots, so it goes field by field and not by a derived
+//! hash, which may differ between compilers.
+
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::catalogue::{Backend, Change, Entry, Key, Kind};
+
+/// Digest of everything that a change says, its id left out.
+pub(super) fn of_change(change: &Change) -> u128 {
+    let mut digest = Digest(Xxh3::new());
+    digest.number(change.base);
+    digest.text(&change.operator);
+    digest.count(change.puts.len());
+    for entry in &change.puts {
+        digest.entry(entry);
+    }
+    digest.count(change.removes.len());
+    for key in &change.removes {
+        digest.key(key);
+    }
+    digest.0.digest128()
+}
+
+/// Estimated size of an entry in bytes.
+pub(super) fn bytes_of(entry: &Entry) -> usize {
+    /// Room for the numbers of an entry and the tags of its fields.
+    const FIXED_BYTES: usize = 64;
+    let texts = match entry {
+        Entry::Account(it) => {
+            let classes: usize = it.classes.iter().map(|class| class.len() + 2).sum();
+            it.name.len() + it.owner.len() + it.key_sha256.len() + it.class.len() + classes
+        }
+        Entry::Class(it) => it.name.len() + it.owner.len(),
+        Entry::Service(it) => {
+            let routes: usize = it
+                .once
+                .iter()
+                .map(|route| route.method.len() + route.path.len() + 8)
+                .sum();
+            let statuses = it.refusal_statuses.len() * 3;
+            it.name.len() + it.owner.len() + it.class.len() + routes + statuses
+        }
+    };
+    FIXED_BYTES + texts
+}
+
+struct Digest(Xxh3);
+
+impl Digest {
+    fn number(&mut self, value: u64) {
+        self.0.update(&value.to_le_bytes());
+    }
+
+    fn count(&mut self, value: usize) {
+        self.number(value as u64);
+    }
+
+    fn text(&mut self, value: &str) {
+        self.count(value.len());
+        self.0.update(value.as_bytes());
+    }
+
+    fn key(&mut self, key: &Key) {
+        let kind = match key.kind {
+            Kind::Account => 1,
+            Kind::Class => 2,
+            Kind::Service => 3,
+        };
+        self.number(kind);
+        self.text(&key.name);
+    }
+
+    fn time(&mut self, value: std::time::Duration) {
+        self.number(u64::try_from(value.as_nanos()).unwrap_or(u64::MAX));
+    }
+
+    fn entry(&mut self, entry: &Entry) {
+        self.key(&entry.key());
+        self.text(entry.owner());
+        match entry {
+            Entry::Account(it) => {
+                self.text(&it.key_sha256);
+                self.text(&it.class);
+                self.count(it.classes.len());
+                for class in &it.classes {
+                    self.text(class);
+                }
+                self.number(it.max_running.into());
+                self.number(it.max_queued.into());
+            }
+            Entry::Class(it) => {
+                self.number(it.tier.into());
+                self.time(it.first_token);
+                self.time(it.between_tokens);
+                self.time(it.whole);
+                self.time(it.wait_bound);
+                self.number(it.queue_limit.into());
+                self.number(it.preemptible.into());
+            }
+            Entry::Service(it) => self.service(it),
+        }
+    }
+
+    fn service(&mut self, service: &crate::catalogue::Service) {
+        self.number(match service.backend {
+            Backend::Model => 1,
+            Backend::Plain => 2,
+        });
+        self.text(&service.class);
+        self.count(service.once.len());
+        for route in &service.once {
+            self.text(&route.method);
+            self.text(&route.path);
+        }
+        self.number(service.max_running_per_runner.into());
+        self.number(service.retry_percent.into());
+        self.count(service.refusal_statuses.len());
+        for status in &service.refusal_statuses {
+            self.number((*status).into());
+        }
+        self.time(service.timeout);
+        self.number(service.max_body_bytes);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/state/machine.rs
@@ -0,0 +1,294 @@
+//! Applies the commands of the log.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use indexmap::IndexMap;
+
+use super::{Answer, Author, Command, MAX_AUTHORS, Refusal, digest};
+use crate::{
+    catalogue::{Catalogue, Change},
+    crash,
+    feed::{Step, Update},
+    id::{ChangeId, Index, Revision},
+    ledger::{self, Ledger},
+};
+
+/// Bounds of the state; equal on every replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Most answers to change ids that are kept; the oldest goes first.
+    ///
+    /// An accepted change that is resent after its answer is gone conflicts,
+    /// since the revision that it was made against is no longer the current.
+    pub answers: usize,
+    /// Most bytes of answers to change ids.
+    pub answer_bytes: usize,
+    /// Most changed entries whose author is kept for conflicts.
+    pub authors: usize,
+    /// Bounds of the ledger.
+    pub ledger: ledger::Limits,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            answers: 50_000,
+            answer_bytes: 16 << 20,
+            authors: 4_096,
+            ledger: ledger::Limits::default(),
+        }
+    }
+}
+
+/// The answer that a change id got.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Kept {
+    /// Digest of the change.
+    pub digest: u128,
+    /// Its answer.
+    pub answer: Result<Revision, Refusal>,
+}
+
+impl Kept {
+    /// Bytes of an answer without its id and authors.
+    const FIXED_BYTES: usize = 96;
+
+    fn bytes(&self, id: &str) -> usize {
+        let authors = match &self.answer {
+            Err(Refusal::Stale { authors, .. }) => authors
+                .iter()
+                .map(|it| {
+                    Self::FIXED_BYTES + it.key.name.len() + it.operator.len() + it.change.len()
+                })
+                .sum(),
+            Ok(_) | Err(_) => 0,
+        };
+        Self::FIXED_BYTES + id.len() + authors
+    }
+}
+
+/// What came of one command.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Applied {
+    /// For whoever submitted it.
+    pub answer: Answer,
+    /// For every daemon, if it changed what concerns them.
+    pub update: Option<Update>,
+}
+
+/// The replicated state.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Machine {
+    limits: Limits,
+    index: Index,
+    catalogue: Arc<Catalogue>,
+    marks: Arc<crash::Table>,
+    answers: VecDeque<ChangeId>,
+    kept: IndexMap<ChangeId, Kept>,
+    kept_bytes: usize,
+    authors: VecDeque<Author>,
+    ledger: Ledger,
+}
+
+impl Machine {
+    /// The state before the first command.
+    #[must_use]
+    pub fn new(limits: Limits) -> Self {
+        Self {
+            ledger: Ledger::new(limits.ledger),
+            limits,
+            ..Self::default()
+        }
+    }
+
+    /// The state of a snapshot.
+    #[must_use]
+    pub fn restore(limits: Limits, snapshot: Snapshot) -> Self {
+        let mut machine = Self {
+            index: snapshot.index,
+            catalogue: snapshot.catalogue,
+            marks: snapshot.marks,
+            authors: snapshot.authors.into(),
+            ledger: snapshot.ledger,
+            ..Self::new(limits)
+        };
+        for (id, kept) in snapshot.answers {
+            machine.keep(id, kept);
+        }
+        machine
+    }
+
+    /// Index of the last command applied.
+    #[must_use]
+    pub fn index(&self) -> Index {
+        self.index
+    }
+
+    /// The catalogue.
+    #[must_use]
+    pub fn catalogue(&self) -> &Arc<Catalogue> {
+        &self.catalogue
+    }
+
+    /// Requests known or suspected to crash runners.
+    #[must_use]
+    pub fn marks(&self) -> &Arc<crash::Table> {
+        &self.marks
+    }
+
+    /// The at-most-once ledger.
+    #[must_use]
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// Bounds of the state.
+    #[must_use]
+    pub fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
+    /// Answers to change ids, oldest first.
+    pub fn answers(&self) -> impl Iterator<Item = (&ChangeId, &Kept)> {
+        self.answers
+            .iter()
+            .filter_map(|id| self.kept.get_key_value(id))
+    }
+
+    /// Latest changes of entries, oldest first.
+    pub fn authors(&self) -> impl Iterator<Item = &Author> {
+        self.authors.iter()
+    }
+
+    /// Applies the command at an index of the log.
+    pub fn apply(&mut self, index: Index, command: &Command) -> Applied {
+        self.index = index;
+        let step = match command {
+            Command::Nothing => None,
+            Command::Change { change, at } => {
+                self.ledger.advance(*at);
+                return self.change(index, change);
+            }
+            Command::Claim(claim) => {
+                return Applied {
+                    answer: Answer::Claim(self.ledger.claim(claim)),
+                    update: None,
+                };
+            }
+            Command::Settle(settle) => {
+                self.ledger.settle(settle);
+                None
+            }
+            Command::Crash(step) => {
+                Arc::make_mut(&mut self.marks).apply(step);
+                Some(Step::Crash(step.clone()))
+            }
+        };
+        Applied {
+            answer: Answer::Done,
+            update: step.map(|step| Update { index, step }),
+        }
+    }
+
+    fn change(&mut self, index: Index, change: &Arc<Change>) -> Applied {
+        let digest = digest::of_change(change);
+        if let Some(kept) = self.kept.get(&change.id) {
+            let answer = if kept.digest == digest {
+                kept.answer.clone()
+            } else {
+                let first = kept.answer.as_ref().ok().copied();
+                Err(Refusal::Reused { first })
+            };
+            return Applied {
+                answer: Answer::Change(answer),
+                update: None,
+            };
+        }
+        let answer = self.accept(change);
+        let update = answer.is_ok().then(|| Update {
+            index,
+            step: Step::Change(Arc::clone(change)),
+        });
+        let kept = Kept {
+            digest,
+            answer: answer.clone(),
+        };
+        self.keep(change.id.clone(), kept);
+        Applied {
+            answer: Answer::Change(answer),
+            update,
+        }
+    }
+
+    /// Puts a change made against the current revision into force.
+    fn accept(&mut self, change: &Change) -> Result<Revision, Refusal> {
+        let current = self.catalogue.revision;
+        if change.base != current {
+            return Err(Refusal::Stale {
+                current,
+                authors: self.authors_since(change.base),
+            });
+        }
+        let next = self.catalogue.apply(change).map_err(Refusal::Invalid)?;
+        let revision = next.revision;
+        self.catalogue = Arc::new(next);
+        self.note_authors(change, revision);
+        Ok(revision)
+    }
+
+    fn authors_since(&self, base: Revision) -> Vec<Author> {
+        let newest = self.authors.iter().rev();
+        newest
+            .take_while(|it| it.revision > base)
+            .take(MAX_AUTHORS)
+            .cloned()
+            .collect()
+    }
+
+    fn note_authors(&mut self, change: &Change, revision: Revision) {
+        let puts = change.puts.iter().map(crate::catalogue::Entry::key);
+        for key in puts.chain(change.removes.iter().cloned()) {
+            if self.authors.len() >= self.limits.authors {
+                self.authors.pop_front();
+            }
+            self.authors.push_back(Author {
+                key,
+                operator: change.operator.clone(),
+                change: change.id.clone(),
+                revision,
+            });
+        }
+    }
+
+    fn keep(&mut self, id: ChangeId, kept: Kept) {
+        self.kept_bytes += kept.bytes(&id);
+        self.answers.push_back(id.clone());
+        self.kept.insert(id, kept);
+        while self.answers.len() > self.limits.answers || self.kept_bytes > self.limits.answer_bytes
+        {
+            let Some(oldest) = self.answers.pop_front() else {
+                break;
+            };
+            if let Some(kept) = self.kept.swap_remove(&oldest) {
+                self.kept_bytes -= kept.bytes(&oldest);
+            }
+        }
+    }
+}
+
+/// Everything that a [`Machine`] is made of.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Snapshot {
+    /// Index of the last command applied.
+    pub index: Index,
+    /// The catalogue.
+    pub catalogue: Arc<Catalogue>,
+    /// Requests known or suspected to crash runners.
+    pub marks: Arc<crash::Table>,
+    /// Answers to change ids, oldest first.
+    pub answers: Vec<(ChangeId, Kept)>,
+    /// Latest changes of entries, oldest first.
+    pub authors: Vec<Author>,
+    /// The ledger.
+    pub ledger: Ledger,
+}
