--- /dev/null
+++ b/crates/wire/src/control/machine.rs
@@ -0,0 +1,90 @@
+//! The state machine as a snapshot.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use citron_policy::{
+    catalogue::Catalogue,
+    crash::{Mark, Table},
+    ledger::Ledger,
+    state::{Kept, Limits, Machine, Snapshot},
+};
+use prost::Message as _;
+
+use super::{Error, convert, nanos_since, need, proto, time_of};
+
+/// The bytes of a state machine.
+#[must_use]
+pub fn encode_machine(machine: &Machine) -> Vec<u8> {
+    let catalogue = machine.catalogue();
+    let marks = machine
+        .marks()
+        .marks
+        .iter()
+        .map(|(fingerprint, mark)| proto::Mark {
+            fingerprint: *fingerprint,
+            quarantined: *mark == Mark::Quarantined,
+        });
+    let answers = machine.answers().map(|(id, kept)| proto::Kept {
+        id: id.clone(),
+        digest: Bytes::copy_from_slice(&kept.digest.to_le_bytes()),
+        answer: Some((&kept.answer).into()),
+    });
+    let ledger = machine.ledger();
+    let message = proto::Machine {
+        index: machine.index(),
+        revision: catalogue.revision,
+        entries: catalogue.entries().map(|it| (&it).into()).collect(),
+        marks: marks.collect(),
+        answers: answers.collect(),
+        authors: machine.authors().map(proto::Author::from).collect(),
+        clock: ledger.clock().map(nanos_since),
+        records: ledger.records().map(proto::Record::from).collect(),
+    };
+    message.encode_to_vec()
+}
+
+/// Reads what [`encode_machine`] wrote.
+///
+/// # Errors
+/// [`Error`] when the bytes are no state machine.
+pub fn decode_machine(limits: Limits, bytes: &[u8]) -> Result<Machine, Error> {
+    let message = proto::Machine::decode(bytes)?;
+    let entries = convert(message.entries)?;
+    let catalogue = Catalogue::from_entries(message.revision, entries);
+    let marks = message.marks.into_iter().map(|it| {
+        let mark = if it.quarantined {
+            Mark::Quarantined
+        } else {
+            Mark::Suspected
+        };
+        (it.fingerprint, mark)
+    });
+    let clock = message.clock.map(time_of);
+    let ledger = Ledger::from_records(limits.ledger, clock, convert(message.records)?);
+    let snapshot = Snapshot {
+        index: message.index,
+        catalogue: Arc::new(catalogue),
+        marks: Arc::new(Table {
+            marks: marks.collect(),
+        }),
+        answers: convert(message.answers)?,
+        authors: convert(message.authors)?,
+        ledger,
+    };
+    Ok(Machine::restore(limits, snapshot))
+}
+
+impl TryFrom<proto::Kept> for (String, Kept) {
+    type Error = Error;
+
+    fn try_from(it: proto::Kept) -> Result<Self, Error> {
+        let field = "kept.digest";
+        let digest = it.digest.as_ref().try_into().ok();
+        let kept = Kept {
+            digest: u128::from_le_bytes(digest.ok_or(Error::Range { field })?),
+            answer: need(it.answer, "kept.answer")?.try_into()?,
+        };
+        Ok((it.id, kept))
+    }
+}
--- /dev/null
+++ b/crates/wire/src/control/state.rs
@@ -0,0 +1,169 @@
+//! Commands and their answers.
+
+use std::sync::Arc;
+
+use citron_policy::{
+    crash::Step,
+    state::{Answer, Author, Command, Refusal},
+};
+
+use super::{Error, convert, nanos_since, need, nothing, proto, time_of};
+
+impl From<&Command> for proto::Command {
+    fn from(it: &Command) -> Self {
+        use proto::command::Command as Wire;
+        let command = match it {
+            Command::Nothing => Wire::Nothing(nothing()),
+            Command::Change { change, at } => Wire::Change(proto::StampedChange {
+                change: Some(change.as_ref().into()),
+                at: nanos_since(*at),
+            }),
+            Command::Claim(claim) => Wire::Claim(claim.into()),
+            Command::Settle(settle) => Wire::Settle(settle.into()),
+            Command::Crash(step) => Wire::Crash(step.into()),
+        };
+        Self {
+            command: Some(command),
+        }
+    }
+}
+
+impl TryFrom<proto::Command> for Command {
+    type Error = Error;
+
+    fn try_from(it: proto::Command) -> Result<Self, Error> {
+        use proto::command::Command as Wire;
+        Ok(match need(it.command, "command")? {
+            Wire::Nothing(_) => Self::Nothing,
+            Wire::Change(stamped) => Self::Change {
+                change: Arc::new(need(stamped.change, "change")?.try_into()?),
+                at: time_of(stamped.at),
+            },
+            Wire::Claim(claim) => Self::Claim(claim.try_into()?),
+            Wire::Settle(settle) => Self::Settle(settle.try_into()?),
+            Wire::Crash(step) => Self::Crash(step.try_into()?),
+        })
+    }
+}
+
+impl From<&Step> for proto::CrashStep {
+    fn from(it: &Step) -> Self {
+        use proto::crash_step::Step as Wire;
+        let step = match it {
+            Step::Suspected(fingerprints) => Wire::Suspected(proto::Suspected {
+                fingerprints: fingerprints.clone(),
+            }),
+            Step::Quarantined(fingerprint) => Wire::Quarantined(*fingerprint),
+            Step::Cleared(fingerprint) => Wire::Cleared(*fingerprint),
+        };
+        Self { step: Some(step) }
+    }
+}
+
+impl TryFrom<proto::CrashStep> for Step {
+    type Error = Error;
+
+    fn try_from(it: proto::CrashStep) -> Result<Self, Error> {
+        use proto::crash_step::Step as Wire;
+        Ok(match need(it.step, "crash.step")? {
+            Wire::Suspected(suspected) => Self::Suspected(suspected.fingerprints),
+            Wire::Quarantined(fingerprint) => Self::Quarantined(fingerprint),
+            Wire::Cleared(fingerprint) => Self::Cleared(fingerprint),
+        })
+    }
+}
+
+impl From<&Author> for proto::Author {
+    fn from(it: &Author) -> Self {
+        Self {
+            key: Some((&it.key).into()),
+            operator: it.operator.clone(),
+            change: it.change.clone(),
+            revision: it.revision,
+        }
+    }
+}
+
+impl TryFrom<proto::Author> for Author {
+    type Error = Error;
+
+    fn try_from(it: proto::Author) -> Result<Self, Error> {
+        Ok(Self {
+            key: need(it.key, "author.key")?.try_into()?,
+            operator: it.operator,
+            change: it.change,
+            revision: it.revision,
+        })
+    }
+}
+
+impl From<&Result<u64, Refusal>> for proto::ChangeAnswer {
+    fn from(it: &Result<u64, Refusal>) -> Self {
+        use proto::change_answer::Answer as Wire;
+        let answer = match it {
+            Ok(revision) => Wire::Revision(*revision),
+            Err(Refusal::Stale { current, authors }) => Wire::Stale(proto::Stale {
+                current: *current,
+                authors: authors.iter().map(proto::Author::from).collect(),
+            }),
+            Err(Refusal::Reused { first }) => Wire::Reused(proto::Reused { first: *first }),
+            // A fault is plain data, which always has a JSON form.
+            Err(Refusal::Invalid(fault)) => {
+                Wire::Invalid(serde_json::to_string(fault).unwrap_or_default())
+            }
+        };
+        Self {
+            answer: Some(answer),
+        }
+    }
+}
+
+impl TryFrom<proto::ChangeAnswer> for Result<u64, Refusal> {
+    type Error = Error;
+
+    fn try_from(it: proto::ChangeAnswer) -> Result<Self, Error> {
+        use proto::change_answer::Answer as Wire;
+        Ok(match need(it.answer, "change.answer")? {
+            Wire::Revision(revision) => Ok(revision),
+            Wire::Stale(stale) => Err(Refusal::Stale {
+                current: stale.current,
+                authors: convert(stale.authors)?,
+            }),
+            Wire::Reused(reused) => Err(Refusal::Reused {
+                first: reused.first,
+            }),
+            Wire::Invalid(json) => {
+                let field = "change.invalid";
+                let fault = serde_json::from_str(&json).ok();
+                Err(Refusal::Invalid(fault.ok_or(Error::Range { field })?))
+            }
+        })
+    }
+}
+
+impl From<&Answer> for proto::Answer {
+    fn from(it: &Answer) -> Self {
+        use proto::answer::Answer as Wire;
+        let answer = match it {
+            Answer::Done => Wire::Nothing(nothing()),
+            Answer::Change(change) => Wire::Change(change.into()),
+            Answer::Claim(verdict) => Wire::Claim(verdict.into()),
+        };
+        Self {
+            answer: Some(answer),
+        }
+    }
+}
+
+impl TryFrom<proto::Answer> for Answer {
+    type Error = Error;
+
+    fn try_from(it: proto::Answer) -> Result<Self, Error> {
+        use proto::answer::Answer as Wire;
+        Ok(match need(it.answer, "answer")? {
+            Wire::Nothing(_) => Self::Done,
+            Wire::Change(change) => Self::Change(change.try_into()?),
+            Wire::Claim(verdict) => Self::Claim(verdict.try_into()?),
+        })
+    }
+}
