--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -18,6 +18,7 @@
 use tokio::sync::{oneshot, watch};
 
 use crate::{
+    admin::{self, Admin, Tokens},
     callers::{self, Callers},
     control::{self, Control, Replica},
     event::Ring,
@@ -25,7 +26,7 @@
     gossip::{self, Gossip, Own},
     http::{self, Server},
     metrics::{Metrics, Reading},
-    operators::{self, Operators},
+    operators,
     peers::{self, Hub},
     platform::{self, Platform},
     settings::Settings,
@@ -42,6 +43,9 @@
 /// Longest wait for a crash mark to be recorded.
 const MARK_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Most operator connections.
+const MAX_ADMIN_CONNECTIONS: usize = 256;
+
 /// Tries to find a port that is free for TCP and UDP.
 const BIND_TRIES: u32 = 16;
 
@@ -91,7 +95,7 @@
 /// # Errors
 /// [`Failure`] with the remedy.
 pub fn check(settings: &Settings) -> Result<(), Failure> {
-    Operators::read(settings)?;
+    operators::read(settings)?;
     platform_address(settings)?;
     Ok(())
 }
@@ -105,7 +109,7 @@
 }
 
 async fn serve(settings: Settings) -> Result<(), Failure> {
-    let operators = Operators::read(&settings)?;
+    let tokens = operators::read(&settings)?;
     let platform = platform_address(&settings)?;
     let tracer = match &settings.trace_file {
         Some(file) => Tracer::to_file(file)?,
@@ -123,7 +127,7 @@
         platform,
         replica,
         tracer,
-        operators,
+        tokens,
     };
     let (parts, failed) = Parts::start(&settings, listeners, outside);
     println!("{announcement}");
@@ -224,7 +228,7 @@
     platform: SocketAddr,
     replica: Option<Replica>,
     tracer: Tracer,
-    operators: Operators,
+    tokens: Tokens,
 }
 
 /// The running parts.
@@ -290,7 +294,20 @@
         gossip.metrics().register(&mut registry);
         platform.metrics().register(&mut registry);
         follow.metrics().register(&mut registry);
+        let counters = admin::Metrics::default();
+        counters.register(&mut registry);
+        let admin = Admin::new(admin::Ports {
+            tokens: outside.tokens,
+            log: Rc::new(started.control.clone()),
+            hub: hub.clone(),
+            members: gossip.members(),
+            view: follow.view(),
+            ring,
+            registry: Rc::new(registry),
+            metrics: counters,
+        });
         let router = Router {
+            admin: admin.clone(),
             control: started.control,
             follow: follow.clone(),
             slots: slots.clone(),
@@ -304,7 +321,13 @@
             draining: drained,
         };
         actix_rt::spawn(server.run());
-        drop((listeners.admin, outside.operators, ring, registry));
+        let operators = Server {
+            listener: listeners.admin,
+            handler: admin.handler(),
+            max_connections: MAX_ADMIN_CONNECTIONS,
+            draining: watch::channel(false).1,
+        };
+        actix_rt::spawn(operators.run());
         let tracer = outside.tracer;
         let metrics = RefCell::new(metrics);
         let parts = Rc::new(Self {
--- a/crates/daemon/src/run/router.rs
+++ b/crates/daemon/src/run/router.rs
@@ -4,11 +4,12 @@
 use citron_wire::Body;
 use futures_util::future::LocalBoxFuture;
 
-use crate::{control::Control, follow::Follow, peers::Handler, slots::Slots};
+use crate::{admin::Admin, control::Control, follow::Follow, peers::Handler, slots::Slots};
 
 /// The parts that peers speak to.
 #[derive(Debug)]
 pub(super) struct Router {
+    pub(super) admin: Admin,
     pub(super) control: Control,
     pub(super) follow: Follow,
     pub(super) slots: Slots,
@@ -44,9 +45,11 @@
                 let answer = self.slots.on_call(from, message);
                 Box::pin(async move { answer.await.map(Body::Slot) })
             }
-            Body::Status(_) | Body::Refusal(_) => Box::pin(std::future::ready(Err(
-                "not a question: upgrade this instance".to_owned(),
-            ))),
+            Body::Status(message) => {
+                let answer = self.admin.on_call(from, message);
+                Box::pin(async move { answer.await.map(Body::Status) })
+            }
+            Body::Refusal(_) => Box::pin(std::future::ready(Err("not a question".to_owned()))),
         }
     }
 }
