members: failure detection and gossip over UDP

SWIM-shaped: probes, probes through others, gossip on them, refutation by incarnation, comparison of tables. Three guards keep a sick daemon from talking others out: a missed probe is told only with a witness, a gap between ticks forgives, and many losses at once wait longer.

Two faults were seen on the way and mended: an isolated daemon probed one target for ever (nine others still shown alive after 60 s), and a restart with an older wall clock was shown without its proof by eleven of twelve, since its dated fields were outranked; what is known of the sender now goes back to it.

--- a/crates/policy/src/swim.rs
+++ b/crates/policy/src/swim.rs
@@ -1,1 +1,738 @@
 //! Failure detection and gossip among the daemons.
+//!
+//! The shape is SWIM's: every daemon probes one other at a time, asks a few
+//! others to probe it when no answer comes, and news rides on the probes.
+//!
+//! - A record is ordered by its incarnation, then by its state. Only its
+//!   subject raises the incarnation, so a wrong suspicion is refuted by the one
+//!   who knows best. Incarnations start at the wall clock's milliseconds, so a
+//!   restarted daemon outranks its former self without a disk.
+//! - A missed probe is told to others only if another daemon, which could be
+//!   reached, missed the subject too. Without such a witness the fault may be
+//!   this daemon's own; it then doubts the subject for itself alone. So an
+//!   isolated, frozen or overloaded daemon does not talk others out of the
+//!   cluster.
+//! - A gap between two ticks means that this process was stopped: probes under
+//!   way are forgotten and suspicions wait longer by the gap.
+//! - The platform's list says whom to probe first and who may be known at all;
+//!   the probes say who is there.
+//! - Tables are compared bucket by bucket from time to time, so that news lost
+//!   in a cut arrives after it.
+
+mod listing;
+mod message;
+mod peer;
+mod probe;
+mod rumor;
+mod settings;
+mod sync;
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use indexmap::IndexMap;
+use rand::Rng;
+
+use crate::{
+    id::{Incarnation, InstanceId, Revision},
+    member::{Member, Members, State},
+    platform::List,
+};
+
+pub use message::{Kind, MAX_CONTENT_BYTES, Message, Vital, hash};
+pub use settings::{MAX_INCARNATION, MAX_MEMBERS, Settings};
+
+use listing::Listing;
+use message::{VITAL_COST, cost};
+use peer::{Peer, rank};
+use probe::{Errand, Probe};
+use rumor::Rumors;
+
+/// What this daemon says of itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Own {
+    /// Whether it takes no new work any more.
+    pub leaving: bool,
+    /// Catalogue revision in force here.
+    pub revision: Revision,
+    /// Requests in hand here.
+    pub load: u32,
+    /// Whether it holds proof that its catalogue is current.
+    pub current: bool,
+}
+
+/// What the adapter is to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Send a datagram.
+    Send {
+        /// Address to send to.
+        to: SocketAddr,
+        /// What to send.
+        message: Message,
+    },
+    /// Tell the operators.
+    Report(Event),
+}
+
+/// What happened, for logs and counters.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// An instance is known for the first time, or came back.
+    Joined(InstanceId),
+    /// An instance missed its probes.
+    Suspected(InstanceId),
+    /// A suspected instance answered.
+    Refuted(InstanceId),
+    /// An instance takes no new work any more.
+    Leaving(InstanceId),
+    /// An instance was given up, or said that it ends.
+    Died(InstanceId),
+    /// This daemon was suspected and refuted it.
+    Accused(Incarnation),
+    /// This process was stopped for a while.
+    Stalled(Duration),
+    /// The platform's list says that this instance leaves, or no longer does.
+    Listed(bool),
+    /// A message came under the name of an instance at another address.
+    Stranger(InstanceId),
+}
+
+/// How far this daemon has gone towards its end; nothing takes it back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Exit {
+    /// Not asked to go.
+    None,
+    /// Asked to go; finishes what it has.
+    Leaving,
+    /// Said that it ends.
+    Departed,
+}
+
+/// Membership as one daemon sees it.
+#[derive(Debug)]
+pub struct Swim {
+    settings: Settings,
+    me: Member,
+    own: Own,
+    exit: Exit,
+    stamp_base: u64,
+    started: Instant,
+    last_stamp: u64,
+    stamped: Option<Instant>,
+    peers: IndexMap<InstanceId, Peer>,
+    hashes: IndexMap<u64, InstanceId>,
+    listing: Listing,
+    rumors: Rumors,
+    probes: IndexMap<u32, Probe>,
+    errands: IndexMap<u32, Errand>,
+    order: Vec<InstanceId>,
+    next_seq: u32,
+    health: u32,
+    last_tick: Option<Instant>,
+    heard: Option<Instant>,
+    next_probe: Instant,
+    next_seed: Instant,
+    next_sync: Instant,
+    served: (Instant, u32),
+    changed: bool,
+    urgent: bool,
+    shown_at: Option<Instant>,
+}
+
+impl Swim {
+    /// A daemon that knows nobody yet.
+    ///
+    /// `started_ms` is the wall clock in milliseconds; `me.incarnation`,
+    /// `me.state` and the fields of [`Own`] are set here.
+    #[must_use]
+    pub fn new(now: Instant, started_ms: u64, me: Member, settings: Settings) -> Self {
+        let base = started_ms.clamp(1, MAX_INCARNATION);
+        let me = Member {
+            incarnation: base,
+            state: State::Alive,
+            revision: 0,
+            load: 0,
+            current: false,
+            ..me
+        };
+        let mut swim = Self {
+            settings,
+            me,
+            own: Own::default(),
+            exit: Exit::None,
+            stamp_base: base,
+            started: now,
+            last_stamp: base,
+            stamped: None,
+            peers: IndexMap::new(),
+            hashes: IndexMap::new(),
+            listing: Listing::default(),
+            rumors: Rumors::default(),
+            probes: IndexMap::new(),
+            errands: IndexMap::new(),
+            order: Vec::new(),
+            next_seq: 1,
+            health: 0,
+            last_tick: None,
+            heard: None,
+            next_probe: now,
+            next_seed: now,
+            next_sync: now,
+            served: (now, 0),
+            changed: false,
+            urgent: true,
+            shown_at: None,
+        };
+        swim.rumors.add(&swim.me.id);
+        swim
+    }
+
+    /// This daemon's own record.
+    #[must_use]
+    pub fn me(&self) -> &Member {
+        &self.me
+    }
+
+    /// Every known daemon, this one included, by name.
+    #[must_use]
+    pub fn members(&self, now: Instant) -> Members {
+        let cut_off = self.cut_off(now);
+        let mut members: Members = self
+            .peers
+            .values()
+            .map(|peer| {
+                let mut member = peer.member.clone();
+                member.state = self.shown(now, peer, cut_off);
+                (member.id.clone(), member)
+            })
+            .collect();
+        members.insert(self.me.id.clone(), self.me.clone());
+        members.sort_unstable_keys();
+        members
+    }
+
+    /// Whether the members are worth reading again.
+    ///
+    /// A change of state shows at once; loads and revisions show together from
+    /// time to time, since they change with every datagram.
+    pub fn take_changed(&mut self, now: Instant) -> bool {
+        let rested = self
+            .shown_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= self.settings.show_interval);
+        let due = self.urgent || (self.changed && rested);
+        if !due {
+            return false;
+        }
+        self.urgent = false;
+        self.changed = false;
+        self.shown_at = Some(now);
+        true
+    }
+
+    /// Whether others are known but none was heard for a while.
+    #[must_use]
+    pub fn cut_off(&self, now: Instant) -> bool {
+        let expected = self
+            .peers
+            .values()
+            .any(|peer| peer.member.state != State::Dead);
+        let silent = self
+            .heard
+            .is_none_or(|heard| now.saturating_duration_since(heard) > self.settings.silence);
+        expected && silent
+    }
+
+    /// Counts for the metrics: rumors waiting, probes under way, instances listed.
+    #[must_use]
+    pub fn sizes(&self) -> (usize, usize, usize) {
+        (
+            self.rumors.len(),
+            self.probes.len() + self.errands.len(),
+            self.listing.len(),
+        )
+    }
+
+    /// How unwell this daemon holds itself, from zero.
+    #[must_use]
+    pub fn health(&self) -> u32 {
+        self.health
+    }
+
+    /// Takes in what this daemon says of itself.
+    pub fn set_self<R>(&mut self, now: Instant, own: Own, rng: &mut R) -> Vec<Effect>
+    where
+        R: Rng,
+    {
+        if own == self.own {
+            return Vec::new();
+        }
+        let proof_changed = own.current != self.own.current;
+        self.own = own;
+        self.changed = true;
+        self.me.revision = own.revision;
+        self.me.load = own.load;
+        self.me.current = own.current;
+        if proof_changed {
+            self.urgent = true;
+            self.stamp(now);
+        }
+        self.settle_state(now, rng)
+    }
+
+    /// Takes in a reading of the platform's list.
+    pub fn set_list<R>(&mut self, now: Instant, list: &List, rng: &mut R) -> Vec<Effect>
+    where
+        R: Rng,
+    {
+        self.listing.take(now, list, self.settings.list_grace);
+        self.urgent = true;
+        if !self.has_company() {
+            self.next_seed = now;
+        }
+        self.settle_state(now, rng)
+    }
+
+    /// Whether this daemon takes no new work, by its own word or the list's.
+    #[must_use]
+    pub fn leaving(&self) -> bool {
+        self.me.state != State::Alive
+    }
+
+    /// Announces, for good, that this daemon takes no new work.
+    pub fn leave<R>(&mut self, now: Instant, rng: &mut R) -> Vec<Effect>
+    where
+        R: Rng,
+    {
+        self.exit = self.exit.max(Exit::Leaving);
+        self.settle_state(now, rng)
+    }
+
+    /// Announces that this daemon ends now.
+    pub fn depart<R>(&mut self, rng: &mut R) -> Vec<Effect>
+    where
+        R: Rng,
+    {
+        self.exit = Exit::Departed;
+        self.me.state = State::Dead;
+        self.urgent = true;
+        self.rumors.add(&self.me.id);
+        self.push(self.settings.leave_fanout, rng)
+    }
+
+    /// Does what is due; to be called every [`Settings::tick`].
+    pub fn tick<R>(&mut self, now: Instant, rng: &mut R) -> Vec<Effect>
+    where
+        R: Rng,
+    {
+        if self.exit == Exit::Departed {
+            return Vec::new();
+        }
+        let mut effects = self.check_stall(now);
+        effects.extend(self.settle_state(now, rng));
+        self.refresh_stamp(now);
+        effects.extend(self.check_probes(now, rng));
+        effects.extend(self.check_errands(now));
+        effects.extend(self.check_suspicions(now));
+        effects.extend(self.start_probe(now, rng));
+        effects.extend(self.start_seed(now, rng));
+        effects.extend(self.start_sync(now, rng));
+        if self.rumors.has_fresh() {
+            effects.extend(self.push(self.settings.fanout, rng));
+        }
+        self.forget(now);
+        effects
+    }
+
+    /// Takes in a datagram.
+    pub fn on_message<R>(
+        &mut self,
+        now: Instant,
+        from: SocketAddr,
+        message: Message,
+        rng: &mut R,
+    ) -> Vec<Effect>
+    where
+        R: Rng,
+    {
+        if self.exit == Exit::Departed || message.from == self.me.id {
+            return Vec::new();
+        }
+        if !self.is_from(&message.from, from) {
+            return vec![Effect::Report(Event::Stranger(message.from))];
+        }
+        self.heard = Some(now);
+        let mut effects = Vec::new();
+        let mut range_ids = Vec::new();
+        for record in message.records {
+            if matches!(message.kind, Kind::Range { .. }) {
+                range_ids.push((record.id.clone(), record.incarnation, record.state));
+            }
+            effects.extend(self.merge(now, record));
+        }
+        for vital in message.vitals {
+            self.merge_vital(now, &vital);
+        }
+        let answer = self.notice(now, &message.from, message.incarnation);
+        match message.kind {
+            Kind::Ping { seq } => {
+                effects.push(self.send(from, Kind::Ack { seq }, answer.about, answer.want));
+                self.answer_want(from, message.want, &mut effects);
+                return effects;
+            }
+            Kind::Ack { seq } => effects.extend(self.on_ack(now, seq)),
+            Kind::Nack { seq } => self.on_nack(seq),
+            Kind::Ask { seq, target } => effects.extend(self.on_ask(now, from, seq, &target)),
+            Kind::Gossip => {}
+            Kind::Digest { buckets } => effects.extend(self.on_digest(now, from, &buckets)),
+            Kind::Range { low, high, reply } => {
+                if reply {
+                    effects.extend(self.on_range(from, low, high, &range_ids));
+                }
+            }
+        }
+        if !answer.about.is_empty() || answer.want {
+            effects.push(self.send(from, Kind::Gossip, answer.about, answer.want));
+        }
+        self.answer_want(from, message.want, &mut effects);
+        let _ = rng;
+        effects
+    }
+
+    /// Sends this daemon's record to one who asked for it.
+    fn answer_want(&mut self, to: SocketAddr, want: bool, effects: &mut Vec<Effect>) {
+        if want {
+            effects.push(self.send(to, Kind::Gossip, vec![self.me.clone()], false));
+        }
+    }
+
+    /// Whether a message under this name may come from this address.
+    fn is_from(&self, id: &InstanceId, from: SocketAddr) -> bool {
+        let known = self.peers.get(id).map(|peer| peer.member.peer.ip());
+        let listed = self.listing.get(id).map(|listed| listed.peer.ip());
+        match (known, listed) {
+            (None, None) => !self.listing.is_read(),
+            (known, listed) => known == Some(from.ip()) || listed == Some(from.ip()),
+        }
+    }
+
+    /// How an instance is shown: as the records say, but for doubt and the list.
+    fn shown(&self, now: Instant, peer: &Peer, cut_off: bool) -> State {
+        match peer.member.state {
+            State::Alive if cut_off || peer.doubted.is_some() => State::Suspect,
+            State::Alive if self.says_leaving(now, &peer.member.id) => State::Leaving,
+            state => state,
+        }
+    }
+
+    fn says_leaving(&self, now: Instant, id: &InstanceId) -> bool {
+        self.listing.leaving(now, id, self.settings.return_hold)
+    }
+
+    /// Brings the own state in line with the own word and the platform's list.
+    fn settle_state<R>(&mut self, now: Instant, rng: &mut R) -> Vec<Effect>
+    where
+        R: Rng,
+    {
+        let listed = self.says_leaving(now, &self.me.id);
+        let leaving = self.exit != Exit::None || self.own.leaving || listed;
+        let state = if leaving {
+            State::Leaving
+        } else {
+            State::Alive
+        };
+        if self.exit == Exit::Departed || state == self.me.state {
+            return Vec::new();
+        }
+        self.me.state = state;
+        self.raise(now, self.me.incarnation);
+        let mut effects = Vec::new();
+        if self.exit == Exit::None && !self.own.leaving {
+            effects.push(Effect::Report(Event::Listed(listed)));
+        }
+        effects.extend(self.push(self.settings.leave_fanout, rng));
+        effects
+    }
+
+    /// Outranks every record of this daemon up to `seen`.
+    fn raise(&mut self, now: Instant, seen: Incarnation) {
+        let next = seen.max(self.me.incarnation).saturating_add(1);
+        self.me.incarnation = next.min(MAX_INCARNATION);
+        self.rumors.add(&self.me.id);
+        self.urgent = true;
+        self.stamp(now);
+    }
+
+    /// Dates the own changing fields anew.
+    fn stamp(&mut self, now: Instant) {
+        let age = u64::try_from(now.saturating_duration_since(self.started).as_millis());
+        let due = self.stamp_base.saturating_add(age.unwrap_or(u64::MAX));
+        self.last_stamp = due
+            .max(self.last_stamp.saturating_add(1))
+            .min(MAX_INCARNATION);
+        self.stamped = Some(now);
+    }
+
+    fn refresh_stamp(&mut self, now: Instant) {
+        let interval = self.settings.vitals_interval(self.peers.len());
+        let due = self
+            .stamped
+            .is_none_or(|at| now.saturating_duration_since(at) >= interval);
+        if due {
+            self.stamp(now);
+        }
+    }
+
+    /// Merges a record that came from another daemon.
+    fn merge(&mut self, now: Instant, record: Member) -> Vec<Effect> {
+        if record.incarnation > MAX_INCARNATION {
+            return Vec::new();
+        }
+        if record.id == self.me.id {
+            return self.on_accusation(now, &record);
+        }
+        let Some(peer) = self.peers.get_mut(&record.id) else {
+            return self.admit(now, record);
+        };
+        let old = peer.member.state;
+        if !peer.take(now, &record) {
+            return Vec::new();
+        }
+        self.rumors.add(&record.id);
+        self.urgent = true;
+        transition(old, &record)
+            .map(Effect::Report)
+            .into_iter()
+            .collect()
+    }
+
+    /// Takes in an instance that was not known.
+    fn admit(&mut self, now: Instant, record: Member) -> Vec<Effect> {
+        let allowed = !self.listing.is_read()
+            || self
+                .listing
+                .knows(now, &record.id, self.settings.list_grace);
+        if record.state == State::Dead || !allowed || !self.make_room() {
+            return Vec::new();
+        }
+        let id = record.id.clone();
+        self.hashes.insert(hash(&id), id.clone());
+        self.peers.insert(id.clone(), Peer::new(now, record));
+        self.rumors.add(&id);
+        self.urgent = true;
+        vec![Effect::Report(Event::Joined(id))]
+    }
+
+    /// Makes room for one more instance; the longest dead gives way.
+    fn make_room(&mut self) -> bool {
+        if self.peers.len() < MAX_MEMBERS {
+            return true;
+        }
+        let oldest = self
+            .peers
+            .values()
+            .filter(|peer| peer.member.state == State::Dead)
+            .min_by_key(|peer| peer.since)
+            .map(|peer| peer.member.id.clone());
+        match oldest {
+            Some(id) => {
+                self.remove(&id);
+                true
+            }
+            None => false,
+        }
+    }
+
+    fn remove(&mut self, id: &InstanceId) {
+        self.peers.swap_remove(id);
+        self.hashes.swap_remove(&hash(id));
+        self.rumors.remove(id);
+        self.urgent = true;
+    }
+
+    /// Refutes a record of this daemon that it did not make.
+    fn on_accusation(&mut self, now: Instant, record: &Member) -> Vec<Effect> {
+        let stale = record.incarnation < self.me.incarnation;
+        let same = record.incarnation == self.me.incarnation && record.state == self.me.state;
+        if stale || same {
+            return Vec::new();
+        }
+        self.raise(now, record.incarnation);
+        vec![Effect::Report(Event::Accused(self.me.incarnation))]
+    }
+
+    fn merge_vital(&mut self, now: Instant, vital: &Vital) {
+        if vital.stamp > MAX_INCARNATION {
+            return;
+        }
+        if vital.subject == hash(&self.me.id) {
+            if vital.stamp > self.last_stamp {
+                self.last_stamp = vital.stamp;
+                self.stamp(now);
+            }
+            return;
+        }
+        let id = self.hashes.get(&vital.subject);
+        let Some(peer) = id.and_then(|id| self.peers.get_mut(id)) else {
+            return;
+        };
+        let current = peer.member.current;
+        self.changed |= peer.take_vital(vital);
+        self.urgent |= peer.member.current != current;
+    }
+
+    /// Marks the sender as heard; says what it must be told and asked for.
+    fn notice(&mut self, now: Instant, id: &InstanceId, incarnation: Incarnation) -> Reply {
+        let Some(peer) = self.peers.get_mut(id) else {
+            return Reply {
+                about: Vec::new(),
+                want: true,
+            };
+        };
+        peer.heard = Some(now);
+        if peer.doubted.take().is_some() {
+            self.urgent = true;
+        }
+        let accused = matches!(peer.member.state, State::Suspect | State::Dead);
+        let outranked = incarnation < peer.member.incarnation;
+        if peer.member.state == State::Leaving {
+            peer.suspected = None;
+        }
+        Reply {
+            about: if accused || outranked {
+                vec![peer.member.clone()]
+            } else {
+                Vec::new()
+            },
+            want: incarnation > peer.member.incarnation,
+        }
+    }
+
+    /// Sends the newest news to a few others at once.
+    fn push<R>(&mut self, fanout: usize, rng: &mut R) -> Vec<Effect>
+    where
+        R: Rng,
+    {
+        let targets = self.pick(fanout, rng, |_| true);
+        self.rumors.settle();
+        targets
+            .into_iter()
+            .map(|to| self.send(to, Kind::Gossip, Vec::new(), false))
+            .collect()
+    }
+
+    /// Builds a datagram: forced records, then rumors, then changing fields.
+    fn send(&mut self, to: SocketAddr, kind: Kind, about: Vec<Member>, want: bool) -> Effect {
+        let mut records = about;
+        let mut room = MAX_CONTENT_BYTES.saturating_sub(kind.cost());
+        let mut vitals = Vec::new();
+        for record in &records {
+            room = room.saturating_sub(cost(record) + VITAL_COST);
+            vitals.extend(
+                self.peers
+                    .get(&record.id)
+                    .filter(|it| it.stamp > 0)
+                    .map(Peer::vital),
+            );
+        }
+        let limit = self.settings.transmissions(self.peers.len());
+        for id in self.rumors.select(limit) {
+            let record = match self.peers.get(&id) {
+                Some(peer) => &peer.member,
+                None if id == self.me.id => &self.me,
+                None => continue,
+            };
+            if records.iter().any(|it| it.id == id) {
+                continue;
+            }
+            let needed = cost(record);
+            if needed > room {
+                break;
+            }
+            room -= needed;
+            records.push(record.clone());
+            self.rumors.sent(&id);
+        }
+        vitals.extend(self.select_vitals(room / VITAL_COST));
+        let message = Message {
+            from: self.me.id.clone(),
+            incarnation: self.me.incarnation,
+            kind,
+            want,
+            records,
+            vitals,
+        };
+        Effect::Send { to, message }
+    }
+
+    /// The own changing fields, then those told least often.
+    fn select_vitals(&mut self, room: usize) -> Vec<Vital> {
+        let most = room.min(self.settings.max_vitals);
+        if most == 0 {
+            return Vec::new();
+        }
+        let mut vitals = vec![Vital {
+            subject: hash(&self.me.id),
+            stamp: self.last_stamp,
+            revision: self.me.revision,
+            load: self.me.load,
+            current: self.me.current,
+        }];
+        let limit = self.settings.transmissions(self.peers.len());
+        let mut due: Vec<(u32, std::cmp::Reverse<u64>, usize)> = self
+            .peers
+            .values()
+            .enumerate()
+            .filter(|(_, peer)| peer.tellable(limit))
+            .map(|(at, peer)| (peer.told, std::cmp::Reverse(peer.stamp), at))
+            .collect();
+        let take = (most - 1).min(due.len());
+        if take < due.len() {
+            due.select_nth_unstable(take);
+        }
+        for (_, _, at) in due.into_iter().take(take) {
+            if let Some((_, peer)) = self.peers.get_index_mut(at) {
+                peer.told += 1;
+                vitals.push(peer.vital());
+            }
+        }
+        vitals
+    }
+
+    /// Forgets the long dead.
+    fn forget(&mut self, now: Instant) {
+        let forget_after = self.settings.forget_after;
+        let gone: Vec<InstanceId> = self
+            .peers
+            .values()
+            .filter(|peer| peer.member.state == State::Dead)
+            .filter(|peer| now.saturating_duration_since(peer.since) >= forget_after)
+            .map(|peer| peer.member.id.clone())
+            .collect();
+        for id in gone {
+            self.remove(&id);
+        }
+    }
+}
+
+/// What the sender of a message must be told and asked for.
+struct Reply {
+    about: Vec<Member>,
+    want: bool,
+}
+
+/// The event of a change of state, if it is one worth telling.
+fn transition(old: State, record: &Member) -> Option<Event> {
+    let id = record.id.clone();
+    match (old, record.state) {
+        (State::Dead, State::Alive) => Some(Event::Joined(id)),
+        (State::Suspect, State::Alive) => Some(Event::Refuted(id)),
+        (old, new) if rank(old) == rank(new) => None,
+        (_, State::Suspect) => Some(Event::Suspected(id)),
+        (_, State::Leaving) => Some(Event::Leaving(id)),
+        (_, State::Dead) => Some(Event::Died(id)),
+        (_, State::Alive) => None,
+    }
+}
--- /dev/null
+++ b/crates/policy/src/swim/listing.rs
@@ -0,0 +1,128 @@
+//! What the platform's list says of the entry instances, with its lag and its
+//! changes of mind smoothed.
+//!
+//! An instance that was listed as leaving counts as such until the list has
+//! called it live without a break for a while; one that vanished may still be
+//! admitted for a while, since the list may be wrong.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use indexmap::IndexMap;
+
+use crate::{
+    id::InstanceId,
+    platform::{List, Standing},
+};
+
+use super::settings::MAX_MEMBERS;
+
+/// One listed instance.
+#[derive(Debug)]
+pub(super) struct Listed {
+    /// Its address for peers.
+    pub(super) peer: SocketAddr,
+    /// How the list last said that it stands.
+    standing: Standing,
+    /// When the list called it live after leaving.
+    returned: Option<Instant>,
+    /// When it vanished from the list.
+    vanished: Option<Instant>,
+}
+
+/// The platform's list over time.
+#[derive(Debug, Default)]
+pub(super) struct Listing {
+    entries: IndexMap<InstanceId, Listed>,
+    read: bool,
+}
+
+impl Listing {
+    /// Takes in a reading.
+    pub(super) fn take(&mut self, now: Instant, list: &List, grace: Duration) {
+        if list.entries.is_empty() && !self.read {
+            return;
+        }
+        self.read = true;
+        for (id, listed) in &mut self.entries {
+            let present = list.entries.iter().any(|entry| entry.id == *id);
+            if !present && listed.vanished.is_none() {
+                listed.vanished = Some(now);
+            }
+        }
+        self.entries
+            .retain(|_, listed| !listed.is_stale(now, grace));
+        for entry in list.entries.iter().take(MAX_MEMBERS) {
+            self.put(now, &entry.id, entry.peer, entry.standing);
+        }
+    }
+
+    fn put(&mut self, now: Instant, id: &InstanceId, peer: SocketAddr, standing: Standing) {
+        let Some(listed) = self.entries.get_mut(id) else {
+            let listed = Listed {
+                peer,
+                standing,
+                returned: None,
+                vanished: None,
+            };
+            self.entries.insert(id.clone(), listed);
+            return;
+        };
+        listed.peer = peer;
+        listed.vanished = None;
+        if listed.standing == Standing::Leaving && standing == Standing::Live {
+            listed.returned = Some(now);
+        }
+        listed.standing = standing;
+    }
+
+    /// Whether a list with entries was ever read.
+    pub(super) fn is_read(&self) -> bool {
+        self.read
+    }
+
+    /// Instances kept.
+    pub(super) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// One listed instance.
+    pub(super) fn get(&self, id: &InstanceId) -> Option<&Listed> {
+        self.entries.get(id)
+    }
+
+    /// Whether an instance is listed, or was not long ago.
+    pub(super) fn knows(&self, now: Instant, id: &InstanceId, grace: Duration) -> bool {
+        self.get(id)
+            .is_some_and(|listed| !listed.is_stale(now, grace))
+    }
+
+    /// Whether an instance counts as leaving.
+    pub(super) fn leaving(&self, now: Instant, id: &InstanceId, hold: Duration) -> bool {
+        let Some(listed) = self.get(id) else {
+            return false;
+        };
+        match (listed.standing, listed.returned) {
+            (Standing::Leaving, _) => true,
+            (Standing::Live, Some(at)) => now.saturating_duration_since(at) < hold,
+            (Standing::Live, None) => false,
+        }
+    }
+
+    /// Instances on the list now, with their addresses.
+    pub(super) fn present(&self) -> impl Iterator<Item = (&InstanceId, SocketAddr)> {
+        self.entries
+            .iter()
+            .filter(|(_, listed)| listed.vanished.is_none())
+            .map(|(id, listed)| (id, listed.peer))
+    }
+}
+
+impl Listed {
+    fn is_stale(&self, now: Instant, grace: Duration) -> bool {
+        self.vanished
+            .is_some_and(|at| now.saturating_duration_since(at) >= grace)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/swim/peer.rs
@@ -0,0 +1,112 @@
+//! What is known of one other instance.
+
+use std::time::Instant;
+
+use crate::member::{Member, State};
+
+use super::message::{Vital, hash};
+
+/// One other instance.
+#[derive(Debug)]
+pub(super) struct Peer {
+    /// Its newest record, with the newest changing fields.
+    pub(super) member: Member,
+    /// When it took its present state here.
+    pub(super) since: Instant,
+    /// Since when it is suspected by the records, or silent while it leaves.
+    pub(super) suspected: Option<Instant>,
+    /// Since when this daemon alone does not reach it.
+    pub(super) doubted: Option<Instant>,
+    /// When it was last heard directly.
+    pub(super) heard: Option<Instant>,
+    /// When its changing fields were said, by its own clock.
+    pub(super) stamp: u64,
+    /// How often its changing fields were passed on since.
+    pub(super) told: u32,
+}
+
+impl Peer {
+    /// An instance that was not known before.
+    pub(super) fn new(now: Instant, record: Member) -> Self {
+        let suspected = (record.state == State::Suspect).then_some(now);
+        let member = Member {
+            revision: 0,
+            load: 0,
+            current: false,
+            ..record
+        };
+        Self {
+            member,
+            since: now,
+            suspected,
+            doubted: None,
+            heard: None,
+            stamp: 0,
+            told: 0,
+        }
+    }
+
+    /// Takes a record that outranks the present one; false if it does not.
+    pub(super) fn take(&mut self, now: Instant, record: &Member) -> bool {
+        if order(record) <= order(&self.member) {
+            return false;
+        }
+        if record.state != self.member.state {
+            self.since = now;
+        }
+        self.suspected = (record.state == State::Suspect).then_some(now);
+        let gone = record.state == State::Dead;
+        self.member = Member {
+            revision: self.member.revision,
+            load: self.member.load,
+            current: self.member.current && !gone,
+            ..record.clone()
+        };
+        true
+    }
+
+    /// Takes newer changing fields; true if they say something new.
+    pub(super) fn take_vital(&mut self, vital: &Vital) -> bool {
+        if vital.stamp <= self.stamp {
+            return false;
+        }
+        self.stamp = vital.stamp;
+        self.told = 0;
+        let old = (self.member.revision, self.member.load, self.member.current);
+        self.member.revision = vital.revision;
+        self.member.load = vital.load;
+        self.member.current = vital.current && self.member.state != State::Dead;
+        old != (self.member.revision, self.member.load, self.member.current)
+    }
+
+    /// Whether its changing fields are worth passing on.
+    pub(super) fn tellable(&self, limit: u32) -> bool {
+        self.stamp > 0 && self.told < limit && self.member.state != State::Dead
+    }
+
+    /// Its changing fields.
+    pub(super) fn vital(&self) -> Vital {
+        Vital {
+            subject: hash(&self.member.id),
+            stamp: self.stamp,
+            revision: self.member.revision,
+            load: self.member.load,
+            current: self.member.current,
+        }
+    }
+}
+
+/// Place of a record among those of its subject; the higher one counts.
+pub(super) fn order(member: &Member) -> (u64, u8) {
+    (member.incarnation, rank(member.state))
+}
+
+/// Rank of a state at one incarnation.
+pub(super) fn rank(state: State) -> u8 {
+    match state {
+        State::Alive => 0,
+        State::Suspect => 1,
+        State::Leaving => 2,
+        State::Dead => 3,
+    }
+}
--- /dev/null
+++ b/crates/policy/src/swim/probe.rs
@@ -0,0 +1,380 @@
+//! Probes of others, probes on behalf of others, and what their failure means.
+
+use std::{net::SocketAddr, time::Instant};
+
+use rand::{
+    Rng, RngExt,
+    seq::{IndexedRandom, SliceRandom},
+};
+
+use crate::{
+    id::InstanceId,
+    member::{Member, State},
+};
+
+use super::{Effect, Event, Swim, message::Kind};
+
+/// Highest count of own failures that slows the probes down.
+const MAX_HEALTH: u32 = 4;
+
+/// Most probes under way on behalf of others.
+const MAX_ERRANDS: usize = 64;
+
+/// A probe under way.
+#[derive(Debug)]
+pub(super) struct Probe {
+    target: InstanceId,
+    started: Instant,
+    /// Others that were asked to probe too; none before the direct timeout.
+    asked: Option<usize>,
+    /// Others that reached this daemon, but not the target.
+    witnesses: usize,
+}
+
+/// A probe under way on behalf of another.
+#[derive(Debug)]
+pub(super) struct Errand {
+    asker: SocketAddr,
+    seq: u32,
+    started: Instant,
+}
+
+impl Swim {
+    /// After a stop of this process, gives everyone the time of the stop back.
+    pub(super) fn check_stall(&mut self, now: Instant) -> Vec<Effect> {
+        let last = self.last_tick.replace(now);
+        let gap = last.map_or(self.settings.tick, |last| {
+            now.saturating_duration_since(last)
+        });
+        if gap <= self.settings.stall {
+            return Vec::new();
+        }
+        self.probes.clear();
+        self.errands.clear();
+        self.health = (self.health + 1).min(MAX_HEALTH);
+        for peer in self.peers.values_mut() {
+            peer.suspected = peer.suspected.map(|at| at + gap);
+        }
+        self.heard = Some(now);
+        vec![Effect::Report(Event::Stalled(gap))]
+    }
+
+    /// Starts the next probe when it is due.
+    pub(super) fn start_probe<R>(&mut self, now: Instant, rng: &mut R) -> Vec<Effect>
+    where
+        R: Rng,
+    {
+        if now < self.next_probe {
+            return Vec::new();
+        }
+        let interval = self.settings.probe_interval(self.peers.len()) * (1 + self.health);
+        self.next_probe = now + interval.mul_f64(rng.random_range(0.9..1.1));
+        let Some(target) = self.next_target(rng) else {
+            return Vec::new();
+        };
+        vec![self.probe(now, target)]
+    }
+
+    fn probe(&mut self, now: Instant, target: Member) -> Effect {
+        let seq = self.take_seq();
+        let probe = Probe {
+            target: target.id.clone(),
+            started: now,
+            asked: None,
+            witnesses: 0,
+        };
+        self.probes.insert(seq, probe);
+        let to = target.peer;
+        let about = if target.state == State::Suspect {
+            vec![target]
+        } else {
+            Vec::new()
+        };
+        self.send(to, Kind::Ping { seq }, about, false)
+    }
+
+    /// Every instance in turn, in an order drawn anew for each round.
+    fn next_target<R>(&mut self, rng: &mut R) -> Option<Member>
+    where
+        R: Rng,
+    {
+        for _ in 0..2 {
+            while let Some(id) = self.order.pop() {
+                let peer = self.peers.get(&id);
+                if let Some(peer) = peer.filter(|peer| peer.member.state != State::Dead) {
+                    return Some(peer.member.clone());
+                }
+            }
+            self.order = self.peers.keys().cloned().collect();
+            self.order.shuffle(rng);
+        }
+        None
+    }
+
+    fn take_seq(&mut self) -> u32 {
+        let seq = self.next_seq;
+        self.next_seq = self.next_seq.wrapping_add(1);
+        seq
+    }
+
+    /// Asks others about silent targets, and judges those silent for too long.
+    pub(super) fn check_probes<R>(&mut self, now: Instant, rng: &mut R) -> Vec<Effect>
+    where
+        R: Rng,
+    {
+        let patience = self.settings.verdict_timeout + self.settings.probe_timeout * self.health;
+        let mut effects = Vec::new();
+        let (mut late, mut silent) = (Vec::new(), Vec::new());
+        for (seq, probe) in &self.probes {
+            let waited = now.saturating_duration_since(probe.started);
+            if waited >= patience {
+                late.push(*seq);
+            } else if waited >= self.settings.probe_timeout && probe.asked.is_none() {
+                silent.push(*seq);
+            }
+        }
+        for seq in silent {
+            effects.extend(self.ask_others(seq, rng));
+        }
+        for seq in late {
+            if let Some(probe) = self.probes.shift_remove(&seq) {
+                effects.extend(self.judge(now, &probe));
+            }
+        }
+        effects
+    }
+
+    fn ask_others<R>(&mut self, seq: u32, rng: &mut R) -> Vec<Effect>
+    where
+        R: Rng,
+    {
+        let Some(target) = self.probes.get(&seq).map(|probe| probe.target.clone()) else {
+            return Vec::new();
+        };
+        let proxies = self.pick(self.settings.proxies, rng, |member| member.id != target);
+        if let Some(probe) = self.probes.get_mut(&seq) {
+            probe.asked = Some(proxies.len());
+        }
+        proxies
+            .into_iter()
+            .map(|to| {
+                let target = target.clone();
+                self.send(to, Kind::Ask { seq, target }, Vec::new(), false)
+            })
+            .collect()
+    }
+
+    /// What a probe without an answer means.
+    fn judge(&mut self, now: Instant, probe: &Probe) -> Vec<Effect> {
+        if probe.witnesses > 0 {
+            return self.suspect(now, &probe.target);
+        }
+        if probe.asked.is_some_and(|asked| asked > 0) {
+            self.health = (self.health + 1).min(MAX_HEALTH);
+        }
+        if let Some(peer) = self.peers.get_mut(&probe.target)
+            && peer.doubted.is_none()
+        {
+            peer.doubted = Some(now);
+            self.urgent = true;
+            // The next probe goes to the same target, to find a witness soon.
+            self.order.push(probe.target.clone());
+        }
+        Vec::new()
+    }
+
+    /// Suspects an instance that another daemon missed too.
+    fn suspect(&mut self, now: Instant, id: &InstanceId) -> Vec<Effect> {
+        let Some(peer) = self.peers.get_mut(id) else {
+            return Vec::new();
+        };
+        if peer.suspected.is_none() {
+            peer.suspected = Some(now);
+        }
+        if peer.member.state != State::Alive {
+            return Vec::new();
+        }
+        peer.member.state = State::Suspect;
+        peer.since = now;
+        self.rumors.add(id);
+        self.urgent = true;
+        vec![Effect::Report(Event::Suspected(id.clone()))]
+    }
+
+    /// Gives up those that were suspected for too long.
+    pub(super) fn check_suspicions(&mut self, now: Instant) -> Vec<Effect> {
+        let cut_off = self.cut_off(now);
+        let living = self
+            .peers
+            .values()
+            .filter(|it| it.member.state != State::Dead);
+        let (members, suspected) = living.fold((1, 0), |(members, suspected), peer| {
+            (
+                members + 1,
+                suspected + usize::from(peer.suspected.is_some()),
+            )
+        });
+        let patience = self.settings.suspicion_time(suspected, members);
+        let mut dead = Vec::new();
+        for (id, peer) in &mut self.peers {
+            let Some(since) = peer.suspected else {
+                continue;
+            };
+            let reached = peer.heard.is_some_and(|heard| heard > since);
+            if cut_off || reached {
+                peer.suspected = Some(now);
+            } else if now.saturating_duration_since(since) >= patience {
+                dead.push(id.clone());
+            }
+        }
+        dead.iter().map(|id| self.give_up(now, id)).collect()
+    }
+
+    fn give_up(&mut self, now: Instant, id: &InstanceId) -> Effect {
+        if let Some(peer) = self.peers.get_mut(id) {
+            peer.member.state = State::Dead;
+            peer.member.current = false;
+            peer.suspected = None;
+            peer.doubted = None;
+            peer.since = now;
+        }
+        self.rumors.add(id);
+        self.urgent = true;
+        Effect::Report(Event::Died(id.clone()))
+    }
+
+    /// Tries to reach instances that are listed or remembered, but not alive.
+    pub(super) fn start_seed<R>(&mut self, now: Instant, rng: &mut R) -> Vec<Effect>
+    where
+        R: Rng,
+    {
+        if now < self.next_seed {
+            return Vec::new();
+        }
+        let alone = !self.has_company();
+        let interval = if alone {
+            self.settings.seed_interval / 4
+        } else {
+            self.settings.seed_interval
+        };
+        self.next_seed = now + interval.mul_f64(rng.random_range(0.8..1.2));
+        // What the platform's list says may have aged into another meaning.
+        self.changed = true;
+        let absent = self.absent();
+        let most = if alone { self.settings.fanout } else { 1 };
+        let chosen: Vec<_> = absent.sample(rng, most).cloned().collect();
+        chosen
+            .into_iter()
+            .map(|(to, record)| {
+                let seq = self.take_seq();
+                let mut about = vec![self.me.clone()];
+                about.extend(record);
+                self.send(to, Kind::Ping { seq }, about, false)
+            })
+            .collect()
+    }
+
+    /// Addresses of those that are not alive, with their last records.
+    fn absent(&self) -> Vec<(SocketAddr, Option<Member>)> {
+        let dead = self
+            .peers
+            .values()
+            .filter(|peer| peer.member.state == State::Dead)
+            .map(|peer| (peer.member.peer, Some(peer.member.clone())));
+        let unknown = self
+            .listing
+            .present()
+            .filter(|(id, _)| **id != self.me.id && !self.peers.contains_key(*id))
+            .map(|(_, address)| (address, None));
+        dead.chain(unknown).collect()
+    }
+
+    /// Whether any other instance is held alive.
+    pub(super) fn has_company(&self) -> bool {
+        self.peers
+            .values()
+            .any(|peer| peer.member.state != State::Dead)
+    }
+
+    /// Addresses of random instances that are held reachable.
+    pub(super) fn pick<R, F>(&self, most: usize, rng: &mut R, fits: F) -> Vec<SocketAddr>
+    where
+        R: Rng,
+        F: Fn(&Member) -> bool,
+    {
+        let reachable: Vec<SocketAddr> = self
+            .peers
+            .values()
+            .filter(|peer| matches!(peer.member.state, State::Alive | State::Leaving))
+            .filter(|peer| peer.doubted.is_none() && peer.suspected.is_none())
+            .filter(|peer| fits(&peer.member))
+            .map(|peer| peer.member.peer)
+            .collect();
+        reachable.sample(rng, most).copied().collect()
+    }
+
+    /// An answer to a probe of this daemon, or to one on behalf of another.
+    pub(super) fn on_ack(&mut self, now: Instant, seq: u32) -> Vec<Effect> {
+        if let Some(probe) = self.probes.shift_remove(&seq) {
+            self.health = self.health.saturating_sub(1);
+            if let Some(peer) = self.peers.get_mut(&probe.target) {
+                peer.heard = Some(now);
+                self.urgent |= peer.doubted.take().is_some();
+            }
+            return Vec::new();
+        }
+        let Some(errand) = self.errands.shift_remove(&seq) else {
+            return Vec::new();
+        };
+        let kind = Kind::Ack { seq: errand.seq };
+        vec![self.send(errand.asker, kind, Vec::new(), false)]
+    }
+
+    /// Another daemon did not reach the target either.
+    pub(super) fn on_nack(&mut self, seq: u32) {
+        if let Some(probe) = self.probes.get_mut(&seq) {
+            probe.witnesses += 1;
+        }
+    }
+
+    /// Another daemon asks to have an instance probed.
+    pub(super) fn on_ask(
+        &mut self,
+        now: Instant,
+        asker: SocketAddr,
+        seq: u32,
+        target: &InstanceId,
+    ) -> Vec<Effect> {
+        let address = self.peers.get(target).map(|peer| peer.member.peer);
+        let Some(address) = address.filter(|_| self.errands.len() < MAX_ERRANDS) else {
+            return Vec::new();
+        };
+        let own = self.take_seq();
+        let errand = Errand {
+            asker,
+            seq,
+            started: now,
+        };
+        self.errands.insert(own, errand);
+        vec![self.send(address, Kind::Ping { seq: own }, Vec::new(), false)]
+    }
+
+    /// Reports the failure of probes on behalf of others.
+    pub(super) fn check_errands(&mut self, now: Instant) -> Vec<Effect> {
+        let timeout = self.settings.probe_timeout;
+        let late: Vec<u32> = self
+            .errands
+            .iter()
+            .filter(|(_, errand)| now.saturating_duration_since(errand.started) >= timeout)
+            .map(|(seq, _)| *seq)
+            .collect();
+        let mut effects = Vec::new();
+        for seq in late {
+            if let Some(errand) = self.errands.shift_remove(&seq) {
+                let kind = Kind::Nack { seq: errand.seq };
+                effects.push(self.send(errand.asker, kind, Vec::new(), false));
+            }
+        }
+        effects
+    }
+}
--- /dev/null
+++ b/crates/policy/src/swim/settings.rs
@@ -0,0 +1,119 @@
+//! Times and bounds of the membership protocol.
+
+use std::time::Duration;
+
+/// Most other instances known at once, the dead included.
+pub const MAX_MEMBERS: usize = 1_024;
+
+/// Highest incarnation accepted; leaves room to refute it.
+pub const MAX_INCARNATION: u64 = 1 << 53;
+
+/// Members up to which probes go at the fast rate.
+const FEW_MEMBERS: usize = 48;
+
+/// Share of the members lost at once above which suspicions wait longer.
+const MASS_LOSS: usize = 3;
+
+/// Factor by which suspicions wait longer after a mass loss.
+const MASS_PATIENCE: u32 = 4;
+
+/// Times and bounds of the membership protocol.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Time between two calls of the tick.
+    pub tick: Duration,
+    /// Time between two probes while the members are few.
+    pub probe_fast: Duration,
+    /// Time between two probes while they are many.
+    pub probe_slow: Duration,
+    /// Wait for the answer to a direct probe.
+    pub probe_timeout: Duration,
+    /// Wait for the answers to a direct probe and then to the indirect ones.
+    pub verdict_timeout: Duration,
+    /// Others that are asked to probe for this daemon.
+    pub proxies: usize,
+    /// Time for a suspected instance to refute it.
+    pub suspicion: Duration,
+    /// Time between two attempts to reach an instance that is not alive.
+    pub seed_interval: Duration,
+    /// Time between two comparisons of tables.
+    pub sync_interval: Duration,
+    /// Others that news is pushed to at once.
+    pub fanout: usize,
+    /// Others that the own leaving is pushed to at once.
+    pub leave_fanout: usize,
+    /// Changing fields of others in one datagram, the own included.
+    pub max_vitals: usize,
+    /// Time between two showings of changed loads and revisions.
+    pub show_interval: Duration,
+    /// Silence after which this daemon holds itself cut off.
+    pub silence: Duration,
+    /// Gap between two ticks that means that the process was stopped.
+    pub stall: Duration,
+    /// Time after which the dead are forgotten.
+    pub forget_after: Duration,
+    /// Time on the platform's list as live before a listed leaving is taken back.
+    pub return_hold: Duration,
+    /// Time that a departed name on the platform's list may still be admitted.
+    pub list_grace: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            tick: Duration::from_millis(50),
+            probe_fast: Duration::from_millis(250),
+            probe_slow: Duration::from_millis(500),
+            probe_timeout: Duration::from_millis(150),
+            verdict_timeout: Duration::from_millis(500),
+            proxies: 3,
+            suspicion: Duration::from_secs(5),
+            seed_interval: Duration::from_secs(1),
+            sync_interval: Duration::from_secs(5),
+            fanout: 3,
+            leave_fanout: 8,
+            max_vitals: 10,
+            show_interval: Duration::from_millis(250),
+            silence: Duration::from_secs(3),
+            stall: Duration::from_millis(500),
+            forget_after: Duration::from_mins(10),
+            return_hold: Duration::from_secs(30),
+            list_grace: Duration::from_mins(10),
+        }
+    }
+}
+
+impl Settings {
+    /// Time between two probes with so many members.
+    #[must_use]
+    pub fn probe_interval(&self, members: usize) -> Duration {
+        if members <= FEW_MEMBERS {
+            self.probe_fast
+        } else {
+            self.probe_slow
+        }
+    }
+
+    /// How often one piece of news is sent by one daemon.
+    #[must_use]
+    pub fn transmissions(&self, members: usize) -> u32 {
+        2 * (usize::BITS - members.leading_zeros()).max(1)
+    }
+
+    /// Time between two datings of the own changing fields.
+    #[must_use]
+    pub fn vitals_interval(&self, members: usize) -> Duration {
+        let members = u32::try_from(members).unwrap_or(u32::MAX);
+        (Duration::from_millis(50) * members).max(Duration::from_secs(1))
+    }
+
+    /// Time for a suspected instance to refute it, with so many suspected.
+    #[must_use]
+    pub fn suspicion_time(&self, suspected: usize, members: usize) -> Duration {
+        if suspected * MASS_LOSS > members {
+            self.suspicion * MASS_PATIENCE
+        } else {
+            self.suspicion
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/swim/sync.rs
@@ -0,0 +1,183 @@
+//! Comparison of whole tables, so that news lost in a cut arrives after it.
+//!
+//! The names are divided by hash into ranges. A daemon sends one sum for each;
+//! the receiver sends its records of the ranges that differ, and gets back what
+//! the sender knows better.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use rand::{Rng, RngExt};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{
+    id::{Incarnation, InstanceId},
+    member::{Member, State},
+};
+
+use super::{
+    Effect, Swim,
+    message::{Kind, MAX_CONTENT_BYTES, VITAL_COST, cost, hash},
+    peer::{order, rank},
+};
+
+/// Ranges of name hashes.
+const BUCKETS: usize = 16;
+
+/// Bits of a name hash below its range number.
+const BUCKET_SHIFT: u32 = 60;
+
+/// Most comparisons answered in one second.
+const MAX_SERVED: u32 = 5;
+
+impl Swim {
+    /// Compares tables with a random other when it is due.
+    pub(super) fn start_sync<R>(&mut self, now: Instant, rng: &mut R) -> Vec<Effect>
+    where
+        R: Rng,
+    {
+        if now < self.next_sync {
+            return Vec::new();
+        }
+        let target = self.pick(1, rng, |_| true).pop();
+        let Some(to) = target else {
+            return Vec::new();
+        };
+        let jitter = rng.random_range(0.8..1.2);
+        self.next_sync = now + self.settings.sync_interval.mul_f64(jitter);
+        let buckets = self.sums().to_vec();
+        vec![self.send(to, Kind::Digest { buckets }, Vec::new(), false)]
+    }
+
+    fn sums(&self) -> [u64; BUCKETS] {
+        let mut sums = [0_u64; BUCKETS];
+        for member in self.records().filter(|it| it.state != State::Dead) {
+            let place = hash(&member.id);
+            let mut bytes = member.incarnation.to_le_bytes().to_vec();
+            bytes.push(rank(member.state));
+            let sum = &mut sums[bucket(place)];
+            *sum = sum.wrapping_add(xxh3_64_with_seed(&bytes, place));
+        }
+        sums
+    }
+
+    fn records(&self) -> impl Iterator<Item = &Member> {
+        self.peers
+            .values()
+            .map(|peer| &peer.member)
+            .chain([&self.me])
+    }
+
+    /// Sends the records of the ranges that differ.
+    pub(super) fn on_digest(
+        &mut self,
+        now: Instant,
+        from: SocketAddr,
+        theirs: &[u64],
+    ) -> Vec<Effect> {
+        if theirs.len() != BUCKETS || !self.may_serve(now) {
+            return Vec::new();
+        }
+        let sums = self.sums();
+        let differing = (0..BUCKETS).filter(|at| sums[*at] != theirs[*at]);
+        let mut effects = Vec::new();
+        for number in differing {
+            effects.extend(self.send_bucket(from, number));
+        }
+        effects
+    }
+
+    fn may_serve(&mut self, now: Instant) -> bool {
+        if now.saturating_duration_since(self.served.0) >= Duration::from_secs(1) {
+            self.served = (now, 0);
+        }
+        self.served.1 += 1;
+        self.served.1 <= MAX_SERVED
+    }
+
+    /// Sends one range, in as many datagrams as it takes.
+    fn send_bucket(&mut self, to: SocketAddr, number: usize) -> Vec<Effect> {
+        let first = (number as u64) << BUCKET_SHIFT;
+        let last = first | ((1 << BUCKET_SHIFT) - 1);
+        let mut low = first;
+        let mut effects = Vec::new();
+        let mut chunks = chunks(self.within(first, last)).into_iter().peekable();
+        loop {
+            let records = chunks.next().unwrap_or_default();
+            let end = records.last().map(|record| hash(&record.id));
+            let high = end.filter(|_| chunks.peek().is_some()).unwrap_or(last);
+            let kind = Kind::Range {
+                low,
+                high,
+                reply: true,
+            };
+            effects.push(self.send(to, kind, records, false));
+            if high == last {
+                return effects;
+            }
+            low = high + 1;
+        }
+    }
+
+    /// Sends back what is known better here than in a range just received.
+    pub(super) fn on_range(
+        &mut self,
+        to: SocketAddr,
+        low: u64,
+        high: u64,
+        theirs: &[(InstanceId, Incarnation, State)],
+    ) -> Vec<Effect> {
+        if low > high || bucket(low) != bucket(high) {
+            return Vec::new();
+        }
+        let better = |mine: &Member| match theirs.iter().find(|it| it.0 == mine.id) {
+            Some((_, incarnation, state)) => order(mine) > (*incarnation, rank(*state)),
+            None => mine.state != State::Dead,
+        };
+        let records = self.within(low, high).into_iter().filter(better).collect();
+        chunks(records)
+            .into_iter()
+            .map(|chunk| self.send(to, Kind::Gossip, chunk, false))
+            .collect()
+    }
+
+    /// All records in a range of hashes, in its order.
+    fn within(&self, low: u64, high: u64) -> Vec<Member> {
+        let mut found: Vec<(u64, &Member)> = self
+            .records()
+            .map(|member| (hash(&member.id), member))
+            .filter(|(place, _)| (low..=high).contains(place))
+            .collect();
+        found.sort_unstable_by_key(|(place, _)| *place);
+        found
+            .into_iter()
+            .map(|(_, member)| member.clone())
+            .collect()
+    }
+}
+
+fn bucket(hash: u64) -> usize {
+    usize::try_from(hash >> BUCKET_SHIFT).unwrap_or_default()
+}
+
+/// Divides records so that each part fits a datagram.
+fn chunks(records: Vec<Member>) -> Vec<Vec<Member>> {
+    let mut chunks = Vec::new();
+    let mut chunk = Vec::new();
+    let mut bytes = 0;
+    for record in records {
+        let needed = cost(&record) + VITAL_COST;
+        if bytes + needed > MAX_CONTENT_BYTES && !chunk.is_empty() {
+            chunks.push(std::mem::take(&mut chunk));
+            bytes = 0;
+        }
+        bytes += needed;
+        chunk.push(record);
+    }
+    if !chunk.is_empty() {
+        chunks.push(chunk);
+    }
+    chunks
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod codec;
 pub mod control;
 pub mod generated;
+pub mod member;
 pub mod status;
 
 /// Version of every message format here.
