--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -1,1 +1,452 @@
 //! The one queue of a service: who runs next, and on which runner.
+//!
+//! One arbiter serves one shard, a service and an index with at most
+//! [`MAX_RUNNERS`] runners. The daemons ask it for slots, stream directly with
+//! the runner that it names, and release. Its state is soft: when it is lost,
+//! the daemons tell the next one what they hold and ask again.
+//!
+//! - Tiers are strict. A bounded share of grants goes to the class longest past
+//!   its wait bound, so that every class is served.
+//! - What cannot be served in time is given up at once, with the time to come
+//!   back; when the queue is full the newest of the lowest tier goes.
+//! - A new arbiter waits a bounded time for what the daemons hold before its
+//!   first grant, so that capacity and tiers hold across a move.
+
+mod admit;
+mod affinity;
+mod estimate;
+mod floor;
+mod grant;
+mod hold;
+pub mod message;
+mod pool;
+mod queue;
+mod rank;
+mod runner;
+mod suspect;
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use indexmap::{IndexMap, IndexSet};
+
+pub use estimate::Lengths;
+pub use message::{
+    Ask, Asked, Beat, End, Hold, Progress, Recital, Refusal, Reply, Request, Sample, Ticket,
+};
+pub use pool::{MAX_RUNNERS, Turn};
+pub use rank::order;
+
+use crate::{
+    catalogue::{Backend, Catalogue, Class, Service},
+    crash,
+    id::{AccountId, ClassId, Epoch, Fingerprint, InstanceId, RunnerId, ServiceId},
+    platform,
+};
+
+/// One ask of one asker.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(crate) struct Key {
+    asker: u32,
+    ticket: Ticket,
+}
+
+/// Bounds and times of an arbiter.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Most requests that wait.
+    pub max_queue: usize,
+    /// Most askers.
+    pub max_askers: usize,
+    /// Time without a heartbeat after which an asker's slots are free again.
+    pub lease: Duration,
+    /// Longest wait of a new arbiter for what the daemons hold.
+    pub collect: Duration,
+    /// Share of grants that goes to classes past their wait bound.
+    pub floor: f64,
+    /// Share of the latency target that a request may wait before it is given up.
+    pub patience: f64,
+    /// Oldest requests of a class that are not given up, since the floor serves them.
+    pub reserve: usize,
+    /// Share of the latency target after which a waiting request may preempt.
+    pub preempt_after: f64,
+    /// Whether work on a runner set aside as slow is moved elsewhere.
+    pub move_from_slow: bool,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            max_queue: 16_384,
+            max_askers: 1_024,
+            lease: Duration::from_secs(2),
+            collect: Duration::from_millis(250),
+            floor: 0.05,
+            patience: 0.8,
+            reserve: 4,
+            preempt_after: 0.25,
+            move_from_slow: true,
+        }
+    }
+}
+
+/// What an arbiter takes in.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A message of a daemon, or of the arbiter's own one.
+    Asked {
+        /// Who sent it.
+        from: InstanceId,
+        /// The message.
+        asked: Asked,
+    },
+    /// The catalogue in force.
+    Catalogue(Arc<Catalogue>),
+    /// The committed crash marks.
+    Marks(Arc<crash::Table>),
+    /// The shard's runners, as the platform lists them.
+    Runners(Vec<platform::Runner>),
+    /// Daemons that are not given up.
+    Live(IndexSet<InstanceId>),
+    /// A runner's report of the recent past.
+    Load {
+        /// The runner.
+        runner: RunnerId,
+        /// Requests running and waiting there.
+        running: u32,
+        /// Batch size there, or zero.
+        slots: u32,
+    },
+    /// Time has passed; expected about every 100 ms.
+    Tick,
+}
+
+/// Something worth counting or recording.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Note {
+    /// A grant was given.
+    Granted {
+        /// Tier of the request.
+        tier: u8,
+        /// Whether it spent the floor's share.
+        floor: bool,
+    },
+    /// A request was given up.
+    Refused {
+        /// Tier of the request.
+        tier: u8,
+        /// Why.
+        refusal: Refusal,
+    },
+    /// A slot was asked back for a request of a higher tier.
+    Preempted {
+        /// Tier that loses the slot.
+        victim: u8,
+        /// Tier that waits.
+        waiting: u8,
+    },
+    /// A runner's health turned.
+    Turned(Turn),
+    /// An asker was lost, and its slots are free again.
+    AskerLost(InstanceId),
+}
+
+/// What should happen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Say this to a daemon.
+    Tell(InstanceId, Reply),
+    /// Propose this mark to the control log.
+    Mark(crash::Step),
+    /// Count or record this.
+    Note(Note),
+}
+
+/// Sizes of an arbiter's tables.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Stats {
+    /// Requests that wait, by tier.
+    pub queued: Vec<usize>,
+    /// Slots in use.
+    pub running: usize,
+    /// Askers known.
+    pub askers: usize,
+    /// Runners set aside as slow.
+    pub aside: usize,
+    /// Runners in use.
+    pub usable: usize,
+    /// Slots of the runners in use.
+    pub slots: u32,
+}
+
+/// The arbiter of one shard.
+#[derive(Debug)]
+pub struct Arbiter {
+    service: ServiceId,
+    settings: Settings,
+    epoch: Epoch,
+    backend: Backend,
+    catalogue: Arc<Catalogue>,
+    marks: crash::Overlay,
+    /// Daemons whose holds are still to come, and until when.
+    collecting: Option<Collecting>,
+    askers: IndexMap<InstanceId, hold::Asker>,
+    names: IndexMap<u32, InstanceId>,
+    next_asker: u32,
+    queue: queue::Queue,
+    running: IndexMap<Key, hold::Running>,
+    accounts: IndexMap<Arc<str>, u32>,
+    pool: pool::Pool,
+    floor: floor::Floor,
+    estimate: estimate::Estimate,
+    affinity: affinity::Affinity,
+    suspects: suspect::Suspects,
+    ticked: Instant,
+}
+
+#[derive(Debug)]
+struct Collecting {
+    missing: IndexSet<InstanceId>,
+    until: Instant,
+}
+
+impl Arbiter {
+    /// A new arbiter that asks the `live` daemons what they hold.
+    #[must_use]
+    pub fn new(
+        now: Instant,
+        service: ServiceId,
+        epoch: Epoch,
+        live: IndexSet<InstanceId>,
+        settings: Settings,
+    ) -> (Self, Vec<Effect>) {
+        let effects = live
+            .iter()
+            .map(|it| Effect::Tell(it.clone(), Reply::Recite))
+            .collect();
+        let collecting = Collecting {
+            missing: live,
+            until: now + settings.collect,
+        };
+        let arbiter = Self {
+            service,
+            epoch,
+            backend: Backend::Model,
+            catalogue: Arc::default(),
+            marks: crash::Overlay::default(),
+            collecting: Some(collecting),
+            askers: IndexMap::new(),
+            names: IndexMap::new(),
+            next_asker: 0,
+            queue: queue::Queue::default(),
+            running: IndexMap::new(),
+            accounts: IndexMap::new(),
+            pool: pool::Pool::default(),
+            floor: floor::Floor::new(settings.floor),
+            estimate: estimate::Estimate::default(),
+            affinity: affinity::Affinity::default(),
+            suspects: suspect::Suspects::default(),
+            ticked: now,
+            settings,
+        };
+        (arbiter, effects)
+    }
+
+    /// Generation of this arbiter; every reply carries it.
+    #[must_use]
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Sizes of the tables.
+    #[must_use]
+    pub fn stats(&self) -> Stats {
+        Stats {
+            queued: (0..queue::TIERS)
+                .map(|it| self.queue.tier_len(it))
+                .collect(),
+            running: self.running.len(),
+            askers: self.askers.len(),
+            aside: self.pool.aside(),
+            usable: self.pool.usable(),
+            slots: self.pool.slots(),
+        }
+    }
+
+    /// Output lengths seen of a class.
+    #[must_use]
+    pub fn lengths(&self, class: &ClassId) -> Option<&Lengths> {
+        self.estimate.lengths(class)
+    }
+
+    /// Whether nothing waits here and no slot is in use.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.queue.len() == 0 && self.running.is_empty() && self.suspects.is_idle()
+    }
+
+    /// Takes in an event and says what should happen.
+    pub fn on_event(&mut self, now: Instant, event: Event) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        match event {
+            Event::Asked { from, asked } => self.on_asked(now, &from, asked, &mut effects),
+            Event::Catalogue(catalogue) => self.on_catalogue(catalogue),
+            Event::Marks(table) => self.on_marks(table, &mut effects),
+            Event::Runners(listed) => self.on_runners(now, &listed, &mut effects),
+            Event::Live(live) => self.on_live(now, &live, &mut effects),
+            Event::Load {
+                runner,
+                running,
+                slots,
+            } => {
+                if let Some(runner) = self.pool.get_mut(&runner) {
+                    runner.on_load(now, running, slots);
+                }
+            }
+            Event::Tick => self.on_tick(now, &mut effects),
+        }
+        self.pump(now, &mut effects);
+        effects
+    }
+
+    /// Gives up everything that waits, for another arbiter to take up.
+    #[must_use]
+    pub fn retire(self, to: Option<&InstanceId>) -> Vec<Effect> {
+        let moved = Reply::Moved { to: to.cloned() };
+        let askers = self.askers.into_keys();
+        askers.map(|it| Effect::Tell(it, moved.clone())).collect()
+    }
+
+    fn on_asked(
+        &mut self,
+        now: Instant,
+        from: &InstanceId,
+        message: Asked,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Asked { least, request, .. } = message;
+        self.epoch = self.epoch.max(least);
+        let Some(asker) = self.asker(now, from) else {
+            refuse_unknown(from, &request, effects);
+            return;
+        };
+        match request {
+            Request::Ask(ask) => self.on_ask(now, asker, &ask, effects),
+            Request::Withdraw(ticket) => self.withdraw(now, Key { asker, ticket }, effects),
+            Request::Release(ticket, sample) => {
+                self.release(now, Key { asker, ticket }, &sample, effects);
+            }
+            Request::Beat(beat) => self.on_beat(from, asker, &beat, effects),
+            Request::Recital(recital) => self.on_recital(now, from, asker, recital, effects),
+        }
+    }
+
+    fn on_catalogue(&mut self, catalogue: Arc<Catalogue>) {
+        if let Some(service) = catalogue.services.get(&self.service) {
+            self.backend = service.backend;
+            self.pool.set_max(service.max_running_per_runner);
+        }
+        self.catalogue = catalogue;
+        let accounts: Vec<Arc<str>> = self.accounts.keys().cloned().collect();
+        for account in accounts {
+            self.update_block(&account);
+        }
+    }
+
+    fn on_runners(&mut self, now: Instant, listed: &[platform::Runner], effects: &mut Vec<Effect>) {
+        let max = self
+            .declared()
+            .map_or(1, |service| service.max_running_per_runner);
+        self.pool.set(listed, max);
+        self.refuse_without_runner(now, effects);
+    }
+
+    fn on_tick(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        let passed = now.saturating_duration_since(self.ticked);
+        self.ticked = now;
+        self.estimate.fade(passed);
+        if passed > self.settings.lease / 2 {
+            self.forgive(passed);
+        }
+        if self
+            .collecting
+            .as_ref()
+            .is_some_and(|collecting| now >= collecting.until)
+        {
+            self.collecting = None;
+        }
+        self.expire_askers(now, effects);
+        self.expire_items(now, effects);
+        for turn in self.pool.judge(now) {
+            self.on_turn(now, turn, effects);
+        }
+    }
+
+    fn on_turn(&mut self, now: Instant, turn: Turn, effects: &mut Vec<Effect>) {
+        match &turn {
+            Turn::Aside(runner) => {
+                self.affinity.forget(runner);
+                self.move_away(runner, effects);
+            }
+            Turn::Down(runner) => self.affinity.forget(runner),
+            Turn::Back(_) => {}
+        }
+        effects.push(Effect::Note(Note::Turned(turn)));
+        self.refuse_without_runner(now, effects);
+    }
+
+    fn declared(&self) -> Option<&Arc<Service>> {
+        self.catalogue.services.get(&self.service)
+    }
+
+    fn name_of(&self, asker: u32) -> InstanceId {
+        self.names.get(&asker).cloned().unwrap_or_default()
+    }
+
+    /// The account's name, shared with the other tables.
+    fn account(&self, account: &AccountId) -> Arc<str> {
+        match self.accounts.get_key_value(account.as_str()) {
+            Some((known, _)) => Arc::clone(known),
+            None => Arc::from(account.as_str()),
+        }
+    }
+
+    /// Skips an account in the queue while it runs as much as it may.
+    fn update_block(&mut self, account: &Arc<str>) {
+        let running = self.accounts.get(account).copied().unwrap_or(0);
+        let most = self
+            .catalogue
+            .accounts
+            .get(account.as_ref())
+            .map(|it| it.max_running);
+        self.queue
+            .set_blocked(account, most.is_some_and(|most| running >= most));
+    }
+
+    /// How long a request of the class may wait before it is given up.
+    fn patience(&self, class: &Class) -> Duration {
+        let target = match self.backend {
+            Backend::Model => class.first_token,
+            Backend::Plain => class.whole,
+        };
+        target.mul_f64(self.settings.patience)
+    }
+}
+
+/// Turns away an asker that finds no place in the table.
+fn refuse_unknown(from: &InstanceId, request: &Request, effects: &mut Vec<Effect>) {
+    if let Request::Ask(ask) = request {
+        let refusal = Refusal::Unreachable {
+            retry_after: Duration::from_secs(1),
+        };
+        effects.push(Effect::Tell(
+            from.clone(),
+            Reply::Refused(ask.ticket, refusal),
+        ));
+    }
+}
+
+/// A fingerprint that marks nothing: of requests that no one identified.
+const NO_FINGERPRINT: Fingerprint = 0;
--- /dev/null
+++ b/crates/policy/src/arbiter/admit.rs
@@ -0,0 +1,271 @@
+//! Which asks may wait, and which are given up at once.
+//!
+//! An ask is given up on arrival when an account's or class's limit is reached,
+//! when no runner is in use, or when it would wait so long that its class's
+//! target is out of reach. That estimate counts only requests of its own tier
+//! and above. The oldest few of each class are spared, since the floor will
+//! serve them.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use super::{
+    Arbiter, Ask, Effect, Key, NO_FINGERPRINT, Note, Refusal, Reply,
+    queue::{Item, TIERS},
+};
+use crate::{
+    catalogue::{Account, Class},
+    crash::Mark,
+};
+
+/// Shortest and longest time to come back that is told.
+const RETRY: [Duration; 2] = [Duration::from_millis(250), Duration::from_secs(30)];
+
+/// Time to come back when the catalogue here lacks the class or account.
+const LAGGING_RETRY: Duration = Duration::from_secs(1);
+
+/// Longest time to a deadline that counts.
+const MAX_REMAINING: Duration = Duration::from_hours(24);
+
+impl Arbiter {
+    pub(super) fn on_ask(
+        &mut self,
+        now: Instant,
+        asker: u32,
+        ask: &Ask,
+        effects: &mut Vec<Effect>,
+    ) {
+        let key = Key {
+            asker,
+            ticket: ask.ticket,
+        };
+        if self.is_known(key, effects) {
+            return;
+        }
+        let class = self.catalogue.classes.get(&ask.class).cloned();
+        let account = self.catalogue.accounts.get(&ask.account).cloned();
+        let (Some(class), Some(account)) = (class, account) else {
+            let retry_after = LAGGING_RETRY;
+            self.tell(
+                key,
+                Reply::Refused(ask.ticket, Refusal::Shed { retry_after }),
+                effects,
+            );
+            return;
+        };
+        self.join(key);
+        self.floor.on_demand(now, &class.name);
+        let item = self.item(now, key, ask, Arc::clone(&class));
+        if ask.suspected && self.marks.get(item.fingerprint).is_none() {
+            self.mark(crash_step(&item), effects);
+        }
+        if let Err(refusal) = self.admit(now, ask, &class, &account, &item, effects) {
+            self.refuse_item(&item, refusal, effects);
+            return;
+        }
+        if self.marks.get(item.fingerprint) == Some(Mark::Suspected) {
+            self.suspects.push(item);
+        } else if let Some(item) = self.suspects.admit_copy(item) {
+            self.queue.push(item);
+        }
+        self.pump(now, effects);
+        if !self.running.contains_key(&key) {
+            self.tell(key, Reply::Queued(ask.ticket), effects);
+        }
+    }
+
+    /// Answers an ask that came before.
+    fn is_known(&self, key: Key, effects: &mut Vec<Effect>) -> bool {
+        if let Some(running) = self.running.get(&key) {
+            self.tell(key, running.grant(key), effects);
+            return true;
+        }
+        let waits = self.queue.get(key).is_some() || self.suspects.contains(key);
+        if waits {
+            self.tell(key, Reply::Queued(key.ticket), effects);
+        }
+        waits
+    }
+
+    fn item(&self, now: Instant, key: Key, ask: &Ask, class: Arc<Class>) -> Item {
+        let since = now.checked_sub(ask.waited).unwrap_or(now);
+        let target = self.patience(&class);
+        Item {
+            key,
+            account: self.account(&ask.account),
+            fingerprint: ask.fingerprint,
+            prefix: ask.prefix,
+            due: since + target,
+            deadline: now + ask.remaining.min(MAX_REMAINING),
+            since,
+            taken: now,
+            avoid: ask.avoid.clone(),
+            resume: ask.resume,
+            class,
+        }
+    }
+
+    fn admit(
+        &mut self,
+        now: Instant,
+        ask: &Ask,
+        class: &Class,
+        account: &Account,
+        item: &Item,
+        effects: &mut Vec<Effect>,
+    ) -> Result<(), Refusal> {
+        if self.marks.get(item.fingerprint) == Some(Mark::Quarantined) {
+            return Err(Refusal::Quarantined);
+        }
+        if ask.remaining.is_zero() {
+            return Err(Refusal::Late);
+        }
+        if self.collecting.is_none() && self.pool.usable() == 0 && self.pool.probe(now).is_none() {
+            let retry_after = self.pool.retry_after(now);
+            return Err(Refusal::NoRunner { retry_after });
+        }
+        if ask.resume {
+            return self.make_room(item, effects);
+        }
+        let retry_after = self.retry_after(item);
+        if self.waiting_of(&item.account) >= account.max_queued && !self.is_free(now, &item.account)
+        {
+            return Err(Refusal::Account { retry_after });
+        }
+        let queued = self.queue.class_len(&class.name);
+        if queued >= class.queue_limit as usize && !self.is_free(now, &item.account) {
+            return Err(Refusal::Shed { retry_after });
+        }
+        if queued >= self.settings.reserve
+            && !self.is_free(now, &item.account)
+            && self.wait(item) > self.patience(class)
+        {
+            return Err(Refusal::Shed { retry_after });
+        }
+        self.make_room(item, effects)
+    }
+
+    /// Requests of an account that wait, those kept aside included.
+    fn waiting_of(&self, account: &str) -> u32 {
+        self.queue.account_len(account) + self.suspects.waiting_of(account)
+    }
+
+    /// Whether a request of the account would be granted at once.
+    fn is_free(&self, now: Instant, account: &str) -> bool {
+        self.collecting.is_none()
+            && self.queue.len() == 0
+            && !self.queue.is_blocked(account)
+            && self.pool.free(now) > 0
+    }
+
+    /// Sheds the newest of the lowest tier when the queue is full.
+    fn make_room(&mut self, item: &Item, effects: &mut Vec<Effect>) -> Result<(), Refusal> {
+        if self.queue.len() + self.suspects.waiting() < self.settings.max_queue {
+            return Ok(());
+        }
+        let lower = self.queue.lowest_tier().is_some_and(|it| it > item.tier());
+        let last = self.queue.last().filter(|_| lower);
+        let Some(victim) = last.and_then(|key| self.take_waiting(key)) else {
+            let retry_after = self.retry_after(item);
+            return Err(Refusal::Shed { retry_after });
+        };
+        let retry_after = self.retry_after(&victim);
+        self.refuse_item(&victim, Refusal::Shed { retry_after }, effects);
+        Ok(())
+    }
+
+    /// How long a new request like this would wait.
+    fn wait(&self, item: &Item) -> Duration {
+        let tier = item.tier();
+        let higher = (0..tier).map(|it| self.queue.tier_len(it)).sum();
+        let own = self.queue.ahead_in_tier(tier, &item.account) + 1;
+        let slots = self.pool.slots();
+        self.estimate
+            .wait(slots, tier, higher, own, self.settings.floor)
+    }
+
+    pub(super) fn retry_after(&self, item: &Item) -> Duration {
+        self.wait(item).clamp(RETRY[0], RETRY[1])
+    }
+
+    /// Gives up what has reached its deadline or can't meet its target any more.
+    pub(super) fn expire_items(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        let mut expired = self.queue.expired(now);
+        expired.extend(self.suspects.expired(now));
+        for key in expired {
+            if let Some(item) = self.take_waiting(key) {
+                self.refuse_item(&item, Refusal::Late, effects);
+            }
+        }
+        if self.collecting.is_some() {
+            return;
+        }
+        for tier in (0..TIERS).rev() {
+            self.shed_overdue(now, tier, effects);
+        }
+    }
+
+    fn shed_overdue(&mut self, now: Instant, tier: usize, effects: &mut Vec<Effect>) {
+        for key in self.queue.overdue(tier, now) {
+            let Some(item) = self.queue.get(key) else {
+                continue;
+            };
+            let spared = item.resume || self.queue.in_front(item, self.settings.reserve);
+            if spared || self.wait(item) <= self.patience(&item.class) {
+                continue;
+            }
+            let retry_after = self.retry_after(item);
+            if let Some(item) = self.take_waiting(key) {
+                self.refuse_item(&item, Refusal::Shed { retry_after }, effects);
+            }
+        }
+    }
+
+    /// Gives up everything that waits once no runner is in use.
+    pub(super) fn refuse_without_runner(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        if self.collecting.is_some() || self.pool.usable() > 0 {
+            return;
+        }
+        let retry_after = self.pool.retry_after(now);
+        let mut keys: Vec<Key> = self.queue.items().map(|it| it.key).collect();
+        keys.extend(self.suspects.keys());
+        for key in keys {
+            if let Some(item) = self.take_waiting(key) {
+                self.refuse_item(&item, Refusal::NoRunner { retry_after }, effects);
+            }
+        }
+    }
+
+    /// Takes a waiting request out of whatever line it stands in.
+    pub(super) fn take_waiting(&mut self, key: Key) -> Option<Item> {
+        let item = match self.queue.remove(key) {
+            Some(item) => item,
+            None => self.suspects.remove(key)?,
+        };
+        for copy in self.suspects.copy_gone(&item) {
+            self.queue.push(copy);
+        }
+        Some(item)
+    }
+
+    pub(super) fn refuse_item(&mut self, item: &Item, refusal: Refusal, effects: &mut Vec<Effect>) {
+        self.part(item.key);
+        let tier = item.class.tier;
+        effects.push(Effect::Note(Note::Refused {
+            tier,
+            refusal: refusal.clone(),
+        }));
+        self.tell(item.key, Reply::Refused(item.key.ticket, refusal), effects);
+    }
+
+    pub(super) fn tell(&self, key: Key, reply: Reply, effects: &mut Vec<Effect>) {
+        effects.push(Effect::Tell(self.name_of(key.asker), reply));
+    }
+}
+
+fn crash_step(item: &Item) -> crate::crash::Step {
+    debug_assert!(item.fingerprint != NO_FINGERPRINT, "an identified request");
+    crate::crash::Step::Suspected(vec![item.fingerprint])
+}
--- /dev/null
+++ b/crates/policy/src/arbiter/grant.rs
@@ -0,0 +1,269 @@
+//! Granting: floor first, then tier by tier; then suspects, then preemption.
+
+use std::time::Instant;
+
+use super::{
+    Arbiter, Effect, Key, Note, Reply,
+    hold::{Running, Way},
+    queue::{Item, TIERS},
+    suspect::Alone,
+};
+use crate::{
+    catalogue::Backend,
+    id::{ClassId, RunnerId},
+};
+
+/// Requests looked at for one grant when the first ones fit no free runner.
+const LOOK_AHEAD: usize = 8;
+
+/// Most slots asked back at once.
+const MAX_PREEMPTING: usize = 8;
+
+impl Arbiter {
+    /// Grants whatever can be granted now.
+    pub(super) fn pump(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        if self.collecting.is_some() {
+            return;
+        }
+        self.probe(now, effects);
+        while self.pool.free(now) > 0 && self.grant_next(now, effects) {}
+        self.run_alone(now, effects);
+        self.preempt(now, effects);
+    }
+
+    fn grant_next(&mut self, now: Instant, effects: &mut Vec<Effect>) -> bool {
+        if let Some(key) = self.floor_choice(now)
+            && self.place(now, key, Way::Floor, effects)
+        {
+            return true;
+        }
+        let next = self.queue.next(now, TIERS, LOOK_AHEAD);
+        next.into_iter()
+            .any(|key| self.place(now, key, Way::Turn, effects))
+    }
+
+    /// The request that the floor would serve next.
+    fn floor_choice(&self, now: Instant) -> Option<Key> {
+        if !self.floor.has_credit() {
+            return None;
+        }
+        let overrun = |class: &ClassId| {
+            let class = self.catalogue.classes.get(class)?;
+            self.floor.overrun(now, class)
+        };
+        let class = self
+            .queue
+            .waiting_classes()
+            .filter_map(|class| Some((overrun(class)?, class)))
+            .max_by_key(|(overrun, _)| *overrun)?;
+        self.queue.next_of_class(class.1, now)
+    }
+
+    /// Grants the request on the best free runner, if any fits it.
+    fn place(&mut self, now: Instant, key: Key, way: Way, effects: &mut Vec<Effect>) -> bool {
+        let Some(item) = self.queue.get(key) else {
+            return false;
+        };
+        let warm = self.affinity.get(item.prefix);
+        let Some(runner) = self.pool.pick(now, &item.avoid, warm) else {
+            return false;
+        };
+        let Some(item) = self.queue.grant(key) else {
+            return false;
+        };
+        if way == Way::Floor {
+            self.floor.spend();
+        } else {
+            self.floor.earn();
+        }
+        self.grant(now, &item, runner, way, effects);
+        true
+    }
+
+    pub(super) fn grant(
+        &mut self,
+        now: Instant,
+        item: &Item,
+        runner: RunnerId,
+        way: Way,
+        effects: &mut Vec<Effect>,
+    ) {
+        let class = &item.class.name;
+        let more = self.queue.class_len(class) > 0;
+        self.floor.on_grant(now, class, more);
+        self.estimate.on_grant(item.tier());
+        self.affinity.put(item.prefix, &runner);
+        if let Some(runner) = self.pool.get_mut(&runner) {
+            runner.on_grant(now);
+        }
+        let running = Running::new(now, item, runner, way);
+        effects.push(Effect::Note(Note::Granted {
+            tier: item.class.tier,
+            floor: way == Way::Floor,
+        }));
+        self.tell(item.key, running.grant(item.key), effects);
+        self.insert_running(item.key, running);
+    }
+
+    /// Tries runners that are out of use with one request each, of the lowest
+    /// tier that waits.
+    fn probe(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        while let Some(runner) = self.pool.probe(now) {
+            let last = self.queue.last();
+            let Some(item) = last.and_then(|key| self.queue.get(key)) else {
+                return;
+            };
+            let none_usable = self.pool.usable() == 0;
+            if self.queue.is_blocked(&item.account)
+                || !(none_usable || self.is_lowest(item.class.tier))
+            {
+                return;
+            }
+            let Some(item) = self.queue.grant(item.key) else {
+                return;
+            };
+            self.grant(now, &item, runner, Way::Turn, effects);
+        }
+    }
+
+    /// Whether the catalogue has no class of a lower tier.
+    fn is_lowest(&self, tier: u8) -> bool {
+        let lowest = self.catalogue.classes.values().map(|it| it.tier).max();
+        lowest.is_none_or(|lowest| tier >= lowest)
+    }
+
+    /// Runs one suspect on a runner without others.
+    fn run_alone(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        self.drop_lost_reservation();
+        if self.suspects.alone.is_none() {
+            self.reserve(now);
+        }
+        let Some(alone) = self.suspects.alone.clone() else {
+            return;
+        };
+        let empty = self.pool.get(&alone.runner).is_some_and(|it| it.held == 0);
+        if !empty || self.running.contains_key(&alone.key) {
+            return;
+        }
+        if let Some(item) = self.suspects.remove(alone.key) {
+            self.grant(now, &item, alone.runner, Way::Alone, effects);
+        }
+    }
+
+    /// Ends a reservation whose request or runner is gone.
+    fn drop_lost_reservation(&mut self) {
+        let Some(alone) = &self.suspects.alone else {
+            return;
+        };
+        let usable = self
+            .pool
+            .get(&alone.runner)
+            .is_some_and(super::runner::Runner::is_usable);
+        let waits = self.suspects.get(alone.key).is_some();
+        if self.running.contains_key(&alone.key) || (waits && usable) {
+            return;
+        }
+        self.end_alone();
+    }
+
+    pub(super) fn end_alone(&mut self) {
+        if let Some(alone) = self.suspects.alone.take()
+            && let Some(runner) = self.pool.get_mut(&alone.runner)
+        {
+            runner.reserved = false;
+        }
+    }
+
+    /// Keeps a runner free for the next suspect, unless higher tiers wait.
+    fn reserve(&mut self, now: Instant) {
+        let Some(item) = self.suspects.next() else {
+            return;
+        };
+        let waited = now.saturating_duration_since(item.taken);
+        let higher = !self.queue.next(now, item.tier(), 1).is_empty();
+        let account_full = self.queue.is_blocked(&item.account);
+        if account_full || (higher && waited < item.class.wait_bound) {
+            return;
+        }
+        let Some(runner) = self.pool.quietest(&item.avoid) else {
+            return;
+        };
+        let key = item.key;
+        if let Some(runner) = self.pool.get_mut(&runner) {
+            runner.reserved = true;
+        }
+        self.suspects.alone = Some(Alone { key, runner });
+    }
+
+    /// Asks slots back from lower tiers for requests that run out of time.
+    fn preempt(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        if self.backend != Backend::Model || self.queue.len() == 0 {
+            return;
+        }
+        let pending = self.running.values().filter(|it| it.preempting).count();
+        let urgent = self.urgent(now);
+        for waiting in urgent.into_iter().skip(pending) {
+            let Some(victim) = self.victim(waiting) else {
+                return;
+            };
+            self.ask_back(victim, waiting, effects);
+        }
+    }
+
+    /// Tiers of the next requests, as far as they have waited long.
+    fn urgent(&self, now: Instant) -> Vec<u8> {
+        let next = self.queue.next(now, TIERS, MAX_PREEMPTING);
+        let items = next.into_iter().filter_map(|key| self.queue.get(key));
+        let urgent = items.filter(|item| {
+            let waited = now.saturating_duration_since(item.taken);
+            waited > item.class.first_token.mul_f64(self.settings.preempt_after)
+        });
+        urgent.map(|item| item.class.tier).collect()
+    }
+
+    /// The running request to give way to one of `tier`: of the lowest tier, the
+    /// one with the least work done.
+    fn victim(&self, tier: u8) -> Option<Key> {
+        let lower = self.running.iter().filter(|(_, it)| {
+            it.class.preemptible
+                && it.class.tier > tier
+                && !it.preempting
+                && it.way == Way::Turn
+                && !it.resumed
+                && self
+                    .pool
+                    .get(&it.runner)
+                    .is_some_and(super::runner::Runner::is_usable)
+        });
+        lower
+            .max_by_key(|(_, it)| (it.class.tier, it.since))
+            .map(|(key, _)| *key)
+    }
+
+    fn ask_back(&mut self, key: Key, waiting: u8, effects: &mut Vec<Effect>) {
+        if let Some(running) = self.running.get_mut(&key) {
+            running.preempting = true;
+            let victim = running.class.tier;
+            effects.push(Effect::Note(Note::Preempted { victim, waiting }));
+            self.tell(key, Reply::Preempt(key.ticket), effects);
+        }
+    }
+
+    /// Asks back the streams on a runner set aside as slow, so that they go on
+    /// elsewhere.
+    pub(super) fn move_away(&mut self, runner: &RunnerId, effects: &mut Vec<Effect>) {
+        if self.backend != Backend::Model || !self.settings.move_from_slow {
+            return;
+        }
+        let there = self.running.iter().filter(|(_, it)| {
+            it.runner == *runner && !it.preempting && it.way != Way::Alone && !it.resumed
+        });
+        let keys: Vec<Key> = there.map(|(key, _)| *key).collect();
+        for key in keys {
+            if let Some(running) = self.running.get_mut(&key) {
+                running.preempting = true;
+            }
+            self.tell(key, Reply::Preempt(key.ticket), effects);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/arbiter/hold.rs
@@ -0,0 +1,485 @@
+//! Slots in use, their askers and their ends.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use indexmap::IndexSet;
+
+use super::{
+    Arbiter, Beat, Effect, End, Hold, Key, NO_FINGERPRINT, Note, Recital, Refusal, Reply, Sample,
+    Ticket, Turn, message::mix, queue::Item, suspect::Alone,
+};
+use crate::{
+    catalogue::Class,
+    crash::{Mark, Step, Table},
+    id::{Fingerprint, InstanceId, RunnerId},
+};
+
+/// Heartbeats in a row with another digest before the list is asked for.
+const MAX_MISMATCHES: u8 = 2;
+
+/// Most tickets of one recital that are taken in.
+const MAX_RECITED: usize = 65_536;
+
+/// A daemon that asks.
+#[derive(Debug)]
+pub(super) struct Asker {
+    id: u32,
+    heard: Instant,
+    mismatches: u8,
+    count: u32,
+    digest: u64,
+}
+
+/// By which right a slot was granted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Way {
+    /// By tier and order.
+    Turn,
+    /// By the floor of its class.
+    Floor,
+    /// As a suspect that must run alone.
+    Alone,
+}
+
+/// One slot in use.
+#[derive(Clone, Debug)]
+pub(super) struct Running {
+    pub(super) class: Arc<Class>,
+    pub(super) account: Arc<str>,
+    pub(super) fingerprint: Fingerprint,
+    pub(super) runner: RunnerId,
+    pub(super) since: Instant,
+    pub(super) way: Way,
+    pub(super) preempting: bool,
+    /// Whether it went on from an earlier slot; such work is not asked back again.
+    pub(super) resumed: bool,
+}
+
+impl Running {
+    pub(super) fn new(now: Instant, item: &Item, runner: RunnerId, way: Way) -> Self {
+        Self {
+            class: Arc::clone(&item.class),
+            account: Arc::clone(&item.account),
+            fingerprint: item.fingerprint,
+            runner,
+            since: now,
+            way,
+            preempting: false,
+            resumed: item.resume,
+        }
+    }
+
+    fn is_alone(&self) -> bool {
+        self.way == Way::Alone
+    }
+
+    pub(super) fn grant(&self, key: Key) -> Reply {
+        Reply::Grant {
+            ticket: key.ticket,
+            runner: self.runner.clone(),
+            alone: self.is_alone(),
+        }
+    }
+}
+
+impl Arbiter {
+    /// The asker of that name, heard now; none when the table is full.
+    pub(super) fn asker(&mut self, now: Instant, from: &InstanceId) -> Option<u32> {
+        if let Some(asker) = self.askers.get_mut(from) {
+            asker.heard = now;
+            return Some(asker.id);
+        }
+        if self.askers.len() >= self.settings.max_askers {
+            return None;
+        }
+        let id = self.next_asker;
+        self.next_asker += 1;
+        let asker = Asker {
+            id,
+            heard: now,
+            mismatches: 0,
+            count: 0,
+            digest: 0,
+        };
+        self.askers.insert(from.clone(), asker);
+        self.names.insert(id, from.clone());
+        Some(id)
+    }
+
+    /// Counts a ticket in the asker's digest.
+    pub(super) fn join(&mut self, key: Key) {
+        self.toggle(key, 1);
+    }
+
+    /// Takes a ticket out of the asker's digest.
+    pub(super) fn part(&mut self, key: Key) {
+        self.toggle(key, u32::MAX);
+    }
+
+    fn toggle(&mut self, key: Key, change: u32) {
+        let asker = self
+            .names
+            .get(&key.asker)
+            .and_then(|name| self.askers.get_mut(name));
+        if let Some(asker) = asker {
+            asker.count = asker.count.wrapping_add(change);
+            asker.digest ^= mix(key.ticket);
+        }
+    }
+
+    pub(super) fn insert_running(&mut self, key: Key, running: Running) {
+        let account = Arc::clone(&running.account);
+        *self.accounts.entry(Arc::clone(&account)).or_default() += 1;
+        self.running.insert(key, running);
+        self.update_block(&account);
+    }
+
+    fn remove_running(&mut self, now: Instant, key: Key) -> Option<Running> {
+        let running = self.running.swap_remove(&key)?;
+        self.part(key);
+        if let Some(runner) = self.pool.get_mut(&running.runner) {
+            runner.on_free(now);
+        }
+        if let Some(count) = self.accounts.get_mut(&running.account) {
+            *count -= 1;
+            if *count == 0 {
+                self.accounts.swap_remove(&running.account);
+            }
+        }
+        self.update_block(&running.account);
+        Some(running)
+    }
+
+    /// An asker needs a slot no more, whether or not it was granted meanwhile.
+    pub(super) fn withdraw(&mut self, now: Instant, key: Key, effects: &mut Vec<Effect>) {
+        if self.take_waiting(key).is_some() {
+            self.part(key);
+        } else {
+            self.release(now, key, &Sample::unused(), effects);
+        }
+    }
+
+    /// Takes a slot back.
+    pub(super) fn release(
+        &mut self,
+        now: Instant,
+        key: Key,
+        sample: &Sample,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(running) = self.remove_running(now, key) else {
+            return;
+        };
+        let turn = self
+            .pool
+            .on_end(now, &running.runner, &running.class, sample);
+        if running.is_alone() {
+            self.end_alone();
+        }
+        match sample.end {
+            End::Done => self.on_done(&running, sample, effects),
+            End::Broken => {
+                let news = matches!(turn, Some(Turn::Down(_)));
+                self.on_broken(&running, news, effects);
+            }
+            End::Cancelled | End::Refused | End::Late | End::Preempted => {
+                let next = self.suspects.end_copy(running.fingerprint);
+                for item in next {
+                    self.queue.push(item);
+                }
+            }
+        }
+        if let Some(turn) = turn {
+            self.on_turn(now, turn, effects);
+        }
+    }
+
+    fn on_done(&mut self, running: &Running, sample: &Sample, effects: &mut Vec<Effect>) {
+        let class = &running.class.name;
+        self.estimate.on_done(class, sample.whole, sample.tokens);
+        if self.marks.get(running.fingerprint) == Some(Mark::Suspected) {
+            self.mark(Step::Cleared(running.fingerprint), effects);
+        }
+        let parked = self.suspects.prove(running.fingerprint);
+        for item in parked {
+            self.queue.push(item);
+        }
+    }
+
+    /// Marks what was in flight on a runner that broke.
+    fn on_broken(&mut self, running: &Running, news: bool, effects: &mut Vec<Effect>) {
+        if running.is_alone() {
+            self.mark(Step::Quarantined(running.fingerprint), effects);
+            return;
+        }
+        let mut there = IndexSet::from([running.fingerprint]);
+        if news {
+            let others = self
+                .running
+                .values()
+                .filter(|it| it.runner == running.runner);
+            there.extend(others.map(|it| it.fingerprint));
+        }
+        there.swap_remove(&NO_FINGERPRINT);
+        self.mark(Step::Suspected(there.into_iter().collect()), effects);
+    }
+
+    /// Sets a mark here, at the askers and, by proposal, everywhere.
+    pub(super) fn mark(&mut self, step: Step, effects: &mut Vec<Effect>) {
+        if matches!(&step, Step::Suspected(none) if none.is_empty()) {
+            return;
+        }
+        self.marks.apply(&step);
+        for asker in self.askers.keys() {
+            effects.push(Effect::Tell(asker.clone(), Reply::Mark(step.clone())));
+        }
+        effects.push(Effect::Mark(step));
+        self.sort_marked(effects);
+    }
+
+    pub(super) fn on_marks(&mut self, table: Arc<Table>, effects: &mut Vec<Effect>) {
+        self.marks.commit(table);
+        self.sort_marked(effects);
+    }
+
+    /// Moves waiting requests to where their marks put them.
+    fn sort_marked(&mut self, effects: &mut Vec<Effect>) {
+        let marked = self
+            .queue
+            .items()
+            .filter(|it| self.marks.get(it.fingerprint).is_some());
+        let keys: Vec<Key> = marked.map(|it| it.key).collect();
+        for key in keys {
+            let Some(item) = self.queue.remove(key) else {
+                continue;
+            };
+            let parked = self.suspects.suspect(item.fingerprint);
+            for item in std::iter::once(item).chain(parked) {
+                self.place_marked(item, effects);
+            }
+        }
+        for fingerprint in self.suspects.fingerprints() {
+            if self.marks.get(fingerprint) != Some(Mark::Suspected) {
+                let waiting = self.suspects.take_waiting(fingerprint);
+                for item in waiting {
+                    self.place_marked(item, effects);
+                }
+            }
+        }
+    }
+
+    fn place_marked(&mut self, item: Item, effects: &mut Vec<Effect>) {
+        match self.marks.get(item.fingerprint) {
+            Some(Mark::Quarantined) => self.refuse_item(&item, Refusal::Quarantined, effects),
+            Some(Mark::Suspected) => self.suspects.push(item),
+            None => {
+                if let Some(item) = self.suspects.admit_copy(item) {
+                    self.queue.push(item);
+                }
+            }
+        }
+    }
+
+    pub(super) fn on_beat(
+        &mut self,
+        from: &InstanceId,
+        asker: u32,
+        beat: &Beat,
+        effects: &mut Vec<Effect>,
+    ) {
+        for progress in &beat.progress {
+            self.pool
+                .on_progress(&progress.runner, progress.silent, progress.between_tokens);
+        }
+        debug_assert!(self.names.contains_key(&asker), "a known asker");
+        let Some(known) = self.askers.get_mut(from) else {
+            return;
+        };
+        if known.count == beat.count && known.digest == beat.digest {
+            known.mismatches = 0;
+        } else {
+            known.mismatches += 1;
+        }
+        let reply = if known.mismatches >= MAX_MISMATCHES {
+            known.mismatches = 0;
+            Reply::Recite
+        } else {
+            Reply::Beat
+        };
+        effects.push(Effect::Tell(from.clone(), reply));
+    }
+
+    pub(super) fn on_recital(
+        &mut self,
+        now: Instant,
+        from: &InstanceId,
+        asker: u32,
+        recital: Recital,
+        effects: &mut Vec<Effect>,
+    ) {
+        let listed: IndexSet<Ticket> = recital
+            .waiting
+            .iter()
+            .copied()
+            .chain(recital.held.iter().map(|hold| hold.ask.ticket))
+            .take(MAX_RECITED)
+            .collect();
+        self.take_marks(&recital, effects);
+        for hold in recital.held {
+            self.adopt(now, asker, hold);
+        }
+        self.match_waiting(from, asker, &recital.waiting, effects);
+        for key in self.keys_of(asker) {
+            if !listed.contains(&key.ticket) {
+                self.withdraw(now, key, effects);
+            }
+        }
+        if let Some(collecting) = &mut self.collecting {
+            collecting.missing.swap_remove(from);
+            if collecting.missing.is_empty() {
+                self.collecting = None;
+            }
+        }
+    }
+
+    fn take_marks(&mut self, recital: &Recital, effects: &mut Vec<Effect>) {
+        let new = recital.suspected.iter().copied();
+        let new = new.filter(|it| self.marks.get(*it).is_none()).collect();
+        self.mark(Step::Suspected(new), effects);
+        for it in &recital.quarantined {
+            if self.marks.get(*it) != Some(Mark::Quarantined) {
+                self.mark(Step::Quarantined(*it), effects);
+            }
+        }
+    }
+
+    /// Sends lost grants again, and asks for what was lost on the way here.
+    fn match_waiting(
+        &mut self,
+        from: &InstanceId,
+        asker: u32,
+        waiting: &[Ticket],
+        effects: &mut Vec<Effect>,
+    ) {
+        let mut unknown = Vec::new();
+        for ticket in waiting {
+            let key = Key {
+                asker,
+                ticket: *ticket,
+            };
+            if let Some(running) = self.running.get(&key) {
+                effects.push(Effect::Tell(from.clone(), running.grant(key)));
+            } else if self.queue.get(key).is_none() && !self.suspects.contains(key) {
+                unknown.push(*ticket);
+            }
+        }
+        if !unknown.is_empty() {
+            effects.push(Effect::Tell(from.clone(), Reply::Unknown(unknown)));
+        }
+    }
+
+    /// Takes over a slot that another arbiter granted.
+    fn adopt(&mut self, now: Instant, asker: u32, hold: Hold) {
+        let key = Key {
+            asker,
+            ticket: hold.ask.ticket,
+        };
+        let class = self.catalogue.classes.get(&hold.ask.class).cloned();
+        let Some(class) = class.filter(|_| !self.running.contains_key(&key)) else {
+            return;
+        };
+        if self.take_waiting(key).is_none() {
+            self.join(key);
+        }
+        let running = Running {
+            class,
+            account: self.account(&hold.ask.account),
+            fingerprint: hold.ask.fingerprint,
+            runner: hold.runner,
+            since: now.checked_sub(hold.age).unwrap_or(now),
+            way: if hold.alone { Way::Alone } else { Way::Turn },
+            preempting: false,
+            resumed: hold.ask.resume,
+        };
+        if let Some(runner) = self.pool.get_mut(&running.runner) {
+            runner.on_grant(now);
+            runner.reserved |= hold.alone;
+        }
+        if hold.alone {
+            self.suspects.alone = Some(Alone {
+                key,
+                runner: running.runner.clone(),
+            });
+        } else {
+            self.suspects.adopt_copy(running.fingerprint);
+        }
+        self.insert_running(key, running);
+    }
+
+    fn keys_of(&self, asker: u32) -> Vec<Key> {
+        let waiting = self.queue.items().map(|it| it.key);
+        let all = waiting
+            .chain(self.suspects.keys())
+            .chain(self.running.keys().copied());
+        all.filter(|key| key.asker == asker).collect()
+    }
+
+    /// Frees the slots of askers whose lease ended.
+    pub(super) fn expire_askers(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        let lease = self.settings.lease;
+        let silent = self
+            .askers
+            .iter()
+            .filter(|(_, it)| now.saturating_duration_since(it.heard) > lease);
+        let lost: Vec<InstanceId> = silent.map(|(name, _)| name.clone()).collect();
+        for name in lost {
+            self.lose_asker(now, &name, effects);
+        }
+    }
+
+    /// Frees the slots of askers that the membership gave up.
+    pub(super) fn on_live(
+        &mut self,
+        now: Instant,
+        live: &IndexSet<InstanceId>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let gone = self.askers.keys().filter(|name| !live.contains(*name));
+        let lost: Vec<InstanceId> = gone.cloned().collect();
+        for name in lost {
+            self.lose_asker(now, &name, effects);
+        }
+        if let Some(collecting) = &mut self.collecting {
+            collecting.missing.retain(|name| live.contains(name));
+            if collecting.missing.is_empty() {
+                self.collecting = None;
+            }
+        }
+    }
+
+    /// Extends all leases by a time in which this process did not run.
+    pub(super) fn forgive(&mut self, pause: Duration) {
+        for asker in self.askers.values_mut() {
+            asker.heard += pause;
+        }
+    }
+
+    fn lose_asker(&mut self, now: Instant, name: &InstanceId, effects: &mut Vec<Effect>) {
+        let Some(asker) = self.askers.get(name) else {
+            return;
+        };
+        let keys = self.keys_of(asker.id);
+        for key in &keys {
+            self.withdraw(now, *key, effects);
+        }
+        if let Some(asker) = self.askers.swap_remove(name) {
+            self.names.swap_remove(&asker.id);
+        }
+        if !keys.is_empty() {
+            effects.push(Effect::Note(Note::AskerLost(name.clone())));
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/arbiter/pool.rs
@@ -0,0 +1,318 @@
+//! The runners of a service: which one is next, and which are set aside.
+//!
+//! A runner is judged against the median of its pool by what callers saw. A
+//! third of the pool at most is set aside as slow, the slowest first; each is
+//! probed with one request at a time and comes back when a probe is as fast as
+//! the others.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+
+use super::{
+    message::{End, Sample},
+    runner::{Cause, Health, Runner},
+};
+use crate::{
+    catalogue::Class,
+    id::RunnerId,
+    platform::{self, Standing},
+};
+
+/// Most runners in one shard.
+pub const MAX_RUNNERS: usize = 64;
+
+/// Times the median at which a runner counts as slow.
+const SLOW: f64 = 3.0;
+
+/// Times the median at which a probed runner is as fast as the others.
+const FAST: f64 = 1.8;
+
+/// Samples before a runner is judged.
+const LEAST_SAMPLES: u32 = 3;
+
+/// Share of utilisation that a prefix held in memory is worth.
+const AFFINITY: f64 = 0.25;
+
+/// Pause before asking again when no runner is known at all.
+const EMPTY_RETRY: Duration = Duration::from_secs(1);
+
+/// Shortest time to come back that is told.
+const LEAST_RETRY: Duration = Duration::from_millis(250);
+
+/// A change of a runner's health.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Turn {
+    /// Set aside as slow.
+    Aside(RunnerId),
+    /// Taken out since it broke.
+    Down(RunnerId),
+    /// In use again.
+    Back(RunnerId),
+}
+
+/// Runners by name.
+#[derive(Debug, Default)]
+pub(super) struct Pool {
+    runners: IndexMap<RunnerId, Runner>,
+}
+
+impl Pool {
+    /// Takes in the platform's list; the state of runners that stay is kept.
+    pub(super) fn set(&mut self, listed: &[platform::Runner], max: u32) {
+        self.runners
+            .retain(|id, runner| runner.held > 0 || listed.iter().any(|it| it.id == *id));
+        for runner in self.runners.values_mut() {
+            runner.leaving = true;
+        }
+        for it in listed {
+            if self.runners.len() >= MAX_RUNNERS && !self.runners.contains_key(&it.id) {
+                continue;
+            }
+            let runner = self
+                .runners
+                .entry(it.id.clone())
+                .or_insert_with(|| Runner::new(max));
+            runner.leaving = it.standing == Standing::Leaving;
+            runner.set_max(max);
+        }
+    }
+
+    pub(super) fn set_max(&mut self, max: u32) {
+        self.runners
+            .values_mut()
+            .for_each(|runner| runner.set_max(max));
+    }
+
+    pub(super) fn get(&self, id: &RunnerId) -> Option<&Runner> {
+        self.runners.get(id)
+    }
+
+    pub(super) fn get_mut(&mut self, id: &RunnerId) -> Option<&mut Runner> {
+        self.runners.get_mut(id)
+    }
+
+    /// Slots that can be granted now.
+    pub(super) fn free(&self, now: Instant) -> u32 {
+        self.runners.values().map(|runner| runner.free(now)).sum()
+    }
+
+    /// Slots of all runners in use.
+    pub(super) fn slots(&self) -> u32 {
+        let usable = self.runners.values().filter(|it| it.is_usable());
+        usable.map(Runner::limit).sum()
+    }
+
+    pub(super) fn usable(&self) -> usize {
+        self.runners.values().filter(|it| it.is_usable()).count()
+    }
+
+    /// Runners set aside as slow.
+    pub(super) fn aside(&self) -> usize {
+        let slow = |it: &&Runner| {
+            matches!(
+                it.health,
+                Health::Out {
+                    cause: Cause::Slow,
+                    ..
+                }
+            )
+        };
+        self.runners.values().filter(slow).count()
+    }
+
+    /// The best runner with a free slot; avoided ones only if no other is in use.
+    pub(super) fn pick(
+        &self,
+        now: Instant,
+        avoid: &[RunnerId],
+        warm: Option<&RunnerId>,
+    ) -> Option<RunnerId> {
+        let others = self
+            .runners
+            .iter()
+            .any(|(id, it)| it.is_usable() && !avoid.contains(id));
+        let median = self.median(|it| it.between.get(LEAST_SAMPLES));
+        let mut best: Option<(f64, &RunnerId)> = None;
+        let mut warm_score = None;
+        for (id, runner) in &self.runners {
+            if runner.free(now) == 0 || (others && avoid.contains(id)) {
+                continue;
+            }
+            let score = score(now, runner, median);
+            if warm == Some(id) {
+                warm_score = Some((score, id));
+            }
+            if best.is_none_or(|(least, _)| score < least) {
+                best = Some((score, id));
+            }
+        }
+        let (least, id) = best?;
+        match warm_score {
+            Some((score, warm)) if score <= least + AFFINITY => Some(warm.clone()),
+            _ => Some(id.clone()),
+        }
+    }
+
+    /// A runner out of use that may be tried with one request.
+    pub(super) fn probe(&self, now: Instant) -> Option<RunnerId> {
+        let due = self.runners.iter().find(|(_, it)| it.wants_probe(now));
+        due.map(|(id, _)| id.clone())
+    }
+
+    /// The least loaded usable runner, for a request that must run alone.
+    pub(super) fn quietest(&self, avoid: &[RunnerId]) -> Option<RunnerId> {
+        let usable = self.runners.iter().filter(|(_, it)| it.is_usable());
+        usable
+            .min_by_key(|(id, it)| (avoid.contains(id), it.held))
+            .map(|(id, _)| id.clone())
+    }
+
+    /// When a request that finds no runner should come back.
+    pub(super) fn retry_after(&self, now: Instant) -> Duration {
+        let probes = self.runners.values().filter_map(|it| match it.health {
+            Health::Out { probe_at, .. } => Some(probe_at.saturating_duration_since(now)),
+            Health::Good => None,
+        });
+        probes.min().unwrap_or(EMPTY_RETRY).max(LEAST_RETRY)
+    }
+
+    /// Takes in the end of a request; the health that turned with it.
+    pub(super) fn on_end(
+        &mut self,
+        now: Instant,
+        id: &RunnerId,
+        class: &Class,
+        sample: &Sample,
+    ) -> Option<Turn> {
+        let runner = self.runners.get_mut(id)?;
+        let was_down = matches!(
+            runner.health,
+            Health::Out {
+                cause: Cause::Down,
+                ..
+            }
+        );
+        match sample.end {
+            End::Broken => {
+                runner.put_out(now, Cause::Down);
+                (!was_down).then(|| Turn::Down(id.clone()))
+            }
+            End::Refused => {
+                let down = runner.on_refused(now) || was_down;
+                if down {
+                    runner.put_out(now, Cause::Down);
+                }
+                (down && !was_down).then(|| Turn::Down(id.clone()))
+            }
+            End::Done | End::Cancelled | End::Late | End::Preempted => {
+                let told = sample.end == End::Done || sample.first_token.is_some();
+                if told {
+                    runner.on_sample(now, class, sample);
+                }
+                if was_down && told {
+                    runner.put_back();
+                    return Some(Turn::Back(id.clone()));
+                }
+                if !told || was_down {
+                    runner.end_probe();
+                }
+                None
+            }
+        }
+    }
+
+    /// Takes in what running streams see.
+    pub(super) fn on_progress(
+        &mut self,
+        id: &RunnerId,
+        silent: Duration,
+        between: Option<Duration>,
+    ) {
+        if let Some(runner) = self.runners.get_mut(id) {
+            runner.on_progress(silent, between);
+        }
+    }
+
+    /// Sets slow runners aside and takes recovered ones back.
+    pub(super) fn judge(&mut self, now: Instant) -> Vec<Turn> {
+        let mut turns = Vec::new();
+        let medians = [
+            self.median(|it| it.between.get(LEAST_SAMPLES)),
+            self.median(|it| it.first.get(LEAST_SAMPLES)),
+            self.median(|it| it.whole.get(LEAST_SAMPLES)),
+        ];
+        for (id, runner) in &mut self.runners {
+            let Health::Out {
+                cause: Cause::Slow,
+                probing: true,
+                ..
+            } = runner.health
+            else {
+                continue;
+            };
+            match slowness(runner, medians, 1) {
+                Some(slowness) if slowness <= FAST => {
+                    runner.put_back();
+                    turns.push(Turn::Back(id.clone()));
+                }
+                Some(_) if runner.held == 0 => runner.put_out(now, Cause::Slow),
+                _ => {}
+            }
+        }
+        let live = self.runners.values().filter(|it| !it.leaving).count();
+        let room = (live / 3).saturating_sub(self.aside());
+        let mut slow: Vec<(f64, RunnerId)> = self
+            .runners
+            .iter()
+            .filter(|(_, it)| it.is_usable())
+            .filter_map(|(id, it)| Some((slowness(it, medians, LEAST_SAMPLES)?, id.clone())))
+            .filter(|(slowness, _)| *slowness > SLOW)
+            .collect();
+        slow.sort_by(|a, b| b.0.total_cmp(&a.0));
+        for (_, id) in slow.into_iter().take(room) {
+            if let Some(runner) = self.runners.get_mut(&id) {
+                runner.put_out(now, Cause::Slow);
+                turns.push(Turn::Aside(id));
+            }
+        }
+        turns
+    }
+
+    fn median<F>(&self, value: F) -> Option<f64>
+    where
+        F: Fn(&Runner) -> Option<f64>,
+    {
+        let live = self.runners.values().filter(|it| !it.leaving);
+        let mut values: Vec<f64> = live.filter_map(value).collect();
+        if values.len() < 3 {
+            return None;
+        }
+        values.sort_by(f64::total_cmp);
+        Some(values[(values.len() - 1) / 2])
+    }
+}
+
+/// Utilisation, stretched by how slow the runner is.
+fn score(now: Instant, runner: &Runner, median: Option<f64>) -> f64 {
+    let utilisation = f64::from(runner.load(now) + 1) / f64::from(runner.limit());
+    let pace = match (runner.between.get(LEAST_SAMPLES), median) {
+        (Some(own), Some(median)) if median > 0.0 => (own / median).clamp(0.5, 3.0),
+        _ => 1.0,
+    };
+    utilisation * pace
+}
+
+/// How many times slower than the median a runner is, by the worst signal.
+fn slowness(runner: &Runner, medians: [Option<f64>; 3], least: u32) -> Option<f64> {
+    let own = [
+        runner.between.get(least),
+        runner.first.get(least),
+        runner.whole.get(least),
+    ];
+    let ratios = own.into_iter().zip(medians).filter_map(|pair| match pair {
+        (Some(own), Some(median)) if median > 0.0 => Some(own / median),
+        _ => None,
+    });
+    ratios.reduce(f64::max)
+}
--- /dev/null
+++ b/crates/policy/src/arbiter/queue.rs
@@ -0,0 +1,288 @@
+//! The one queue: strict tiers, fair between accounts, earliest target first.
+//!
+//! Inside a tier the account that was served least goes next; of one account,
+//! the request whose target is nearest. Requests whose target has passed come
+//! after those that can still meet it, since serving them first would make all
+//! of them late. An account at its running limit is skipped until it releases.
+
+use std::{collections::BTreeSet, sync::Arc, time::Instant};
+
+use indexmap::{IndexMap, IndexSet};
+
+use super::Key;
+use crate::{
+    catalogue::{Class, MAX_TIER},
+    id::{ClassId, Fingerprint, RunnerId},
+};
+
+/// Number of tiers.
+pub(super) const TIERS: usize = MAX_TIER as usize + 1;
+
+/// One request that waits.
+#[derive(Clone, Debug)]
+pub(super) struct Item {
+    pub(super) key: Key,
+    pub(super) class: Arc<Class>,
+    pub(super) account: Arc<str>,
+    pub(super) fingerprint: Fingerprint,
+    pub(super) prefix: u64,
+    /// When its class's target passes.
+    pub(super) due: Instant,
+    pub(super) deadline: Instant,
+    /// When it began to wait, at whatever daemon.
+    pub(super) since: Instant,
+    /// When this arbiter took it in.
+    pub(super) taken: Instant,
+    pub(super) avoid: Vec<RunnerId>,
+    pub(super) resume: bool,
+}
+
+impl Item {
+    pub(super) fn tier(&self) -> usize {
+        usize::from(self.class.tier).min(TIERS - 1)
+    }
+
+    fn place(&self) -> Place {
+        (self.due, self.key)
+    }
+}
+
+type Place = (Instant, Key);
+
+#[derive(Debug, Default)]
+struct Line {
+    /// Service that the account has had, in grants.
+    served: u64,
+    places: BTreeSet<Place>,
+}
+
+#[derive(Debug, Default)]
+struct Tier {
+    lines: IndexMap<Arc<str>, Line>,
+    /// Accounts that may be granted, least served first.
+    ready: BTreeSet<(u64, Arc<str>)>,
+    /// By age, for shedding the newest.
+    ages: BTreeSet<(Instant, Key)>,
+    /// Service of the account granted last.
+    level: u64,
+}
+
+/// Requests that wait.
+#[derive(Debug, Default)]
+pub(super) struct Queue {
+    items: IndexMap<Key, Item>,
+    tiers: [Tier; TIERS],
+    classes: IndexMap<ClassId, BTreeSet<Place>>,
+    deadlines: BTreeSet<(Instant, Key)>,
+    queued: IndexMap<Arc<str>, u32>,
+    blocked: IndexSet<Arc<str>>,
+}
+
+impl Queue {
+    pub(super) fn len(&self) -> usize {
+        self.items.len()
+    }
+
+    pub(super) fn get(&self, key: Key) -> Option<&Item> {
+        self.items.get(&key)
+    }
+
+    pub(super) fn items(&self) -> impl Iterator<Item = &Item> {
+        self.items.values()
+    }
+
+    pub(super) fn tier_len(&self, tier: usize) -> usize {
+        self.tiers[tier].ages.len()
+    }
+
+    pub(super) fn class_len(&self, class: &ClassId) -> usize {
+        self.classes.get(class).map_or(0, BTreeSet::len)
+    }
+
+    pub(super) fn account_len(&self, account: &str) -> u32 {
+        self.queued.get(account).copied().unwrap_or(0)
+    }
+
+    /// Requests of the same tier that go before a new one of `account`.
+    pub(super) fn ahead_in_tier(&self, tier: usize, account: &str) -> usize {
+        let tier = &self.tiers[tier];
+        let own = tier.lines.get(account).map_or(0, |line| line.places.len());
+        let turns = (own + 1).saturating_mul(tier.lines.len().max(1));
+        tier.ages.len().min(turns)
+    }
+
+    /// Names of classes with waiting requests.
+    pub(super) fn waiting_classes(&self) -> impl Iterator<Item = &ClassId> {
+        let waiting = self.classes.iter().filter(|(_, line)| !line.is_empty());
+        waiting.map(|(class, _)| class)
+    }
+
+    /// Whether the item is among the `count` oldest of its class.
+    pub(super) fn in_front(&self, item: &Item, count: usize) -> bool {
+        self.classes
+            .get(&item.class.name)
+            .is_some_and(|line| line.iter().take(count).any(|(_, key)| *key == item.key))
+    }
+
+    pub(super) fn push(&mut self, item: Item) {
+        self.remove(item.key);
+        let tier = &mut self.tiers[item.tier()];
+        let level = tier.level;
+        let line = tier.lines.entry(Arc::clone(&item.account)).or_default();
+        if line.places.is_empty() {
+            line.served = line.served.max(level);
+            if !self.blocked.contains(&item.account) {
+                tier.ready.insert((line.served, Arc::clone(&item.account)));
+            }
+        }
+        line.places.insert(item.place());
+        tier.ages.insert((item.since, item.key));
+        let class = self.classes.entry(item.class.name.clone()).or_default();
+        class.insert(item.place());
+        self.deadlines.insert((item.deadline, item.key));
+        *self.queued.entry(Arc::clone(&item.account)).or_default() += 1;
+        self.items.insert(item.key, item);
+    }
+
+    pub(super) fn remove(&mut self, key: Key) -> Option<Item> {
+        let item = self.items.swap_remove(&key)?;
+        let tier = &mut self.tiers[item.tier()];
+        if let Some(line) = tier.lines.get_mut(&item.account) {
+            line.places.remove(&item.place());
+            if line.places.is_empty() {
+                tier.ready.remove(&(line.served, Arc::clone(&item.account)));
+                tier.lines.swap_remove(&item.account);
+            }
+        }
+        tier.ages.remove(&(item.since, key));
+        if let Some(class) = self.classes.get_mut(&item.class.name) {
+            class.remove(&item.place());
+            if class.is_empty() {
+                self.classes.swap_remove(&item.class.name);
+            }
+        }
+        self.deadlines.remove(&(item.deadline, key));
+        if let Some(count) = self.queued.get_mut(&item.account) {
+            *count -= 1;
+            if *count == 0 {
+                self.queued.swap_remove(&item.account);
+            }
+        }
+        Some(item)
+    }
+
+    /// Takes an item out for a grant and charges its account.
+    pub(super) fn grant(&mut self, key: Key) -> Option<Item> {
+        let item = self.items.get(&key)?;
+        let (tier, account) = (item.tier(), Arc::clone(&item.account));
+        let tier = &mut self.tiers[tier];
+        if let Some(line) = tier.lines.get_mut(&account) {
+            let was_ready = tier.ready.remove(&(line.served, Arc::clone(&account)));
+            tier.level = tier.level.max(line.served);
+            line.served += 1;
+            if was_ready {
+                tier.ready.insert((line.served, account));
+            }
+        }
+        self.remove(key)
+    }
+
+    /// Skips an account, or takes it up again.
+    pub(super) fn set_blocked(&mut self, account: &Arc<str>, blocked: bool) {
+        let was = self.blocked.contains(account);
+        if was == blocked {
+            return;
+        }
+        if blocked {
+            self.blocked.insert(Arc::clone(account));
+        } else {
+            self.blocked.swap_remove(account);
+        }
+        for tier in &mut self.tiers {
+            let Some(line) = tier.lines.get(account) else {
+                continue;
+            };
+            let entry = (line.served, Arc::clone(account));
+            if blocked {
+                tier.ready.remove(&entry);
+            } else {
+                tier.ready.insert(entry);
+            }
+        }
+    }
+
+    pub(super) fn is_blocked(&self, account: &str) -> bool {
+        self.blocked.contains(account)
+    }
+
+    /// The next ones to be granted, at most `most`, of tiers before `end`.
+    pub(super) fn next(&self, now: Instant, end: usize, most: usize) -> Vec<Key> {
+        let mut found = Vec::new();
+        for tier in &self.tiers[..end.min(TIERS)] {
+            for late in [false, true] {
+                for (_, account) in &tier.ready {
+                    if found.len() >= most {
+                        return found;
+                    }
+                    let line = tier.lines.get(account);
+                    found.extend(line.and_then(|line| first(&line.places, now, late)));
+                }
+            }
+        }
+        found
+    }
+
+    /// The next one of a class, for its floor.
+    pub(super) fn next_of_class(&self, class: &ClassId, now: Instant) -> Option<Key> {
+        let line = self.classes.get(class)?;
+        let mut places = line.range((now, Key::default())..).chain(line.iter());
+        places
+            .find(|(_, key)| {
+                self.items
+                    .get(key)
+                    .is_some_and(|item| !self.blocked.contains(&item.account))
+            })
+            .map(|(_, key)| *key)
+    }
+
+    /// The newest of the lowest tier.
+    pub(super) fn last(&self) -> Option<Key> {
+        let tier = self.tiers.iter().rev().find(|tier| !tier.ages.is_empty())?;
+        tier.ages.last().map(|(_, key)| *key)
+    }
+
+    /// The lowest tier with a waiting request.
+    pub(super) fn lowest_tier(&self) -> Option<usize> {
+        self.tiers.iter().rposition(|tier| !tier.ages.is_empty())
+    }
+
+    /// Those whose deadline has passed.
+    pub(super) fn expired(&self, now: Instant) -> Vec<Key> {
+        let expired = self.deadlines.iter().take_while(|(at, _)| *at <= now);
+        expired.map(|(_, key)| *key).collect()
+    }
+
+    /// Those of a tier whose target has passed.
+    pub(super) fn overdue(&self, tier: usize, now: Instant) -> Vec<Key> {
+        let lines = self.tiers[tier].lines.values();
+        lines
+            .flat_map(|line| line.places.iter().take_while(|(due, _)| *due <= now))
+            .map(|(_, key)| *key)
+            .collect()
+    }
+}
+
+fn first(places: &BTreeSet<Place>, now: Instant, late: bool) -> Option<Key> {
+    if late {
+        let (due, key) = places.first()?;
+        // One that can still meet its target was found in the first pass.
+        return places
+            .last()
+            .is_some_and(|(last, _)| *last <= now && *due <= now)
+            .then_some(*key);
+    }
+    places
+        .range((now, Key::default())..)
+        .next()
+        .map(|(_, key)| *key)
+}
--- /dev/null
+++ b/crates/policy/src/arbiter/runner.rs
@@ -0,0 +1,303 @@
+//! One runner as its arbiter sees it: load, concurrency limit and speed.
+
+use std::time::{Duration, Instant};
+
+use super::message::Sample;
+use crate::catalogue::Class;
+
+/// Weight of a new sample in a runner's means.
+const GAIN: f64 = 0.2;
+
+/// Share of the limit that is kept when targets are missed.
+const CUT: f64 = 0.85;
+
+/// Pause between two cuts of the limit, so that a cut can show.
+const CUT_PAUSE: Duration = Duration::from_secs(1);
+
+/// Share of the target below which the limit grows.
+const COMFORT: f64 = 0.85;
+
+/// Age after which a load report counts no more.
+const REPORT_LIFE: Duration = Duration::from_secs(3);
+
+/// Half of the window over which load reports may lag.
+const REPORT_LAG: Duration = Duration::from_secs(1);
+
+/// Pause after a refusal by the runner.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(200);
+
+/// Refusals in a row after which a runner counts as down.
+const MAX_REFUSALS: u32 = 3;
+
+/// First pause before a runner is probed.
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
+
+/// Longest pause before a runner is probed.
+const LONGEST_PAUSE: Duration = Duration::from_secs(8);
+
+/// Why a runner is given nothing but a probe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Cause {
+    /// Much slower than its pool.
+    Slow,
+    /// Its connections broke.
+    Down,
+}
+
+/// Whether a runner is used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Health {
+    Good,
+    Out {
+        cause: Cause,
+        since: Instant,
+        probe_at: Instant,
+        pause: Duration,
+        probing: bool,
+    },
+}
+
+/// A mean of recent samples.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Mean {
+    value: f64,
+    samples: u32,
+}
+
+impl Mean {
+    fn add(&mut self, value: Duration) {
+        let value = value.as_secs_f64();
+        if self.samples == 0 {
+            self.value = value;
+        }
+        self.value += GAIN * (value - self.value);
+        self.samples = self.samples.saturating_add(1);
+    }
+
+    /// The mean, once there are `least` samples.
+    pub(super) fn get(&self, least: u32) -> Option<f64> {
+        (self.samples >= least).then_some(self.value)
+    }
+}
+
+/// State of one runner.
+#[derive(Debug)]
+pub(super) struct Runner {
+    pub(super) leaving: bool,
+    /// Kept free of others for a request that must run alone.
+    pub(super) reserved: bool,
+    pub(super) held: u32,
+    pub(super) health: Health,
+    pub(super) between: Mean,
+    pub(super) first: Mean,
+    pub(super) whole: Mean,
+    limit: f64,
+    max: u32,
+    /// Batch size that the runner reports.
+    slots: u32,
+    strain: f64,
+    cut_at: Option<Instant>,
+    paused_until: Option<Instant>,
+    refusals: u32,
+    /// Most held in this and the previous lag period.
+    peaks: [u32; 2],
+    peak_at: Option<Instant>,
+    foreign: u32,
+    reported_at: Option<Instant>,
+}
+
+impl Runner {
+    pub(super) fn new(max: u32) -> Self {
+        Self {
+            leaving: false,
+            reserved: false,
+            held: 0,
+            health: Health::Good,
+            between: Mean::default(),
+            first: Mean::default(),
+            whole: Mean::default(),
+            limit: f64::from(max),
+            max,
+            slots: 0,
+            strain: 0.0,
+            cut_at: None,
+            paused_until: None,
+            refusals: 0,
+            peaks: [0; 2],
+            peak_at: None,
+            foreign: 0,
+            reported_at: None,
+        }
+    }
+
+    pub(super) fn set_max(&mut self, max: u32) {
+        if self.max != max {
+            self.max = max;
+            self.limit = f64::from(max);
+        }
+    }
+
+    /// Most requests that it is given at once.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "between one and the catalogue's maximum"
+    )]
+    pub(super) fn limit(&self) -> u32 {
+        let limit = (self.limit as u32).clamp(1, self.max);
+        if self.slots == 0 {
+            limit
+        } else {
+            limit.min(self.slots)
+        }
+    }
+
+    /// Requests there: granted here, and reported beyond those.
+    pub(super) fn load(&self, now: Instant) -> u32 {
+        let fresh = self
+            .reported_at
+            .is_some_and(|at| now.saturating_duration_since(at) < REPORT_LIFE);
+        self.held + if fresh { self.foreign } else { 0 }
+    }
+
+    pub(super) fn is_usable(&self) -> bool {
+        !self.leaving && self.health == Health::Good
+    }
+
+    /// Slots that can be granted now.
+    pub(super) fn free(&self, now: Instant) -> u32 {
+        let paused = self.paused_until.is_some_and(|until| now < until);
+        if !self.is_usable() || self.reserved || paused {
+            return 0;
+        }
+        self.limit().saturating_sub(self.load(now))
+    }
+
+    /// Whether it may be tried with one request.
+    pub(super) fn wants_probe(&self, now: Instant) -> bool {
+        let due =
+            matches!(self.health, Health::Out { probe_at, probing: false, .. } if probe_at <= now);
+        due && !self.leaving && !self.reserved && self.held == 0
+    }
+
+    pub(super) fn on_grant(&mut self, now: Instant) {
+        self.held += 1;
+        self.roll_peaks(now);
+        self.peaks[0] = self.peaks[0].max(self.held);
+        if let Health::Out { probing, .. } = &mut self.health {
+            *probing = true;
+            self.between = Mean::default();
+            self.first = Mean::default();
+            self.whole = Mean::default();
+        }
+    }
+
+    pub(super) fn on_free(&mut self, now: Instant) {
+        self.roll_peaks(now);
+        self.held = self.held.saturating_sub(1);
+    }
+
+    /// Takes in a load report that tells of the recent past.
+    pub(super) fn on_load(&mut self, now: Instant, running: u32, slots: u32) {
+        self.roll_peaks(now);
+        let own = self.peaks[0].max(self.peaks[1]).max(self.held);
+        self.foreign = running.saturating_sub(own);
+        self.slots = slots;
+        self.reported_at = Some(now);
+    }
+
+    /// Takes in what a finished request saw.
+    pub(super) fn on_sample(&mut self, now: Instant, class: &Class, sample: &Sample) {
+        self.refusals = 0;
+        if let Some(first) = sample.first_token {
+            self.first.add(first);
+        }
+        match sample.between_tokens {
+            Some(between) => {
+                self.between.add(between);
+                self.adapt(now, between, class.between_tokens);
+            }
+            None if sample.first_token.is_none() => {
+                self.whole.add(sample.whole);
+                self.adapt(now, sample.whole, class.whole);
+            }
+            None => {}
+        }
+    }
+
+    /// Takes in what running streams see.
+    pub(super) fn on_progress(&mut self, silent: Duration, between: Option<Duration>) {
+        if self
+            .first
+            .get(1)
+            .is_none_or(|first| silent.as_secs_f64() > first)
+            && !silent.is_zero()
+        {
+            self.first.add(silent);
+        }
+        if let Some(between) = between {
+            self.between.add(between);
+        }
+    }
+
+    /// Moves the limit by how the seen latency compares with the target.
+    fn adapt(&mut self, now: Instant, seen: Duration, target: Duration) {
+        let ratio = seen.as_secs_f64() / target.as_secs_f64().max(0.000_001);
+        self.strain += GAIN * (ratio - self.strain);
+        let rested = self
+            .cut_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= CUT_PAUSE);
+        if self.strain > 1.0 && rested {
+            self.limit = (self.limit * CUT).max(1.0);
+            self.cut_at = Some(now);
+        } else if self.strain < COMFORT && self.held + 1 >= self.limit() {
+            self.limit = (self.limit + 1.0 / self.limit).min(f64::from(self.max));
+        }
+    }
+
+    /// Takes in a refusal before running; true when the runner counts as down.
+    pub(super) fn on_refused(&mut self, now: Instant) -> bool {
+        self.refusals += 1;
+        self.paused_until = Some(now + REFUSAL_PAUSE);
+        self.refusals >= MAX_REFUSALS
+    }
+
+    /// Takes it out of use until a probe succeeds.
+    pub(super) fn put_out(&mut self, now: Instant, cause: Cause) {
+        let pause = match self.health {
+            Health::Good => FIRST_PAUSE,
+            Health::Out { pause, probing, .. } if probing => (pause * 2).min(LONGEST_PAUSE),
+            Health::Out { .. } => return,
+        };
+        self.refusals = 0;
+        self.health = Health::Out {
+            cause,
+            since: now,
+            probe_at: now + pause,
+            pause,
+            probing: false,
+        };
+    }
+
+    /// Puts it to use again.
+    pub(super) fn put_back(&mut self) {
+        self.health = Health::Good;
+        self.limit = f64::from(self.max);
+        self.strain = 0.0;
+    }
+
+    /// A probe that told nothing: the next one may start at once.
+    pub(super) fn end_probe(&mut self) {
+        if let Health::Out { probing, .. } = &mut self.health {
+            *probing = false;
+        }
+    }
+
+    fn roll_peaks(&mut self, now: Instant) {
+        let at = *self.peak_at.get_or_insert(now);
+        if now.saturating_duration_since(at) >= REPORT_LAG {
+            self.peaks = [self.held, self.peaks[0]];
+            self.peak_at = Some(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/arbiter/suspect.rs
@@ -0,0 +1,175 @@
+//! Requests that are kept from the common queue: suspects of crashing runners,
+//! and copies of requests that have not completed anywhere yet.
+//!
+//! Suspects run alone, one per pool at a time. Of one fingerprint at most two
+//! copies wait or run before the first completion, so that a request sent many
+//! times at once crashes two runners at most before it is known; alone, it
+//! crashes one more.
+
+use std::time::Instant;
+
+use indexmap::{IndexMap, IndexSet};
+
+use super::{Key, NO_FINGERPRINT, queue::Item};
+use crate::id::{Fingerprint, RunnerId};
+
+/// Copies of one unproven request that wait or run at once.
+const MAX_COPIES: u32 = 2;
+
+/// Fingerprints remembered as having completed.
+const MAX_PROVEN: usize = 8_192;
+
+/// The request that is running alone, or about to.
+#[derive(Clone, Debug)]
+pub(super) struct Alone {
+    pub(super) key: Key,
+    pub(super) runner: RunnerId,
+}
+
+/// Requests out of the common queue.
+#[derive(Debug, Default)]
+pub(super) struct Suspects {
+    waiting: IndexMap<Key, Item>,
+    parked: IndexMap<Key, Item>,
+    copies: IndexMap<Fingerprint, u32>,
+    proven: IndexSet<Fingerprint>,
+    pub(super) alone: Option<Alone>,
+}
+
+impl Suspects {
+    pub(super) fn is_idle(&self) -> bool {
+        self.waiting.is_empty() && self.parked.is_empty()
+    }
+
+    pub(super) fn waiting(&self) -> usize {
+        self.waiting.len() + self.parked.len()
+    }
+
+    pub(super) fn waiting_of(&self, account: &str) -> u32 {
+        let all = self.waiting.values().chain(self.parked.values());
+        let of = all.filter(|it| &*it.account == account).count();
+        u32::try_from(of).unwrap_or(u32::MAX)
+    }
+
+    pub(super) fn contains(&self, key: Key) -> bool {
+        self.waiting.contains_key(&key) || self.parked.contains_key(&key)
+    }
+
+    pub(super) fn get(&self, key: Key) -> Option<&Item> {
+        self.waiting.get(&key)
+    }
+
+    pub(super) fn keys(&self) -> impl Iterator<Item = Key> {
+        self.waiting.keys().chain(self.parked.keys()).copied()
+    }
+
+    pub(super) fn push(&mut self, item: Item) {
+        self.waiting.insert(item.key, item);
+    }
+
+    pub(super) fn remove(&mut self, key: Key) -> Option<Item> {
+        let item = self.waiting.shift_remove(&key);
+        item.or_else(|| self.parked.shift_remove(&key))
+    }
+
+    pub(super) fn expired(&self, now: Instant) -> Vec<Key> {
+        let all = self.waiting.values().chain(self.parked.values());
+        let expired = all.filter(|it| it.deadline <= now);
+        expired.map(|it| it.key).collect()
+    }
+
+    /// The next suspect: highest tier, longest waiting.
+    pub(super) fn next(&self) -> Option<&Item> {
+        self.waiting
+            .values()
+            .min_by_key(|it| (it.class.tier, it.since, it.key))
+    }
+
+    /// Counts a copy, or parks it when there are enough.
+    pub(super) fn admit_copy(&mut self, item: Item) -> Option<Item> {
+        if item.fingerprint == NO_FINGERPRINT || self.proven.contains(&item.fingerprint) {
+            return Some(item);
+        }
+        let copies = self.copies.entry(item.fingerprint).or_default();
+        if *copies >= MAX_COPIES {
+            self.parked.insert(item.key, item);
+            return None;
+        }
+        *copies += 1;
+        Some(item)
+    }
+
+    /// Counts a copy that runs already.
+    pub(super) fn adopt_copy(&mut self, fingerprint: Fingerprint) {
+        if fingerprint != NO_FINGERPRINT && !self.proven.contains(&fingerprint) {
+            *self.copies.entry(fingerprint).or_default() += 1;
+        }
+    }
+
+    /// A waiting copy went away; the parked ones that may take its place.
+    pub(super) fn copy_gone(&mut self, item: &Item) -> Vec<Item> {
+        self.end_copy(item.fingerprint)
+    }
+
+    /// A copy ended without completing; the parked ones that may take its place.
+    pub(super) fn end_copy(&mut self, fingerprint: Fingerprint) -> Vec<Item> {
+        let Some(copies) = self.copies.get_mut(&fingerprint) else {
+            return Vec::new();
+        };
+        *copies = copies.saturating_sub(1);
+        let room = MAX_COPIES - (*copies).min(MAX_COPIES);
+        let next = self.take_parked(fingerprint, room as usize);
+        self.add_copies(fingerprint, next.len());
+        next
+    }
+
+    /// A copy completed; all parked ones may go.
+    pub(super) fn prove(&mut self, fingerprint: Fingerprint) -> Vec<Item> {
+        if fingerprint == NO_FINGERPRINT || self.proven.contains(&fingerprint) {
+            return Vec::new();
+        }
+        if self.proven.len() >= MAX_PROVEN {
+            self.proven.swap_remove_index(0);
+        }
+        self.proven.insert(fingerprint);
+        self.copies.swap_remove(&fingerprint);
+        self.take_parked(fingerprint, usize::MAX)
+    }
+
+    /// A request came under suspicion; its parked copies.
+    pub(super) fn suspect(&mut self, fingerprint: Fingerprint) -> Vec<Item> {
+        self.proven.swap_remove(&fingerprint);
+        self.copies.swap_remove(&fingerprint);
+        self.take_parked(fingerprint, usize::MAX)
+    }
+
+    /// Waiting suspects of a fingerprint, after it was cleared or quarantined.
+    pub(super) fn take_waiting(&mut self, fingerprint: Fingerprint) -> Vec<Item> {
+        take(&mut self.waiting, fingerprint, usize::MAX)
+    }
+
+    /// Fingerprints of the waiting suspects.
+    pub(super) fn fingerprints(&self) -> Vec<Fingerprint> {
+        self.waiting.values().map(|it| it.fingerprint).collect()
+    }
+
+    fn take_parked(&mut self, fingerprint: Fingerprint, most: usize) -> Vec<Item> {
+        take(&mut self.parked, fingerprint, most)
+    }
+
+    fn add_copies(&mut self, fingerprint: Fingerprint, count: usize) {
+        let copies = self.copies.entry(fingerprint).or_default();
+        *copies += u32::try_from(count).unwrap_or(u32::MAX);
+        if *copies == 0 {
+            self.copies.swap_remove(&fingerprint);
+        }
+    }
+}
+
+fn take(items: &mut IndexMap<Key, Item>, fingerprint: Fingerprint, most: usize) -> Vec<Item> {
+    let matching = items.values().filter(|it| it.fingerprint == fingerprint);
+    let keys: Vec<Key> = matching.map(|it| it.key).take(most).collect();
+    keys.iter()
+        .filter_map(|key| items.shift_remove(key))
+        .collect()
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod generated;
 pub mod member;
 pub mod status;
+pub mod slot;
 
 /// Version of every message format here.
 pub const VERSION: u32 = 1;
--- /dev/null
+++ b/crates/wire/src/slot.rs
@@ -0,0 +1,383 @@
+//! Slot messages: the policy's types from and to their wire form.
+
+use std::time::Duration;
+
+use citron_policy::{
+    arbiter::{Ask, Asked, Beat, End, Hold, Progress, Recital, Refusal, Reply, Request, Sample},
+    crash::Step,
+    id::{Epoch, ServiceId},
+};
+use derive_more::{Display, Error};
+
+use crate::generated::slot as proto;
+
+/// Most items of one message, and of each list in it.
+pub const MAX_ITEMS: usize = 65_536;
+
+/// Longest name in a message, in bytes.
+const MAX_NAME_BYTES: usize = 256;
+
+/// Longest duration in a message.
+const MAX_DURATION: Duration = Duration::from_hours(24);
+
+/// Why a slot message makes no sense.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum Error {
+    /// A part that every message has is absent.
+    #[display("slot message without its {part}: run the same version on all daemons")]
+    Missing {
+        /// What is absent.
+        part: &'static str,
+    },
+    /// A list or name is over its limit.
+    #[display("slot message with too long a {part}: run the same version on all daemons")]
+    TooLong {
+        /// What is too long.
+        part: &'static str,
+    },
+}
+
+/// What one side says about one shard.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Content {
+    /// An asker's requests.
+    Asked(Vec<Asked>),
+    /// An arbiter's replies.
+    Replies(Epoch, Vec<Reply>),
+}
+
+/// The wire form of requests about a shard.
+#[must_use]
+pub fn of_asked(service: &str, shard: u32, asked: Vec<Asked>) -> proto::Message {
+    proto::Message {
+        service: service.to_owned(),
+        shard,
+        asked: asked.into_iter().map(from_asked).collect(),
+        ..proto::Message::default()
+    }
+}
+
+/// The wire form of replies about a shard.
+#[must_use]
+pub fn of_replies(service: &str, shard: u32, epoch: Epoch, replies: Vec<Reply>) -> proto::Message {
+    proto::Message {
+        service: service.to_owned(),
+        shard,
+        epoch,
+        replies: replies.into_iter().map(from_reply).collect(),
+        ..proto::Message::default()
+    }
+}
+
+/// Service, shard and content of a message.
+///
+/// # Errors
+/// [`Error`] when a part is absent or too long.
+pub fn read(message: proto::Message) -> Result<(ServiceId, u32, Content), Error> {
+    let service = name(message.service, "service")?;
+    check(
+        message.asked.len().max(message.replies.len()),
+        "list of messages",
+    )?;
+    let content = if message.asked.is_empty() {
+        let replies = message.replies.into_iter().map(to_reply);
+        Content::Replies(message.epoch, replies.collect::<Result<_, _>>()?)
+    } else {
+        let asked = message.asked.into_iter().map(to_asked);
+        Content::Asked(asked.collect::<Result<_, _>>()?)
+    };
+    Ok((service, message.shard, content))
+}
+
+fn from_asked(asked: Asked) -> proto::Asked {
+    use proto::asked::Request as Out;
+    let request = match asked.request {
+        Request::Ask(ask) => Out::Ask(from_ask(ask)),
+        Request::Withdraw(ticket) => Out::Withdraw(ticket),
+        Request::Release(ticket, sample) => Out::Release(from_sample(ticket, sample)),
+        Request::Beat(beat) => Out::Beat(from_beat(beat)),
+        Request::Recital(recital) => Out::Recital(from_recital(recital)),
+    };
+    proto::Asked {
+        least: asked.least,
+        fallback: asked.fallback,
+        request: Some(request),
+    }
+}
+
+fn to_asked(asked: proto::Asked) -> Result<Asked, Error> {
+    use proto::asked::Request as In;
+    let request = match asked.request.ok_or(Error::Missing { part: "request" })? {
+        In::Ask(ask) => Request::Ask(to_ask(ask)?),
+        In::Withdraw(ticket) => Request::Withdraw(ticket),
+        In::Release(release) => Request::Release(release.ticket, to_sample(&release)?),
+        In::Beat(beat) => Request::Beat(to_beat(beat)?),
+        In::Recital(recital) => Request::Recital(to_recital(recital)?),
+    };
+    Ok(Asked {
+        least: asked.least,
+        fallback: asked.fallback,
+        request,
+    })
+}
+
+fn from_ask(ask: Ask) -> proto::Ask {
+    proto::Ask {
+        ticket: ask.ticket,
+        class: ask.class,
+        account: ask.account,
+        fingerprint: ask.fingerprint,
+        prefix: ask.prefix,
+        remaining_us: micros(ask.remaining),
+        waited_us: micros(ask.waited),
+        avoid: ask.avoid,
+        resume: ask.resume,
+        suspected: ask.suspected,
+    }
+}
+
+fn to_ask(ask: proto::Ask) -> Result<Ask, Error> {
+    check(ask.avoid.len(), "list of runners to avoid")?;
+    let avoid = ask.avoid.into_iter().map(|it| name(it, "runner"));
+    Ok(Ask {
+        ticket: ask.ticket,
+        class: name(ask.class, "class")?,
+        account: name(ask.account, "account")?,
+        fingerprint: ask.fingerprint,
+        prefix: ask.prefix,
+        remaining: duration(ask.remaining_us),
+        waited: duration(ask.waited_us),
+        avoid: avoid.collect::<Result<_, _>>()?,
+        resume: ask.resume,
+        suspected: ask.suspected,
+    })
+}
+
+fn from_sample(ticket: u64, sample: Sample) -> proto::Release {
+    let end = match sample.end {
+        End::Done => proto::End::Done,
+        End::Cancelled => proto::End::Cancelled,
+        End::Refused => proto::End::Refused,
+        End::Broken => proto::End::Broken,
+        End::Late => proto::End::Late,
+        End::Preempted => proto::End::Preempted,
+    };
+    proto::Release {
+        ticket,
+        end: end.into(),
+        first_token_us: sample.first_token.map(micros),
+        between_tokens_us: sample.between_tokens.map(micros),
+        whole_us: micros(sample.whole),
+        tokens: sample.tokens,
+    }
+}
+
+fn to_sample(release: &proto::Release) -> Result<Sample, Error> {
+    let end = match release.end() {
+        proto::End::Unspecified => return Err(Error::Missing { part: "end" }),
+        proto::End::Done => End::Done,
+        proto::End::Cancelled => End::Cancelled,
+        proto::End::Refused => End::Refused,
+        proto::End::Broken => End::Broken,
+        proto::End::Late => End::Late,
+        proto::End::Preempted => End::Preempted,
+    };
+    Ok(Sample {
+        end,
+        first_token: release.first_token_us.map(duration),
+        between_tokens: release.between_tokens_us.map(duration),
+        whole: duration(release.whole_us),
+        tokens: release.tokens,
+    })
+}
+
+fn from_beat(beat: Beat) -> proto::Beat {
+    let progress = beat.progress.into_iter().map(|it| proto::Progress {
+        runner: it.runner,
+        silent_us: micros(it.silent),
+        between_tokens_us: it.between_tokens.map(micros),
+    });
+    proto::Beat {
+        count: beat.count,
+        digest: beat.digest,
+        progress: progress.collect(),
+    }
+}
+
+fn to_beat(beat: proto::Beat) -> Result<Beat, Error> {
+    check(beat.progress.len(), "list of runners")?;
+    let progress = beat.progress.into_iter().map(|it| {
+        Ok(Progress {
+            runner: name(it.runner, "runner")?,
+            silent: duration(it.silent_us),
+            between_tokens: it.between_tokens_us.map(duration),
+        })
+    });
+    Ok(Beat {
+        count: beat.count,
+        digest: beat.digest,
+        progress: progress.collect::<Result<_, _>>()?,
+    })
+}
+
+fn from_recital(recital: Recital) -> proto::Recital {
+    let held = recital.held.into_iter().map(|hold| proto::Hold {
+        ask: Some(from_ask(hold.ask)),
+        runner: hold.runner,
+        alone: hold.alone,
+        age_us: micros(hold.age),
+    });
+    proto::Recital {
+        waiting: recital.waiting,
+        held: held.collect(),
+        suspected: recital.suspected,
+        quarantined: recital.quarantined,
+    }
+}
+
+fn to_recital(recital: proto::Recital) -> Result<Recital, Error> {
+    check(recital.held.len(), "list of slots")?;
+    check(recital.waiting.len(), "list of tickets")?;
+    check(
+        recital.suspected.len().max(recital.quarantined.len()),
+        "list of marks",
+    )?;
+    let held = recital.held.into_iter().map(|hold| {
+        Ok(Hold {
+            ask: to_ask(hold.ask.ok_or(Error::Missing { part: "ask" })?)?,
+            runner: name(hold.runner, "runner")?,
+            alone: hold.alone,
+            age: duration(hold.age_us),
+        })
+    });
+    Ok(Recital {
+        waiting: recital.waiting,
+        held: held.collect::<Result<_, _>>()?,
+        suspected: recital.suspected,
+        quarantined: recital.quarantined,
+    })
+}
+
+fn from_reply(reply: Reply) -> proto::Reply {
+    use proto::reply::Reply as Out;
+    let reply = match reply {
+        Reply::Queued(ticket) => Out::Queued(ticket),
+        Reply::Grant {
+            ticket,
+            runner,
+            alone,
+        } => Out::Grant(proto::Grant {
+            ticket,
+            runner,
+            alone,
+        }),
+        Reply::Refused(ticket, refusal) => Out::Refused(from_refusal(ticket, &refusal)),
+        Reply::Preempt(ticket) => Out::Preempt(ticket),
+        Reply::Beat => Out::Beat(proto::Nothing {}),
+        Reply::Recite => Out::Recite(proto::Nothing {}),
+        Reply::Unknown(tickets) => Out::Unknown(proto::Unknown { tickets }),
+        Reply::Mark(step) => Out::Mark(from_step(step)),
+        Reply::Moved { to } => Out::Moved(proto::Moved {
+            to: to.unwrap_or_default(),
+        }),
+    };
+    proto::Reply { reply: Some(reply) }
+}
+
+fn to_reply(reply: proto::Reply) -> Result<Reply, Error> {
+    use proto::reply::Reply as In;
+    Ok(match reply.reply.ok_or(Error::Missing { part: "reply" })? {
+        In::Queued(ticket) => Reply::Queued(ticket),
+        In::Grant(grant) => Reply::Grant {
+            ticket: grant.ticket,
+            runner: name(grant.runner, "runner")?,
+            alone: grant.alone,
+        },
+        In::Refused(refused) => Reply::Refused(refused.ticket, to_refusal(&refused)?),
+        In::Preempt(ticket) => Reply::Preempt(ticket),
+        In::Beat(_) => Reply::Beat,
+        In::Recite(_) => Reply::Recite,
+        In::Unknown(unknown) => {
+            check(unknown.tickets.len(), "list of tickets")?;
+            Reply::Unknown(unknown.tickets)
+        }
+        In::Mark(mark) => Reply::Mark(to_step(mark)?),
+        In::Moved(moved) if moved.to.is_empty() => Reply::Moved { to: None },
+        In::Moved(moved) => Reply::Moved {
+            to: Some(name(moved.to, "instance")?),
+        },
+    })
+}
+
+fn from_refusal(ticket: u64, refusal: &Refusal) -> proto::Refused {
+    let (reason, retry_after) = match refusal {
+        Refusal::Shed { retry_after } => (proto::Reason::Shed, *retry_after),
+        Refusal::NoRunner { retry_after } => (proto::Reason::NoRunner, *retry_after),
+        Refusal::Quarantined => (proto::Reason::Quarantined, Duration::ZERO),
+        Refusal::Account { retry_after } => (proto::Reason::Account, *retry_after),
+        Refusal::Late => (proto::Reason::Late, Duration::ZERO),
+        Refusal::Unreachable { retry_after } => (proto::Reason::Unreachable, *retry_after),
+    };
+    proto::Refused {
+        ticket,
+        reason: reason.into(),
+        retry_after_us: micros(retry_after),
+    }
+}
+
+fn to_refusal(refused: &proto::Refused) -> Result<Refusal, Error> {
+    let retry_after = duration(refused.retry_after_us);
+    Ok(match refused.reason() {
+        proto::Reason::Unspecified => return Err(Error::Missing { part: "reason" }),
+        proto::Reason::Shed => Refusal::Shed { retry_after },
+        proto::Reason::NoRunner => Refusal::NoRunner { retry_after },
+        proto::Reason::Quarantined => Refusal::Quarantined,
+        proto::Reason::Account => Refusal::Account { retry_after },
+        proto::Reason::Late => Refusal::Late,
+        proto::Reason::Unreachable => Refusal::Unreachable { retry_after },
+    })
+}
+
+fn from_step(step: Step) -> proto::Mark {
+    use proto::mark::Step as Out;
+    let step = match step {
+        Step::Suspected(all) => Out::Suspected(proto::Fingerprints { all }),
+        Step::Quarantined(it) => Out::Quarantined(it),
+        Step::Cleared(it) => Out::Cleared(it),
+    };
+    proto::Mark { step: Some(step) }
+}
+
+fn to_step(mark: proto::Mark) -> Result<Step, Error> {
+    use proto::mark::Step as In;
+    Ok(match mark.step.ok_or(Error::Missing { part: "mark" })? {
+        In::Suspected(it) => {
+            check(it.all.len(), "list of marks")?;
+            Step::Suspected(it.all)
+        }
+        In::Quarantined(it) => Step::Quarantined(it),
+        In::Cleared(it) => Step::Cleared(it),
+    })
+}
+
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
+
+fn duration(micros: u64) -> Duration {
+    Duration::from_micros(micros).min(MAX_DURATION)
+}
+
+fn name(text: String, part: &'static str) -> Result<String, Error> {
+    if text.len() > MAX_NAME_BYTES {
+        return Err(Error::TooLong { part });
+    }
+    Ok(text)
+}
+
+fn check(len: usize, part: &'static str) -> Result<(), Error> {
+    if len > MAX_ITEMS {
+        return Err(Error::TooLong { part });
+    }
+    Ok(())
+}
