slots: arbiters and desks behind the public interface

Asks go to the first daemon of the rendezvous order, without the network when that is this one; load reports are polled by the arbiter's daemon.

--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -1,33 +1,56 @@
-//! Slots on runners for this daemon's requests.
+//! Slots on runners for this daemon's requests, and the arbiters it hosts.
 //!
 //! A request takes a slot, streams directly with the runner that it names, and
-//! releases it with what was seen on the way.
+//! releases it with what was seen on the way. The decisions are those of
+//! [`citron_policy::desk`] and [`citron_policy::arbiter`]; here their effects
+//! are carried out. When this daemon hosts the arbiter of a service, its own
+//! asks never touch the network.
+
+mod host;
+mod metrics;
+mod poll;
+mod progress;
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime},
 };
 
 use citron_policy::{
+    arbiter::{Ask, Ticket, order},
     crash,
+    desk::{self, Desk},
     feed::View,
     id::{AccountId, ClassId, Fingerprint, InstanceId, RequestId, RunnerId, ServiceId},
     member::Members,
-    platform::{List, Standing},
+    platform::List,
+};
+use citron_wire::{
+    generated::slot as proto,
+    slot::{self as form, Content},
 };
-use citron_wire::generated::slot as proto;
-use derive_more::{Display, Error};
 use futures_util::future::LocalBoxFuture;
 use indexmap::IndexMap;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{oneshot, watch};
+
+pub use citron_policy::arbiter::{End, Refusal, Sample};
+pub use metrics::Metrics;
 
 use crate::{event::Ring, peers::Hub};
+use host::{Host, Work};
+use progress::Stream;
+
+/// Time between two ticks of desks and arbiters.
+const TICK: Duration = Duration::from_millis(50);
 
-/// Time after which to ask again when no runner is listed.
-const NO_RUNNER_RETRY: Duration = Duration::from_secs(1);
+/// Time between two proposals of marks that are not confirmed.
+const PROPOSE_AGAIN: Duration = Duration::from_secs(5);
+
+/// Tickets a millisecond that a restarted daemon will not meet again.
+const TICKETS_PER_MS: u64 = 1_024;
 
 /// What a request needs.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -52,73 +75,6 @@
     pub resume: bool,
 }
 
-/// How the work of a slot ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
-    /// The whole answer came.
-    Done,
-    /// The caller left.
-    Cancelled,
-    /// The runner refused before running.
-    Refused,
-    /// The runner's connection broke mid-exchange.
-    Broken,
-    /// The deadline passed on the runner.
-    Late,
-    /// The arbiter wanted the slot back.
-    Preempted,
-}
-
-/// What was seen while a slot was used.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Sample {
-    /// How it ended.
-    pub end: End,
-    /// Time to the first token.
-    pub first_token: Option<Duration>,
-    /// Mean time between tokens.
-    pub between_tokens: Option<Duration>,
-    /// Time of the whole exchange.
-    pub whole: Duration,
-    /// Tokens received.
-    pub tokens: u32,
-}
-
-/// Why no slot was given; final, and given at once.
-#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
-pub enum Refusal {
-    /// Higher tiers or older requests need the capacity.
-    #[display("no capacity for this class now: come back in {retry_after:?}")]
-    Shed {
-        /// When to come back.
-        retry_after: Duration,
-    },
-    /// The service has no usable runner.
-    #[display("no runner of the service can take the request: come back in {retry_after:?}")]
-    NoRunner {
-        /// When to come back.
-        retry_after: Duration,
-    },
-    /// The request crashed runners and will not run again.
-    #[display("this request crashed runners and is quarantined: change it, or ask its operator")]
-    Quarantined,
-    /// The account is at its limit.
-    #[display("the account is at its limit: come back in {retry_after:?}")]
-    Account {
-        /// When to come back.
-        retry_after: Duration,
-    },
-    /// The deadline passed, or cannot be met any more.
-    #[display("the deadline passed while the request waited: allow it more time")]
-    Late,
-    /// No arbiter could be reached.
-    #[display("no arbiter answers for the service: come back in {retry_after:?}")]
-    Unreachable {
-        /// When to come back.
-        retry_after: Duration,
-    },
-}
-
 /// What the slots of this daemon work on.
 #[derive(Clone, Debug)]
 pub struct Inputs {
@@ -142,7 +98,28 @@
 struct Inner {
     hub: Hub,
     inputs: Inputs,
-    held: RefCell<IndexMap<RunnerId, u32>>,
+    propose: Propose,
+    ring: Ring,
+    metrics: Metrics,
+    host: RefCell<Host>,
+    waiting: RefCell<IndexMap<Ticket, Waiter>>,
+    streams: RefCell<IndexMap<Ticket, Rc<Stream>>>,
+    next: Cell<Ticket>,
+    /// Whether an event is being carried out, which takes in those it leads to.
+    busy: Cell<bool>,
+}
+
+/// A request that waits for its slot.
+struct Waiter {
+    request: RequestId,
+    class: ClassId,
+    tell: oneshot::Sender<Result<Grant, Refusal>>,
+}
+
+struct Grant {
+    runner: RunnerId,
+    alone: bool,
+    waited: Duration,
 }
 
 impl std::fmt::Debug for Slots {
@@ -156,55 +133,142 @@
 impl Slots {
     /// Slots over `inputs`; [`Slots::run`] must be spawned beside them.
     #[must_use]
-    pub fn new(hub: Hub, inputs: Inputs, _propose: Propose, _ring: Ring) -> Self {
+    pub fn new(hub: Hub, inputs: Inputs, propose: Propose, ring: Ring) -> Self {
+        let since_epoch = SystemTime::now()
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .unwrap_or_default();
+        let first = u64::try_from(since_epoch.as_millis()).unwrap_or(0) * TICKETS_PER_MS;
         let inner = Inner {
+            host: RefCell::new(Host::new(hub.me().clone())),
             hub,
             inputs,
-            held: RefCell::default(),
+            propose,
+            ring,
+            metrics: Metrics::default(),
+            waiting: RefCell::default(),
+            streams: RefCell::default(),
+            next: Cell::new(first),
+            busy: Cell::new(false),
         };
         Self {
             inner: Rc::new(inner),
         }
     }
 
-    /// Does what is due by time, for ever.
+    /// The metrics, to be registered.
+    #[must_use]
+    pub fn metrics(&self) -> &Metrics {
+        &self.inner.metrics
+    }
+
+    /// Follows the inputs and does what is due by time, for ever.
     pub async fn run(&self) {
-        std::future::pending::<()>().await;
+        actix_rt::spawn(poll::run(self.clone()));
+        let mut inputs = self.inner.inputs.clone();
+        let mut ticks = actix_rt::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut proposed = Instant::now();
+        self.inner.follow_all();
+        loop {
+            tokio::select! {
+                Ok(()) = inputs.members.changed() => self.inner.follow_members(),
+                Ok(()) = inputs.platform.changed() => self.inner.follow_platform(),
+                Ok(()) = inputs.view.changed() => self.inner.follow_view(),
+                _ = ticks.tick() => self.inner.tick(),
+            }
+            if proposed.elapsed() >= PROPOSE_AGAIN {
+                proposed = Instant::now();
+                self.inner.propose_again();
+            }
+        }
     }
 
     /// Waits for a slot; dropping the future withdraws the request.
     ///
     /// # Errors
     /// [`Refusal`], at once when the request is given up.
-    #[expect(
-        clippy::unused_async,
-        reason = "waits once grants come from an arbiter"
-    )]
     pub async fn take(&self, want: Want) -> Result<Slot, Refusal> {
-        let list = self.inner.inputs.platform.borrow().clone();
-        let mut held = self.inner.held.borrow_mut();
-        let runner = list
-            .runners
-            .iter()
-            .filter(|it| it.service == want.service && it.standing == Standing::Live)
-            .min_by_key(|it| (want.avoid.contains(&it.id), held.get(&it.id).copied()));
-        let runner = runner.ok_or(Refusal::NoRunner {
-            retry_after: NO_RUNNER_RETRY,
-        })?;
-        *held.entry(runner.id.clone()).or_default() += 1;
-        Ok(Slot {
-            runner: runner.id.clone(),
-            address: runner.address,
-            alone: false,
-            waited: Duration::ZERO,
-            preempt: Rc::new(Notify::new()),
+        let now = Instant::now();
+        let ticket = self.inner.next.get();
+        self.inner.next.set(ticket + 1);
+        let (tell, told) = oneshot::channel();
+        let waiter = Waiter {
+            request: want.request,
+            class: want.class.clone(),
+            tell,
+        };
+        self.inner.waiting.borrow_mut().insert(ticket, waiter);
+        let mut claim = Claim {
             inner: Rc::clone(&self.inner),
+            service: want.service.clone(),
+            ticket,
+            open: true,
+        };
+        self.inner.ask(now, ticket, want);
+        let grant = told.await.unwrap_or(Err(Refusal::Late));
+        let grant = match grant {
+            Ok(grant) => grant,
+            Err(refusal) => {
+                claim.open = false;
+                return Err(refusal);
+            }
+        };
+        let Some(address) = self.inner.address(&grant.runner) else {
+            return Err(Refusal::NoRunner {
+                retry_after: TICK * 10,
+            });
+        };
+        claim.open = false;
+        let stream = Rc::new(Stream::new(
+            Instant::now(),
+            claim.service.clone(),
+            grant.runner.clone(),
+        ));
+        self.inner
+            .streams
+            .borrow_mut()
+            .insert(ticket, Rc::clone(&stream));
+        Ok(Slot {
+            runner: grant.runner,
+            address,
+            alone: grant.alone,
+            waited: grant.waited,
+            claim: Claim {
+                inner: Rc::clone(&self.inner),
+                service: claim.service.clone(),
+                ticket,
+                open: true,
+            },
+            stream,
         })
     }
 
     /// Takes in a message of another daemon that wants no answer.
-    pub fn on_tell(&self, from: &InstanceId, _message: proto::Message) {
-        log::debug!("CP0301 slot message of {from} not understood");
+    pub fn on_tell(&self, from: &InstanceId, message: proto::Message) {
+        let (service, shard, content) = match form::read(message) {
+            Ok(parts) => parts,
+            Err(error) => {
+                self.inner.metrics.garbage.inc();
+                log::warn!("CP0301 message of {from} refused: {error}");
+                return;
+            }
+        };
+        if shard != 0 || !self.inner.is_declared(&service) {
+            self.inner.metrics.garbage.inc();
+            log::debug!("CP0301 message of {from} about unknown shard {service}/{shard}");
+            return;
+        }
+        let works = match content {
+            Content::Asked(asked) => asked
+                .into_iter()
+                .map(|it| Work::asked(&service, from, it))
+                .collect::<Vec<_>>(),
+            Content::Replies(epoch, replies) => replies
+                .into_iter()
+                .map(|it| Work::reply(&service, from, epoch, it))
+                .collect(),
+        };
+        self.inner.drive(works);
     }
 
     /// Answers a call of another daemon.
@@ -218,6 +282,82 @@
     }
 }
 
+impl Inner {
+    fn ask(&self, now: Instant, ticket: Ticket, want: Want) {
+        let ask = Ask {
+            ticket,
+            class: want.class,
+            account: want.account,
+            fingerprint: want.fingerprint,
+            prefix: want.prefix,
+            remaining: want.deadline.saturating_duration_since(now),
+            avoid: want.avoid,
+            resume: want.resume,
+            ..Ask::default()
+        };
+        let take = desk::Event::Take {
+            ask,
+            deadline: want.deadline,
+        };
+        self.open_desk(now, &want.service);
+        self.drive(vec![Work::Desk(want.service, take)]);
+    }
+
+    fn open_desk(&self, now: Instant, service: &ServiceId) {
+        let members = self.inputs.members.borrow().clone();
+        let marks = Arc::clone(&self.inputs.view.borrow().marks);
+        let mut host = self.host.borrow_mut();
+        if !host.desks.contains_key(service) {
+            let mut desk = Desk::new(now, desk::Settings::default());
+            // A desk without work has nothing to say about either.
+            drop(desk.on_event(now, desk::Event::Ranks(order(service, 0, &members))));
+            drop(desk.on_event(now, desk::Event::Marks(marks)));
+            host.desks.insert(service.clone(), desk);
+        }
+    }
+
+    fn is_declared(&self, service: &ServiceId) -> bool {
+        self.inputs
+            .view
+            .borrow()
+            .catalogue
+            .services
+            .contains_key(service)
+    }
+
+    fn address(&self, runner: &RunnerId) -> Option<SocketAddr> {
+        let list = self.inputs.platform.borrow();
+        let listed = list.runners.iter().find(|it| it.id == *runner);
+        listed.map(|it| it.address)
+    }
+}
+
+/// A ticket that is given back unless it is closed before.
+struct Claim {
+    inner: Rc<Inner>,
+    service: ServiceId,
+    ticket: Ticket,
+    open: bool,
+}
+
+impl Claim {
+    fn end(&mut self, event: desk::Event) {
+        if !std::mem::replace(&mut self.open, false) {
+            return;
+        }
+        self.inner.streams.borrow_mut().swap_remove(&self.ticket);
+        self.inner
+            .drive(vec![Work::Desk(self.service.clone(), event)]);
+    }
+}
+
+impl Drop for Claim {
+    fn drop(&mut self) {
+        self.inner.waiting.borrow_mut().swap_remove(&self.ticket);
+        self.end(desk::Event::Cancel(self.ticket));
+    }
+}
+
 /// The right to run one request on one runner; dropping it releases it as cancelled.
 pub struct Slot {
     /// Runner to use.
@@ -228,8 +368,8 @@
     pub alone: bool,
     /// Time that the request waited.
     pub waited: Duration,
-    preempt: Rc<Notify>,
-    inner: Rc<Inner>,
+    claim: Claim,
+    stream: Rc<Stream>,
 }
 
 impl std::fmt::Debug for Slot {
@@ -241,20 +381,20 @@
 }
 
 impl Slot {
-    /// Resolves when the arbiter wants the slot back.
+    /// Resolves when the arbiter wants the slot back, also when asked again.
     pub async fn preempted(&self) {
-        self.preempt.notified().await;
+        self.stream.preempted().await;
     }
 
-    /// Gives the slot back with what was seen.
-    pub fn release(self, _sample: Sample) {}
-}
+    /// Notes how many tokens have come; streams that note none are not judged.
+    pub fn note(&self, tokens: u32) {
+        self.stream.note(Instant::now(), tokens);
+    }
 
-impl Drop for Slot {
-    fn drop(&mut self) {
-        let mut held = self.inner.held.borrow_mut();
-        if let Some(count) = held.get_mut(&self.runner) {
-            *count -= 1;
-        }
+    /// Gives the slot back with what was seen.
+    pub fn release(mut self, sample: Sample) {
+        self.claim.inner.metrics.on_sample(&sample);
+        let release = desk::Event::Release(self.claim.ticket, sample);
+        self.claim.end(release);
     }
 }
--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -281,10 +281,10 @@
         self.estimate.lengths(class)
     }
 
-    /// Whether nothing waits here and no slot is in use.
+    /// Whether no daemon asks here any more.
     #[must_use]
-    pub fn is_idle(&self) -> bool {
-        self.queue.len() == 0 && self.running.is_empty() && self.suspects.is_idle()
+    pub fn is_unused(&self) -> bool {
+        self.askers.is_empty() && self.collecting.is_none()
     }
 
     /// Takes in an event and says what should happen.
--- a/crates/policy/src/arbiter/suspect.rs
+++ b/crates/policy/src/arbiter/suspect.rs
@@ -37,10 +37,6 @@
 }
 
 impl Suspects {
-    pub(super) fn is_idle(&self) -> bool {
-        self.waiting.is_empty() && self.parked.is_empty()
-    }
-
     pub(super) fn waiting(&self) -> usize {
         self.waiting.len() + self.parked.len()
     }
--- a/crates/policy/src/desk.rs
+++ b/crates/policy/src/desk.rs
@@ -184,6 +184,13 @@
         self.ranks.get(self.rank)
     }
 
+    /// Whether the next tick sends a heartbeat.
+    #[must_use]
+    pub fn is_beat_due(&self, now: Instant) -> bool {
+        let idle = self.waiting.is_empty() && self.held.is_empty();
+        !idle && now.saturating_duration_since(self.beaten) >= self.settings.beat
+    }
+
     /// Marks that the control log has not confirmed.
     #[must_use]
     pub fn unconfirmed(&self) -> Vec<Step> {
@@ -452,8 +459,7 @@
         if self.is_unheard(now) || (!self.waiting.is_empty() && silent > self.settings.beat * 3) {
             self.move_on(now, effects);
         }
-        let due = now.saturating_duration_since(self.beaten) >= self.settings.beat;
-        if due && !(self.waiting.is_empty() && self.held.is_empty()) {
+        if self.is_beat_due(now) {
             self.beat(now, effects);
         }
     }
