--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -294,6 +294,7 @@
         gossip.metrics().register(&mut registry);
         platform.metrics().register(&mut registry);
         follow.metrics().register(&mut registry);
+        slots.metrics().register(&mut registry);
         let counters = admin::Metrics::default();
         counters.register(&mut registry);
         let admin = Admin::new(admin::Ports {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,8 +11,8 @@
 pub mod control;
 pub mod generated;
 pub mod member;
-pub mod status;
 pub mod slot;
+pub mod status;
 
 /// Version of every message format here.
 pub const VERSION: u32 = 1;
