--- /dev/null
+++ b/crates/policy/tests/slots/mod.rs
@@ -0,0 +1,382 @@
+//! Desks and arbiters joined by hand, with every message in the test's grasp.
+
+#![allow(
+    dead_code,
+    reason = "each test file uses its own part of the shared pieces"
+)]
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use citron_policy::{
+    arbiter::{self, Arbiter, Ask, Asked, End, Note, Refusal, Reply, Sample, Ticket},
+    catalogue::{Account, Backend, Catalogue, Change, Class, Entry, Service},
+    crash,
+    desk::{self, Desk},
+    platform::{Runner, Standing},
+};
+use indexmap::{IndexMap, IndexSet};
+
+pub const SERVICE: &str = "assistant";
+
+pub fn class(name: &str, tier: u8, edit: impl FnOnce(&mut Class)) -> Class {
+    let mut class = Class {
+        name: name.to_owned(),
+        owner: "desk".to_owned(),
+        tier,
+        first_token: Duration::from_secs(2),
+        between_tokens: Duration::from_millis(100),
+        whole: Duration::from_secs(30),
+        wait_bound: Duration::from_secs(2),
+        queue_limit: 1_000,
+        preemptible: tier > 1,
+    };
+    edit(&mut class);
+    class
+}
+
+pub fn account(name: &str, digit: char, max_running: u32, max_queued: u32) -> Account {
+    Account {
+        name: name.to_owned(),
+        owner: "desk".to_owned(),
+        key_sha256: digit.to_string().repeat(64),
+        class: "c0".to_owned(),
+        classes: vec!["c1".to_owned(), "c2".to_owned()],
+        max_running,
+        max_queued,
+    }
+}
+
+pub fn service(max_running_per_runner: u32) -> Service {
+    Service {
+        name: SERVICE.to_owned(),
+        owner: "desk".to_owned(),
+        backend: Backend::Model,
+        class: "c0".to_owned(),
+        once: Vec::new(),
+        max_running_per_runner,
+        retry_percent: 10,
+        refusal_statuses: Vec::new(),
+        timeout: Duration::from_secs(60),
+        max_body_bytes: 1 << 20,
+    }
+}
+
+/// Three classes of three tiers and three accounts.
+pub fn catalogue(slots: u32, edit: impl Fn(&mut Class)) -> Arc<Catalogue> {
+    let mut puts: Vec<Entry> = (0..3)
+        .map(|tier| Entry::Class(Arc::new(class(&format!("c{tier}"), tier, &edit))))
+        .collect();
+    puts.push(Entry::Service(Arc::new(service(slots))));
+    for (name, digit) in [("a", 'a'), ("b", 'b'), ("c", 'c')] {
+        puts.push(Entry::Account(Arc::new(account(name, digit, 1_000, 1_000))));
+    }
+    let change = Change {
+        id: "c1".to_owned(),
+        operator: "ann".to_owned(),
+        puts,
+        ..Change::default()
+    };
+    Arc::new(Catalogue::default().apply(&change).expect("a catalogue"))
+}
+
+pub fn runners(count: usize) -> Vec<Runner> {
+    (0..count)
+        .map(|index| Runner {
+            id: format!("r{index}"),
+            service: SERVICE.to_owned(),
+            domain: "d".to_owned(),
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            standing: Standing::Live,
+        })
+        .collect()
+}
+
+pub fn ask(ticket: Ticket, class: &str, account: &str) -> Ask {
+    Ask {
+        ticket,
+        class: class.to_owned(),
+        account: account.to_owned(),
+        fingerprint: ticket,
+        remaining: Duration::from_secs(60),
+        ..Ask::default()
+    }
+}
+
+pub fn sample(end: End, whole: Duration) -> Sample {
+    let first_token = (end != End::Broken && end != End::Refused).then_some(whole / 10);
+    Sample {
+        end,
+        first_token,
+        between_tokens: first_token.map(|_| whole / 100),
+        whole,
+        tokens: 100,
+    }
+}
+
+pub fn done() -> Sample {
+    sample(End::Done, Duration::from_millis(500))
+}
+
+/// What a desk told its callers.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Told {
+    Granted {
+        daemon: usize,
+        ticket: Ticket,
+        runner: String,
+        alone: bool,
+    },
+    Refused {
+        daemon: usize,
+        ticket: Ticket,
+        refusal: Refusal,
+    },
+    Preempted {
+        daemon: usize,
+        ticket: Ticket,
+    },
+}
+
+/// A message between daemons that has not arrived.
+#[derive(Clone, Debug)]
+pub enum Sent {
+    Asked {
+        from: usize,
+        to: usize,
+        asked: Asked,
+    },
+    Reply {
+        from: usize,
+        to: usize,
+        epoch: u64,
+        reply: Reply,
+    },
+}
+
+/// Daemons with a desk each, and arbiters where the test puts them.
+#[derive(Debug)]
+pub struct Daemons {
+    pub now: Instant,
+    pub desks: Vec<Option<Desk>>,
+    pub arbiters: IndexMap<usize, Arbiter>,
+    pub catalogue: Arc<Catalogue>,
+    pub runners: Vec<Runner>,
+    pub marks: Arc<crash::Table>,
+    pub settings: arbiter::Settings,
+    pub told: Vec<Told>,
+    pub notes: Vec<(usize, Note)>,
+    pub proposed: Vec<crash::Step>,
+    pub sent: std::collections::VecDeque<Sent>,
+    /// Which daemon asks which ones, in order.
+    ranks: Vec<String>,
+}
+
+pub fn name(daemon: usize) -> String {
+    format!("i{daemon}")
+}
+
+fn number(name: &str) -> usize {
+    name[1..].parse().expect("a daemon of the test")
+}
+
+impl Daemons {
+    pub fn new(count: usize, catalogue: Arc<Catalogue>, runners: Vec<Runner>) -> Self {
+        let now = Instant::now();
+        let mut daemons = Self {
+            now,
+            desks: Vec::new(),
+            arbiters: IndexMap::new(),
+            catalogue,
+            runners,
+            marks: Arc::default(),
+            settings: arbiter::Settings::default(),
+            told: Vec::new(),
+            notes: Vec::new(),
+            proposed: Vec::new(),
+            sent: std::collections::VecDeque::new(),
+            ranks: (0..count).map(name).collect(),
+        };
+        for _ in 0..count {
+            daemons
+                .desks
+                .push(Some(Desk::new(now, desk::Settings::default())));
+        }
+        for daemon in 0..count {
+            daemons.tell_ranks(daemon, &daemons.ranks.clone());
+        }
+        daemons
+    }
+
+    /// Lets a daemon see this rendezvous order.
+    pub fn tell_ranks(&mut self, daemon: usize, ranks: &[String]) {
+        self.desk(daemon, desk::Event::Ranks(ranks.to_vec()));
+    }
+
+    /// Ends a daemon at once, arbiter and desk; the others see it as dead.
+    pub fn kill(&mut self, daemon: usize) {
+        self.arbiters.swap_remove(&daemon);
+        self.desks[daemon] = None;
+    }
+
+    /// Lets all live daemons see only live ones.
+    pub fn notice(&mut self) {
+        let live: Vec<usize> = (0..self.desks.len())
+            .filter(|it| self.desks[*it].is_some())
+            .collect();
+        let ranks: Vec<String> = live.iter().map(|it| name(*it)).collect();
+        let set: IndexSet<String> = ranks.iter().cloned().collect();
+        for daemon in live {
+            self.tell_ranks(daemon, &ranks);
+        }
+        for host in self.hosts() {
+            self.arbiter(host, arbiter::Event::Live(set.clone()));
+        }
+    }
+
+    pub fn hosts(&self) -> Vec<usize> {
+        self.arbiters.keys().copied().collect()
+    }
+
+    pub fn take(&mut self, daemon: usize, ask: Ask) {
+        let deadline = self.now + ask.remaining;
+        self.desk(daemon, desk::Event::Take { ask, deadline });
+    }
+
+    pub fn release(&mut self, daemon: usize, ticket: Ticket, sample: Sample) {
+        self.desk(daemon, desk::Event::Release(ticket, sample));
+    }
+
+    pub fn desk(&mut self, daemon: usize, event: desk::Event) {
+        let Some(desk) = self.desks[daemon].as_mut() else {
+            return;
+        };
+        for effect in desk.on_event(self.now, event) {
+            match effect {
+                desk::Effect::Send(to, asked) => self.sent.push_back(Sent::Asked {
+                    from: daemon,
+                    to: number(&to),
+                    asked,
+                }),
+                desk::Effect::Granted {
+                    ticket,
+                    runner,
+                    alone,
+                    ..
+                } => self.told.push(Told::Granted {
+                    daemon,
+                    ticket,
+                    runner,
+                    alone,
+                }),
+                desk::Effect::Refused(ticket, refusal) => self.told.push(Told::Refused {
+                    daemon,
+                    ticket,
+                    refusal,
+                }),
+                desk::Effect::Preempted(ticket) => {
+                    self.told.push(Told::Preempted { daemon, ticket });
+                }
+                desk::Effect::Mark(step) => self.proposed.push(step),
+            }
+        }
+    }
+
+    pub fn arbiter(&mut self, host: usize, event: arbiter::Event) {
+        let Some(arbiter) = self.arbiters.get_mut(&host) else {
+            return;
+        };
+        let effects = arbiter.on_event(self.now, event);
+        let epoch = arbiter.epoch();
+        self.carry_out(host, epoch, effects);
+    }
+
+    fn carry_out(&mut self, host: usize, epoch: u64, effects: Vec<arbiter::Effect>) {
+        for effect in effects {
+            match effect {
+                arbiter::Effect::Tell(to, reply) => self.sent.push_back(Sent::Reply {
+                    from: host,
+                    to: number(&to),
+                    epoch,
+                    reply,
+                }),
+                arbiter::Effect::Mark(step) => self.proposed.push(step),
+                arbiter::Effect::Note(note) => self.notes.push((host, note)),
+            }
+        }
+    }
+
+    pub fn host(&mut self, host: usize) {
+        let live: IndexSet<String> = (0..self.desks.len())
+            .filter(|it| self.desks[*it].is_some())
+            .map(name)
+            .collect();
+        let settings = self.settings.clone();
+        let (arbiter, effects) = Arbiter::new(self.now, SERVICE.to_owned(), 1, live, settings);
+        let epoch = arbiter.epoch();
+        self.arbiters.insert(host, arbiter);
+        self.carry_out(host, epoch, effects);
+        self.arbiter(host, arbiter::Event::Catalogue(Arc::clone(&self.catalogue)));
+        self.arbiter(host, arbiter::Event::Marks(Arc::clone(&self.marks)));
+        self.arbiter(host, arbiter::Event::Runners(self.runners.clone()));
+    }
+
+    /// Delivers one message; one for a daemon without an arbiter starts it there.
+    pub fn deliver(&mut self, message: Sent) {
+        match message {
+            Sent::Asked { from, to, asked } => {
+                if self.desks[to].is_none() {
+                    return;
+                }
+                if !self.arbiters.contains_key(&to) {
+                    self.host(to);
+                }
+                let from = name(from);
+                self.arbiter(to, arbiter::Event::Asked { from, asked });
+            }
+            Sent::Reply {
+                from,
+                to,
+                epoch,
+                reply,
+            } => {
+                let from = name(from);
+                self.desk(to, desk::Event::Reply { from, epoch, reply });
+            }
+        }
+    }
+
+    /// Delivers everything, and what it leads to.
+    pub fn settle(&mut self) {
+        while let Some(message) = self.sent.pop_front() {
+            self.deliver(message);
+        }
+    }
+
+    /// Lets time pass in ticks of 50 ms, delivering everything.
+    pub fn pass(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += Duration::from_millis(50);
+            self.tick();
+            self.settle();
+        }
+    }
+
+    pub fn tick(&mut self) {
+        for daemon in 0..self.desks.len() {
+            self.desk(daemon, desk::Event::Tick);
+        }
+        for host in self.hosts() {
+            self.arbiter(host, arbiter::Event::Tick);
+        }
+    }
+
+    /// What was told since the last call.
+    pub fn drain(&mut self) -> Vec<Told> {
+        std::mem::take(&mut self.told)
+    }
+}
