--- a/crates/policy/tests/slots/mod.rs
+++ b/crates/policy/tests/slots/mod.rs
@@ -60,7 +60,7 @@
         max_running_per_runner,
         retry_percent: 10,
         refusal_statuses: Vec::new(),
-        timeout: Duration::from_secs(60),
+        timeout: Duration::from_mins(1),
         max_body_bytes: 1 << 20,
     }
 }
@@ -101,7 +101,7 @@
         class: class.to_owned(),
         account: account.to_owned(),
         fingerprint: ticket,
-        remaining: Duration::from_secs(60),
+        remaining: Duration::from_mins(1),
         ..Ask::default()
     }
 }
