--- /dev/null
+++ b/crates/daemon/tests/common/http.rs
@@ -0,0 +1,235 @@
+//! A blocking HTTP client that shows what really came over the connection.
+
+use std::{
+    io::{BufRead, BufReader, ErrorKind, Read, Write},
+    net::{SocketAddr, TcpStream},
+    time::Duration,
+};
+
+use serde_json::Value;
+
+/// Longest silence before a read gives up.
+const READ_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// An answer.
+#[derive(Clone, Debug, Default)]
+pub struct Reply {
+    /// HTTP status; zero when no answer came.
+    pub status: u16,
+    /// Headers, their names in lower case.
+    pub headers: Vec<(String, String)>,
+    /// What came of the body.
+    pub body: Vec<u8>,
+    /// Whether the body came whole, as its framing says.
+    pub whole: bool,
+}
+
+impl Reply {
+    /// The first header of a name in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(key, _)| key == name);
+        found.map(|(_, value)| value.as_str())
+    }
+
+    /// The body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    /// The body as JSON.
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body)
+            .unwrap_or_else(|error| panic!("not JSON ({error}): {}", self.text()))
+    }
+
+    /// Data of the body's events.
+    pub fn events(&self) -> Vec<String> {
+        self.text()
+            .lines()
+            .filter_map(|line| line.strip_prefix("data: "))
+            .map(str::to_owned)
+            .collect()
+    }
+}
+
+/// Sends `GET path`.
+pub fn get(address: SocketAddr, path: &str) -> Reply {
+    send(address, "GET", path, &[], b"")
+}
+
+/// Sends `POST path`.
+pub fn post(address: SocketAddr, path: &str, headers: &[(&str, &str)], body: &[u8]) -> Reply {
+    send(address, "POST", path, headers, body)
+}
+
+/// Sends a request and reads its answer to the end.
+pub fn send(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> Reply {
+    match Exchange::open(address, method, path, headers, body) {
+        Some(exchange) => exchange.finish(),
+        None => Reply::default(),
+    }
+}
+
+/// An exchange whose body is read part by part; dropping it leaves.
+#[derive(Debug)]
+pub struct Exchange {
+    reader: BufReader<TcpStream>,
+    /// The head, without the body.
+    pub reply: Reply,
+    framing: Framing,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Framing {
+    Chunked,
+    Sized(usize),
+    UntilClosed,
+}
+
+impl Exchange {
+    /// Sends a request and reads the head of its answer; `None` if none came.
+    pub fn open(
+        address: SocketAddr,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> Option<Self> {
+        Self::read(request(address, method, path, headers, body)?)
+    }
+
+    /// Reads the head of the answer that comes on a connection.
+    pub fn read(stream: TcpStream) -> Option<Self> {
+        let mut reader = BufReader::new(stream);
+        let line = read_line(&mut reader)?;
+        let status = line.split(' ').nth(1)?.parse().ok()?;
+        let mut headers = Vec::new();
+        loop {
+            let line = read_line(&mut reader)?;
+            let Some((name, value)) = line.split_once(':') else {
+                break;
+            };
+            headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
+        }
+        let reply = Reply {
+            status,
+            headers,
+            ..Reply::default()
+        };
+        let framing = framing(&reply);
+        Some(Self {
+            reader,
+            reply,
+            framing,
+        })
+    }
+
+    /// The next part of the body: `None` at its whole end, an error when cut.
+    pub fn part(&mut self) -> Option<Result<Vec<u8>, ErrorKind>> {
+        let part = match self.framing {
+            Framing::Chunked => self.chunk(),
+            Framing::Sized(0) => return None,
+            Framing::Sized(left) => self.some(left).inspect(|part| {
+                self.framing = Framing::Sized(left - part.len());
+            }),
+            Framing::UntilClosed => match self.some(1 << 16) {
+                Err(ErrorKind::UnexpectedEof) => return None,
+                part => part,
+            },
+        };
+        match part {
+            Ok(part) if part.is_empty() => None,
+            part => Some(part),
+        }
+    }
+
+    /// Reads the rest.
+    pub fn finish(mut self) -> Reply {
+        loop {
+            match self.part() {
+                Some(Ok(part)) => self.reply.body.extend(part),
+                Some(Err(_)) => return self.reply,
+                None => break,
+            }
+        }
+        self.reply.whole = true;
+        self.reply
+    }
+
+    fn chunk(&mut self) -> Result<Vec<u8>, ErrorKind> {
+        let line = read_line(&mut self.reader).ok_or(ErrorKind::UnexpectedEof)?;
+        let size = usize::from_str_radix(line.trim(), 16).or(Err(ErrorKind::InvalidData))?;
+        let mut part = vec![0; size];
+        let mut end = [0; 2];
+        let read = self
+            .reader
+            .read_exact(&mut part)
+            .and_then(|()| self.reader.read_exact(&mut end));
+        read.map(|()| part).map_err(|error| error.kind())
+    }
+
+    fn some(&mut self, most: usize) -> Result<Vec<u8>, ErrorKind> {
+        let mut part = vec![0; most.min(1 << 16)];
+        match self.reader.read(&mut part) {
+            Ok(0) => Err(ErrorKind::UnexpectedEof),
+            Ok(length) => {
+                part.truncate(length);
+                Ok(part)
+            }
+            Err(error) => Err(error.kind()),
+        }
+    }
+}
+
+/// Sends a request and leaves its answer unread.
+pub fn request(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> Option<TcpStream> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream.set_nodelay(true).ok()?;
+    stream.set_read_timeout(Some(READ_TIMEOUT)).ok()?;
+    let mut head = format!("{method} {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n");
+    for (name, value) in headers {
+        head.extend([name, ": ", value, "\r\n"]);
+    }
+    if method != "GET" || !body.is_empty() {
+        let length = body.len().to_string();
+        head.extend(["content-length: ", &length, "\r\n"]);
+    }
+    head.push_str("\r\n");
+    let mut bytes = head.into_bytes();
+    bytes.extend_from_slice(body);
+    stream.write_all(&bytes).ok()?;
+    Some(stream)
+}
+
+fn framing(reply: &Reply) -> Framing {
+    if reply.header("transfer-encoding") == Some("chunked") {
+        return Framing::Chunked;
+    }
+    if reply.status == 204 || reply.status == 304 {
+        return Framing::Sized(0);
+    }
+    match reply.header("content-length").map(str::parse) {
+        Some(Ok(length)) => Framing::Sized(length),
+        _ => Framing::UntilClosed,
+    }
+}
+
+fn read_line(reader: &mut BufReader<TcpStream>) -> Option<String> {
+    let mut line = String::new();
+    match reader.read_line(&mut line) {
+        Ok(length) if length > 0 => Some(line.trim_end().to_owned()),
+        _ => None,
+    }
+}
