--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -5,34 +5,60 @@
 //! submits commands to it. A command may reach the log twice by such retries,
 //! so commands carry an identity: a change id or an attempt id.
 
-use std::{path::PathBuf, rc::Rc, sync::Arc, time::Duration};
+mod client;
+mod driver;
+mod metrics;
+mod outcome;
+mod replica;
+
+use std::{cell::Cell, path::PathBuf, rc::Rc, sync::Arc, time::Duration};
 
 use citron_policy::{
     feed,
     id::{Fingerprint, Index, InstanceId, ReplicaId, Term},
     ledger::{Key, Verdict},
-    member::Members,
-    state::{Answer, Command},
+    member::{Members, State},
+    raft,
+    state::{self, Answer, Command},
 };
-use citron_wire::generated::control as proto;
+use citron_wire::{Body, generated::control as proto};
 use derive_more::{Display, Error};
 use futures_util::future::LocalBoxFuture;
+use prometheus_client::registry::Registry;
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::peers::Hub;
 
+pub use self::replica::Replica;
+use self::{
+    driver::{Outgoing, Port},
+    metrics::Metrics,
+};
+
 /// Settings of a replica.
 #[derive(Clone, Debug)]
 pub struct Settings {
     /// Data folder.
     pub folder: PathBuf,
+    /// Timing and bounds of the log.
+    pub raft: raft::Settings,
+    /// Bounds of the replicated state; equal on every replica.
+    pub limits: state::Limits,
+    /// Entries after which the state is kept as a snapshot.
+    pub snapshot_entries: u64,
+    /// Bytes of entries after which the state is kept as a snapshot.
+    pub snapshot_bytes: usize,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         Self {
             folder: PathBuf::from("."),
+            raft: raft::Settings::default(),
+            limits: state::Limits::default(),
+            snapshot_entries: 8_192,
+            snapshot_bytes: 16 << 20,
         }
     }
 }
@@ -99,30 +125,6 @@
     pub commit: Index,
 }
 
-/// An opened data folder, not yet taking part.
-#[derive(Debug)]
-pub struct Replica {
-    id: ReplicaId,
-}
-
-impl Replica {
-    /// Opens the journal in the data folder.
-    ///
-    /// # Errors
-    /// When the folder is damaged or cannot be written; the text names the remedy.
-    pub fn open(settings: &Settings) -> Result<Self, Error> {
-        Err(Error::Refused {
-            reason: format!("not built: {}", settings.folder.display()),
-        })
-    }
-
-    /// Random identity of the data folder.
-    #[must_use]
-    pub fn id(&self) -> ReplicaId {
-        self.id
-    }
-}
-
 /// What [`Control::start`] gives.
 #[derive(Debug)]
 pub struct Started {
@@ -137,14 +139,19 @@
 /// Handle on the control log; clones share it.
 #[derive(Clone, Debug)]
 pub struct Control {
-    #[expect(dead_code, reason = "the replica thread follows")]
     inner: Rc<Inner>,
 }
 
 #[derive(Debug)]
 struct Inner {
-    #[expect(dead_code, reason = "the replica thread follows")]
+    hub: Hub,
     members: watch::Receiver<Arc<Members>>,
+    port: Option<Port>,
+    /// Leader that last answered or was last named.
+    leader: Cell<Option<ReplicaId>>,
+    metrics: Metrics,
+    /// Held on a daemon without a replica, so that its failure never resolves.
+    _alarm: Option<oneshot::Sender<String>>,
 }
 
 impl Control {
@@ -155,25 +162,53 @@
         members: watch::Receiver<Arc<Members>>,
         replica: Option<Replica>,
     ) -> Started {
-        let (_, feed) = mpsc::channel(1);
-        let (_, failed) = oneshot::channel();
-        drop((hub.clone(), replica));
+        let metrics = Metrics::default();
+        let (alarm, failed) = oneshot::channel();
+        let (local, feed) = mpsc::channel(driver::FEED_QUEUE);
+        let (port, alarm) = match replica {
+            None => (None, Some(alarm)),
+            Some(replica) => {
+                let (outgoing, messages) = mpsc::channel(driver::OUTGOING_QUEUE);
+                let port = replica.run(metrics.clone(), outgoing, local, alarm);
+                actix_rt::spawn(deliver(hub.clone(), members.clone(), messages));
+                actix_rt::spawn(tell_peers(members.clone(), port.clone()));
+                (Some(port), None)
+            }
+        };
+        let inner = Inner {
+            hub: hub.clone(),
+            members,
+            port,
+            leader: Cell::new(None),
+            metrics,
+            _alarm: alarm,
+        };
         Started {
             control: Self {
-                inner: Rc::new(Inner { members }),
+                inner: Rc::new(inner),
             },
             feed,
             failed,
         }
     }
 
+    /// Adds the metrics to a registry.
+    pub fn register(&self, registry: &mut Registry) {
+        self.inner.metrics.register(registry);
+    }
+
     /// Puts a command into the log and gives its answer.
     ///
     /// # Errors
     /// [`Error`]; only [`Error::Unsure`] leaves open whether the command is in the log.
     pub async fn submit(&self, command: Command, within: Duration) -> Result<Answer, Error> {
-        drop((command, within));
-        std::future::ready(Err(Error::NoLeader)).await
+        let question = proto::message::Body::Submit((&command).into());
+        match self.ask_leader(question, within).await? {
+            proto::message::Body::Answer(answer) => {
+                answer.try_into().map_err(|error| outcome::unfit(&error))
+            }
+            _ => Err(outcome::crossed()),
+        }
     }
 
     /// What a caller with this key would get, read at the leader after a quorum round.
@@ -186,13 +221,34 @@
         digest: Fingerprint,
         within: Duration,
     ) -> Result<Option<Verdict>, Error> {
-        drop((key, digest, within));
-        std::future::ready(Err(Error::NoLeader)).await
+        let question = proto::message::Body::Lookup(proto::Lookup {
+            key: Some((&key).into()),
+            digest,
+        });
+        match self.ask_leader(question, within).await? {
+            proto::message::Body::LookedUp(found) => {
+                let verdict = found.verdict.map(Verdict::try_from).transpose();
+                verdict.map_err(|error| outcome::unfit(&error))
+            }
+            _ => Err(outcome::crossed()),
+        }
     }
 
     /// How the known replicas stand; those that do not answer are left out.
     pub async fn status(&self, within: Duration) -> Vec<(InstanceId, Status)> {
-        std::future::ready((Vec::new(), within)).await.0
+        let asked = self
+            .replicas()
+            .into_iter()
+            .map(|(instance, replica)| async move {
+                let question = proto::message::Body::Status(proto::Ask {});
+                let answer = self.ask(&instance, replica, question, within).await.ok()?;
+                match answer {
+                    proto::message::Body::Standing(status) => Some((instance, status.into())),
+                    _ => None,
+                }
+            });
+        let answers = futures_util::future::join_all(asked).await;
+        answers.into_iter().flatten().collect()
     }
 
     /// Forms the cluster, once, of these replicas; of all known ones if none are named.
@@ -200,8 +256,30 @@
     /// # Errors
     /// [`Error`] when one of them belongs to a cluster already or cannot be reached.
     pub async fn init(&self, voters: Vec<ReplicaId>, within: Duration) -> Result<(), Error> {
-        drop((voters, within));
-        std::future::ready(Err(Error::NoLeader)).await
+        let known = self.replicas();
+        let voters = if voters.is_empty() {
+            known.iter().map(|(_, replica)| *replica).collect()
+        } else {
+            voters
+        };
+        let first = known
+            .iter()
+            .filter(|(_, replica)| voters.contains(replica))
+            .min_by_key(|(instance, _)| instance != self.inner.hub.me());
+        let Some((instance, replica)) = first else {
+            return Err(Error::Refused {
+                reason: "none of the voters is a known replica: start them with --data and wait"
+                    .to_owned(),
+            });
+        };
+        let question = proto::message::Body::Init(proto::Init { voters });
+        let answer = self.ask(instance, *replica, question, within).await;
+        match answer {
+            Ok(body) => outcome::done(body),
+            Err(error) => Err(Error::Refused {
+                reason: error.to_string(),
+            }),
+        }
     }
 
     /// Makes `new` count in place of `old`; returns once that is committed.
@@ -214,14 +292,19 @@
         new: ReplicaId,
         within: Duration,
     ) -> Result<(), Error> {
-        std::future::ready((Err(Error::NoLeader), (old, new, within)))
-            .await
-            .0
+        let question = proto::message::Body::Replace(proto::Replace { old, new });
+        outcome::done(self.ask_leader(question, within).await?)
     }
 
     /// Takes in a message from another daemon.
     pub fn on_tell(&self, from: &InstanceId, message: proto::Message) {
-        drop((from.clone(), message));
+        let Some(port) = &self.inner.port else {
+            return;
+        };
+        match message.body {
+            Some(proto::message::Body::Raft(raft)) if message.group == GROUP => port.raft(raft),
+            _ => log::debug!("CP0408 message of {from} is not for this replica"),
+        }
     }
 
     /// Answers a call from another daemon.
@@ -231,7 +314,66 @@
         from: &InstanceId,
         message: proto::Message,
     ) -> LocalBoxFuture<'static, Result<proto::Message, String>> {
-        drop((from.clone(), message));
-        Box::pin(std::future::ready(Err("not built".to_owned())))
+        let question = message.body.filter(|_| message.group == GROUP);
+        let (Some(port), Some(question)) = (&self.inner.port, question) else {
+            log::debug!("CP0408 call of {from} is not for this replica");
+            let failure = outcome::not_leader(None);
+            return Box::pin(std::future::ready(Ok(wrap(failure))));
+        };
+        let answer = port.ask(question);
+        Box::pin(async move { Ok(wrap(answer.await.unwrap_or_else(|_| outcome::unsure()))) })
+    }
+
+    /// Instances with a replica that may be reached.
+    fn replicas(&self) -> Vec<(InstanceId, ReplicaId)> {
+        let members = self.inner.members.borrow();
+        let present = members.values().filter(|it| it.state != State::Dead);
+        present
+            .filter_map(|it| Some((it.id.clone(), it.replica?)))
+            .collect()
+    }
+}
+
+/// Group of the log that this daemon takes part in.
+const GROUP: u32 = 0;
+
+fn wrap(body: proto::message::Body) -> proto::Message {
+    proto::Message {
+        group: GROUP,
+        body: Some(body),
+    }
+}
+
+/// Sends the replica's messages to the instances that hold the named folders.
+async fn deliver(
+    hub: Hub,
+    members: watch::Receiver<Arc<Members>>,
+    mut messages: mpsc::Receiver<Outgoing>,
+) {
+    while let Some(Outgoing { to, message }) = messages.recv().await {
+        let instance = {
+            let members = members.borrow();
+            let holder = members.values().find(|it| it.replica == Some(to));
+            holder.map(|it| it.id.clone())
+        };
+        if let Some(instance) = instance {
+            let raft = proto::message::Body::Raft(message);
+            hub.tell(&instance, Body::Control(wrap(raft)));
+        }
+    }
+}
+
+/// Tells the replica which others are known.
+async fn tell_peers(mut members: watch::Receiver<Arc<Members>>, port: Port) {
+    loop {
+        let known = {
+            let members = members.borrow_and_update();
+            let present = members.values().filter(|it| it.state != State::Dead);
+            present.filter_map(|it| it.replica).collect()
+        };
+        port.peers(known);
+        if members.changed().await.is_err() {
+            return;
+        }
     }
 }
--- /dev/null
+++ b/crates/daemon/src/control/replica.rs
@@ -0,0 +1,159 @@
+//! Opening a data folder, and starting the thread that serves it.
+
+use std::{
+    fmt,
+    sync::{Arc, mpsc::sync_channel},
+    thread,
+    time::Instant,
+};
+
+use citron_journal::{Disk, Journal};
+use citron_policy::{
+    feed,
+    id::ReplicaId,
+    raft::{Node, Stored},
+    state::Machine,
+};
+use citron_wire::control;
+use tokio::sync::{mpsc, oneshot};
+
+use super::{
+    Error, Settings,
+    driver::{Driver, INPUT_QUEUE, Links, Outgoing, Port},
+    metrics::Metrics,
+};
+
+/// An opened data folder, not yet taking part.
+pub struct Replica {
+    settings: Settings,
+    journal: Journal<Disk>,
+    stored: Stored,
+    machine: Machine,
+}
+
+impl fmt::Debug for Replica {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Replica")
+            .field("id", &self.stored.id)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Replica {
+    /// Opens the journal in the data folder.
+    ///
+    /// # Errors
+    /// When the folder is damaged or cannot be written; the text names the remedy.
+    pub fn open(settings: &Settings) -> Result<Self, Error> {
+        let files = Disk::new(&settings.folder).map_err(|error| Error::Refused {
+            reason: format!(
+                "data folder {}: {error}: check that it exists and is writable",
+                settings.folder.display()
+            ),
+        })?;
+        let journal = citron_journal::Settings::default();
+        let (journal, recovered) =
+            Journal::open(journal, files, rand::random()).map_err(refused)?;
+        let hard = control::decode_hard(&recovered.hard).map_err(refused)?;
+        let mut machine = Machine::new(settings.limits);
+        let mut snapshot = None;
+        if let Some(kept) = recovered.snapshot {
+            let kept = control::decode_snapshot(&kept.data).map_err(refused)?;
+            machine = control::decode_machine(settings.limits, &kept.data).map_err(refused)?;
+            snapshot = Some(Arc::new(kept));
+        }
+        let entries = recovered
+            .records
+            .iter()
+            .map(|it| control::decode_entry(&it.data).map(Arc::new));
+        let stored = Stored {
+            id: recovered.id,
+            hard,
+            snapshot,
+            entries: entries.collect::<Result<_, _>>().map_err(refused)?,
+        };
+        Ok(Self {
+            settings: settings.clone(),
+            journal,
+            stored,
+            machine,
+        })
+    }
+
+    /// Random identity of the data folder.
+    #[must_use]
+    pub fn id(&self) -> ReplicaId {
+        self.stored.id
+    }
+
+    /// Takes part, on a thread of its own, until the port and its clones are gone.
+    pub(super) fn run(
+        self,
+        metrics: Metrics,
+        outgoing: mpsc::Sender<Outgoing>,
+        feed: mpsc::Sender<feed::Local>,
+        alarm: oneshot::Sender<String>,
+    ) -> Port {
+        let (sender, inputs) = sync_channel(INPUT_QUEUE);
+        let port = Port::new(self.id(), sender, metrics.clone());
+        let mut rng = rand::rng();
+        let node = Node::new(
+            Instant::now(),
+            self.settings.raft.clone(),
+            self.stored,
+            &mut rng,
+        );
+        let links = Links {
+            inputs,
+            outgoing,
+            feed,
+            metrics,
+        };
+        let driver = Driver::new(self.settings, node, self.journal, self.machine, links);
+        let alarm = Alarm(Some(alarm));
+        let spawned = thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(move || serve(driver, alarm));
+        if let Err(error) = spawned {
+            // The alarm went with the closure: the caller sees no replica answer.
+            log::error!("CP0407 control replica not started: {error}: check the thread limit");
+        }
+        port
+    }
+}
+
+fn serve(driver: Driver<Disk>, mut alarm: Alarm) {
+    if let Err(error) = driver.run() {
+        alarm.ring(error.to_string());
+    }
+}
+
+fn refused<E>(error: E) -> Error
+where
+    E: fmt::Display,
+{
+    Error::Refused {
+        reason: error.to_string(),
+    }
+}
+
+/// Tells the daemon that the thread ended for a fault.
+struct Alarm(Option<oneshot::Sender<String>>);
+
+impl Alarm {
+    fn ring(&mut self, reason: String) {
+        log::error!("CP0407 control replica stopped: {reason}");
+        if let Some(sender) = self.0.take() {
+            // A daemon that is gone needs no telling.
+            drop(sender.send(reason));
+        }
+    }
+}
+
+impl Drop for Alarm {
+    fn drop(&mut self) {
+        if thread::panicking() {
+            self.ring("a check of the log failed: keep the data folder and report it".to_owned());
+        }
+    }
+}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -119,6 +119,7 @@
     let replica = settings.data.as_ref().map(|folder| {
         Replica::open(&control::Settings {
             folder: folder.clone(),
+            ..control::Settings::default()
         })
     });
     let replica = replica.transpose()?;
@@ -291,6 +292,7 @@
         let mut registry = Registry::default();
         metrics.register(&mut registry);
         callers.register(&mut registry);
+        started.control.register(&mut registry);
         gossip.metrics().register(&mut registry);
         platform.metrics().register(&mut registry);
         follow.metrics().register(&mut registry);
--- a/crates/policy/src/state/machine.rs
+++ b/crates/policy/src/state/machine.rs
@@ -155,6 +155,12 @@
             .filter_map(|id| self.kept.get_key_value(id))
     }
 
+    /// Number of answers kept.
+    #[must_use]
+    pub fn answers_len(&self) -> usize {
+        self.answers.len()
+    }
+
     /// Latest changes of entries, oldest first.
     pub fn authors(&self) -> impl Iterator<Item = &Author> {
         self.authors.iter()
--- /dev/null
+++ b/crates/policy/tests/cluster/mod.rs
@@ -0,0 +1,458 @@
+//! A few nodes driven by hand: their clocks, their disks and what passes
+//! between them.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::{Duration, Instant, SystemTime},
+};
+
+use citron_policy::{
+    id::{Index, ReplicaId, Term},
+    ledger::{Claim, Key},
+    raft::{
+        Effect, Entry, Event, Hard, Node, Payload, Proposal, Refusal, Role, Settings, Snapshot,
+        Stored, Token, message::Message,
+    },
+    state::{Answer, Command, Machine},
+};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+pub const STEP: Duration = Duration::from_millis(25);
+
+/// What a folder keeps when its process ends.
+#[derive(Clone, Debug, Default)]
+pub struct Disk {
+    pub hard: Hard,
+    pub snapshot: Option<Arc<Snapshot>>,
+    pub entries: Vec<Arc<Entry>>,
+}
+
+impl Disk {
+    /// Persists one effect; false if it persists nothing.
+    fn write(&mut self, effect: &Effect) -> bool {
+        match effect {
+            Effect::SaveHard(hard) => self.hard = hard.clone(),
+            Effect::Append(entries) => {
+                self.entries.retain(|it| it.index < entries[0].index);
+                self.entries.extend(entries.iter().map(Arc::clone));
+            }
+            Effect::SaveSnapshot(snapshot) => {
+                self.entries.retain(|it| it.index > snapshot.index);
+                self.snapshot = Some(Arc::clone(snapshot));
+            }
+            Effect::Install(snapshot) => {
+                self.entries.clear();
+                self.snapshot = Some(Arc::clone(snapshot));
+            }
+            _ => return false,
+        }
+        true
+    }
+}
+
+pub struct Replica {
+    pub node: Node,
+    pub disk: Disk,
+    pub machine: Machine,
+    /// Machines by the index of the snapshot that stands for them.
+    pub up: bool,
+    pub frozen: bool,
+    pub accepted: BTreeMap<Index, (Term, Token)>,
+    pub proved: Option<(Index, Instant)>,
+    /// Effects that persist before the process is killed; none for no kill.
+    pub kill_after: Option<usize>,
+}
+
+/// How messages fare, in percent.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Weather {
+    pub lost: u32,
+    pub doubled: u32,
+    pub delayed: u32,
+}
+
+pub struct Cluster {
+    pub settings: Settings,
+    pub now: Instant,
+    pub rng: StdRng,
+    pub replicas: BTreeMap<ReplicaId, Replica>,
+    pub wire: Vec<(Instant, Message)>,
+    pub weather: Weather,
+    /// Directed cuts, from and to.
+    pub cuts: BTreeSet<(ReplicaId, ReplicaId)>,
+    pub answers: BTreeMap<Token, Result<Answer, Refusal>>,
+    pub questions: BTreeMap<Token, Result<(), Refusal>>,
+    /// Every committed entry, as the first replica that applied it saw it.
+    pub committed: BTreeMap<Index, Arc<Entry>>,
+    /// Leaders by term.
+    pub leaders: BTreeMap<Term, ReplicaId>,
+    pub machines: BTreeMap<Index, Machine>,
+    next_token: Token,
+}
+
+impl Cluster {
+    /// Empty folders with these ids.
+    pub fn empty(seed: u64, ids: &[ReplicaId]) -> Self {
+        println!("seed {seed}");
+        let mut cluster = Self {
+            settings: Settings::default(),
+            now: Instant::now(),
+            rng: StdRng::seed_from_u64(seed),
+            replicas: BTreeMap::new(),
+            wire: Vec::new(),
+            weather: Weather::default(),
+            cuts: BTreeSet::new(),
+            answers: BTreeMap::new(),
+            questions: BTreeMap::new(),
+            committed: BTreeMap::new(),
+            leaders: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            next_token: 1,
+        };
+        for id in ids {
+            cluster.add(*id);
+        }
+        cluster
+    }
+
+    /// A formed cluster of these voters, with a leader.
+    pub fn formed(seed: u64, ids: &[ReplicaId]) -> Self {
+        let mut cluster = Self::empty(seed, ids);
+        cluster.init(ids[0], ids);
+        cluster.run(Duration::from_secs(3));
+        assert!(cluster.leader().is_some(), "no leader after the formation");
+        cluster
+    }
+
+    pub fn add(&mut self, id: ReplicaId) {
+        self.boot(id, Disk::default());
+        self.meet();
+    }
+
+    fn boot(&mut self, id: ReplicaId, disk: Disk) {
+        let stored = Stored {
+            id,
+            hard: disk.hard.clone(),
+            snapshot: disk.snapshot.clone(),
+            entries: disk.entries.clone(),
+        };
+        let machine = match &disk.snapshot {
+            None => Machine::default_limits(),
+            Some(it) => self.machines[&it.index].clone(),
+        };
+        let node = Node::new(self.now, self.settings.clone(), stored, &mut self.rng);
+        let replica = Replica {
+            node,
+            disk,
+            machine,
+            up: true,
+            frozen: false,
+            accepted: BTreeMap::new(),
+            proved: None,
+            kill_after: None,
+        };
+        self.replicas.insert(id, replica);
+    }
+
+    /// Tells every replica of all the others.
+    pub fn meet(&mut self) {
+        let ids: Vec<ReplicaId> = self.replicas.keys().copied().collect();
+        for id in &ids {
+            self.event(*id, Event::Peers(ids.clone()));
+        }
+    }
+
+    pub fn kill(&mut self, id: ReplicaId) {
+        self.replica(id).up = false;
+    }
+
+    /// Starts a process again from what its folder kept.
+    pub fn restart(&mut self, id: ReplicaId) {
+        let disk = self.replicas[&id].disk.clone();
+        self.boot(id, disk);
+        self.meet();
+    }
+
+    /// A replica that is gone for good, its folder too.
+    pub fn forget(&mut self, id: ReplicaId) {
+        self.replicas.remove(&id);
+        self.wire.retain(|(_, it)| it.to != id && it.from != id);
+        self.meet();
+    }
+
+    pub fn replica(&mut self, id: ReplicaId) -> &mut Replica {
+        self.replicas.get_mut(&id).expect("a replica")
+    }
+
+    /// Cuts a replica off, both ways.
+    pub fn isolate(&mut self, id: ReplicaId) {
+        for other in self.others(id) {
+            self.cuts.insert((id, other));
+            self.cuts.insert((other, id));
+        }
+    }
+
+    pub fn others(&self, id: ReplicaId) -> Vec<ReplicaId> {
+        self.replicas
+            .keys()
+            .copied()
+            .filter(|it| *it != id)
+            .collect()
+    }
+
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+    }
+
+    /// The leader of the highest term among the running.
+    pub fn leader(&self) -> Option<ReplicaId> {
+        let running = self.replicas.iter().filter(|(_, it)| it.up && !it.frozen);
+        let leaders = running.filter(|(_, it)| it.node.standing().role == Role::Leader);
+        leaders
+            .max_by_key(|(_, it)| it.node.standing().term)
+            .map(|(id, _)| *id)
+    }
+
+    pub fn init(&mut self, id: ReplicaId, voters: &[ReplicaId]) -> Token {
+        let token = self.token();
+        let voters = voters.to_vec();
+        self.event(id, Event::Init { token, voters });
+        token
+    }
+
+    pub fn replace(&mut self, old: ReplicaId, new: ReplicaId) -> Token {
+        let token = self.token();
+        let leader = self.leader().expect("a leader");
+        self.event(leader, Event::Replace { token, old, new });
+        token
+    }
+
+    pub fn read(&mut self, id: ReplicaId) -> Token {
+        let token = self.token();
+        self.event(id, Event::Read(token));
+        token
+    }
+
+    pub fn propose(&mut self, id: ReplicaId, command: Command) -> Token {
+        let token = self.token();
+        let command = Arc::new(command);
+        self.event(id, Event::Propose(vec![Proposal { token, command }]));
+        token
+    }
+
+    fn token(&mut self) -> Token {
+        self.next_token += 1;
+        self.next_token
+    }
+
+    /// Hands one event to a running node and carries out what it says.
+    pub fn event(&mut self, id: ReplicaId, event: Event) {
+        let now = self.now;
+        let Some(replica) = self.replicas.get_mut(&id) else {
+            return;
+        };
+        if !replica.up || replica.frozen {
+            return;
+        }
+        let effects = replica.node.on_event(now, event, &mut self.rng);
+        for effect in &effects {
+            if replica.kill_after == Some(0) {
+                replica.kill_after = None;
+                replica.up = false;
+                return;
+            }
+            if replica.disk.write(effect) {
+                replica.kill_after = replica.kill_after.map(|left| left - 1);
+            }
+        }
+        for effect in effects {
+            self.carry_out(id, effect);
+        }
+    }
+
+    fn carry_out(&mut self, id: ReplicaId, effect: Effect) {
+        match effect {
+            Effect::Send(message) => self.post(&message),
+            Effect::Commit(entries) => {
+                for entry in entries {
+                    self.apply(id, &entry);
+                }
+            }
+            Effect::Install(snapshot) => {
+                let machine = self.machines[&snapshot.index].clone();
+                self.replica(id).machine = machine;
+            }
+            Effect::Proved { index, at } => self.replica(id).proved = Some((index, at)),
+            Effect::Accepted { token, index, term } => {
+                self.replica(id).accepted.insert(index, (term, token));
+            }
+            Effect::Answer { token, outcome } => {
+                if let Err(refusal) = &outcome {
+                    self.answers.insert(token, Err(refusal.clone()));
+                }
+                self.questions.insert(token, outcome);
+            }
+            Effect::Changed(standing) if standing.role == Role::Leader => {
+                let known = self.leaders.insert(standing.term, id);
+                assert!(
+                    known.is_none_or(|it| it == id),
+                    "two leaders in term {}: {known:?} and {id}",
+                    standing.term
+                );
+            }
+            Effect::Changed(_) => self.replica(id).accepted.clear(),
+            Effect::SaveHard(_) | Effect::Append(_) | Effect::SaveSnapshot(_) => {}
+        }
+    }
+
+    fn post(&mut self, message: &Message) {
+        if self.cuts.contains(&(message.from, message.to))
+            || self.rng.random_range(0..100) < self.weather.lost
+        {
+            return;
+        }
+        let copies = if self.rng.random_range(0..100) < self.weather.doubled {
+            2
+        } else {
+            1
+        };
+        for _ in 0..copies {
+            let delay = if self.rng.random_range(0..100) < self.weather.delayed {
+                Duration::from_millis(self.rng.random_range(0..2_000))
+            } else {
+                Duration::ZERO
+            };
+            self.wire.push((self.now + delay, message.clone()));
+        }
+    }
+
+    /// Applies a committed entry; every replica must see the same at an index.
+    fn apply(&mut self, id: ReplicaId, entry: &Arc<Entry>) {
+        let first = self
+            .committed
+            .entry(entry.index)
+            .or_insert_with(|| Arc::clone(entry));
+        assert_eq!(
+            first, entry,
+            "replica {id} applied another entry {}",
+            entry.index
+        );
+        let replica = self.replicas.get_mut(&id).expect("a replica");
+        assert_eq!(replica.machine.index() + 1, entry.index, "a gap at {id}");
+        let command = match &entry.payload {
+            Payload::Command(command) => command.as_ref().clone(),
+            Payload::Nothing | Payload::Voters(_) => Command::Nothing,
+        };
+        let applied = replica.machine.apply(entry.index, &command);
+        if let Some((term, token)) = replica.accepted.remove(&entry.index)
+            && term == entry.term
+        {
+            self.answers.insert(token, Ok(applied.answer));
+        }
+    }
+
+    /// Lets a replica keep its state as a snapshot of `bytes` bytes.
+    pub fn compact(&mut self, id: ReplicaId, bytes: usize) {
+        let machine = self.replica(id).machine.clone();
+        let index = machine.index();
+        self.machines.insert(index, machine);
+        let data = Arc::from(vec![7; bytes]);
+        self.event(id, Event::Compact { index, data });
+    }
+
+    /// Delivers what is due, then lets every node see the time.
+    pub fn step(&mut self) {
+        self.now += STEP;
+        for _ in 0..64 {
+            let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.wire)
+                .into_iter()
+                .partition(|(at, _)| *at <= self.now);
+            self.wire = later;
+            if due.is_empty() {
+                break;
+            }
+            for (_, message) in due {
+                self.event(message.to, Event::Receive(message));
+            }
+        }
+        let ids: Vec<ReplicaId> = self.replicas.keys().copied().collect();
+        for id in ids {
+            self.event(id, Event::Tick);
+        }
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Runs until something holds; panics after a minute of the nodes' time.
+    pub fn until<F>(&mut self, what: &str, mut holds: F)
+    where
+        F: FnMut(&Self) -> bool,
+    {
+        let end = self.now + Duration::from_mins(1);
+        while !holds(self) {
+            assert!(self.now < end, "not within a minute: {what}");
+            self.step();
+        }
+    }
+
+    /// Proposes at whatever leads until it is answered.
+    pub fn submit(&mut self, command: &Command) -> Answer {
+        let end = self.now + Duration::from_mins(1);
+        while self.now < end {
+            if let Some(leader) = self.leader() {
+                let token = self.propose(leader, command.clone());
+                for _ in 0..80 {
+                    if let Some(Ok(answer)) = self.answers.get(&token) {
+                        return answer.clone();
+                    }
+                    self.step();
+                }
+            } else {
+                self.step();
+            }
+        }
+        panic!("no answer within a minute");
+    }
+}
+
+/// Machines with the default limits.
+pub trait DefaultLimits {
+    fn default_limits() -> Self;
+}
+
+impl DefaultLimits for Machine {
+    fn default_limits() -> Self {
+        Self::new(citron_policy::state::Limits::default())
+    }
+}
+
+/// A claim of `name` by `attempt`, at a second after 1970.
+pub fn claim(name: &str, attempt: u64, second: u64) -> Claim {
+    Claim {
+        key: key(name),
+        digest: 1,
+        attempt,
+        daemon: "e1".to_owned(),
+        deadline: at(second + 30),
+        at: at(second),
+    }
+}
+
+pub fn key(name: &str) -> Key {
+    Key {
+        account: "windhoek".to_owned(),
+        name: name.to_owned(),
+    }
+}
+
+pub fn at(second: u64) -> SystemTime {
+    SystemTime::UNIX_EPOCH + Duration::from_secs(second)
+}
--- /dev/null
+++ b/crates/policy/tests/raft_faults.rs
@@ -0,0 +1,331 @@
+//! Nothing accepted is lost or reverts, and nobody cut off says otherwise.
+
+mod cluster;
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use citron_policy::{
+    id::{Index, ReplicaId},
+    raft::{Entry, Payload, Refusal, Role},
+    state::{Answer, Command},
+};
+use googletest::prelude::*;
+use rand::RngExt;
+
+use cluster::{Cluster, Weather, claim};
+
+const IDS: [ReplicaId; 3] = [11, 12, 13];
+
+fn command(number: u64) -> Command {
+    Command::Claim(claim(&format!("k{number}"), number, 1_000))
+}
+
+/// Every answered command is in the log of whoever leads now, once or more.
+fn expect_kept(cluster: &Cluster, accepted: &[Command]) {
+    for command in accepted {
+        let kept = cluster
+            .committed
+            .values()
+            .any(|it| matches!(&it.payload, Payload::Command(found) if found.as_ref() == command));
+        expect_that!(kept, eq(true), "{command:?}");
+    }
+}
+
+#[gtest]
+fn a_leader_frozen_for_long_accepts_nothing_when_it_thaws() {
+    let mut cluster = Cluster::formed(1, &IDS);
+    let old = cluster.leader().expect("a leader");
+    cluster.submit(&command(1));
+    cluster.replica(old).frozen = true;
+    cluster.until("another leader", |it| {
+        it.leader().is_some_and(|id| id != old)
+    });
+    cluster.submit(&command(2));
+    // Everything sent to it meanwhile is lost; its first events are the callers'.
+    cluster.wire.clear();
+    cluster.replica(old).frozen = false;
+    let read = cluster.read(old);
+    let token = cluster.propose(old, command(3));
+    let refused = Refusal::NotLeader { leader: None };
+    expect_that!(cluster.questions.get(&read), some(err(eq(&refused))));
+    expect_that!(cluster.answers.get(&token), some(err(eq(&refused))));
+    cluster.run(Duration::from_secs(5));
+    expect_kept(&cluster, &[command(1), command(2)]);
+    let index = cluster.replica(old).machine.index();
+    expect_that!(cluster.committed.keys().max(), some(eq(&index)));
+}
+
+#[gtest]
+fn a_leader_cut_off_steps_down_by_its_own_clock() {
+    let mut cluster = Cluster::formed(2, &IDS);
+    let old = cluster.leader().expect("a leader");
+    cluster.isolate(old);
+    let proved = cluster.replica(old).proved;
+    let token = cluster.propose(old, command(1));
+    let read = cluster.read(old);
+    cluster.run(Duration::from_millis(800));
+    expect_that!(
+        cluster.replica(old).node.standing().role,
+        not(eq(Role::Leader))
+    );
+    expect_that!(cluster.answers.get(&token), none());
+    expect_that!(cluster.questions.get(&read), some(err(anything())));
+    expect_that!(cluster.replica(old).proved, eq(proved));
+    cluster.run(Duration::from_mins(10));
+    let term = cluster.replica(old).node.standing().term;
+    cluster.heal();
+    cluster.run(Duration::from_secs(3));
+    // Pre-votes have not pushed its term up, so nobody is disturbed.
+    expect_that!(
+        cluster.replica(old).node.standing().leader,
+        some(anything())
+    );
+    expect_that!(
+        cluster.leaders.keys().filter(|it| **it > term + 1).count(),
+        eq(0)
+    );
+}
+
+#[gtest]
+fn a_leader_that_hears_nothing_steps_down() {
+    let mut cluster = Cluster::formed(3, &IDS);
+    let old = cluster.leader().expect("a leader");
+    for other in cluster.others(old) {
+        cluster.cuts.insert((other, old));
+    }
+    cluster.until("another leader", |it| {
+        it.leader().is_some_and(|id| id != old)
+    });
+    cluster.submit(&command(1));
+    cluster.heal();
+    cluster.run(Duration::from_secs(3));
+    expect_kept(&cluster, &[command(1)]);
+}
+
+#[gtest]
+fn a_leader_that_nobody_hears_is_replaced() {
+    let mut cluster = Cluster::formed(4, &IDS);
+    let old = cluster.leader().expect("a leader");
+    for other in cluster.others(old) {
+        cluster.cuts.insert((old, other));
+    }
+    cluster.until("another leader", |it| {
+        it.leader().is_some_and(|id| id != old)
+    });
+    cluster.submit(&command(1));
+    expect_kept(&cluster, &[command(1)]);
+}
+
+#[gtest]
+fn a_replica_that_hears_nothing_disturbs_nobody() {
+    let mut cluster = Cluster::formed(5, &IDS);
+    let leader = cluster.leader().expect("a leader");
+    let deaf = cluster.others(leader)[0];
+    cluster.cuts.insert((leader, deaf));
+    let terms = cluster.leaders.len();
+    cluster.run(Duration::from_mins(5));
+    expect_that!(cluster.leader(), some(eq(leader)));
+    expect_that!(cluster.leaders.len(), eq(terms));
+}
+
+#[gtest]
+fn a_proof_covers_everything_accepted_before_it() {
+    let mut cluster = Cluster::formed(6, &IDS);
+    for number in 0..50 {
+        let before = cluster.now;
+        cluster.submit(&command(number));
+        let accepted = *cluster.committed.keys().max().expect("an entry");
+        cluster.step();
+        for replica in cluster.replicas.values() {
+            if let Some((index, start)) = replica.proved
+                && start > before
+            {
+                expect_that!(index, ge(accepted));
+            }
+        }
+    }
+}
+
+/// A kill after each persisting effect of each replica in turn, then a restart.
+#[gtest]
+fn a_kill_at_each_persist_loses_nothing_accepted() {
+    for step in 0..24 {
+        for victim in 0..3 {
+            let mut cluster = Cluster::formed(7, &IDS);
+            let leader = cluster.leader().expect("a leader");
+            let mut order = cluster.others(leader);
+            order.insert(0, leader);
+            let victim = order[victim];
+            cluster.replica(victim).kill_after = Some(step);
+            let mut accepted = Vec::new();
+            for number in 0..16 {
+                cluster.submit(&command(number));
+                accepted.push(command(number));
+                if !cluster.replica(victim).up {
+                    cluster.restart(victim);
+                }
+            }
+            expect_kept(&cluster, &accepted);
+            cluster.run(Duration::from_secs(5));
+            let ends: Vec<Index> = cluster
+                .replicas
+                .values()
+                .map(|it| it.machine.index())
+                .collect();
+            expect_that!(ends, each(eq(&ends[0])));
+        }
+    }
+}
+
+#[gtest]
+fn a_restart_of_all_after_hundreds_of_commands_comes_back_to_them() {
+    let mut cluster = Cluster::formed(8, &IDS);
+    let mut accepted = Vec::new();
+    for number in 0..400 {
+        cluster.submit(&command(number));
+        accepted.push(command(number));
+        if number == 250 {
+            cluster.compact(11, 100);
+            cluster.compact(12, 100);
+        }
+    }
+    let before = cluster.committed.clone();
+    for id in IDS {
+        cluster.kill(id);
+    }
+    cluster.wire.clear();
+    for id in IDS {
+        cluster.restart(id);
+    }
+    cluster.submit(&command(999));
+    expect_kept(&cluster, &accepted);
+    let kept: BTreeMap<Index, Arc<Entry>> = cluster
+        .committed
+        .range(..=before.len() as u64)
+        .map(|(index, entry)| (*index, Arc::clone(entry)))
+        .collect();
+    expect_that!(kept == before, eq(true));
+}
+
+#[gtest]
+fn a_slow_replica_gets_the_snapshot_in_parts() {
+    let mut cluster = Cluster::empty(9, &IDS);
+    cluster.settings.kept_bytes = 0;
+    cluster.settings.chunk_bytes = 64 << 10;
+    cluster.replicas.clear();
+    for id in IDS {
+        cluster.add(id);
+    }
+    cluster.init(11, &IDS);
+    cluster.run(Duration::from_secs(3));
+    let leader = cluster.leader().expect("a leader");
+    let slow = cluster.others(leader)[0];
+    cluster.kill(slow);
+    for number in 0..100 {
+        cluster.submit(&command(number));
+    }
+    cluster.compact(leader, 1 << 20);
+    cluster.weather = Weather {
+        lost: 10,
+        doubled: 10,
+        delayed: 0,
+    };
+    cluster.restart(slow);
+    let last = cluster.replica(leader).machine.index();
+    cluster.until("the slow one caught up", |it| {
+        it.replicas[&slow].machine.index() >= last
+    });
+    expect_that!(cluster.replica(slow).disk.snapshot, some(anything()));
+    cluster.kill(slow);
+    cluster.restart(slow);
+    cluster.submit(&command(500));
+    cluster.until("it goes on from the snapshot", |it| {
+        it.replicas[&slow].machine.index() > last
+    });
+}
+
+/// Random schedules of every fault; the harness checks each applied entry.
+#[gtest]
+fn random_faults_lose_nothing_accepted() {
+    for seed in 0..60 {
+        let ids: &[ReplicaId] = if seed % 2 == 0 {
+            &IDS
+        } else {
+            &[11, 12, 13, 14, 15]
+        };
+        let mut cluster = Cluster::formed(seed, ids);
+        cluster.settings.kept_bytes = 512;
+        let mut accepted = Vec::new();
+        for number in 0..150 {
+            random_fault(&mut cluster, ids);
+            let Some(leader) = cluster.leader() else {
+                cluster.run(Duration::from_millis(300));
+                continue;
+            };
+            let token = cluster.propose(leader, command(number));
+            cluster.run(Duration::from_millis(150));
+            if let Some(Ok(Answer::Claim(_))) = cluster.answers.get(&token) {
+                accepted.push(command(number));
+            }
+        }
+        cluster.heal();
+        cluster.weather = Weather::default();
+        for id in ids {
+            cluster.replica(*id).frozen = false;
+            cluster.replica(*id).kill_after = None;
+            if !cluster.replica(*id).up {
+                cluster.restart(*id);
+            }
+        }
+        cluster.submit(&command(10_000));
+        cluster.run(Duration::from_secs(10));
+        expect_kept(&cluster, &accepted);
+        expect_that!(accepted.len(), ge(10), "seed {seed}");
+        let ends: Vec<Index> = cluster
+            .replicas
+            .values()
+            .map(|it| it.machine.index())
+            .collect();
+        expect_that!(ends, each(eq(&ends[0])), "seed {seed}");
+    }
+}
+
+fn random_fault(cluster: &mut Cluster, ids: &[ReplicaId]) {
+    let id = ids[cluster.rng.random_range(0..ids.len())];
+    let other = ids[cluster.rng.random_range(0..ids.len())];
+    match cluster.rng.random_range(0..24) {
+        0 => cluster.kill(id),
+        1..=3 => {
+            let down: Vec<ReplicaId> = ids
+                .iter()
+                .copied()
+                .filter(|it| !cluster.replicas[it].up)
+                .collect();
+            for id in down {
+                cluster.restart(id);
+            }
+        }
+        4 => cluster.replica(id).kill_after = Some(cluster.rng.random_range(0..4)),
+        5 => cluster.replica(id).frozen = true,
+        6..=8 => {
+            for id in ids {
+                cluster.replica(*id).frozen = false;
+            }
+        }
+        9 => cluster.isolate(id),
+        10 => {
+            cluster.cuts.insert((id, other));
+        }
+        11..=13 => cluster.heal(),
+        14 => {
+            cluster.weather = Weather {
+                lost: 20,
+                doubled: 20,
+                delayed: 20,
+            };
+        }
+        15 => cluster.weather = Weather::default(),
+        16 if cluster.replica(id).up && !cluster.replica(id).frozen => cluster.compact(id, 300),
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/raft_formation.rs
@@ -0,0 +1,101 @@
+//! A cluster forms once, and never by a restart.
+
+mod cluster;
+
+use std::time::Duration;
+
+use citron_policy::{
+    raft::{Refusal, Role},
+    state::Command,
+};
+use googletest::prelude::*;
+
+use cluster::Cluster;
+
+const LONG: Duration = Duration::from_secs(30);
+
+#[gtest]
+fn empty_folders_elect_nobody() {
+    let mut cluster = Cluster::empty(1, &[11, 12, 13]);
+    cluster.run(LONG);
+    expect_that!(cluster.leader(), none());
+    expect_that!(cluster.leaders.len(), eq(0));
+}
+
+#[gtest]
+fn one_init_forms_one_cluster() {
+    let mut cluster = Cluster::empty(2, &[11, 12, 13]);
+    let token = cluster.init(11, &[11, 12, 13]);
+    cluster.run(Duration::from_secs(3));
+    expect_that!(cluster.questions.get(&token), some(ok(eq(&()))));
+    expect_that!(cluster.leader(), some(anything()));
+}
+
+#[gtest]
+fn nobody_leads_before_every_voter_has_promised() {
+    let mut cluster = Cluster::empty(3, &[11, 12, 13]);
+    cluster.kill(13);
+    let token = cluster.init(11, &[11, 12, 13]);
+    cluster.run(LONG);
+    expect_that!(cluster.questions.get(&token), none());
+    expect_that!(cluster.leader(), none());
+    cluster.restart(13);
+    cluster.run(Duration::from_secs(5));
+    expect_that!(cluster.leader(), some(anything()));
+}
+
+#[gtest]
+fn two_formations_with_a_voter_in_common_do_not_both_begin() {
+    for seed in 0..20 {
+        let mut cluster = Cluster::empty(seed, &[11, 12, 13, 14]);
+        let one = cluster.init(11, &[11, 12, 13]);
+        let other = cluster.init(14, &[12, 13, 14]);
+        cluster.run(LONG);
+        let formed = [one, other].map(|it| cluster.questions.get(&it) == Some(&Ok(())));
+        expect_that!(formed, not(eq([true, true])));
+        let refused = [one, other].map(|it| {
+            matches!(
+                cluster.questions.get(&it),
+                Some(Err(Refusal::Promised { .. }))
+            )
+        });
+        expect_that!(refused, contains(eq(true)));
+    }
+}
+
+#[gtest]
+fn a_second_init_is_refused_also_after_a_restart() {
+    let mut cluster = Cluster::formed(4, &[11, 12, 13]);
+    for id in [11, 12, 13] {
+        cluster.kill(id);
+        cluster.restart(id);
+    }
+    let token = cluster.init(12, &[12]);
+    expect_that!(
+        cluster.questions.get(&token),
+        some(err(eq(&Refusal::Formed)))
+    );
+}
+
+#[gtest]
+fn a_folder_that_was_lost_does_not_vote_as_the_old_one() {
+    let mut cluster = Cluster::formed(5, &[11, 12, 13]);
+    cluster.submit(&Command::Nothing);
+    // Two disks are lost, and their instances come back with empty folders.
+    cluster.forget(12);
+    cluster.forget(13);
+    cluster.add(22);
+    cluster.add(23);
+    let terms = cluster.leaders.len();
+    cluster.run(LONG);
+    expect_that!(cluster.leaders.len(), eq(terms));
+    expect_that!(cluster.leader(), none());
+    let token = cluster.init(22, &[22, 23]);
+    cluster.run(Duration::from_secs(5));
+    expect_that!(
+        cluster.replica(11).node.standing().role,
+        not(eq(Role::Leader))
+    );
+    // Fresh folders can be formed anew only by the operator's explicit order.
+    expect_that!(cluster.questions.get(&token), some(anything()));
+}
