ctl: declarations, plans and citronctl

Reading never stops at the first fault: unknown fields, missing fields and values that do not fit are found in one pass over each entry, with file, line and remedy. What is sent is the difference to the catalogue just read, against its revision. A lost answer is asked again at the next daemon under the same change id; forming the cluster and replacing a replica are not, once an attempt may have worked.

A daemon now answers an accepted change once it is in force on itself, or after a second, so that an operator who asks the same daemon next sees it.

Seen failing with a guard off, then passing: - a fresh change id for each attempt: exit code 3 where 0 was expected - init asked again after a lost answer: 'Actual: 2' requests - a lost answer taken for not done: 'no daemon answered' where the outcome is unknown - base not that of the catalogue: 'Actual: String("conflict")'

--- /dev/null
+++ b/crates/ctl/src/client.rs
@@ -0,0 +1,287 @@
+//! Requests to daemons, of which any one can answer.
+//!
+//! A daemon that does not answer is passed over for the next. Questions and
+//! changes may be asked again, changes since they keep their change id; forming
+//! the cluster and replacing a replica may not, once an attempt may have worked.
+
+use std::{
+    io,
+    time::{Duration, Instant},
+};
+
+use awc::{
+    ClientRequest,
+    error::{ConnectError, SendRequestError},
+    http::{Method, StatusCode},
+};
+use citron_policy::catalogue::Change;
+use citron_wire::admin::{Accepted, Kind, Problem};
+use derive_more::{Display, Error};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::{exit::Exit, settings::Settings};
+
+/// Longest time to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Longest time for one attempt of a question or a change.
+const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Pause before all daemons are tried anew.
+const ROUND_PAUSE: Duration = Duration::from_millis(250);
+
+/// Largest answer in bytes.
+const MAX_ANSWER_BYTES: usize = 256 << 20;
+
+/// Why there is no answer.
+#[derive(Debug, Display, Error)]
+pub enum Error {
+    /// A daemon refused.
+    #[display("{}", _0.detail)]
+    Refused(#[error(not(source))] Problem),
+    /// No daemon answered; nothing was done.
+    #[display("no daemon answered: {reasons}: check --admin and `citronctl status`")]
+    Unreachable {
+        /// What each daemon did instead.
+        reasons: String,
+    },
+    /// It may have been done.
+    #[display("it is not known whether this was done: {reasons}")]
+    Unknown {
+        /// What each daemon did instead.
+        reasons: String,
+    },
+}
+
+impl Error {
+    /// The exit code that says this.
+    #[must_use]
+    pub fn exit(&self) -> Exit {
+        match self {
+            Self::Refused(problem) => match problem.kind {
+                Kind::Conflict | Kind::ChangeId => Exit::Conflict,
+                Kind::Unknown | Kind::Unavailable => Exit::Unknown,
+                Kind::Request | Kind::Token | Kind::Invalid | Kind::Refused => Exit::Failed,
+            },
+            Self::Unreachable { .. } | Self::Unknown { .. } => Exit::Unknown,
+        }
+    }
+}
+
+/// What one attempt came to.
+enum Attempt<T> {
+    Done(T),
+    Refused(Problem),
+    NotDone(String),
+    MaybeDone(String),
+}
+
+/// Attempts that gave no answer.
+#[derive(Default)]
+struct Failures {
+    last: Vec<(String, String)>,
+    maybe: bool,
+}
+
+impl Failures {
+    fn add(&mut self, address: &str, reason: String) {
+        self.last.retain(|(known, _)| known != address);
+        self.last.push((address.to_owned(), reason));
+    }
+
+    fn into_error(self) -> Error {
+        let reasons = self
+            .last
+            .iter()
+            .map(|(address, reason)| format!("{address}: {reason}"));
+        let reasons = reasons.collect::<Vec<_>>().join("; ");
+        if self.maybe {
+            Error::Unknown { reasons }
+        } else {
+            Error::Unreachable { reasons }
+        }
+    }
+}
+
+/// Requests of one run.
+#[derive(derive_more::Debug)]
+pub struct Client {
+    settings: Settings,
+    #[debug(skip)]
+    http: awc::Client,
+}
+
+impl Client {
+    /// A client for the daemons of the settings.
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
+        let connector = awc::Connector::new().timeout(CONNECT_TIMEOUT);
+        let http = awc::Client::builder()
+            .connector(connector)
+            .disable_redirects()
+            .disable_timeout()
+            .finish();
+        Self { settings, http }
+    }
+
+    /// Asks a question of the first daemon that answers.
+    ///
+    /// # Errors
+    /// No daemon answers, or one refuses.
+    pub async fn get<T>(&self, path: &str) -> Result<T, Error>
+    where
+        T: DeserializeOwned,
+    {
+        let mut failures = Failures::default();
+        for address in &self.settings.admin {
+            let within = ATTEMPT_TIMEOUT.min(self.settings.timeout);
+            match self.attempt(Method::GET, address, path, &(), within).await {
+                Attempt::Done(answer) => return Ok(answer),
+                Attempt::Refused(problem) => return Err(Error::Refused(problem)),
+                Attempt::NotDone(reason) | Attempt::MaybeDone(reason) => {
+                    failures.add(address, reason);
+                }
+            }
+        }
+        Err(failures.into_error())
+    }
+
+    /// Sends a change, to one daemon after the other until one knows its outcome.
+    ///
+    /// # Errors
+    /// The change is refused, or its outcome is not known when the time is up.
+    pub async fn change(&self, change: &Change, now: Instant) -> Result<Accepted, Error> {
+        let deadline = now + self.settings.timeout;
+        let mut failures = Failures::default();
+        loop {
+            for address in &self.settings.admin {
+                let left = deadline.saturating_duration_since(Instant::now());
+                let within = ATTEMPT_TIMEOUT.min(left.max(ROUND_PAUSE));
+                let attempt = self.attempt(Method::POST, address, "/v1/changes", change, within);
+                match attempt.await {
+                    Attempt::Done(answer) => return Ok(answer),
+                    Attempt::Refused(problem) if judged(&problem) || !failures.maybe => {
+                        return Err(Error::Refused(problem));
+                    }
+                    Attempt::Refused(problem) => failures.add(address, problem.detail),
+                    Attempt::NotDone(reason) => failures.add(address, reason),
+                    Attempt::MaybeDone(reason) => {
+                        failures.maybe = true;
+                        failures.add(address, reason);
+                    }
+                }
+            }
+            if Instant::now() + ROUND_PAUSE >= deadline {
+                return Err(failures.into_error());
+            }
+            actix_rt::time::sleep(ROUND_PAUSE).await;
+        }
+    }
+
+    /// Asks for something that must not be asked twice.
+    ///
+    /// # Errors
+    /// It is refused, no daemon takes it, or it may have been done.
+    pub async fn once<B, T>(&self, path: &str, body: &B) -> Result<T, Error>
+    where
+        B: Serialize,
+        T: DeserializeOwned,
+    {
+        let mut failures = Failures::default();
+        for address in &self.settings.admin {
+            let within = self.settings.timeout;
+            match self
+                .attempt(Method::POST, address, path, body, within)
+                .await
+            {
+                Attempt::Done(answer) => return Ok(answer),
+                Attempt::Refused(problem) => return Err(Error::Refused(problem)),
+                Attempt::NotDone(reason) => failures.add(address, reason),
+                Attempt::MaybeDone(reason) => {
+                    failures.maybe = true;
+                    failures.add(address, reason);
+                    break;
+                }
+            }
+        }
+        Err(failures.into_error())
+    }
+
+    async fn attempt<B, T>(
+        &self,
+        method: Method,
+        address: &str,
+        path: &str,
+        body: &B,
+        within: Duration,
+    ) -> Attempt<T>
+    where
+        B: Serialize,
+        T: DeserializeOwned,
+    {
+        let request = self
+            .http
+            .request(method, format!("http://{address}{path}"))
+            .bearer_auth(&self.settings.token);
+        match actix_rt::time::timeout(within, exchange(request, body)).await {
+            Ok(attempt) => attempt,
+            Err(_) => Attempt::MaybeDone(format!("no answer within {within:?}")),
+        }
+    }
+}
+
+/// Whether the control log itself judged the change.
+fn judged(problem: &Problem) -> bool {
+    matches!(
+        problem.kind,
+        Kind::Conflict | Kind::ChangeId | Kind::Invalid
+    )
+}
+
+async fn exchange<B, T>(request: ClientRequest, body: &B) -> Attempt<T>
+where
+    B: Serialize,
+    T: DeserializeOwned,
+{
+    let mut response = match request.send_json(body).await {
+        Ok(response) => response,
+        Err(error) if refused(&error) => return Attempt::NotDone(error.to_string()),
+        Err(error) => return Attempt::MaybeDone(error.to_string()),
+    };
+    let status = response.status();
+    let bytes = match response.body().limit(MAX_ANSWER_BYTES).await {
+        Ok(bytes) => bytes,
+        Err(error) => return Attempt::MaybeDone(error.to_string()),
+    };
+    if status == StatusCode::OK {
+        return match serde_json::from_slice(&bytes) {
+            Ok(answer) => Attempt::Done(answer),
+            Err(error) => Attempt::MaybeDone(format!("answer not understood: {error}")),
+        };
+    }
+    let problem: Problem = match serde_json::from_slice(&bytes) {
+        Ok(problem) => problem,
+        Err(_) => return Attempt::MaybeDone(format!("status {status} without a reason")),
+    };
+    match problem.kind {
+        Kind::Unavailable => Attempt::NotDone(problem.detail),
+        Kind::Unknown => Attempt::MaybeDone(problem.detail),
+        Kind::Request
+        | Kind::Token
+        | Kind::Conflict
+        | Kind::ChangeId
+        | Kind::Invalid
+        | Kind::Refused => Attempt::Refused(problem),
+    }
+}
+
+/// Whether nothing at all was sent.
+fn refused(error: &SendRequestError) -> bool {
+    match error {
+        SendRequestError::Connect(ConnectError::Io(error)) => {
+            error.kind() == io::ErrorKind::ConnectionRefused
+        }
+        SendRequestError::Connect(ConnectError::Resolver(_) | ConnectError::Timeout) => true,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/command/apply.rs
@@ -0,0 +1,159 @@
+//! `apply`, `diff` and `wait`.
+
+use std::{
+    path::Path,
+    time::{Duration, Instant},
+};
+
+use citron_policy::{
+    catalogue::Catalogue,
+    id::{ChangeId, Revision},
+};
+use citron_wire::admin::{self, Force};
+use serde_json::json;
+
+use super::{
+    Outcome,
+    arguments::{Apply, Diff},
+    render,
+};
+use crate::{
+    client::{Client, Error},
+    declaration::Declaration,
+    exit::Exit,
+    plan::Plan,
+};
+
+/// Pause between two questions where a revision is in force.
+const POLL_PAUSE: Duration = Duration::from_millis(200);
+
+/// Compares declarations with the catalogue and sends the difference.
+pub(super) async fn run(
+    client: &Client,
+    arguments: Apply,
+    timeout: Duration,
+    now: Instant,
+) -> Result<Outcome, Outcome> {
+    let plan = plan(client, &arguments.file, arguments.prune).await?;
+    if plan.steps.is_empty() {
+        return nothing_to_do(client, &arguments, plan.base, timeout, now).await;
+    }
+    let id = arguments.change_id.unwrap_or_else(new_id);
+    let base = arguments.base.unwrap_or(plan.base);
+    let change = plan.change(id.clone(), base);
+    let accepted = client.change(&change, now).await;
+    let accepted = accepted.map_err(|error| not_accepted(error, &id, base))?;
+    let revision = accepted.revision;
+    let text = format!("{plan}accepted as revision {revision} (change {id})");
+    let body = json!({
+        "outcome": "done",
+        "revision": revision,
+        "change": id,
+        "steps": plan.to_json(),
+    });
+    if arguments.wait {
+        let waited = wait(client, revision, timeout, now).await?;
+        return Ok(joined(&text, body, &waited));
+    }
+    Ok(Outcome::done(text, body))
+}
+
+/// Shows what `apply` would send.
+pub(super) async fn diff(client: &Client, arguments: Diff) -> Result<Outcome, Outcome> {
+    let plan = plan(client, &arguments.file, arguments.prune).await?;
+    let count = plan.steps.len();
+    let text = format!("{plan}{count} changes against revision {}", plan.base);
+    let body = json!({"outcome": "done", "base": plan.base, "steps": plan.to_json()});
+    Ok(Outcome::done(text, body))
+}
+
+/// Waits until a revision is in force on every live daemon.
+pub(super) async fn wait(
+    client: &Client,
+    revision: Revision,
+    timeout: Duration,
+    now: Instant,
+) -> Result<Outcome, Outcome> {
+    let path = format!("/v1/force?revision={revision}");
+    loop {
+        let force: Force = client.get(&path).await?;
+        if force.lagging.is_empty() {
+            let count = force.in_force.len();
+            let text = format!("revision {revision} is in force on all {count} live daemons");
+            let body = json!({"outcome": "done", "revision": revision, "in_force": force.in_force});
+            return Ok(Outcome::done(text, body));
+        }
+        if now.elapsed() + POLL_PAUSE >= timeout {
+            return Ok(Outcome {
+                exit: Exit::NotInForce,
+                text: render::lagging(&force),
+                body: json!({
+                    "outcome": "not-in-force",
+                    "revision": revision,
+                    "in_force": force.in_force,
+                    "lagging": force.lagging,
+                }),
+            });
+        }
+        actix_rt::time::sleep(POLL_PAUSE).await;
+    }
+}
+
+async fn plan(client: &Client, file: &Path, prune: bool) -> Result<Plan, Outcome> {
+    let declaration = Declaration::read(file)?;
+    let answer: admin::Catalogue = client.get("/v1/catalogue").await?;
+    let catalogue = Catalogue::from_entries(answer.revision, answer.entries);
+    let plan = Plan::new(&declaration, &catalogue, prune);
+    plan.check(&declaration, &catalogue)?;
+    Ok(plan)
+}
+
+async fn nothing_to_do(
+    client: &Client,
+    arguments: &Apply,
+    base: Revision,
+    timeout: Duration,
+    now: Instant,
+) -> Result<Outcome, Outcome> {
+    let text = format!("nothing to change: revision {base} has all of it");
+    let body = json!({"outcome": "done", "revision": base, "steps": []});
+    if arguments.wait {
+        let waited = wait(client, base, timeout, now).await?;
+        return Ok(joined(&text, body, &waited));
+    }
+    Ok(Outcome::done(text, body))
+}
+
+/// An error with how to go on; an unknown outcome names the change to resend.
+fn not_accepted(error: Error, id: &str, base: Revision) -> Outcome {
+    let unknown = matches!(error, Error::Unknown { .. });
+    let mut outcome = Outcome::from(error);
+    outcome.body["change"] = json!(id);
+    outcome.body["base"] = json!(base);
+    if unknown {
+        let hint = format!(
+            "\nresend it with `citronctl apply --change-id {id} --base {base}` and the same \
+             declarations: it is applied once"
+        );
+        outcome.text.push_str(&hint);
+    }
+    outcome
+}
+
+fn joined(text: &str, mut body: serde_json::Value, waited: &Outcome) -> Outcome {
+    body["outcome"] = waited.body["outcome"].clone();
+    for part in ["in_force", "lagging"] {
+        if let Some(value) = waited.body.get(part) {
+            body[part] = value.clone();
+        }
+    }
+    Outcome {
+        exit: waited.exit,
+        text: format!("{text}\n{}", waited.text),
+        body,
+    }
+}
+
+fn new_id() -> ChangeId {
+    format!("{:016x}", rand::random::<u64>())
+}
--- /dev/null
+++ b/crates/ctl/src/command/show.rs
@@ -0,0 +1,103 @@
+//! Commands that show the cluster, and those that form and repair it.
+
+use citron_policy::catalogue::Entry;
+use citron_wire::admin::{self, Done, Explanation, Init, Replace, Status};
+use serde_json::json;
+
+use super::{
+    Outcome,
+    arguments::{self, Explain, Get, ReplaceReplica},
+    render,
+};
+use crate::client::Client;
+
+/// Prints the catalogue or one entry as declarations.
+pub(super) async fn get(client: &Client, arguments: Get) -> Result<Outcome, Outcome> {
+    let mut catalogue: admin::Catalogue = client.get("/v1/catalogue").await?;
+    if let Some(wanted) = arguments.entry {
+        catalogue
+            .entries
+            .retain(|it| it.key().to_string() == wanted);
+        if catalogue.entries.is_empty() {
+            return Err(Outcome::failed(format!(
+                "{wanted:?} does not exist: write account/NAME, class/NAME or service/NAME, see \
+                 `citronctl get`"
+            )));
+        }
+    }
+    let text = declarations(&catalogue).map_err(|error| Outcome::failed(error.to_string()))?;
+    Ok(Outcome::done(text, json!(catalogue)))
+}
+
+fn declarations(catalogue: &admin::Catalogue) -> Result<String, toml::ser::Error> {
+    let mut text = format!("# revision {}\n", catalogue.revision);
+    for entry in &catalogue.entries {
+        let (kind, fields) = match entry {
+            Entry::Account(account) => ("account", toml::to_string(account)?),
+            Entry::Class(class) => ("class", toml::to_string(class)?),
+            Entry::Service(service) => ("service", toml::to_string(service)?),
+        };
+        let entry = format!("\n[[{kind}]]\n{}", nested(kind, &fields));
+        text.push_str(&entry);
+    }
+    Ok(text.trim_end().to_owned())
+}
+
+/// Puts the tables of an entry below the entry.
+fn nested(kind: &str, fields: &str) -> String {
+    fields.replace("[[once]]", &format!("[[{kind}.once]]"))
+}
+
+/// Shows daemons, replicas and leader.
+pub(super) async fn status(client: &Client) -> Result<Outcome, Outcome> {
+    let status: Status = client.get("/v1/status").await?;
+    Ok(Outcome::done(render::status(&status), json!(status)))
+}
+
+/// Shows what happened to a request or around an entry.
+pub(super) async fn explain(client: &Client, arguments: Explain) -> Result<Outcome, Outcome> {
+    let subject = &arguments.subject;
+    let plain = subject
+        .chars()
+        .all(|it| it.is_ascii_alphanumeric() || "-_./".contains(it));
+    if !plain {
+        return Err(Outcome::failed(format!(
+            "{subject:?} is no request and no entry: give the value of a Citron-Request header, \
+             or KIND/NAME"
+        )));
+    }
+    let kind = if subject.contains('/') {
+        "entry"
+    } else {
+        "request"
+    };
+    let answer: Explanation = client.get(&format!("/v1/explain?{kind}={subject}")).await?;
+    Ok(Outcome::done(render::explanation(&answer), json!(answer)))
+}
+
+/// Forms the cluster.
+pub(super) async fn init(client: &Client, arguments: arguments::Init) -> Result<Outcome, Outcome> {
+    let init = Init {
+        replicas: arguments.replicas,
+    };
+    let Done {} = client.once("/v1/init", &init).await?;
+    let text = "the cluster is formed: see `citronctl status`".to_owned();
+    Ok(Outcome::done(text, json!({"outcome": "done"})))
+}
+
+/// Lets one replica count in place of another.
+pub(super) async fn replace(
+    client: &Client,
+    arguments: ReplaceReplica,
+) -> Result<Outcome, Outcome> {
+    let replace = Replace {
+        old: arguments.old,
+        new: arguments.new,
+    };
+    let Done {} = client.once("/v1/replicas/replace", &replace).await?;
+    let text = format!(
+        "replica {} counts in place of {}: repaired",
+        replace.new, replace.old
+    );
+    Ok(Outcome::done(text, json!({"outcome": "done"})))
+}
--- /dev/null
+++ b/crates/ctl/src/plan.rs
@@ -0,0 +1,204 @@
+//! The difference between declarations and the catalogue.
+
+use std::fmt;
+
+use citron_policy::{
+    catalogue::{self, Catalogue, Change, Entry, Key},
+    id::{ChangeId, Revision},
+};
+use serde_json::Value;
+
+use crate::declaration::{Declaration, Fault, Faults, Place, Reason};
+
+/// Most faults that a check reports.
+const MAX_FAULTS: usize = 100;
+
+/// What a change of one entry does.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// The entry is new.
+    Create(Entry),
+    /// The entry becomes another.
+    Update {
+        /// As it is.
+        old: Entry,
+        /// As it will be.
+        new: Entry,
+    },
+    /// The entry goes.
+    Remove(Entry),
+}
+
+/// All steps from one revision of the catalogue to the declarations.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Plan {
+    /// Revision that it starts from.
+    pub base: Revision,
+    /// The steps.
+    pub steps: Vec<Step>,
+}
+
+impl Plan {
+    /// Compares declarations with the catalogue. Entries that are not declared
+    /// stay, unless `prune` is set.
+    #[must_use]
+    pub fn new(declaration: &Declaration, catalogue: &Catalogue, prune: bool) -> Self {
+        let mut steps = Vec::new();
+        for (key, declared) in &declaration.entries {
+            let new = declared.entry.clone();
+            match catalogue.entry(key) {
+                None => steps.push(Step::Create(new)),
+                Some(old) if old != new => steps.push(Step::Update { old, new }),
+                Some(_) => {}
+            }
+        }
+        if prune {
+            let stale = catalogue.entries();
+            let stale = stale.filter(|it| !declaration.entries.contains_key(&it.key()));
+            steps.extend(stale.map(Step::Remove));
+        }
+        Self {
+            base: catalogue.revision,
+            steps,
+        }
+    }
+
+    /// The change that carries the plan out.
+    #[must_use]
+    pub fn change(&self, id: ChangeId, base: Revision) -> Change {
+        let mut change = Change {
+            id,
+            base,
+            ..Change::default()
+        };
+        for step in &self.steps {
+            match step {
+                Step::Create(new) | Step::Update { new, .. } => change.puts.push(new.clone()),
+                Step::Remove(old) => change.removes.push(old.key()),
+            }
+        }
+        change
+    }
+
+    /// Checks that the plan fits the catalogue.
+    ///
+    /// # Errors
+    /// Every fault, with the place of the declaration.
+    pub fn check(&self, declaration: &Declaration, catalogue: &Catalogue) -> Result<(), Faults> {
+        let mut change = self.change(ChangeId::new(), self.base);
+        let mut faults = Vec::new();
+        let mut left_out: Vec<Key> = Vec::new();
+        while faults.len() < MAX_FAULTS {
+            let Err(fault) = catalogue.apply(&change) else {
+                break;
+            };
+            // A reference to an entry that is at fault itself is no second fault.
+            let follows = matches!(&fault, catalogue::Fault::Missing { missing, .. }
+                if left_out.contains(missing));
+            let key = key_of(&fault).cloned();
+            if !follows {
+                faults.push(describe(&fault, key.as_ref(), declaration));
+            }
+            let Some(key) = key else { break };
+            if !leave_out(&mut change, &key) {
+                break;
+            }
+            left_out.push(key);
+        }
+        if faults.is_empty() {
+            Ok(())
+        } else {
+            Err(Faults(faults))
+        }
+    }
+
+    /// The steps for programs.
+    #[must_use]
+    pub fn to_json(&self) -> Value {
+        self.steps.iter().map(Step::to_json).collect()
+    }
+}
+
+/// Takes an entry out of a change; false if it is not in it.
+fn leave_out(change: &mut Change, key: &Key) -> bool {
+    let before = change.puts.len() + change.removes.len();
+    change.puts.retain(|it| it.key() != *key);
+    change.removes.retain(|it| it != key);
+    change.puts.len() + change.removes.len() < before
+}
+
+fn key_of(fault: &catalogue::Fault) -> Option<&Key> {
+    match fault {
+        catalogue::Fault::Name { key, .. }
+        | catalogue::Fault::Missing { key, .. }
+        | catalogue::Fault::Range { key, .. }
+        | catalogue::Fault::SameKey { key, .. }
+        | catalogue::Fault::Unknown { key } => Some(key),
+        catalogue::Fault::TooLarge { .. } => None,
+    }
+}
+
+fn describe(fault: &catalogue::Fault, key: Option<&Key>, declaration: &Declaration) -> Fault {
+    let declared = key.and_then(|key| declaration.entries.get(key));
+    let nowhere = Place {
+        file: "(catalogue)".into(),
+        line: 0,
+    };
+    Fault {
+        place: declared.map_or(nowhere, |it| it.place.clone()),
+        entry: None,
+        reason: Reason::Catalogue {
+            fault: fault.to_string(),
+        },
+    }
+}
+
+impl Step {
+    fn to_json(&self) -> Value {
+        let (action, entry) = match self {
+            Self::Create(new) => ("create", new),
+            Self::Update { new, .. } => ("update", new),
+            Self::Remove(old) => ("remove", old),
+        };
+        serde_json::json!({"action": action, "entry": entry.key().to_string(), "owner": entry.owner()})
+    }
+}
+
+impl fmt::Display for Plan {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for step in &self.steps {
+            write!(f, "{step}")?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for Step {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Create(new) => writeln!(f, "+ {} (owner {})", new.key(), new.owner()),
+            Self::Remove(old) => writeln!(f, "- {} (owner {})", old.key(), old.owner()),
+            Self::Update { old, new } => {
+                writeln!(f, "~ {} (owner {})", new.key(), new.owner())?;
+                for (field, before, after) in differences(old, new) {
+                    writeln!(f, "    {field}: {before} -> {after}")?;
+                }
+                Ok(())
+            }
+        }
+    }
+}
+
+/// Fields that differ, with both values.
+fn differences(old: &Entry, new: &Entry) -> Vec<(String, Value, Value)> {
+    let fields = |entry: &Entry| match serde_json::to_value(entry) {
+        Ok(Value::Object(fields)) => fields,
+        Ok(_) | Err(_) => serde_json::Map::new(),
+    };
+    let before = fields(old);
+    let changed = fields(new).into_iter().filter_map(|(field, after)| {
+        let before = before.get(&field).cloned().unwrap_or_default();
+        (before != after).then_some((field, before, after))
+    });
+    changed.collect()
+}
--- a/crates/daemon/src/admin/change.rs
+++ b/crates/daemon/src/admin/change.rs
@@ -19,6 +19,9 @@
 /// Longest time that the control log may take for one change.
 const SUBMIT_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Longest wait for an accepted change to be in force here.
+const SHOW_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Longest identity of a change, in bytes.
 const MAX_CHANGE_ID_BYTES: usize = 64;
 
@@ -40,6 +43,7 @@
     };
     match ports.log.submit(command, SUBMIT_TIMEOUT).await {
         Ok(Answer::Change(Ok(revision))) => {
+            show(ports, revision).await;
             record(
                 ports,
                 "CP0801",
@@ -58,6 +62,14 @@
     }
 }
 
+/// Waits a moment until the change is in force here, so that an operator who
+/// asks this daemon next sees it; the change is accepted either way.
+async fn show(ports: &Ports, revision: Revision) {
+    let mut view = ports.view.clone();
+    let in_force = view.wait_for(|view| view.catalogue.revision >= revision);
+    drop(actix_rt::time::timeout(SHOW_TIMEOUT, in_force).await);
+}
+
 /// Checks what the control log takes for granted.
 fn check(change: &Change) -> Result<(), Problem> {
     let fits = (1..=MAX_CHANGE_ID_BYTES).contains(&change.id.len());
