feed: long-polled updates over a relay tree, with proofs that only age

Daemons ask a parent for what lies above their index; the parent holds the question until there is news or a newer proof. A proof travels as an offset from the question's arrival and counts from its sending, so a delay can only make it look older. Beyond the lease of 4 s without proof no work is taken; a stale time can be set and is zero.

--- a/crates/daemon/src/follow.rs
+++ b/crates/daemon/src/follow.rs
@@ -1,40 +1,90 @@
 //! Keeps this daemon's view of the control log current, and serves it to others.
+//!
+//! A daemon asks a parent for what lies above its index; the parent holds the
+//! question until there is something new, or a newer proof that the view is
+//! current, or for about a second. Whoever does not answer in time, or has no
+//! fresh proof itself, is left for the next parent. The daemon of the leading
+//! replica gets all of it from the replica and asks nobody.
 
-use std::{rc::Rc, sync::Arc, time::Instant};
+mod metrics;
+mod serve;
 
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::{Bytes, BytesMut};
 use citron_policy::{
-    feed::{Local, View},
-    id::InstanceId,
+    feed::{self, Feed, Local, View},
+    id::{Index, InstanceId},
     member::Members,
+    relay,
+};
+use citron_wire::{
+    Body,
+    feed::{self as codec, MAX_SNAPSHOT_BYTES},
+    generated::feed as proto,
 };
-use citron_wire::generated::feed as proto;
 use futures_util::future::LocalBoxFuture;
-use prometheus_client::registry::Registry;
 use tokio::sync::{mpsc, watch};
 
 use crate::peers::Hub;
 
-/// How the control log is followed.
-#[derive(Clone, Debug, Default)]
-pub struct Settings {}
+pub use metrics::Metrics;
 
-/// What is counted about the feed.
-#[derive(Clone, Debug, Default)]
-pub struct Metrics {}
+/// Time for an answer beyond the time that the parent may hold the question.
+const GRACE: Duration = Duration::from_millis(400);
+
+/// Age of the own proof under which a daemon asks nobody.
+const FRESH: Duration = Duration::from_millis(500);
+
+/// Age of the own proof over which a question is not held.
+const STALE: Duration = Duration::from_secs(2);
 
-impl Metrics {
-    /// Adds the metrics to a registry.
-    pub fn register(&self, _registry: &mut Registry) {}
+/// Pause after a parent that gave no fresh proof.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Time between two looks at the lease.
+const WATCH_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time after which an unasked snapshot is dropped.
+const SNAPSHOT_KEEP: Duration = Duration::from_secs(10);
+
+/// How the control log is followed.
+#[derive(Clone, Debug, Default)]
+pub struct Settings {
+    /// Bounds and times of the feed.
+    pub feed: feed::Settings,
 }
 
 /// Follows the control log for this daemon; clones share it.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Follow {
-    view: watch::Receiver<Arc<View>>,
-    sender: Rc<watch::Sender<Arc<View>>>,
+    inner: Rc<Inner>,
+}
+
+struct Inner {
+    hub: Hub,
+    members: watch::Receiver<Arc<Members>>,
+    feed: RefCell<Feed>,
+    view: watch::Sender<Arc<View>>,
+    held: Cell<usize>,
+    snapshot: RefCell<Option<serve::Encoded>>,
     metrics: Metrics,
 }
 
+impl std::fmt::Debug for Follow {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Follow")
+            .field("me", self.inner.hub.me())
+            .field("index", &self.inner.feed.borrow().view().index)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Follow {
     /// Starts following; `local` comes from this daemon's control replica, if it has one.
     #[must_use]
@@ -44,32 +94,42 @@
         members: watch::Receiver<Arc<Members>>,
         local: Option<mpsc::Receiver<Local>>,
     ) -> Self {
-        drop((settings, hub, members, local));
-        let (sender, view) = watch::channel(Arc::default());
-        Self {
-            view,
-            sender: Rc::new(sender),
+        let inner = Inner {
+            hub,
+            members,
+            feed: RefCell::new(Feed::new(settings.feed)),
+            view: watch::Sender::new(Arc::default()),
+            held: Cell::new(0),
+            snapshot: RefCell::default(),
             metrics: Metrics::default(),
+        };
+        let follow = Self {
+            inner: Rc::new(inner),
+        };
+        if let Some(local) = local {
+            actix_rt::spawn(follow.clone().take_local(local));
         }
+        actix_rt::spawn(follow.clone().follow());
+        actix_rt::spawn(follow.clone().watch_lease());
+        follow
     }
 
     /// What is in force here.
     #[must_use]
     pub fn view(&self) -> watch::Receiver<Arc<View>> {
-        self.view.clone()
+        self.inner.view.subscribe()
     }
 
     /// Whether the catalogue in force is known to be current.
     #[must_use]
     pub fn may_take_work(&self, now: Instant) -> bool {
-        let _ = now;
-        false
+        self.inner.feed.borrow().may_take_work(now)
     }
 
-    /// Takes in a message of the feed that wants no answer.
+    /// Takes in a message of the feed that wants no answer; there is none.
     pub fn on_tell(&self, from: &InstanceId, message: proto::Message) {
-        let _ = (from, message);
-        let _ = self.sender.is_closed();
+        drop(message);
+        log::debug!("CP0707 message of {from} wants an answer");
     }
 
     /// Answers a question of the feed.
@@ -79,13 +139,231 @@
         from: &InstanceId,
         message: proto::Message,
     ) -> LocalBoxFuture<'static, Result<proto::Message, String>> {
-        let _ = (from, message);
-        Box::pin(std::future::ready(Err("not following yet".to_owned())))
+        log::trace!("question of {from}");
+        Box::pin(serve::answer(self.clone(), message))
     }
 
     /// Counters of the feed.
     #[must_use]
     pub fn metrics(&self) -> &Metrics {
-        &self.metrics
+        &self.inner.metrics
+    }
+
+    async fn take_local(self, mut local: mpsc::Receiver<Local>) {
+        while let Some(step) = local.recv().await {
+            self.change(|feed| feed.take_local(step));
+        }
+    }
+
+    /// Asks one parent after the other, for ever.
+    async fn follow(self) {
+        let mut attempt = 0;
+        let mut known = Vec::new();
+        loop {
+            let parents = relay::parents(self.inner.hub.me(), &self.inner.members.borrow());
+            if parents != known {
+                known.clone_from(&parents);
+                attempt = 0;
+            }
+            if self.is_fresh() || parents.is_empty() {
+                actix_rt::time::sleep(RETRY_PAUSE).await;
+                continue;
+            }
+            let parent = &parents[attempt % parents.len()];
+            if !self.ask(parent).await {
+                attempt += 1;
+                actix_rt::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+
+    /// Whether the local replica leads, so that nobody needs to be asked.
+    fn is_fresh(&self) -> bool {
+        let age = self.inner.feed.borrow().proof_age(Instant::now());
+        age.is_some_and(|age| age < FRESH)
+    }
+
+    /// Asks a parent once; false if another one should be asked next.
+    async fn ask(&self, parent: &InstanceId) -> bool {
+        let sent = Instant::now();
+        let (question, hold) = self.question(sent);
+        let answer = self.call(parent, question, hold + GRACE).await;
+        let now = Instant::now();
+        match answer {
+            Some(proto::message::Body::News(news)) => self.take_news(parent, now, sent, news),
+            Some(proto::message::Body::Part(part)) => self.take_parts(parent, part).await,
+            Some(proto::message::Body::Pull(_)) | None => return false,
+        }
+        let age = self.inner.feed.borrow().proof_age(Instant::now());
+        age.is_some_and(|age| age < STALE)
+    }
+
+    fn question(&self, now: Instant) -> (proto::Pull, Duration) {
+        let feed = self.inner.feed.borrow();
+        let fresh = feed.proof_age(now).is_some_and(|age| age < STALE);
+        let hold = if fresh {
+            feed.settings().max_hold
+        } else {
+            Duration::ZERO
+        };
+        let pull = proto::Pull {
+            index: feed.wanted(),
+            hold_ms: u32::try_from(hold.as_millis()).unwrap_or(u32::MAX),
+            whole: feed.is_damaged(),
+            ..proto::Pull::default()
+        };
+        (pull, hold)
+    }
+
+    /// Sends one question; gives up early when the parent is no longer held alive.
+    async fn call(
+        &self,
+        parent: &InstanceId,
+        pull: proto::Pull,
+        within: Duration,
+    ) -> Option<proto::message::Body> {
+        let body = Body::Feed(codec::message(proto::message::Body::Pull(pull)));
+        let outcome = tokio::select! {
+            outcome = self.inner.hub.call(parent, body, within) => outcome,
+            () = self.lost(parent) => {
+                log::info!("CP0702 instance {parent} is no longer followed: it is not reachable");
+                return None;
+            }
+        };
+        match outcome {
+            Ok(Body::Feed(message)) => {
+                self.inner.metrics.answered();
+                message.body
+            }
+            Ok(_) => None,
+            Err(error) => {
+                self.inner.metrics.unanswered();
+                log::debug!("CP0702 instance {parent} is no longer followed: {error}");
+                None
+            }
+        }
+    }
+
+    /// Ends when a parent is no longer among those to follow.
+    async fn lost(&self, parent: &InstanceId) {
+        let mut members = self.inner.members.clone();
+        let me = self.inner.hub.me();
+        while relay::parents(me, &members.borrow_and_update()).contains(parent) {
+            if members.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
+    fn take_news(&self, parent: &InstanceId, now: Instant, sent: Instant, news: proto::News) {
+        match codec::news_from(news) {
+            Ok(news) => self.change(|feed| feed.take_news(now, sent, news)),
+            Err(error) => {
+                self.inner.metrics.refused();
+                log::warn!("CP0704 answer of instance {parent} refused: {error}");
+            }
+        }
+    }
+
+    /// Takes a snapshot, asking for the parts after the first.
+    async fn take_parts(&self, parent: &InstanceId, first: proto::Part) {
+        let Some(bytes) = self.collect(parent, first).await else {
+            self.inner.metrics.refused();
+            return;
+        };
+        match codec::decode_snapshot(bytes) {
+            Ok(snapshot) => {
+                let (index, revision) = (snapshot.index, snapshot.catalogue.revision);
+                self.change(|feed| feed.take_snapshot(snapshot));
+                self.inner.metrics.snapshot_taken();
+                log::info!(
+                    "CP0703 snapshot of index {index}, revision {revision} taken from {parent}"
+                );
+            }
+            Err(error) => {
+                self.inner.metrics.refused();
+                log::warn!("CP0704 answer of instance {parent} refused: {error}");
+            }
+        }
+    }
+
+    async fn collect(&self, parent: &InstanceId, first: proto::Part) -> Option<Bytes> {
+        let (index, total) = (first.index, usize::try_from(first.total).ok()?);
+        if first.offset != 0 || total > MAX_SNAPSHOT_BYTES {
+            return None;
+        }
+        let mut bytes = BytesMut::from(&*first.bytes);
+        while bytes.len() < total {
+            let pull = proto::Pull {
+                snapshot: index,
+                offset: bytes.len() as u64,
+                ..proto::Pull::default()
+            };
+            let next = self.call(parent, pull, GRACE * 4).await?;
+            let proto::message::Body::Part(part) = next else {
+                return None;
+            };
+            let follows = part.index == index && part.offset == bytes.len() as u64;
+            if !follows || part.bytes.is_empty() {
+                return None;
+            }
+            bytes.extend_from_slice(&part.bytes);
+        }
+        (bytes.len() == total).then(|| bytes.freeze())
+    }
+
+    /// Changes the feed, and shows the view if it changed.
+    fn change<F>(&self, step: F)
+    where
+        F: FnOnce(&mut Feed) -> bool,
+    {
+        let (changed, view, damaged) = {
+            let mut feed = self.inner.feed.borrow_mut();
+            let before = feed.is_damaged();
+            let changed = step(&mut feed);
+            let damaged = feed.is_damaged() && !before;
+            (changed, feed.view().clone(), damaged)
+        };
+        if damaged {
+            log::error!(
+                "CP0706 an accepted change does not fit revision {}: asking for a snapshot",
+                view.catalogue.revision
+            );
+        }
+        if changed {
+            self.inner.view.send_replace(Arc::new(view));
+        }
+    }
+
+    /// Tells when the lease runs out and when it is back.
+    async fn watch_lease(self) {
+        let mut held = false;
+        loop {
+            let now = Instant::now();
+            let holds = self.may_take_work(now);
+            if holds && !held {
+                log::info!("CP0701 the catalogue is known to be current: work is taken");
+            }
+            if held && !holds {
+                log::warn!("CP0705 no proof that the catalogue is current: no new work is taken");
+            }
+            held = holds;
+            self.inner
+                .metrics
+                .observe(now, &self.inner.feed.borrow(), self.inner.held.get());
+            self.drop_snapshot(now);
+            actix_rt::time::sleep(WATCH_INTERVAL).await;
+        }
+    }
+
+    fn drop_snapshot(&self, now: Instant) {
+        let mut snapshot = self.inner.snapshot.borrow_mut();
+        snapshot.take_if(|it| now.saturating_duration_since(it.asked) >= SNAPSHOT_KEEP);
+    }
+
+    /// Index of the view; for tests and status.
+    #[must_use]
+    pub fn index(&self) -> Index {
+        self.inner.feed.borrow().view().index
     }
 }
--- /dev/null
+++ b/crates/daemon/src/follow/serve.rs
@@ -0,0 +1,145 @@
+//! Answers to those that follow this daemon.
+
+use std::{
+    cell::Cell,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use citron_policy::{feed::Answer, id::Index};
+use citron_wire::{
+    feed::{self as codec, PART_BYTES},
+    generated::feed as proto,
+};
+use proto::message::Body;
+
+use super::Follow;
+
+/// Most questions held at once.
+const MAX_HELD: usize = 64;
+
+/// A snapshot in bytes, kept while its parts are asked for.
+#[derive(Debug)]
+pub(super) struct Encoded {
+    index: Index,
+    bytes: Bytes,
+    /// When a part was last asked for.
+    pub(super) asked: Instant,
+}
+
+/// Counts a question that is held, for as long as it lives.
+struct Held<'a> {
+    count: &'a Cell<usize>,
+}
+
+impl<'a> Held<'a> {
+    fn new(count: &'a Cell<usize>) -> Option<Self> {
+        if count.get() >= MAX_HELD {
+            return None;
+        }
+        count.set(count.get() + 1);
+        Some(Self { count })
+    }
+}
+
+impl Drop for Held<'_> {
+    fn drop(&mut self) {
+        self.count.set(self.count.get() - 1);
+    }
+}
+
+/// Answers one question, holding it while there is nothing new.
+pub(super) async fn answer(
+    follow: Follow,
+    message: proto::Message,
+) -> Result<proto::Message, String> {
+    let arrived = Instant::now();
+    let Some(Body::Pull(pull)) = message.body else {
+        return Err("not a question of the feed: upgrade the older daemon".to_owned());
+    };
+    let body = if pull.snapshot != 0 || pull.whole {
+        part(&follow, pull.snapshot, pull.offset)
+    } else {
+        let held = Held::new(&follow.inner.held);
+        let held = held.ok_or("too many daemons follow this one: ask another")?;
+        hold(&follow, arrived, &pull).await;
+        drop(held);
+        news(&follow, arrived, pull.index)
+    };
+    body.map(codec::message).map_err(|error| error.to_string())
+}
+
+/// Waits until the question is to be answered.
+async fn hold(follow: &Follow, arrived: Instant, pull: &proto::Pull) {
+    let most = Duration::from_millis(pull.hold_ms.into());
+    let mut view = follow.view();
+    let limit = most.min(follow.inner.feed.borrow().settings().max_hold);
+    let timeout = actix_rt::time::sleep(limit);
+    tokio::pin!(timeout);
+    loop {
+        view.mark_unchanged();
+        let due = follow
+            .inner
+            .feed
+            .borrow()
+            .is_due(Instant::now(), arrived, pull.index, most);
+        if due {
+            return;
+        }
+        tokio::select! {
+            () = &mut timeout => return,
+            changed = view.changed() => if changed.is_err() { return },
+        }
+    }
+}
+
+fn news(follow: &Follow, arrived: Instant, index: Index) -> Result<Body, codec::Error> {
+    let answer = follow.inner.feed.borrow().answer(arrived, index);
+    match answer {
+        Answer::News(news) => codec::news_of(&news).map(Body::News),
+        Answer::Snapshot(_) => part(follow, 0, 0),
+    }
+}
+
+/// A part of the kept snapshot, or the first part of a new one.
+fn part(follow: &Follow, index: Index, offset: u64) -> Result<Body, codec::Error> {
+    let mut kept = follow.inner.snapshot.borrow_mut();
+    let fits = |it: &Encoded| it.index == index && offset <= it.bytes.len() as u64;
+    let current = follow.inner.feed.borrow().view().index;
+    let reuse = kept.as_ref().is_some_and(|it| {
+        if offset == 0 {
+            it.index == current
+        } else {
+            fits(it)
+        }
+    });
+    let offset = if reuse { offset } else { 0 };
+    if !reuse {
+        *kept = None;
+    }
+    let encoded = match &mut *kept {
+        Some(encoded) => encoded,
+        None => kept.insert(encode(follow)?),
+    };
+    encoded.asked = Instant::now();
+    let start = usize::try_from(offset)
+        .unwrap_or(usize::MAX)
+        .min(encoded.bytes.len());
+    let end = (start + PART_BYTES).min(encoded.bytes.len());
+    Ok(Body::Part(proto::Part {
+        index: encoded.index,
+        offset,
+        total: encoded.bytes.len() as u64,
+        bytes: encoded.bytes.slice(start..end),
+    }))
+}
+
+fn encode(follow: &Follow) -> Result<Encoded, codec::Error> {
+    let snapshot = follow.inner.feed.borrow().snapshot();
+    follow.inner.metrics.snapshot_encoded();
+    Ok(Encoded {
+        index: snapshot.index,
+        bytes: codec::encode_snapshot(&snapshot)?,
+        asked: Instant::now(),
+    })
+}
--- /dev/null
+++ b/crates/daemon/tests/follow.rs
@@ -0,0 +1,269 @@
+//! The feed over real connections: updates arrive, proofs run out, snapshots
+//! come in parts, and a lost parent is replaced.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use actix_rt::{net::TcpListener, task::JoinHandle, time::sleep};
+use citron_daemon::{
+    follow::{self, Follow},
+    peers::{self, Handler, Hub},
+};
+use citron_policy::{
+    catalogue::{Account, Catalogue, Change, Class, Entry},
+    feed::{self, Local, Step, Update},
+    id::{Index, InstanceId},
+    member::{Member, Members, State},
+};
+use citron_wire::Body;
+use futures_util::future::LocalBoxFuture;
+use googletest::prelude::*;
+use tokio::sync::{mpsc, watch};
+
+/// Deadline for what should happen in well under a second.
+const SOON: Duration = Duration::from_secs(30);
+
+/// One daemon's feed with its listener.
+struct Node {
+    follow: Follow,
+    hub: Hub,
+    address: SocketAddr,
+    listener: JoinHandle<()>,
+    local: Option<mpsc::Sender<Local>>,
+    members: watch::Sender<Arc<Members>>,
+}
+
+struct Router(Follow);
+
+impl Handler for Router {
+    fn on_tell(&self, _: &InstanceId, _: Body) {}
+
+    fn on_call(
+        &self,
+        from: &InstanceId,
+        body: Body,
+    ) -> LocalBoxFuture<'static, std::result::Result<Body, String>> {
+        let Body::Feed(message) = body else {
+            return Box::pin(std::future::ready(Err("not a feed message".to_owned())));
+        };
+        let answer = self.0.on_call(from, message);
+        Box::pin(async move { answer.await.map(Body::Feed) })
+    }
+}
+
+async fn node(name: &str, replica: bool) -> Node {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let hub = Hub::new(name, "test");
+    let members = watch::Sender::new(Arc::default());
+    let (local, receiver) = mpsc::channel(1_024);
+    let follow = Follow::start(
+        follow::Settings::default(),
+        hub.clone(),
+        members.subscribe(),
+        replica.then_some(receiver),
+    );
+    let handler = Rc::new(Router(follow.clone()));
+    Node {
+        follow,
+        hub: hub.clone(),
+        address,
+        listener: actix_rt::spawn(peers::listen(hub, listener, handler)),
+        local: replica.then_some(local),
+        members,
+    }
+}
+
+/// Makes the nodes known to one another, all alive.
+fn introduce(nodes: &[&Node]) {
+    let member = |node: &Node| Member {
+        id: node.hub.me().clone(),
+        domain: "fd-1".to_owned(),
+        peer: node.address,
+        callers: node.address,
+        replica: node.local.is_some().then_some(7),
+        incarnation: 1,
+        state: State::Alive,
+        revision: 0,
+        load: 0,
+        current: true,
+    };
+    let members: Members = nodes
+        .iter()
+        .map(|it| (it.hub.me().clone(), member(it)))
+        .collect();
+    for node in nodes {
+        let book = members
+            .iter()
+            .map(|(id, it)| (id.clone(), it.peer))
+            .collect();
+        node.hub.set_book(book);
+        node.members.send_replace(Arc::new(members.clone()));
+    }
+}
+
+/// Proves an index on a node as a leader would, for as long as the handle lives.
+fn lead(node: &Node, index: watch::Receiver<Index>) -> JoinHandle<()> {
+    let local = node.local.clone().expect("a replica");
+    actix_rt::spawn(async move {
+        loop {
+            let proved = Local::Proved {
+                index: *index.borrow(),
+                at: Instant::now(),
+            };
+            if local.send(proved).await.is_err() {
+                return;
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+    })
+}
+
+fn class(name: &str) -> Entry {
+    let text = format!(
+        r#"{{"name":"{name}","owner":"desk","tier":0,"first_token_ms":1500,"between_tokens_ms":34,
+            "whole_ms":30000,"wait_bound_ms":5000,"queue_limit":100}}"#
+    );
+    let class: Class = serde_json::from_str(&text).expect("a class");
+    Entry::Class(Arc::new(class))
+}
+
+fn account(number: usize) -> Entry {
+    Entry::Account(Arc::new(Account {
+        name: format!("account-{number:05}"),
+        owner: "desk-team".to_owned(),
+        key_sha256: format!("{number:064x}"),
+        class: "repair".to_owned(),
+        classes: Vec::new(),
+        max_running: 4,
+        max_queued: 8,
+    }))
+}
+
+fn update(index: Index, puts: Vec<Entry>) -> Local {
+    let change = Change {
+        id: format!("c{index}"),
+        base: 0,
+        operator: "ann".to_owned(),
+        puts,
+        removes: Vec::new(),
+    };
+    Local::Update(Update {
+        index,
+        step: Step::Change(Arc::new(change)),
+    })
+}
+
+async fn until<F>(what: &str, holds: F)
+where
+    F: Fn() -> bool,
+{
+    let end = Instant::now() + SOON;
+    while !holds() {
+        assert!(Instant::now() < end, "not within {SOON:?}: {what}");
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+#[gtest]
+fn updates_reach_followers_and_the_lease_runs_out_with_the_leader() {
+    actix_rt::System::new().block_on(async {
+        let (a, b, c) = (
+            node("a", true).await,
+            node("b", false).await,
+            node("c", false).await,
+        );
+        introduce(&[&a, &b, &c]);
+        assert!(
+            !b.follow.may_take_work(Instant::now()),
+            "work before any proof"
+        );
+        let index = watch::Sender::new(0);
+        let leader = lead(&a, index.subscribe());
+        until("proof everywhere", || {
+            [&a, &b, &c]
+                .iter()
+                .all(|it| it.follow.may_take_work(Instant::now()))
+        })
+        .await;
+        let local = a.local.clone().expect("a replica");
+        for number in 1..=20 {
+            local
+                .send(update(number * 3, vec![class(&format!("k{number}"))]))
+                .await
+                .expect("room");
+            index.send_replace(number * 3);
+        }
+        until("updates everywhere", || {
+            [&b, &c]
+                .iter()
+                .all(|it| it.follow.view().borrow().catalogue.revision == 20)
+        })
+        .await;
+        leader.abort();
+        let stopped = Instant::now();
+        until("no work without proof", || {
+            !b.follow.may_take_work(Instant::now())
+        })
+        .await;
+        let lapsed = stopped + feed::LEASE + Duration::from_millis(10);
+        expect_that!(b.follow.may_take_work(lapsed), eq(false));
+        expect_that!(c.follow.may_take_work(lapsed), eq(false));
+        expect_that!(c.follow.view().borrow().catalogue.revision, eq(20));
+    });
+}
+
+#[gtest]
+fn a_newcomer_gets_a_large_snapshot_in_parts() {
+    actix_rt::System::new().block_on(async {
+        let (a, b) = (node("a", true).await, node("b", false).await);
+        let entries = std::iter::once(class("repair")).chain((0..12_000).map(account));
+        let catalogue = Arc::new(Catalogue::from_entries(9, entries));
+        let local = a.local.clone().expect("a replica");
+        let snapshot = Local::Snapshot {
+            index: 50,
+            catalogue: Arc::clone(&catalogue),
+            marks: Arc::default(),
+        };
+        local.send(snapshot).await.expect("room");
+        let _leader = lead(&a, watch::Sender::new(50).subscribe());
+        introduce(&[&a, &b]);
+        until("the snapshot arrived", || {
+            b.follow.may_take_work(Instant::now()) && b.follow.index() == 50
+        })
+        .await;
+        expect_that!(*b.follow.view().borrow().catalogue, eq(&*catalogue));
+    });
+}
+
+#[gtest]
+fn a_lost_parent_is_replaced_within_the_lease() {
+    actix_rt::System::new().block_on(async {
+        let (a, b, c) = (
+            node("a", true).await,
+            node("b", true).await,
+            node("c", false).await,
+        );
+        introduce(&[&a, &b, &c]);
+        let index = watch::Sender::new(0);
+        let _leader = lead(&a, index.subscribe());
+        until("proof everywhere", || {
+            [&a, &b, &c]
+                .iter()
+                .all(|it| it.follow.may_take_work(Instant::now()))
+        })
+        .await;
+        // The replica that does not lead stops answering; only the leader is left.
+        b.listener.abort();
+        let mut lapses = 0;
+        for _ in 0..60 {
+            sleep(Duration::from_millis(100)).await;
+            lapses += usize::from(!c.follow.may_take_work(Instant::now()));
+        }
+        expect_that!(lapses, eq(0));
+    });
+}
--- a/crates/policy/src/feed.rs
+++ b/crates/policy/src/feed.rs
@@ -4,6 +4,9 @@
 //! and stays with the replicas. Updates carry their index in the log, and a
 //! view never goes back to an older one.
 
+mod follower;
+mod ring;
+
 use std::{sync::Arc, time::Instant};
 
 use crate::{
@@ -12,6 +15,8 @@
     id::Index,
 };
 
+pub use follower::{Answer, Feed, LEASE, News, Settings, Snapshot};
+
 /// One committed step that concerns every daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
--- /dev/null
+++ b/crates/policy/src/feed/follower.rs
@@ -0,0 +1,317 @@
+//! The state machine that keeps one daemon's view current.
+//!
+//! Updates come from the local replica, from a parent, or from both; each
+//! source is free of gaps by itself, so taking every update above the last
+//! index gives the whole log. The index never goes down.
+//!
+//! A proof says: every update accepted before some instant has been taken in.
+//! It starts at a leader as the begin of a quorum round. A parent passes it on
+//! as an offset from the arrival of the question, and the child adds that to
+//! the moment when it sent the question, which is earlier. So a proof can only
+//! look older on its way, never younger.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use crate::{catalogue::Catalogue, crash, id::Index};
+
+use super::{Local, Step, Update, View, ring::Ring};
+
+/// Time for which a proof allows new work.
+pub const LEASE: Duration = Duration::from_secs(4);
+
+/// Bounds and times of the feed.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Time for which a proof allows new work.
+    pub lease: Duration,
+    /// Further time for which a catalogue without proof is used.
+    ///
+    /// Zero keeps the promise that an accepted change is in force everywhere
+    /// within seconds; more gives it up for as long, for the sake of taking
+    /// work while no quorum answers.
+    pub stale_max: Duration,
+    /// Most updates kept for those who follow.
+    pub ring_updates: usize,
+    /// Most bytes of updates kept, about.
+    pub ring_bytes: usize,
+    /// Most bytes of updates in one answer, about.
+    pub answer_bytes: usize,
+    /// Shortest hold of a question before a newer proof answers it.
+    pub min_hold: Duration,
+    /// Longest hold of a question.
+    pub max_hold: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            lease: LEASE,
+            stale_max: Duration::ZERO,
+            ring_updates: 4_096,
+            ring_bytes: 8 << 20,
+            answer_bytes: 1 << 20,
+            min_hold: Duration::from_millis(800),
+            max_hold: Duration::from_millis(1_600),
+        }
+    }
+}
+
+/// Everything up to an index, for one who is too far behind for updates.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Snapshot {
+    /// Index that the state is of.
+    pub index: Index,
+    /// Catalogue at that index.
+    pub catalogue: Arc<Catalogue>,
+    /// Crash marks at that index.
+    pub marks: Arc<crash::Table>,
+}
+
+/// What a daemon tells one that follows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// Updates above the asked index, and how current they are.
+    News(News),
+    /// The updates are no longer kept; take this instead.
+    Snapshot(Snapshot),
+}
+
+/// Updates, and how current they are.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct News {
+    /// Updates above the asked index, oldest first.
+    pub updates: Vec<Update>,
+    /// Every update up to here is among them or was asked from above it.
+    pub through: Index,
+    /// Instant of the proof in milliseconds after the question's arrival,
+    /// mostly negative; none without a proof or with updates left over.
+    pub proved_ms: Option<i64>,
+}
+
+/// One daemon's copy of what is in force.
+#[derive(Debug, Default)]
+pub struct Feed {
+    settings: Settings,
+    view: View,
+    through: Index,
+    ring: Ring,
+    damaged: bool,
+}
+
+impl Feed {
+    /// A feed that has nothing and no proof.
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// What is in force.
+    #[must_use]
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// Bounds and times.
+    #[must_use]
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Index above which updates are asked for.
+    #[must_use]
+    pub fn wanted(&self) -> Index {
+        self.through.max(self.view.index)
+    }
+
+    /// Whether the catalogue is known to be current, so that work may be taken.
+    #[must_use]
+    pub fn may_take_work(&self, now: Instant) -> bool {
+        let allowed = self.settings.lease + self.settings.stale_max;
+        self.proof_age(now).is_some_and(|age| age < allowed)
+    }
+
+    /// Age of the newest proof.
+    #[must_use]
+    pub fn proof_age(&self, now: Instant) -> Option<Duration> {
+        let proved = self.view.proved?;
+        Some(now.saturating_duration_since(proved))
+    }
+
+    /// Updates kept, and about how many bytes they take.
+    #[must_use]
+    pub fn ring_size(&self) -> (usize, usize) {
+        self.ring.size()
+    }
+
+    /// Takes in what the local replica says; true if the view changed.
+    pub fn take_local(&mut self, local: Local) -> bool {
+        match local {
+            Local::Update(update) => self.take_update(update),
+            Local::Snapshot {
+                index,
+                catalogue,
+                marks,
+            } => self.take_snapshot(Snapshot {
+                index,
+                catalogue,
+                marks,
+            }),
+            Local::Proved { index, at } => {
+                self.through = self.through.max(index);
+                self.take_proof(at)
+            }
+        }
+    }
+
+    /// Takes in a parent's news to a question sent at `sent`; true if the view changed.
+    pub fn take_news(&mut self, now: Instant, sent: Instant, news: News) -> bool {
+        let mut changed = false;
+        for update in news.updates {
+            changed |= self.take_update(update);
+        }
+        if self.damaged {
+            return changed;
+        }
+        self.through = self.through.max(news.through);
+        let proof = news.proved_ms.and_then(|ms| shift(sent, ms));
+        match proof {
+            Some(proved) => self.take_proof(proved.min(now)) || changed,
+            None => changed,
+        }
+    }
+
+    /// Takes in a snapshot that is newer than the view; true if it was.
+    pub fn take_snapshot(&mut self, snapshot: Snapshot) -> bool {
+        let newer =
+            snapshot.index > self.view.index || (self.damaged && snapshot.index == self.view.index);
+        let reverts = snapshot.catalogue.revision < self.view.catalogue.revision;
+        if !newer || reverts {
+            return false;
+        }
+        self.damaged = false;
+        self.through = self.through.max(snapshot.index);
+        self.ring.restart(snapshot.index);
+        self.view = View {
+            index: snapshot.index,
+            catalogue: snapshot.catalogue,
+            marks: snapshot.marks,
+            proved: self.view.proved,
+        };
+        true
+    }
+
+    fn take_update(&mut self, update: Update) -> bool {
+        if self.damaged || update.index <= self.view.index {
+            return false;
+        }
+        match &update.step {
+            Step::Change(change) => {
+                let Ok(next) = self.view.catalogue.apply(change) else {
+                    // An accepted change fits its base; this copy must be damaged.
+                    self.damaged = true;
+                    self.view.proved = None;
+                    return true;
+                };
+                self.view.catalogue = Arc::new(next);
+            }
+            Step::Crash(step) => Arc::make_mut(&mut self.view.marks).apply(step),
+        }
+        self.view.index = update.index;
+        self.through = self.through.max(update.index);
+        let settings = &self.settings;
+        self.ring
+            .push(update, settings.ring_updates, settings.ring_bytes);
+        true
+    }
+
+    fn take_proof(&mut self, proved: Instant) -> bool {
+        if self.damaged || self.view.proved.is_some_and(|old| old >= proved) {
+            return false;
+        }
+        self.view.proved = Some(proved);
+        true
+    }
+
+    /// Whether a copy that must not be used further was found damaged.
+    #[must_use]
+    pub fn is_damaged(&self) -> bool {
+        self.damaged
+    }
+
+    /// Whether a question for updates above `index`, here since `arrived`, is
+    /// to be answered now.
+    #[must_use]
+    pub fn is_due(&self, now: Instant, arrived: Instant, index: Index, most: Duration) -> bool {
+        let held = now.saturating_duration_since(arrived);
+        if held >= most.min(self.settings.max_hold) || self.has_news(index) {
+            return true;
+        }
+        let refreshed = self
+            .proof_age(now)
+            .is_some_and(|age| age < self.settings.min_hold / 4);
+        held >= self.settings.min_hold && refreshed
+    }
+
+    fn has_news(&self, index: Index) -> bool {
+        self.ring
+            .newest()
+            .map_or(self.view.index > index, |newest| newest > index)
+    }
+
+    /// Answers a question for updates above `index` that arrived at `arrived`.
+    #[must_use]
+    pub fn answer(&self, arrived: Instant, index: Index) -> Answer {
+        let Some(updates) = self.ring.after(index, self.settings.answer_bytes) else {
+            return Answer::Snapshot(self.snapshot());
+        };
+        let last = updates.last().map(|update| update.index);
+        let newest = self.ring.newest();
+        let whole = last.is_none() || last == newest;
+        let proved = self.view.proved.filter(|_| whole && !self.damaged);
+        Answer::News(News {
+            updates,
+            through: if whole {
+                self.through
+            } else {
+                last.unwrap_or(index)
+            },
+            proved_ms: proved.map(|proved| offset(arrived, proved)),
+        })
+    }
+
+    /// Everything up to the present index.
+    #[must_use]
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot {
+            index: self.view.index,
+            catalogue: Arc::clone(&self.view.catalogue),
+            marks: Arc::clone(&self.view.marks),
+        }
+    }
+}
+
+/// Milliseconds from `from` to `to`, rounded towards the past.
+fn offset(from: Instant, to: Instant) -> i64 {
+    let later = to.saturating_duration_since(from).as_millis();
+    let earlier = from
+        .saturating_duration_since(to)
+        .as_nanos()
+        .div_ceil(1_000_000);
+    let whole = |ms: u128| i64::try_from(ms).unwrap_or(i64::MAX);
+    whole(later) - whole(earlier)
+}
+
+fn shift(from: Instant, ms: i64) -> Option<Instant> {
+    let distance = Duration::from_millis(ms.unsigned_abs());
+    if ms < 0 {
+        from.checked_sub(distance)
+    } else {
+        from.checked_add(distance)
+    }
+}
--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -1,1 +1,69 @@
 //! Which daemon gets the feed from which other one.
+//!
+//! Few daemons follow the control replicas directly. When they are many, a
+//! fixed number of them, chosen by the hash of their names, follows the
+//! replicas, and each of the others follows one of those. Nothing is agreed on:
+//! every daemon derives its parents from its own view of the members, and a
+//! wrong choice costs a second try, since proofs of currency only age on
+//! their way.
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use crate::{
+    id::InstanceId,
+    member::{Member, Members, State},
+};
+
+/// Most daemons that follow the replicas directly, and most relays.
+pub const FAN_OUT: usize = 32;
+
+/// Relays that a daemon tries before it turns to the replicas.
+const RELAY_TRIES: usize = 4;
+
+/// The daemons to follow, best first.
+#[must_use]
+pub fn parents(me: &InstanceId, members: &Members) -> Vec<InstanceId> {
+    let others = || members.values().filter(|it| it.id != *me && reachable(it));
+    let mut replicas: Vec<&Member> = others().filter(|it| it.replica.is_some()).collect();
+    sort_for(me, &mut replicas);
+    let is_replica = members.get(me).is_some_and(|it| it.replica.is_some());
+    if is_replica || members.len() <= FAN_OUT {
+        return names(&replicas);
+    }
+    let mut relays = relays(members);
+    if relays.iter().any(|it| it.id == *me) {
+        return names(&replicas);
+    }
+    sort_for(me, &mut relays);
+    relays.truncate(RELAY_TRIES);
+    relays.extend(replicas);
+    names(&relays)
+}
+
+/// The daemons that pass the feed on, the same for equal members.
+fn relays(members: &Members) -> Vec<&Member> {
+    let mut fit: Vec<&Member> = members
+        .values()
+        .filter(|it| it.replica.is_none() && it.state == State::Alive)
+        .collect();
+    fit.sort_by_cached_key(|it| (xxh3_64(it.id.as_bytes()), it.id.clone()));
+    fit.truncate(FAN_OUT);
+    fit
+}
+
+fn reachable(member: &Member) -> bool {
+    matches!(member.state, State::Alive | State::Leaving)
+}
+
+/// Orders parents so that children spread over them; those that stay come first.
+fn sort_for(me: &str, parents: &mut [&Member]) {
+    let seed = xxh3_64(me.as_bytes());
+    parents.sort_by_cached_key(|it| {
+        let leaves = it.state != State::Alive;
+        (leaves, xxh3_64_with_seed(it.id.as_bytes(), seed))
+    });
+}
+
+fn names(members: &[&Member]) -> Vec<InstanceId> {
+    members.iter().map(|it| it.id.clone()).collect()
+}
--- /dev/null
+++ b/crates/wire/src/feed.rs
@@ -0,0 +1,142 @@
+//! Messages of the feed: the policy's answers as bytes and back.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use citron_policy::{
+    catalogue::{Catalogue, Change, Entry},
+    crash::{self, Mark},
+    feed::{News, Snapshot, Step, Update},
+};
+use derive_more::{Display, Error, From};
+use prost::Message as _;
+
+use crate::generated::feed as proto;
+
+/// Largest part of a snapshot in one message, in bytes.
+pub const PART_BYTES: usize = 1 << 20;
+
+/// Largest encoded snapshot accepted, in bytes.
+pub const MAX_SNAPSHOT_BYTES: usize = 128 << 20;
+
+/// Why a message of the feed was refused.
+#[derive(Debug, Display, Error, From)]
+pub enum Error {
+    /// The bytes are no message.
+    #[display("not a feed message: {_0}: check that both daemons run the same release")]
+    Garbage(prost::DecodeError),
+    /// A catalogue entry or change is not understood.
+    #[display("catalogue data not understood: {_0}: upgrade the older daemon")]
+    Json(serde_json::Error),
+    /// A field is missing.
+    #[display("feed message without {field}: check that both daemons run the same release")]
+    #[from(skip)]
+    Field {
+        /// Field at fault.
+        field: &'static str,
+    },
+}
+
+/// Wraps a body into a message.
+#[must_use]
+pub fn message(body: proto::message::Body) -> proto::Message {
+    proto::Message { body: Some(body) }
+}
+
+/// News as a message body.
+///
+/// # Errors
+/// [`Error::Json`] when a change cannot be written.
+pub fn news_of(news: &News) -> Result<proto::News, Error> {
+    let updates = news.updates.iter().map(update_of);
+    Ok(proto::News {
+        updates: updates.collect::<Result<_, _>>()?,
+        through: news.through,
+        proved_ms: news.proved_ms,
+    })
+}
+
+/// News from a message body.
+///
+/// # Errors
+/// [`Error`] when an update is not understood.
+pub fn news_from(news: proto::News) -> Result<News, Error> {
+    let updates = news.updates.into_iter().map(update_from);
+    Ok(News {
+        updates: updates.collect::<Result<_, _>>()?,
+        through: news.through,
+        proved_ms: news.proved_ms,
+    })
+}
+
+fn update_of(update: &Update) -> Result<proto::Update, Error> {
+    use proto::update::Step as Wire;
+    let step = match &update.step {
+        Step::Change(change) => Wire::Change(serde_json::to_vec(&**change)?.into()),
+        Step::Crash(crash::Step::Suspected(marks)) => Wire::Suspected(proto::Marks {
+            fingerprints: marks.clone(),
+        }),
+        Step::Crash(crash::Step::Quarantined(mark)) => Wire::Quarantined(*mark),
+        Step::Crash(crash::Step::Cleared(mark)) => Wire::Cleared(*mark),
+    };
+    Ok(proto::Update {
+        index: update.index,
+        step: Some(step),
+    })
+}
+
+fn update_from(update: proto::Update) -> Result<Update, Error> {
+    use proto::update::Step as Wire;
+    let step = match update.step.ok_or(Error::Field { field: "step" })? {
+        Wire::Change(bytes) => Step::Change(Arc::new(serde_json::from_slice::<Change>(&bytes)?)),
+        Wire::Suspected(marks) => Step::Crash(crash::Step::Suspected(marks.fingerprints)),
+        Wire::Quarantined(mark) => Step::Crash(crash::Step::Quarantined(mark)),
+        Wire::Cleared(mark) => Step::Crash(crash::Step::Cleared(mark)),
+    };
+    Ok(Update {
+        index: update.index,
+        step,
+    })
+}
+
+/// A snapshot as bytes.
+///
+/// # Errors
+/// [`Error::Json`] when an entry cannot be written.
+pub fn encode_snapshot(snapshot: &Snapshot) -> Result<Bytes, Error> {
+    let entries = snapshot.catalogue.entries();
+    let entries = entries.map(|entry| serde_json::to_vec(&entry).map(Bytes::from));
+    let marked = |wanted: Mark| {
+        let marks = snapshot.marks.marks.iter();
+        let fits = marks.filter(move |(_, mark)| **mark == wanted);
+        fits.map(|(fingerprint, _)| *fingerprint).collect()
+    };
+    let snapshot = proto::Snapshot {
+        index: snapshot.index,
+        revision: snapshot.catalogue.revision,
+        entries: entries.collect::<Result<_, _>>()?,
+        suspected: marked(Mark::Suspected),
+        quarantined: marked(Mark::Quarantined),
+    };
+    Ok(snapshot.encode_to_vec().into())
+}
+
+/// A snapshot from bytes.
+///
+/// # Errors
+/// [`Error`] when the bytes are no snapshot or an entry is not understood.
+pub fn decode_snapshot(bytes: Bytes) -> Result<Snapshot, Error> {
+    let snapshot = proto::Snapshot::decode(bytes)?;
+    let entries = snapshot.entries.iter().map(|it| serde_json::from_slice(it));
+    let entries: Vec<Entry> = entries.collect::<Result<_, _>>()?;
+    let mut marks = crash::Table::default();
+    marks.apply(&crash::Step::Suspected(snapshot.suspected));
+    for fingerprint in snapshot.quarantined {
+        marks.apply(&crash::Step::Quarantined(fingerprint));
+    }
+    Ok(Snapshot {
+        index: snapshot.index,
+        catalogue: Arc::new(Catalogue::from_entries(snapshot.revision, entries)),
+        marks: Arc::new(marks),
+    })
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod admin;
 pub mod codec;
 pub mod control;
+pub mod feed;
 pub mod generated;
 pub mod member;
 pub mod slot;
