wire: names only in the first frame of a connection

Cause: a slot message is about as long as the names that each frame carried, and slot traffic is what must fit 8 KB/s for each daemon. Change: the first frame of each direction names version, cluster and sender; the receiver fills them in for the later ones. Bytes are counted by the codec. A frame without names at the start of a stream is refused.

--- a/crates/daemon/src/peers/link.rs
+++ b/crates/daemon/src/peers/link.rs
@@ -7,7 +7,6 @@
 use citron_policy::id::InstanceId;
 use citron_wire::{Frame, codec::Codec};
 use futures_util::{SinkExt, StreamExt};
-use prost::Message;
 use tokio::sync::mpsc;
 
 use super::Hub;
@@ -21,9 +20,6 @@
 /// Idle time after which the connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
 
-/// Bytes of the length prefix of a frame.
-pub(super) const PREFIX_BYTES: u64 = 4;
-
 /// Runs the connection until it fails, idles out or its queue is dropped.
 pub(super) async fn run(
     hub: Hub,
@@ -61,7 +57,10 @@
                 }
             }
             next = framed.next() => match next {
-                Some(Ok(frame)) => on_answer(hub, peer, frame),
+                Some(Ok(frame)) => {
+                    count(hub, &mut framed, 0, 1);
+                    on_answer(hub, peer, frame);
+                }
                 Some(Err(error)) => {
                     hub.count(|counts| counts.refused += 1);
                     log::warn!("CP0902 frame from {peer} refused: {error}");
@@ -83,13 +82,13 @@
 ) -> bool {
     let mut next = Some(frame);
     while let Some(frame) = next {
-        count_sent(hub, &frame);
         if !matches!(
             actix_rt::time::timeout(SEND_TIMEOUT, framed.feed(frame)).await,
             Ok(Ok(()))
         ) {
             return false;
         }
+        count(hub, framed, 1, 0);
         next = queue.try_recv().ok();
     }
     matches!(
@@ -98,26 +97,19 @@
     )
 }
 
-/// Counts a frame that goes out.
-pub(super) fn count_sent(hub: &Hub, frame: &Frame) {
-    let bytes = frame.encoded_len() as u64 + PREFIX_BYTES;
-    hub.count(|counts| {
-        counts.sent += 1;
-        counts.sent_bytes += bytes;
-    });
-}
-
-/// Counts a frame that came in.
-pub(super) fn count_received(hub: &Hub, frame: &Frame) {
-    let bytes = frame.encoded_len() as u64 + PREFIX_BYTES;
+/// Counts what went over a connection; `sent` and `received` are frames.
+pub(super) fn count(hub: &Hub, framed: &mut Framed<TcpStream, Codec>, sent: u64, received: u64) {
+    let codec = framed.codec_mut();
+    let (sent_bytes, received_bytes) = (codec.take_sent_bytes(), codec.take_received_bytes());
     hub.count(|counts| {
-        counts.received += 1;
-        counts.received_bytes += bytes;
+        counts.sent += sent;
+        counts.sent_bytes += sent_bytes;
+        counts.received += received;
+        counts.received_bytes += received_bytes;
     });
 }
 
 fn on_answer(hub: &Hub, peer: &InstanceId, frame: Frame) {
-    count_received(hub, &frame);
     if !frame.answer || frame.from != *peer {
         hub.count(|counts| counts.refused += 1);
         return;
--- a/crates/daemon/src/peers/listen.rs
+++ b/crates/daemon/src/peers/listen.rs
@@ -8,10 +8,7 @@
 use futures_util::{SinkExt, StreamExt};
 use tokio::sync::mpsc;
 
-use super::{
-    Handler, Hub,
-    link::{count_received, count_sent},
-};
+use super::{Handler, Hub, link::count};
 
 /// Most answers that wait for one connection.
 const ANSWER_QUEUE: usize = 1_024;
@@ -50,6 +47,7 @@
         tokio::select! {
             next = framed.next() => match next {
                 Some(Ok(frame)) if hub.admits(&frame.from, address) => {
+                    count(&hub, &mut framed, 0, 1);
                     on_frame(&hub, frame, &handler, &sender);
                 }
                 Some(Ok(frame)) => {
@@ -66,10 +64,10 @@
             },
             answer = answers.recv() => {
                 let Some(frame) = answer else { return };
-                count_sent(&hub, &frame);
                 if !matches!(actix_rt::time::timeout(SEND_TIMEOUT, framed.send(frame)).await, Ok(Ok(()))) {
                     return;
                 }
+                count(&hub, &mut framed, 1, 0);
             }
             () = actix_rt::time::sleep(IDLE_TIMEOUT) => return,
         }
@@ -77,7 +75,6 @@
 }
 
 fn on_frame(hub: &Hub, frame: Frame, handler: &Rc<dyn Handler>, answers: &mpsc::Sender<Frame>) {
-    count_received(hub, &frame);
     let Some(body) = frame.body else { return };
     if frame.call == 0 {
         handler.on_tell(&frame.from, body);
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -275,6 +275,7 @@
         };
         let slots = Slots::new(hub.clone(), inputs, propose(&started.control), ring.clone());
         let (draining, drained) = watch::channel(false);
+        let upstream = upstream::Metrics::default();
         let callers = Callers::new(callers::Ports {
             me: settings.instance.clone(),
             max_body_bytes: settings.max_body_bytes,
@@ -286,13 +287,14 @@
             control: started.control.clone(),
             ring: ring.clone(),
             tracer: outside.tracer.clone(),
-            upstream: upstream::Metrics::default(),
+            upstream: upstream.clone(),
         });
         let metrics = Metrics::default();
         let mut registry = Registry::default();
         metrics.register(&mut registry);
         callers.register(&mut registry);
         started.control.register(&mut registry);
+        upstream.register(&mut registry);
         gossip.metrics().register(&mut registry);
         platform.metrics().register(&mut registry);
         follow.metrics().register(&mut registry);
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -1,7 +1,9 @@
 //! Length-delimited frames on a byte stream.
 //!
 //! The length prefix and its limit come from `tokio-util`; this codec adds the
-//! message type and the checks that every receiver needs.
+//! message type and the checks that every receiver needs. The first frame of
+//! each direction names version, cluster and sender; later ones leave them out,
+//! and the receiver fills them in, since most frames are smaller than the names.
 
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error, From};
@@ -40,8 +42,17 @@
 pub struct Codec {
     cluster: String,
     lengths: LengthDelimitedCodec,
+    /// Whether the first frame was sent.
+    introduced: bool,
+    /// Sender that the other side's first frame named.
+    peer: Option<String>,
+    sent_bytes: u64,
+    received_bytes: u64,
 }
 
+/// Bytes of the length prefix of a frame.
+const PREFIX_BYTES: u64 = 4;
+
 impl Codec {
     /// A codec that accepts only frames of `cluster`.
     #[must_use]
@@ -52,10 +63,35 @@
         Self {
             cluster: cluster.to_owned(),
             lengths,
+            introduced: false,
+            peer: None,
+            sent_bytes: 0,
+            received_bytes: 0,
         }
     }
 
-    fn check(&self, frame: Frame) -> Result<Frame, Error> {
+    /// Bytes encoded since the last call, length prefixes included.
+    pub fn take_sent_bytes(&mut self) -> u64 {
+        std::mem::take(&mut self.sent_bytes)
+    }
+
+    /// Bytes decoded since the last call, length prefixes included.
+    pub fn take_received_bytes(&mut self) -> u64 {
+        std::mem::take(&mut self.received_bytes)
+    }
+
+    /// Checks the first frame, and fills in what later ones leave out.
+    fn check(&mut self, frame: Frame) -> Result<Frame, Error> {
+        if let Some(peer) = &self.peer
+            && frame.version == 0
+        {
+            return Ok(Frame {
+                version: VERSION,
+                cluster: self.cluster.clone(),
+                from: peer.clone(),
+                ..frame
+            });
+        }
         if frame.version != VERSION {
             return Err(Error::Version {
                 theirs: frame.version,
@@ -66,8 +102,22 @@
                 theirs: frame.cluster,
             });
         }
+        self.peer = Some(frame.from.clone());
         Ok(frame)
     }
+
+    /// The frame as it is sent: names only in the first one.
+    fn shorten(&mut self, frame: Frame) -> Frame {
+        if !std::mem::replace(&mut self.introduced, true) {
+            return frame;
+        }
+        Frame {
+            version: 0,
+            cluster: String::new(),
+            from: String::new(),
+            ..frame
+        }
+    }
 }
 
 impl Decoder for Codec {
@@ -78,6 +128,7 @@
         let Some(bytes) = self.lengths.decode(source)? else {
             return Ok(None);
         };
+        self.received_bytes += PREFIX_BYTES + bytes.len() as u64;
         let frame = Frame::decode(bytes.freeze())?;
         self.check(frame).map(Some)
     }
@@ -87,7 +138,8 @@
     type Error = Error;
 
     fn encode(&mut self, frame: Frame, target: &mut BytesMut) -> Result<(), Error> {
-        let bytes = Bytes::from(frame.encode_to_vec());
+        let bytes = Bytes::from(self.shorten(frame).encode_to_vec());
+        self.sent_bytes += PREFIX_BYTES + bytes.len() as u64;
         self.lengths.encode(bytes, target)?;
         Ok(())
     }
