standin: load driver

Seeded Poisson arrivals by item of a mix, with bursts; it behaves like a caller (entry list for its ttl, try addresses, Retry-After) and checks every token against what the prompt must give, so a wrong answer that looks whole is counted apart from one visibly cut. It speaks over the client codec, since awc takes a cut answer for a whole one.

--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -20,7 +20,7 @@
 use actix_http::{Method, StatusCode};
 use serde_json::json;
 
-pub use self::answer::{Answer, Chat, token_text};
+pub use self::answer::{Answer, Chat, Message, token_text};
 use self::{
     batch::Batch,
     counts::{Counts, Load},
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,8 +7,10 @@
 //! exactly what a well-made HTTP server refuses to send. Nothing here is linked
 //! by the daemon.
 
+pub mod cli;
 pub mod engine;
 pub mod fault;
+pub mod load;
 pub mod platform;
 pub mod server;
 pub mod service;
--- /dev/null
+++ b/crates/standin/src/load.rs
@@ -0,0 +1,243 @@
+//! The load driver: seeded arrivals, checked answers, one report.
+//!
+//! It behaves like a caller: it asks the router which addresses to use, keeps
+//! the answer for its time, connects itself, follows `try` addresses and comes
+//! back when `Retry-After` says so. Every token is checked against what its
+//! prompt must give. Only loopback addresses are accepted, and both the time
+//! and the number of requests have a bound.
+
+mod arrivals;
+mod call;
+mod chat;
+mod client;
+mod entries;
+mod hold;
+mod plan;
+mod report;
+
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use self::{
+    arrivals::{Arrival, Arrivals},
+    client::{Connections, Target},
+    entries::Entries,
+    report::{Outcome, Tally},
+};
+pub use self::{
+    hold::hold,
+    plan::{Item, Kind, Window},
+    report::Report,
+};
+
+/// Most requests of one run.
+pub const MAX_REQUESTS: usize = 2_000_000;
+
+/// Longest run.
+pub const MAX_TIME: Duration = Duration::from_hours(1);
+
+/// Longest wait for answers after the last arrival.
+const DRAIN_TIME: Duration = Duration::from_mins(1);
+
+/// Most times that one request comes back after a refusal.
+const MAX_RETURNS: u32 = 8;
+
+/// What is driven, and how hard.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Addresses of entry instances, or of stand-ins when direct.
+    pub addresses: Vec<SocketAddr>,
+    /// Whether the addresses are stand-ins.
+    pub direct: bool,
+    /// Whether connections are used again.
+    pub keep_alive: bool,
+    /// Whether a refused request comes back.
+    pub returns: bool,
+    /// Requests a second over all items; unused with workers.
+    pub rate: f64,
+    /// Callers that send one request after the other, in place of a rate.
+    pub workers: usize,
+    /// How long requests arrive.
+    pub time: Duration,
+    /// Requests that are not reported, at the start.
+    pub warmup: Duration,
+    /// Seed of arrivals and prompts.
+    pub seed: u64,
+    /// What is asked.
+    pub items: Vec<Item>,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            addresses: Vec::new(),
+            direct: false,
+            keep_alive: false,
+            returns: true,
+            rate: 10.0,
+            workers: 0,
+            time: Duration::from_secs(10),
+            warmup: Duration::ZERO,
+            seed: 1,
+            items: Vec::new(),
+        }
+    }
+}
+
+/// One run in progress.
+#[derive(Debug)]
+struct Run {
+    settings: Settings,
+    started: Instant,
+    entries: Entries,
+    connections: Connections,
+    tally: RefCell<Tally>,
+    running: Cell<usize>,
+}
+
+/// Drives the load and reports.
+///
+/// # Errors
+/// Settings that cannot be driven.
+pub async fn drive(settings: Settings) -> io::Result<Report> {
+    check(&settings)?;
+    let started = Instant::now();
+    let run = Rc::new(Run {
+        entries: Entries::new(&settings.addresses, settings.direct),
+        connections: Connections::new(settings.keep_alive),
+        tally: RefCell::new(Tally::new(&settings.items)),
+        running: Cell::new(0),
+        started,
+        settings,
+    });
+    if run.settings.workers > 0 {
+        Rc::clone(&run).work().await;
+    } else {
+        Rc::clone(&run).arrive().await;
+    }
+    run.drain().await;
+    let cut_off = run.running.get();
+    Ok(run.tally.borrow().report(&run.settings, cut_off))
+}
+
+fn check(settings: &Settings) -> io::Result<()> {
+    let refuse = |text: &str| Err(io::Error::new(io::ErrorKind::InvalidInput, text));
+    if settings.addresses.is_empty() {
+        return refuse("no address: give at least one");
+    }
+    if settings.addresses.iter().any(|it| !it.ip().is_loopback()) {
+        return refuse("only loopback addresses are driven: use 127.0.0.1");
+    }
+    if settings.time > MAX_TIME {
+        return refuse("the run is too long: at most one hour");
+    }
+    if settings.items.is_empty() {
+        return refuse("nothing to ask: give a mix with at least one item");
+    }
+    Ok(())
+}
+
+impl Run {
+    /// Starts each request at its time.
+    async fn arrive(self: Rc<Self>) {
+        let arrivals = Arrivals::new(&self.settings);
+        for arrival in arrivals.take(MAX_REQUESTS) {
+            let at = self.started + arrival.at;
+            actix_rt::time::sleep_until(at.into()).await;
+            actix_rt::spawn(Rc::clone(&self).one(arrival, at));
+        }
+    }
+
+    /// Lets workers send one request after the other.
+    async fn work(self: Rc<Self>) {
+        let end = self.started + self.settings.time;
+        let next = Rc::new(Cell::new(0));
+        let workers = (0..self.settings.workers).map(|_| {
+            let (run, next) = (Rc::clone(&self), Rc::clone(&next));
+            actix_rt::spawn(async move {
+                while Instant::now() < end && next.get() < MAX_REQUESTS {
+                    let number = next.get();
+                    next.set(number + 1);
+                    let arrival = Arrival {
+                        at: run.started.elapsed(),
+                        item: number % run.settings.items.len(),
+                        number,
+                    };
+                    Rc::clone(&run).one(arrival, Instant::now()).await;
+                }
+            })
+        });
+        futures_util::future::join_all(workers).await;
+    }
+
+    /// Sends one request until it is answered or given up.
+    async fn one(self: Rc<Self>, arrival: Arrival, at: Instant) {
+        self.running.set(self.running.get() + 1);
+        let item = &self.settings.items[arrival.item];
+        let deadline = at + item.timeout();
+        let mut returns = 0;
+        let mut target = None;
+        let outcome = loop {
+            let outcome = self.attempt(&arrival, at, target.take()).await;
+            let Some(again) = outcome.comes_back() else {
+                break outcome;
+            };
+            let back = Instant::now() + again.after;
+            if !self.settings.returns || returns >= MAX_RETURNS || back >= deadline {
+                break outcome;
+            }
+            returns += 1;
+            actix_rt::time::sleep_until(back.into()).await;
+            target = again.elsewhere;
+        };
+        if arrival.at >= self.settings.warmup {
+            self.tally.borrow_mut().count(&item.name, &outcome, returns);
+        }
+        self.running.set(self.running.get() - 1);
+    }
+
+    async fn attempt(&self, arrival: &Arrival, at: Instant, to: Option<SocketAddr>) -> Outcome {
+        let item = &self.settings.items[arrival.item];
+        let address = match to {
+            Some(address) => address,
+            None => match self.entries.choose(&self.connections).await {
+                Some(address) => address,
+                None => return Outcome::no_entry(),
+            },
+        };
+        let left = (at + item.timeout()).saturating_duration_since(Instant::now());
+        let target = Target {
+            address,
+            direct: self.settings.direct,
+            id: format!("{:08x}{:08x}", self.settings.seed, arrival.number),
+            timeout: left,
+        };
+        let outcome = match item.kind {
+            Kind::Chat => {
+                let prompt = item.prompt(self.settings.seed, arrival.number);
+                chat::ask(&self.connections, &target, item, &prompt, at).await
+            }
+            Kind::Book | Kind::Read => {
+                let key = format!("load-{}-{}", self.settings.seed, arrival.number);
+                call::ask(&self.connections, &target, item, &key, at).await
+            }
+        };
+        if outcome.lost_connection() {
+            self.entries.distrust(address);
+        }
+        outcome
+    }
+
+    /// Waits for the answers that are still to come.
+    async fn drain(&self) {
+        let end = Instant::now() + DRAIN_TIME;
+        while self.running.get() > 0 && Instant::now() < end {
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/load/call.rs
@@ -0,0 +1,85 @@
+//! Plain calls: bookings under a key of their own, and reads.
+
+use std::time::Instant;
+
+use actix_http::Method;
+use serde_json::Value;
+
+use super::{
+    Item, Kind,
+    client::{Connections, Target},
+    report::{Flaws, Outcome, Times},
+};
+
+/// Asks for a plain call and checks that the answer is its own.
+pub(super) async fn ask(
+    connections: &Connections,
+    target: &Target,
+    item: &Item,
+    key: &str,
+    at: Instant,
+) -> Outcome {
+    let asked = exchange(connections, target, item, key, at);
+    match actix_rt::time::timeout(target.timeout, asked).await {
+        Ok(outcome) => outcome,
+        Err(_) => Outcome::Late,
+    }
+}
+
+async fn exchange(
+    connections: &Connections,
+    target: &Target,
+    item: &Item,
+    key: &str,
+    at: Instant,
+) -> Outcome {
+    let bearer = format!("Bearer {}", item.key);
+    let timeout = target.timeout.as_millis().max(1).to_string();
+    let headers = [
+        ("content-type", "application/json"),
+        ("authorization", bearer.as_str()),
+        ("citron-class", item.class.as_str()),
+        ("citron-timeout-ms", timeout.as_str()),
+        ("idempotency-key", key),
+        ("x-request-id", target.id.as_str()),
+    ];
+    let name = if item.kind == Kind::Book {
+        "book"
+    } else {
+        "status"
+    };
+    let path = if target.direct {
+        format!("/{name}")
+    } else {
+        format!("/v1/services/{}/{name}", item.service)
+    };
+    let body = "x".repeat(item.bytes).into_bytes();
+    let sent = connections.send(target.address, Method::POST, &path, &headers, body.into());
+    let mut answer = match sent.await {
+        Ok(answer) => answer,
+        Err(error) => {
+            log::debug!("no answer from {}: {error}", target.address);
+            return Outcome::Lost;
+        }
+    };
+    if !answer.head.status.is_success() {
+        return Outcome::refused(&mut answer).await;
+    }
+    let Ok(body) = answer.whole().await else {
+        return Outcome::Cut(Flaws::default());
+    };
+    connections.give_back(answer);
+    let own = serde_json::from_slice::<Value>(&body).is_ok_and(|value| value["key"] == key);
+    if !own {
+        return Outcome::Wrong(Flaws {
+            foreign: 1,
+            ..Flaws::default()
+        });
+    }
+    let whole = at.elapsed();
+    Outcome::Answered(Times {
+        first_token: whole,
+        whole,
+        ..Times::default()
+    })
+}
--- /dev/null
+++ b/crates/standin/src/load/chat.rs
@@ -0,0 +1,185 @@
+//! Streamed chats, each token checked.
+
+use std::time::Instant;
+
+use actix_http::{Method, StatusCode};
+use serde::Deserialize;
+
+use super::{
+    Item,
+    client::{Answer, Connections, Target},
+    report::{Flaws, Outcome, Times},
+};
+use crate::engine::{Chat, token_text};
+
+/// What is read of a token's event.
+#[derive(Debug, Deserialize)]
+struct Event {
+    offset: u64,
+    choices: Vec<Choice>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Choice {
+    delta: Delta,
+    finish_reason: Option<String>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Delta {
+    content: String,
+}
+
+/// Tokens as they come.
+#[derive(Debug)]
+struct Reader {
+    digest: u64,
+    next: u64,
+    flaws: Flaws,
+    finished: bool,
+    done: bool,
+    line: Vec<u8>,
+    first: Option<Instant>,
+}
+
+/// Asks for a streamed chat and reads it to its end.
+pub(super) async fn ask(
+    connections: &Connections,
+    target: &Target,
+    item: &Item,
+    chat: &Chat,
+    at: Instant,
+) -> Outcome {
+    let asked = exchange(connections, target, item, chat, at);
+    match actix_rt::time::timeout(target.timeout, asked).await {
+        Ok(outcome) => outcome,
+        Err(_) => Outcome::Late,
+    }
+}
+
+async fn exchange(
+    connections: &Connections,
+    target: &Target,
+    item: &Item,
+    chat: &Chat,
+    at: Instant,
+) -> Outcome {
+    let bearer = format!("Bearer {}", item.key);
+    let timeout = target.timeout.as_millis().max(1).to_string();
+    let headers = [
+        ("content-type", "application/json"),
+        ("authorization", bearer.as_str()),
+        ("citron-class", item.class.as_str()),
+        ("citron-timeout-ms", timeout.as_str()),
+        ("x-request-id", target.id.as_str()),
+    ];
+    let Ok(body) = serde_json::to_vec(chat) else {
+        return Outcome::Error(0);
+    };
+    let path = "/v1/chat/completions";
+    let sent = connections.send(target.address, Method::POST, path, &headers, body.into());
+    let mut answer = match sent.await {
+        Ok(answer) => answer,
+        Err(error) => {
+            log::debug!("no answer from {}: {error}", target.address);
+            return Outcome::Lost;
+        }
+    };
+    if answer.head.status != StatusCode::OK {
+        return Outcome::refused(&mut answer).await;
+    }
+    let mut reader = Reader::new(chat.digest());
+    let cut = read(&mut answer, &mut reader).await;
+    let outcome = reader.outcome(cut, at);
+    if !cut {
+        connections.give_back(answer);
+    }
+    outcome
+}
+
+/// Reads the stream; true when it was cut.
+async fn read(answer: &mut Answer, reader: &mut Reader) -> bool {
+    while let Some(part) = answer.part().await {
+        match part {
+            Ok(part) => reader.take(&part),
+            Err(_) => return true,
+        }
+    }
+    !reader.done
+}
+
+impl Reader {
+    fn new(digest: u64) -> Self {
+        Self {
+            digest,
+            next: 0,
+            flaws: Flaws::default(),
+            finished: false,
+            done: false,
+            line: Vec::new(),
+            first: None,
+        }
+    }
+
+    fn take(&mut self, part: &[u8]) {
+        for piece in part.split_inclusive(|byte| *byte == b'\n') {
+            self.line.extend_from_slice(piece);
+            if piece.ends_with(b"\n") {
+                let line = std::mem::take(&mut self.line);
+                if let Some(data) = line.strip_prefix(b"data: ") {
+                    self.event(data.trim_ascii_end());
+                }
+            }
+        }
+    }
+
+    fn event(&mut self, data: &[u8]) {
+        if data == b"[DONE]" {
+            self.done = true;
+            return;
+        }
+        let Ok(event) = serde_json::from_slice::<Event>(data) else {
+            self.flaws.foreign += 1;
+            return;
+        };
+        self.first.get_or_insert_with(Instant::now);
+        self.flaws.tokens += 1;
+        if event.offset < self.next {
+            self.flaws.duplicates += 1;
+        } else {
+            self.flaws.missing += event.offset - self.next;
+            self.next = event.offset + 1;
+        }
+        let Some(choice) = event.choices.first() else {
+            self.flaws.foreign += 1;
+            return;
+        };
+        self.finished = choice.finish_reason.is_some();
+        if choice.delta.content != token_text(self.digest, event.offset) {
+            self.flaws.foreign += 1;
+        }
+    }
+
+    fn outcome(&self, cut: bool, at: Instant) -> Outcome {
+        let flaws = self.flaws;
+        let flawed = flaws.duplicates + flaws.missing + flaws.foreign > 0;
+        match (cut, flawed || !self.finished) {
+            (true, _) => Outcome::Cut(flaws),
+            (false, true) => Outcome::Wrong(flaws),
+            (false, false) => Outcome::Answered(self.times(at)),
+        }
+    }
+
+    fn times(&self, at: Instant) -> Times {
+        let now = Instant::now();
+        let first = self.first.unwrap_or(now);
+        let gaps = u32::try_from(self.next.saturating_sub(1)).unwrap_or(u32::MAX);
+        let streamed = now.saturating_duration_since(first);
+        Times {
+            first_token: first.saturating_duration_since(at),
+            between_tokens: streamed.checked_div(gaps).unwrap_or_default(),
+            whole: now.saturating_duration_since(at),
+            tokens: self.next,
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/load/client.rs
@@ -0,0 +1,171 @@
+//! A client that knows a whole answer from a cut one.
+
+use std::{cell::RefCell, io, net::SocketAddr, time::Duration};
+
+use actix_codec::Framed;
+use actix_http::{
+    Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, Uri,
+    body::BodySize,
+    h1::{ClientCodec, ClientPayloadCodec, Message, MessageType},
+    header::{self, HeaderName, HeaderValue},
+};
+use actix_rt::net::TcpStream;
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use indexmap::IndexMap;
+
+/// Most idle connections kept for one address.
+const MAX_IDLE: usize = 256;
+
+/// Longest time to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Where a request goes, and by when it must be answered.
+#[derive(Clone, Debug)]
+pub(super) struct Target {
+    /// Address of an entry instance or a stand-in.
+    pub address: SocketAddr,
+    /// Whether it is a stand-in.
+    pub direct: bool,
+    /// Identity of the request.
+    pub id: String,
+    /// Time that is left for it.
+    pub timeout: Duration,
+}
+
+/// Connections that may be used again.
+#[derive(Debug)]
+pub(super) struct Connections {
+    keep_alive: bool,
+    idle: RefCell<IndexMap<SocketAddr, Vec<Framed<TcpStream, ClientCodec>>>>,
+    config: ServiceConfig,
+}
+
+/// An answer whose body is still to come.
+pub(super) struct Answer {
+    /// Status and headers.
+    pub head: ResponseHead,
+    body: Option<Framed<TcpStream, ClientPayloadCodec>>,
+    rest: Option<Framed<TcpStream, ClientCodec>>,
+    address: SocketAddr,
+}
+
+impl Connections {
+    pub(super) fn new(keep_alive: bool) -> Self {
+        Self {
+            keep_alive,
+            idle: RefCell::default(),
+            config: ServiceConfig::default(),
+        }
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub(super) async fn send(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: &[(&'static str, &str)],
+        body: Bytes,
+    ) -> io::Result<Answer> {
+        let mut framed = self.connection(address).await?;
+        let mut head = RequestHead::default();
+        head.method = method;
+        head.uri = path.parse::<Uri>().map_err(io::Error::other)?;
+        let host = HeaderValue::try_from(address.to_string()).map_err(io::Error::other)?;
+        head.headers.insert(header::HOST, host);
+        for (name, value) in headers.iter().filter(|(_, value)| !value.is_empty()) {
+            let value = HeaderValue::try_from(*value).map_err(io::Error::other)?;
+            head.headers.insert(HeaderName::from_static(name), value);
+        }
+        if !self.keep_alive {
+            head.set_connection_type(actix_http::ConnectionType::Close);
+        }
+        let size = BodySize::Sized(body.len() as u64);
+        let head: RequestHeadType = head.into();
+        framed.feed(Message::Item((head, size))).await?;
+        if !body.is_empty() {
+            framed.feed(Message::Chunk(Some(body))).await?;
+        }
+        SinkExt::<Message<(RequestHeadType, BodySize)>>::flush(&mut framed).await?;
+        let head = framed.next().await.ok_or(io::ErrorKind::UnexpectedEof)?;
+        let head = head.map_err(io::Error::other)?;
+        Ok(Answer::new(head, framed, address))
+    }
+
+    /// Keeps the connection of a whole answer for another request.
+    pub(super) fn give_back(&self, answer: Answer) {
+        let Some(framed) = answer.rest else { return };
+        if !self.keep_alive || !framed.codec_ref().keep_alive() {
+            return;
+        }
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.entry(answer.address).or_default();
+        if kept.len() < MAX_IDLE {
+            kept.push(framed);
+        }
+    }
+
+    async fn connection(&self, address: SocketAddr) -> io::Result<Framed<TcpStream, ClientCodec>> {
+        let idle = self.idle.borrow_mut().get_mut(&address).and_then(Vec::pop);
+        if let Some(framed) = idle {
+            return Ok(framed);
+        }
+        let opened = actix_rt::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let stream = opened.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
+        stream.set_nodelay(true)?;
+        Ok(Framed::new(stream, ClientCodec::new(self.config.clone())))
+    }
+}
+
+impl Answer {
+    fn new(
+        head: ResponseHead,
+        framed: Framed<TcpStream, ClientCodec>,
+        address: SocketAddr,
+    ) -> Self {
+        let (body, rest) = match framed.codec_ref().message_type() {
+            MessageType::None => (None, Some(framed)),
+            MessageType::Payload | MessageType::Stream => (
+                Some(framed.into_map_codec(ClientCodec::into_payload_codec)),
+                None,
+            ),
+        };
+        Self {
+            head,
+            body,
+            rest,
+            address,
+        }
+    }
+
+    /// The value of a header, if it is text.
+    pub(super) fn header(&self, name: &str) -> Option<&str> {
+        self.head.headers.get(name)?.to_str().ok()
+    }
+
+    /// The next part of the body; `None` only at its whole end.
+    pub(super) async fn part(&mut self) -> Option<io::Result<Bytes>> {
+        let body = self.body.as_mut()?;
+        match body.next().await {
+            Some(Ok(Some(part))) => Some(Ok(part)),
+            Some(Ok(None)) => {
+                let body = self.body.take();
+                self.rest =
+                    body.map(|it| it.into_map_codec(ClientPayloadCodec::into_message_codec));
+                None
+            }
+            Some(Err(error)) => Some(Err(io::Error::other(error))),
+            None => Some(Err(io::ErrorKind::UnexpectedEof.into())),
+        }
+    }
+
+    /// The whole body.
+    pub(super) async fn whole(&mut self) -> io::Result<Vec<u8>> {
+        let mut whole = Vec::new();
+        while let Some(part) = self.part().await {
+            whole.extend_from_slice(&part?);
+        }
+        Ok(whole)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/load/entries.rs
@@ -0,0 +1,118 @@
+//! Which entry instance to use, as the router says, for as long as it says.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use actix_http::Method;
+use bytes::Bytes;
+use serde::Deserialize;
+
+use super::client::Connections;
+
+/// How long an instance that lost a connection is passed over.
+const DISTRUST_TIME: Duration = Duration::from_secs(2);
+
+/// Longest wait for the list.
+const LIST_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The addresses in use.
+#[derive(Debug)]
+pub(super) struct Entries {
+    seeds: Vec<SocketAddr>,
+    direct: bool,
+    known: RefCell<Vec<SocketAddr>>,
+    expires: Cell<Option<Instant>>,
+    next: Cell<usize>,
+    distrusted: RefCell<Vec<(SocketAddr, Instant)>>,
+}
+
+#[derive(Debug, Deserialize)]
+struct List {
+    entries: Vec<Listed>,
+    ttl_ms: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Listed {
+    address: SocketAddr,
+}
+
+impl Entries {
+    pub(super) fn new(seeds: &[SocketAddr], direct: bool) -> Self {
+        Self {
+            seeds: seeds.to_vec(),
+            direct,
+            known: RefCell::default(),
+            expires: Cell::new(None),
+            next: Cell::new(0),
+            distrusted: RefCell::default(),
+        }
+    }
+
+    /// The address for one request, in turn over those that are listed.
+    pub(super) async fn choose(&self, connections: &Connections) -> Option<SocketAddr> {
+        if self.direct {
+            return Some(self.seeds[self.turn() % self.seeds.len()]);
+        }
+        if self.expires.get().is_none_or(|at| at <= Instant::now()) {
+            self.ask(connections).await;
+        }
+        let now = Instant::now();
+        let mut distrusted = self.distrusted.borrow_mut();
+        distrusted.retain(|(_, until)| *until > now);
+        let known = self.known.borrow();
+        let good = |it: &&SocketAddr| {
+            it.ip().is_loopback() && !distrusted.iter().any(|(bad, _)| bad == *it)
+        };
+        let good: Vec<&SocketAddr> = known.iter().filter(good).collect();
+        if good.is_empty() {
+            return known.first().copied();
+        }
+        Some(*good[self.turn() % good.len()])
+    }
+
+    /// Passes over an instance for a while, since it lost a connection.
+    pub(super) fn distrust(&self, address: SocketAddr) {
+        let until = Instant::now() + DISTRUST_TIME;
+        self.distrusted.borrow_mut().push((address, until));
+        self.expires.set(None);
+    }
+
+    fn turn(&self) -> usize {
+        let turn = self.next.get();
+        self.next.set(turn + 1);
+        turn
+    }
+
+    /// Asks the instances in turn until one gives its list.
+    async fn ask(&self, connections: &Connections) {
+        // Others use the old list in the meantime.
+        self.expires.set(Some(Instant::now() + LIST_TIMEOUT));
+        let asked: Vec<SocketAddr> = {
+            let known = self.known.borrow();
+            known.iter().chain(&self.seeds).copied().collect()
+        };
+        let first = self.turn();
+        for place in 0..asked.len() {
+            let address = asked[(first + place) % asked.len()];
+            let listed = actix_rt::time::timeout(LIST_TIMEOUT, list(connections, address)).await;
+            let Ok(Some(list)) = listed else { continue };
+            let addresses = list.entries.iter().map(|it| it.address).collect();
+            self.known.replace(addresses);
+            let ttl = Duration::from_millis(list.ttl_ms);
+            self.expires.set(Some(Instant::now() + ttl));
+            return;
+        }
+    }
+}
+
+async fn list(connections: &Connections, address: SocketAddr) -> Option<List> {
+    let sent = connections.send(address, Method::GET, "/v1/entries", &[], Bytes::new());
+    let mut answer = sent.await.ok()?;
+    let body = answer.whole().await.ok()?;
+    connections.give_back(answer);
+    serde_json::from_slice(&body).ok()
+}
