operators: a cluster is formed of named instances only

Cause: scripts/demo formed a cluster of one: init without names took the replicas known at that moment, which was one of three, and the loss of e1 then ended all writes. Ruled out: membership, which knew all three 1 s later. Change: init names the instances; one that is not known as a control replica is refused with its remedy. The test harness names them too. The test that took replica ids for init now takes names and checks ids at replace-replica instead; a new test refuses an empty and an incomplete list.

--- a/crates/ctl/src/command/arguments.rs
+++ b/crates/ctl/src/command/arguments.rs
@@ -46,9 +46,13 @@
 pub struct Init {
     /// Show this help.
     pub help: bool,
-    /// Replicas that count; all known ones if none is named.
-    #[options(free)]
-    pub replicas: Vec<String>,
+    /// Instances whose data folders count from the start.
+    #[options(
+        free,
+        required,
+        help = "INSTANCE… whose data folders count from the start"
+    )]
+    pub instances: Vec<String>,
 }
 
 /// Arguments of `apply`.
--- a/crates/ctl/src/command/show.rs
+++ b/crates/ctl/src/command/show.rs
@@ -78,7 +78,7 @@
 /// Forms the cluster.
 pub(super) async fn init(client: &Client, arguments: arguments::Init) -> Result<Outcome, Outcome> {
     let init = Init {
-        replicas: arguments.replicas,
+        instances: arguments.instances,
     };
     let Done {} = client.once("/v1/init", &init).await?;
     let text = "the cluster is formed: see `citronctl status`".to_owned();
--- a/crates/ctl/tests/tool.rs
+++ b/crates/ctl/tests/tool.rs
@@ -233,11 +233,14 @@
 fn forming_is_never_asked_twice_once_it_may_have_worked() {
     let daemons = Daemon::start(2);
     daemons[0].set_fault(Fault::LoseAnswer);
-    let run = tool(&addresses(&daemons), &["init"]);
+    let run = tool(&addresses(&daemons), &["init", "e1", "e2"]);
     expect_that!(run.code, eq(5));
     expect_that!(daemons[0].cluster().requests.len(), eq(1));
     daemons[0].set_fault(Fault::Unavailable);
-    expect_that!(tool(&addresses(&daemons), &["init"]).code, eq(0));
+    expect_that!(
+        tool(&addresses(&daemons), &["init", "e1", "e2"]).code,
+        eq(0)
+    );
     let replace = ["replace-replica", "0000000000000abc", "0000000000000def"];
     expect_that!(
         tool(&addresses(&daemons), &replace).out,
--- a/crates/daemon/src/admin/replica.rs
+++ b/crates/daemon/src/admin/replica.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use actix_http::{Request, Response, body::BoxBody};
-use citron_policy::id::ReplicaId;
+use citron_policy::id::{InstanceId, ReplicaId};
 use citron_wire::admin::{Done, Init, Replace, replica_of};
 
 use super::{Ports, Problem, body, problem::json};
@@ -19,8 +19,7 @@
     operator: &str,
 ) -> Result<Response<BoxBody>, Problem> {
     let init: Init = body::read(request).await?;
-    let voters = init.replicas.iter().map(|text| parse(text));
-    let voters = voters.collect::<Result<Vec<_>, _>>()?;
+    let voters = voters(ports, &init.instances)?;
     let outcome = ports.log.init(voters, REPLICA_TIMEOUT).await;
     let text = match &outcome {
         Ok(()) => format!("cluster formed by {operator}"),
@@ -31,6 +30,29 @@
     Ok(json(&Done {}))
 }
 
+/// The replicas on these instances. Every one must be known: forming with those
+/// that happen to be known would make a cluster that one loss can end.
+fn voters(ports: &Ports, instances: &[InstanceId]) -> Result<Vec<ReplicaId>, Problem> {
+    if instances.is_empty() {
+        return Err(Problem::request(
+            "name the instances whose data folders are to count".to_owned(),
+        ));
+    }
+    let members = ports.members.borrow();
+    let mut voters = Vec::new();
+    for instance in instances {
+        let replica = members.get(instance).and_then(|member| member.replica);
+        let replica = replica.ok_or_else(|| {
+            Problem::request(format!(
+                "instance {instance} is not known as a control replica: start it with --data, and \
+                 wait until `citronctl status` lists it"
+            ))
+        })?;
+        voters.push(replica);
+    }
+    Ok(voters)
+}
+
 /// Lets a new replica count in place of a lost one.
 pub(super) async fn replace(
     ports: &Rc<Ports>,
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -251,17 +251,12 @@
         answers.into_iter().flatten().collect()
     }
 
-    /// Forms the cluster, once, of these replicas; of all known ones if none are named.
+    /// Forms the cluster, once, of these replicas.
     ///
     /// # Errors
     /// [`Error`] when one of them belongs to a cluster already or cannot be reached.
     pub async fn init(&self, voters: Vec<ReplicaId>, within: Duration) -> Result<(), Error> {
         let known = self.replicas();
-        let voters = if voters.is_empty() {
-            known.iter().map(|(_, replica)| *replica).collect()
-        } else {
-            voters
-        };
         let first = known
             .iter()
             .filter(|(_, replica)| voters.contains(replica))
--- a/crates/daemon/tests/admin/mod.rs
+++ b/crates/daemon/tests/admin/mod.rs
@@ -25,6 +25,9 @@
 /// Token of the operator `ann`.
 pub const TOKEN: &str = "ann-obviously-fake-token";
 
+/// Replica of every daemon here.
+pub const REPLICA: ReplicaId = 0xabc;
+
 /// Cluster of the tests.
 const CLUSTER: &str = "pond";
 
@@ -56,11 +59,11 @@
 
     fn status(&self, _within: Duration) -> LocalBoxFuture<'static, Vec<(InstanceId, Status)>> {
         let status = Status {
-            replica: 0xabc,
+            replica: REPLICA,
             formed: true,
             role: Role::Leader,
             term: 3,
-            voters: vec![0xabc],
+            voters: vec![REPLICA],
             ..Status::default()
         };
         Box::pin(std::future::ready(vec![("a".to_owned(), status)]))
@@ -209,7 +212,7 @@
         domain: "windhoek".to_owned(),
         peer: daemon.peer,
         callers: daemon.address,
-        replica: None,
+        replica: Some(REPLICA),
         incarnation: 1,
         state: State::Alive,
         revision: 0,
--- a/crates/daemon/tests/admin_http.rs
+++ b/crates/daemon/tests/admin_http.rs
@@ -316,26 +316,41 @@
 }
 
 #[gtest]
-fn forming_and_replacing_take_replicas_in_hex() {
+fn forming_takes_instances_and_replacing_takes_replicas_in_hex() {
     actix_rt::System::new().block_on(async {
         let a = Daemon::start("a").await;
-        let reply = post(&a, "/v1/init", json!({"replicas": ["0000000000000abc"]})).await;
+        join(&[&a]);
+        let reply = post(&a, "/v1/init", json!({"instances": ["a"]})).await;
         expect_that!(reply.status, eq(StatusCode::OK));
         let replace = json!({"old": "0000000000000abc", "new": "0000000000000def"});
         let reply = post(&a, "/v1/replicas/replace", replace).await;
         expect_that!(reply.status, eq(StatusCode::OK));
         expect_that!(*a.script.replicas.borrow(), eq(&[0xabc, 0xabc, 0xdef]));
-        let reply = post(&a, "/v1/init", json!({"replicas": ["abc"]})).await;
+        let replace = json!({"old": "abc", "new": "0000000000000def"});
+        let reply = post(&a, "/v1/replicas/replace", replace).await;
         expect_that!(reply.status, eq(StatusCode::BAD_REQUEST));
         let refused = Error::Refused {
             reason: "formed already".to_owned(),
         };
         a.script.outcome.replace(Some(Err(refused)));
-        let reply = post(&a, "/v1/init", json!({})).await;
+        let reply = post(&a, "/v1/init", json!({"instances": ["a"]})).await;
         expect_that!(reply.body["kind"], eq(&json!("refused")));
     });
 }
 
+#[gtest]
+fn a_cluster_is_not_formed_of_those_that_happen_to_be_known() {
+    actix_rt::System::new().block_on(async {
+        let a = Daemon::start("a").await;
+        join(&[&a]);
+        for instances in [json!([]), json!(["a", "b"])] {
+            let reply = post(&a, "/v1/init", json!({"instances": instances})).await;
+            expect_that!(reply.status, eq(StatusCode::BAD_REQUEST), "{instances}");
+        }
+        expect_that!(*a.script.replicas.borrow(), is_empty());
+    });
+}
+
 #[gtest]
 fn metrics_count_answers_by_status() {
     actix_rt::System::new().block_on(async {
--- a/crates/daemon/tests/common/cluster.rs
+++ b/crates/daemon/tests/common/cluster.rs
@@ -169,8 +169,11 @@
 
     /// Forms the control cluster once.
     pub fn form(&self) {
+        let replicas = self.daemons.iter().take(self.plan.replicas);
+        let instances: Vec<&str> = replicas.map(|it| it.name.as_str()).collect();
         eventually("the cluster is formed", || {
-            let reply = self.admin(0, "POST", "/v1/init", &json!({}));
+            let body = json!({"instances": instances});
+            let reply = self.admin(0, "POST", "/v1/init", &body);
             (reply.status == 200).then_some(())
         });
     }
--- a/crates/wire/src/admin.rs
+++ b/crates/wire/src/admin.rs
@@ -232,9 +232,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Init {
-    /// Identities of the replicas that count; all known ones if empty.
-    #[serde(default)]
-    pub replicas: Vec<String>,
+    /// Instances whose data folders count from the start.
+    pub instances: Vec<InstanceId>,
 }
 
 /// Asks to let one replica count in place of another.
