--- /dev/null
+++ b/crates/wire/tests/control.rs
@@ -0,0 +1,316 @@
+//! The control log's wire forms: nothing is lost, and garbage is an error.
+
+use std::{
+    sync::Arc,
+    time::{Duration, SystemTime},
+};
+
+use citron_policy::{
+    catalogue::{Account, Backend, Change, Class, Entry, Route, Service},
+    crash,
+    ledger::{Claim, Key, Outcome, Settle, Stored},
+    raft::{
+        self, Formation, Hard, Payload, Snapshot, Voters,
+        message::{Append, Body, Chunk, Fit, Last, Message},
+    },
+    state::{Answer, Command, Limits, Machine},
+};
+use citron_wire::{control, generated::control as proto};
+use googletest::prelude::*;
+use proptest::{
+    prelude::any,
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+};
+use prost::Message as _;
+
+fn at(nanos: u64) -> SystemTime {
+    SystemTime::UNIX_EPOCH + Duration::from_nanos(nanos)
+}
+
+fn key(name: &str) -> Key {
+    Key {
+        account: "windhoek".to_owned(),
+        name: name.to_owned(),
+    }
+}
+
+fn change(number: u64) -> Change {
+    let class = Class {
+        name: format!("class-{number}"),
+        owner: "desk".to_owned(),
+        tier: 3,
+        first_token: Duration::from_millis(1_500),
+        between_tokens: Duration::from_micros(33_333),
+        whole: Duration::from_secs(30),
+        wait_bound: Duration::from_secs(5),
+        queue_limit: 100,
+        preemptible: true,
+    };
+    let account = Account {
+        name: format!("account-{number}"),
+        owner: "desk".to_owned(),
+        key_sha256: format!("{number:064x}"),
+        class: class.name.clone(),
+        classes: vec!["class-0".to_owned()],
+        max_running: 4,
+        max_queued: 8,
+    };
+    let service = Service {
+        name: format!("service-{number}"),
+        owner: "desk".to_owned(),
+        backend: Backend::Plain,
+        class: class.name.clone(),
+        once: vec![Route {
+            method: "POST".to_owned(),
+            path: "/bookings".to_owned(),
+        }],
+        max_running_per_runner: 8,
+        retry_percent: 10,
+        refusal_statuses: vec![429, 503],
+        timeout: Duration::from_mins(1),
+        max_body_bytes: 1 << 20,
+    };
+    Change {
+        id: format!("change-{number}"),
+        base: number,
+        operator: "ann".to_owned(),
+        puts: vec![
+            Entry::Class(Arc::new(class)),
+            Entry::Account(Arc::new(account)),
+            Entry::Service(Arc::new(service)),
+        ],
+        removes: Vec::new(),
+    }
+}
+
+fn commands() -> Vec<Command> {
+    let stored = Stored {
+        status: 201,
+        content_type: "application/json".to_owned(),
+        body: vec![0, 255, 7],
+    };
+    let settle = |number: u64, outcome| {
+        Command::Settle(Settle {
+            key: key(&format!("k{number}")),
+            attempt: number,
+            outcome,
+            at: at(1_000_000_007 + number),
+        })
+    };
+    let claim = |number: u64| {
+        Command::Claim(Claim {
+            key: key(&format!("k{number}")),
+            digest: 77,
+            attempt: number,
+            daemon: "e1".to_owned(),
+            deadline: at(31_000_000_001),
+            at: at(1_000_000_001),
+        })
+    };
+    let change = |number| Command::Change {
+        change: Arc::new(change(number)),
+        at: at(5),
+    };
+    vec![
+        Command::Nothing,
+        change(0),
+        change(1),
+        // A conflict, whose answer is kept too.
+        change(7),
+        claim(1),
+        claim(2),
+        claim(3),
+        claim(4),
+        settle(1, Outcome::Done(stored)),
+        settle(2, Outcome::Unknown),
+        settle(3, Outcome::NotRun),
+        Command::Crash(crash::Step::Suspected(vec![1, 2, u64::MAX])),
+        Command::Crash(crash::Step::Quarantined(2)),
+        Command::Crash(crash::Step::Cleared(1)),
+    ]
+}
+
+#[gtest]
+fn entries_read_back_as_they_were() {
+    for (command, index) in commands().into_iter().zip(1..) {
+        let entry = raft::Entry::new(index, 3, Payload::Command(Arc::new(command)));
+        let read = control::decode_entry(&control::encode_entry(&entry));
+        expect_that!(read, ok(eq(&entry)));
+    }
+    let voters = Voters::new(vec![3, 1, 2]).awaiting(Some(9));
+    let entry = raft::Entry::new(1, 1, Payload::Voters(voters));
+    let read = control::decode_entry(&control::encode_entry(&entry));
+    expect_that!(read, ok(eq(&entry)));
+}
+
+#[gtest]
+fn hard_state_and_snapshots_read_back_as_they_were() {
+    let hard = Hard {
+        term: 9,
+        vote: Some(u64::MAX),
+        formation: Some(Formation {
+            id: 5,
+            voters: Voters::new(vec![1, 2, 3]),
+            active: true,
+        }),
+    };
+    expect_that!(
+        control::decode_hard(&control::encode_hard(&hard)),
+        ok(eq(&hard))
+    );
+    expect_that!(control::decode_hard(&[]), ok(eq(&Hard::default())));
+    let snapshot = Snapshot {
+        index: 8,
+        term: 2,
+        voters: Voters::new(vec![4]),
+        data: Arc::from([1, 2, 3]),
+    };
+    let read = control::decode_snapshot(&control::encode_snapshot(&snapshot));
+    expect_that!(read, ok(eq(&snapshot)));
+}
+
+#[gtest]
+fn messages_read_back_as_they_were() {
+    let last = Last { term: 2, index: 9 };
+    let entry = raft::Entry::new(10, 2, Payload::Nothing);
+    let bodies = vec![
+        Body::Form {
+            voters: Voters::new(vec![1, 2]),
+        },
+        Body::FormAnswer { accepted: true },
+        Body::PreVote(last),
+        Body::PreVoteAnswer { granted: true },
+        Body::Vote(last),
+        Body::VoteAnswer { granted: false },
+        Body::Append(Append {
+            round: 1,
+            prev_index: 9,
+            prev_term: 2,
+            entries: vec![Arc::new(entry)],
+            commit: 8,
+        }),
+        Body::AppendAnswer {
+            round: 1,
+            fit: Fit::Matched(10),
+        },
+        Body::AppendAnswer {
+            round: 1,
+            fit: Fit::Gap {
+                prev_index: 9,
+                hint: 4,
+            },
+        },
+        Body::Chunk(Chunk {
+            round: 2,
+            index: 9,
+            last_term: 2,
+            voters: Voters::new(vec![1]),
+            total: 3,
+            offset: 0,
+            data: vec![1, 2, 3],
+        }),
+        Body::ChunkAnswer {
+            round: 2,
+            index: 9,
+            offset: 3,
+        },
+    ];
+    for body in bodies {
+        let message = Message {
+            formation: 1,
+            from: 2,
+            to: 3,
+            term: 4,
+            body,
+        };
+        let bytes = proto::Raft::from(message.clone()).encode_to_vec();
+        let read = proto::Raft::decode(bytes.as_slice()).expect("a message");
+        expect_that!(Message::try_from(read), ok(eq(&message)));
+    }
+}
+
+/// A replica that starts from a snapshot goes on as the others do.
+#[gtest]
+fn a_machine_read_back_answers_as_the_one_that_was_kept() {
+    let limits = Limits::default();
+    let commands = commands();
+    for cut in 0..commands.len() {
+        let mut kept = Machine::new(limits);
+        for (command, index) in commands.iter().take(cut).zip(1..) {
+            kept.apply(index, command);
+        }
+        let bytes = control::encode_machine(&kept);
+        let mut read = control::decode_machine(limits, &bytes).expect("a machine");
+        expect_that!(read.catalogue(), eq(kept.catalogue()));
+        expect_that!(control::encode_machine(&read) == bytes, eq(true));
+        // All of it once more: resends, and everything that falls due.
+        let late = Command::Change {
+            change: Arc::new(change(9)),
+            at: at(u64::MAX / 4),
+        };
+        for (command, index) in commands.iter().chain([&late]).zip(100..) {
+            expect_that!(read.apply(index, command), eq(&kept.apply(index, command)));
+        }
+        expect_that!(
+            control::encode_machine(&read) == control::encode_machine(&kept),
+            eq(true)
+        );
+    }
+}
+
+#[gtest]
+fn answers_read_back_as_they_were() {
+    let mut machine = Machine::new(Limits::default());
+    let mut seen = Vec::new();
+    for (command, index) in commands().iter().zip(1..) {
+        seen.push(machine.apply(index, command).answer);
+        seen.push(machine.apply(index, command).answer);
+    }
+    for answer in seen {
+        let read = Answer::try_from(proto::Answer::from(&answer));
+        expect_that!(read, ok(eq(&answer)));
+    }
+}
+
+#[gtest]
+fn garbage_is_an_error_and_no_panic() {
+    let config = Config {
+        cases: 256,
+        ..Config::default()
+    };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let whole: Vec<Vec<u8>> = commands()
+        .into_iter()
+        .map(|it| {
+            let entry = raft::Entry::new(1, 1, Payload::Command(Arc::new(it)));
+            control::encode_entry(&entry)
+        })
+        .collect();
+    let input = (
+        any::<Vec<u8>>(),
+        any::<usize>(),
+        any::<usize>(),
+        any::<u8>(),
+    );
+    runner
+        .run(&input, |(bytes, which, place, with)| {
+            let mut bent = whole[which % whole.len()].clone();
+            let place = place % bent.len();
+            bent[place] = with;
+            for bytes in [&bytes, &bent] {
+                drop(control::decode_entry(bytes));
+                drop(control::decode_hard(bytes));
+                drop(control::decode_snapshot(bytes));
+                drop(control::decode_machine(Limits::default(), bytes));
+                if let Ok(raft) = proto::Raft::decode(bytes.as_slice()) {
+                    drop(Message::try_from(raft));
+                }
+                if let Ok(command) = proto::Command::decode(bytes.as_slice()) {
+                    drop(Command::try_from(command));
+                }
+            }
+            Ok(())
+        })
+        .expect("no panic");
+}
