--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -10,6 +10,7 @@
 mod metrics;
 mod outcome;
 mod replica;
+mod store;
 
 use std::{cell::Cell, path::PathBuf, rc::Rc, sync::Arc, time::Duration};
 
@@ -30,11 +31,11 @@
 
 use crate::peers::Hub;
 
-pub use self::replica::Replica;
 use self::{
     driver::{Outgoing, Port},
     metrics::Metrics,
 };
+pub use self::{replica::Replica, store::Store};
 
 /// Settings of a replica.
 #[derive(Clone, Debug)]
--- a/crates/daemon/src/control/driver.rs
+++ b/crates/daemon/src/control/driver.rs
@@ -12,7 +12,7 @@
     time::{Instant, SystemTime},
 };
 
-use citron_journal::{Error as Fault, Files, Journal, Record};
+use citron_journal::{Error as Fault, Files};
 use citron_policy::{
     feed,
     id::{Index, ReplicaId, Term},
@@ -27,7 +27,7 @@
 use indexmap::IndexMap;
 use tokio::sync::{mpsc, oneshot};
 
-use super::{Role, Settings, Status, metrics::Metrics, outcome};
+use super::{Role, Settings, Status, metrics::Metrics, outcome, store::Store};
 
 use self::feeder::Feeder;
 pub(super) use self::port::Port;
@@ -99,7 +99,7 @@
 {
     settings: Settings,
     node: Node,
-    journal: Journal<F>,
+    store: Store<F>,
     machine: Machine,
     inputs: Receiver<Input>,
     outgoing: mpsc::Sender<Outgoing>,
@@ -121,7 +121,7 @@
     pub(super) fn new(
         settings: Settings,
         node: Node,
-        journal: Journal<F>,
+        store: Store<F>,
         machine: Machine,
         links: Links,
     ) -> Self {
@@ -130,7 +130,7 @@
             snapshot_index: machine.index(),
             feeder: Feeder::new(links.feed, links.metrics.clone()),
             node,
-            journal,
+            store,
             machine,
             inputs: links.inputs,
             outgoing: links.outgoing,
@@ -237,27 +237,8 @@
         token
     }
 
-    /// Makes everything durable that later effects depend on, with one sync.
     fn persist(&mut self, effects: &[Effect]) -> Result<(), Fault> {
-        let mut staged = false;
-        for effect in effects {
-            match effect {
-                Effect::SaveHard(hard) => self.journal.save_hard(&control::encode_hard(hard))?,
-                Effect::Append(entries) => self.journal.append(&records_of(entries))?,
-                Effect::SaveSnapshot(snapshot) => {
-                    let data = control::encode_snapshot(snapshot);
-                    self.journal.snapshot(snapshot.index, &data)?;
-                }
-                Effect::Install(snapshot) => {
-                    let data = control::encode_snapshot(snapshot);
-                    self.journal.install(snapshot.index, &data)?;
-                }
-                _ => continue,
-            }
-            staged = true;
-        }
-        if staged {
-            self.journal.sync()?;
+        if self.store.persist(effects)? {
             self.metrics.syncs.inc();
         }
         Ok(())
@@ -431,14 +412,6 @@
     i64::try_from(value).unwrap_or(i64::MAX)
 }
 
-fn records_of(entries: &[Arc<Entry>]) -> Vec<Record> {
-    let records = entries.iter().map(|entry| Record {
-        index: entry.index,
-        data: control::encode_entry(entry),
-    });
-    records.collect()
-}
-
 /// Gives an answer; whoever asked may have stopped waiting, which is their right.
 fn answer(reply: Reply, body: proto::message::Body) {
     drop(reply.send(body));
--- a/crates/daemon/src/control/replica.rs
+++ b/crates/daemon/src/control/replica.rs
@@ -1,32 +1,27 @@
 //! Opening a data folder, and starting the thread that serves it.
 
-use std::{
-    fmt,
-    sync::{Arc, mpsc::sync_channel},
-    thread,
-    time::Instant,
-};
+use std::{fmt, sync::mpsc::sync_channel, thread, time::Instant};
 
-use citron_journal::{Disk, Journal};
+use citron_journal::Disk;
 use citron_policy::{
     feed,
     id::ReplicaId,
     raft::{Node, Stored},
     state::Machine,
 };
-use citron_wire::control;
 use tokio::sync::{mpsc, oneshot};
 
 use super::{
     Error, Settings,
     driver::{Driver, INPUT_QUEUE, Links, Outgoing, Port},
     metrics::Metrics,
+    store::Store,
 };
 
 /// An opened data folder, not yet taking part.
 pub struct Replica {
     settings: Settings,
-    journal: Journal<Disk>,
+    store: Store<Disk>,
     stored: Stored,
     machine: Machine,
 }
@@ -51,30 +46,10 @@
                 settings.folder.display()
             ),
         })?;
-        let journal = citron_journal::Settings::default();
-        let (journal, recovered) =
-            Journal::open(journal, files, rand::random()).map_err(refused)?;
-        let hard = control::decode_hard(&recovered.hard).map_err(refused)?;
-        let mut machine = Machine::new(settings.limits);
-        let mut snapshot = None;
-        if let Some(kept) = recovered.snapshot {
-            let kept = control::decode_snapshot(&kept.data).map_err(refused)?;
-            machine = control::decode_machine(settings.limits, &kept.data).map_err(refused)?;
-            snapshot = Some(Arc::new(kept));
-        }
-        let entries = recovered
-            .records
-            .iter()
-            .map(|it| control::decode_entry(&it.data).map(Arc::new));
-        let stored = Stored {
-            id: recovered.id,
-            hard,
-            snapshot,
-            entries: entries.collect::<Result<_, _>>().map_err(refused)?,
-        };
+        let (store, stored, machine) = Store::open(files, settings.limits)?;
         Ok(Self {
             settings: settings.clone(),
-            journal,
+            store,
             stored,
             machine,
         })
@@ -109,7 +84,7 @@
             feed,
             metrics,
         };
-        let driver = Driver::new(self.settings, node, self.journal, self.machine, links);
+        let driver = Driver::new(self.settings, node, self.store, self.machine, links);
         let alarm = Alarm(Some(alarm));
         let spawned = thread::Builder::new()
             .name("control".to_owned())
@@ -128,15 +103,6 @@
     }
 }
 
-fn refused<E>(error: E) -> Error
-where
-    E: fmt::Display,
-{
-    Error::Refused {
-        reason: error.to_string(),
-    }
-}
-
 /// Tells the daemon that the thread ended for a fault.
 struct Alarm(Option<oneshot::Sender<String>>);
 
