--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -151,6 +151,12 @@
         self.read.get()
     }
 
+    /// Readings that failed so far.
+    #[must_use]
+    pub fn failures(&self) -> u64 {
+        self.metrics.failures.get()
+    }
+
     /// Counters of the readings.
     #[must_use]
     pub fn metrics(&self) -> &Metrics {
@@ -225,10 +231,19 @@
             address,
             reason: error.to_string(),
         })?;
-    serde_json::from_slice(&body).map_err(|error| Failure::Garbage {
-        address,
-        reason: error.to_string(),
-    })
+    parse(&body).map_err(|reason| Failure::Garbage { address, reason })
+}
+
+/// A list from JSON; an object that says nothing of instances is none.
+///
+/// Both fields may be left out, so without this check an error object or an
+/// empty array would read as a list that lost every instance.
+fn parse(body: &[u8]) -> Result<List, String> {
+    let value: serde_json::Value = serde_json::from_slice(body).map_err(|it| it.to_string())?;
+    if value.get("entries").is_none() && value.get("runners").is_none() {
+        return Err("neither \"entries\" nor \"runners\" is there".to_owned());
+    }
+    serde_json::from_value(value).map_err(|it| it.to_string())
 }
 
 /// The interval with a fifth of jitter, so that daemons do not ask in step.
--- a/crates/policy/src/feed/follower.rs
+++ b/crates/policy/src/feed/follower.rs
@@ -99,6 +99,8 @@
     through: Index,
     ring: Ring,
     damaged: bool,
+    /// Newest update that was left out since the copy is damaged.
+    skipped: Index,
 }
 
 impl Feed {
@@ -163,7 +165,9 @@
                 marks,
             }),
             Local::Proved { index, at } => {
-                self.through = self.through.max(index);
+                if !self.damaged {
+                    self.through = self.through.max(index);
+                }
                 self.take_proof(at)
             }
         }
@@ -207,7 +211,11 @@
     }
 
     fn take_update(&mut self, update: Update) -> bool {
-        if self.damaged || update.index <= self.view.index {
+        if self.damaged {
+            self.skipped = self.skipped.max(update.index);
+            return false;
+        }
+        if update.index <= self.view.index {
             return false;
         }
         match &update.step {
@@ -215,6 +223,7 @@
                 let Ok(next) = self.view.catalogue.apply(change) else {
                     // An accepted change fits its base; this copy must be damaged.
                     self.damaged = true;
+                    self.skipped = update.index;
                     self.view.proved = None;
                     return true;
                 };
--- a/crates/policy/src/swim.rs
+++ b/crates/policy/src/swim.rs
@@ -42,7 +42,7 @@
 };
 
 pub use message::{Kind, MAX_CONTENT_BYTES, Message, Vital, hash};
-pub use settings::{MAX_INCARNATION, MAX_MEMBERS, Settings};
+pub use settings::{MAX_AHEAD_MS, MAX_MEMBERS, Settings};
 
 use listing::Listing;
 use message::{VITAL_COST, cost};
@@ -149,7 +149,7 @@
     /// `me.state` and the fields of [`Own`] are set here.
     #[must_use]
     pub fn new(now: Instant, started_ms: u64, me: Member, settings: Settings) -> Self {
-        let base = started_ms.clamp(1, MAX_INCARNATION);
+        let base = started_ms.max(1);
         let me = Member {
             incarnation: base,
             state: State::Alive,
@@ -458,8 +458,7 @@
 
     /// Outranks every record of this daemon up to `seen`.
     fn raise(&mut self, now: Instant, seen: Incarnation) {
-        let next = seen.max(self.me.incarnation).saturating_add(1);
-        self.me.incarnation = next.min(MAX_INCARNATION);
+        self.me.incarnation = seen.max(self.me.incarnation).saturating_add(1);
         self.rumors.add(&self.me.id);
         self.urgent = true;
         self.stamp(now);
@@ -467,14 +466,22 @@
 
     /// Dates the own changing fields anew.
     fn stamp(&mut self, now: Instant) {
-        let age = u64::try_from(now.saturating_duration_since(self.started).as_millis());
-        let due = self.stamp_base.saturating_add(age.unwrap_or(u64::MAX));
-        self.last_stamp = due
-            .max(self.last_stamp.saturating_add(1))
-            .min(MAX_INCARNATION);
+        let due = self.wall_ms(now);
+        self.last_stamp = due.max(self.last_stamp.saturating_add(1));
         self.stamped = Some(now);
     }
 
+    /// The wall clock of the start, moved on by the monotonic one.
+    fn wall_ms(&self, now: Instant) -> u64 {
+        let age = u64::try_from(now.saturating_duration_since(self.started).as_millis());
+        self.stamp_base.saturating_add(age.unwrap_or(u64::MAX))
+    }
+
+    /// Whether an incarnation or date cannot have been made by a clock.
+    fn is_absurd(&self, now: Instant, number: u64) -> bool {
+        number > self.wall_ms(now).saturating_add(MAX_AHEAD_MS)
+    }
+
     fn refresh_stamp(&mut self, now: Instant) {
         let interval = self.settings.vitals_interval(self.peers.len());
         let due = self
@@ -487,7 +494,7 @@
 
     /// Merges a record that came from another daemon.
     fn merge(&mut self, now: Instant, record: Member) -> Vec<Effect> {
-        if record.incarnation > MAX_INCARNATION {
+        if self.is_absurd(now, record.incarnation) {
             return Vec::new();
         }
         if record.id == self.me.id {
@@ -564,7 +571,7 @@
     }
 
     fn merge_vital(&mut self, now: Instant, vital: &Vital) {
-        if vital.stamp > MAX_INCARNATION {
+        if self.is_absurd(now, vital.stamp) {
             return;
         }
         if vital.subject == hash(&self.me.id) {
--- a/crates/policy/src/swim/settings.rs
+++ b/crates/policy/src/swim/settings.rs
@@ -5,8 +5,11 @@
 /// Most other instances known at once, the dead included.
 pub const MAX_MEMBERS: usize = 1_024;
 
-/// Highest incarnation accepted; leaves room to refute it.
-pub const MAX_INCARNATION: u64 = 1 << 53;
+/// How far ahead of the own wall clock an incarnation may be, in milliseconds;
+/// ten years.
+///
+/// The bound moves with the clock, so a record just below it is soon refuted.
+pub const MAX_AHEAD_MS: u64 = 10 * 365 * 86_400_000;
 
 /// Members up to which probes go at the fast rate.
 const FEW_MEMBERS: usize = 48;
--- /dev/null
+++ b/crates/policy/tests/feed_currency.rs
@@ -0,0 +1,441 @@
+//! Currency of the feed under delays, losses, doubles, freezes and a cut-off
+//! leader.
+//!
+//! The promise: whoever takes work has every change in force that was accepted
+//! longer ago than the lease; and a revision never goes down.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use citron_policy::{
+    catalogue::{Change, Class, Entry},
+    feed::{Answer, Feed, LEASE, Local, News, Settings, Snapshot, Step, Update},
+    id::Index,
+};
+use googletest::prelude::*;
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+
+const STEP: Duration = Duration::from_millis(50);
+
+fn change(index: Index) -> Update {
+    let text = format!(
+        r#"{{"name":"k{}","owner":"desk","tier":0,"first_token_ms":{index},"between_tokens_ms":34,
+            "whole_ms":30000,"wait_bound_ms":5000,"queue_limit":100}}"#,
+        index % 7
+    );
+    let class: Class = serde_json::from_str(&text).expect("a class");
+    let change = Change {
+        id: format!("c{index}"),
+        operator: "ann".to_owned(),
+        puts: vec![Entry::Class(Arc::new(class))],
+        ..Change::default()
+    };
+    Update {
+        index,
+        step: Step::Change(Arc::new(change)),
+    }
+}
+
+/// What is under way to a node.
+#[derive(Clone)]
+enum Parcel {
+    Question {
+        from: usize,
+        sent: Instant,
+        index: Index,
+    },
+    Due {
+        from: usize,
+        sent: Instant,
+        arrived: Instant,
+        index: Index,
+    },
+    News {
+        sent: Instant,
+        news: News,
+    },
+    Snapshot(Snapshot),
+}
+
+struct Node {
+    feed: Feed,
+    frozen: bool,
+    waiting: Vec<Parcel>,
+    next_question: Instant,
+    revision: u64,
+    delivered: usize,
+}
+
+/// A log with its acceptance times, and nodes that follow it.
+struct World {
+    now: Instant,
+    nodes: Vec<Node>,
+    log: Vec<(Instant, Update)>,
+    leader: usize,
+    /// A former leader that does not know that it is cut off.
+    stale_leader: Option<(usize, Index)>,
+    parcels: BTreeMap<(Instant, u64), (usize, Parcel)>,
+    order: u64,
+    faults: bool,
+    rng: SmallRng,
+}
+
+const REPLICAS: usize = 3;
+
+impl World {
+    fn new(count: usize, seed: u64) -> Self {
+        println!("seed {seed}, {count} machines");
+        let now = Instant::now() + Duration::from_mins(1);
+        let settings = Settings {
+            ring_updates: 16,
+            ..Settings::default()
+        };
+        let node = |_| Node {
+            feed: Feed::new(settings.clone()),
+            frozen: false,
+            waiting: Vec::new(),
+            next_question: now,
+            revision: 0,
+            delivered: 0,
+        };
+        Self {
+            now,
+            nodes: (0..count).map(node).collect(),
+            log: Vec::new(),
+            leader: 0,
+            stale_leader: None,
+            parcels: BTreeMap::new(),
+            order: 0,
+            faults: true,
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    fn last_index(&self) -> Index {
+        self.log.last().map_or(0, |(_, update)| update.index)
+    }
+
+    fn post(&mut self, to: usize, parcel: &Parcel) {
+        let loss = if self.faults { 0.1 } else { 0.0 };
+        let most = if self.faults { 2_500 } else { 5 };
+        let copies = if self.faults && self.rng.random_bool(0.1) {
+            2
+        } else {
+            1
+        };
+        for _ in 0..copies {
+            if !self.rng.random_bool(loss) {
+                let slow = self.rng.random_bool(0.2);
+                let limit = if slow { most } else { 20.min(most) };
+                let delay = Duration::from_millis(self.rng.random_range(0..=limit));
+                self.put(self.now + delay, to, parcel.clone());
+            }
+        }
+    }
+
+    fn put(&mut self, at: Instant, to: usize, parcel: Parcel) {
+        self.order += 1;
+        self.parcels.insert((at, self.order), (to, parcel));
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        while let Some(entry) = self.parcels.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let (to, parcel) = entry.remove();
+            self.deliver(to, parcel);
+        }
+        if self.rng.random_bool(0.05) {
+            let index = self.last_index() + self.rng.random_range(1..4);
+            self.log.push((self.now, change(index)));
+        }
+        self.replicate();
+        self.ask();
+        self.check();
+    }
+
+    /// Replicas get the log, the followers late; leaders prove what they know.
+    fn replicate(&mut self) {
+        for number in 0..REPLICAS {
+            if self.nodes[number].frozen || self.stale_leader.is_some_and(|it| it.0 == number) {
+                continue;
+            }
+            let late = number != self.leader && self.rng.random_bool(0.7);
+            let node = &mut self.nodes[number];
+            if late {
+                continue;
+            }
+            for (_, update) in &self.log[node.delivered..] {
+                node.feed.take_local(Local::Update(update.clone()));
+            }
+            node.delivered = self.log.len();
+        }
+        let index = self.last_index();
+        let leader = &mut self.nodes[self.leader];
+        if !leader.frozen {
+            let at = self.now;
+            leader.feed.take_local(Local::Proved { index, at });
+        }
+    }
+
+    fn ask(&mut self) {
+        for number in 0..self.nodes.len() {
+            let node = &self.nodes[number];
+            if number == self.leader || node.frozen || self.now < node.next_question {
+                continue;
+            }
+            let parent = self.rng.random_range(0..self.nodes.len());
+            let parcel = Parcel::Question {
+                from: number,
+                sent: self.now,
+                index: node.feed.wanted(),
+            };
+            if parent != number {
+                self.post(parent, &parcel);
+            }
+            let pause = Duration::from_millis(self.rng.random_range(50..600));
+            self.nodes[number].next_question = self.now + pause;
+        }
+    }
+
+    fn deliver(&mut self, to: usize, parcel: Parcel) {
+        if self.nodes[to].frozen {
+            self.nodes[to].waiting.push(parcel);
+            return;
+        }
+        let now = self.now;
+        match parcel {
+            Parcel::Question { from, sent, index } => {
+                let hold = Duration::from_millis(self.rng.random_range(0..1_600));
+                let due = Parcel::Due {
+                    from,
+                    sent,
+                    arrived: now,
+                    index,
+                };
+                self.put(now + hold, to, due);
+            }
+            Parcel::Due {
+                from,
+                sent,
+                arrived,
+                index,
+            } => {
+                let answer = match self.nodes[to].feed.answer(arrived, index) {
+                    Answer::News(news) => Parcel::News { sent, news },
+                    Answer::Snapshot(snapshot) => Parcel::Snapshot(snapshot),
+                };
+                self.post(from, &answer);
+            }
+            Parcel::News { sent, news } => {
+                self.nodes[to].feed.take_news(now, sent, news);
+            }
+            Parcel::Snapshot(snapshot) => {
+                self.nodes[to].feed.take_snapshot(snapshot);
+            }
+        }
+    }
+
+    fn thaw(&mut self, number: usize) {
+        self.nodes[number].frozen = false;
+        for parcel in std::mem::take(&mut self.nodes[number].waiting) {
+            self.deliver(number, parcel);
+        }
+    }
+
+    fn check(&mut self) {
+        let accepted = self.log.iter();
+        let due = accepted.filter(|(at, _)| *at + LEASE <= self.now).count() as u64;
+        for (number, node) in self.nodes.iter_mut().enumerate() {
+            let revision = node.feed.view().catalogue.revision;
+            assert!(
+                revision >= node.revision,
+                "machine {number} reverted to {revision}"
+            );
+            node.revision = revision;
+            // A frozen process takes nothing; it looks at its clock when it goes on.
+            let takes = !node.frozen && node.feed.may_take_work(self.now);
+            assert!(
+                !takes || revision >= due,
+                "machine {number} takes work at revision {revision}, but {due} are due"
+            );
+        }
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.step();
+        }
+    }
+}
+
+#[gtest]
+fn whoever_takes_work_has_every_change_older_than_the_lease() {
+    for seed in 0..24 {
+        let mut world = World::new(12, seed);
+        for round in 0..12 {
+            world.run(Duration::from_secs(4));
+            for number in 0..12 {
+                if world.nodes[number].frozen {
+                    world.thaw(number);
+                } else if number != world.leader && world.rng.random_bool(0.2) {
+                    world.nodes[number].frozen = true;
+                }
+            }
+            if round % 4 == 3 {
+                let old = world.leader;
+                world.leader = (old + 1) % REPLICAS;
+                world.thaw(world.leader);
+                world.stale_leader = Some((old, world.last_index()));
+            }
+            if round % 4 == 1 {
+                world.stale_leader = None;
+            }
+        }
+        world.faults = false;
+        world.stale_leader = None;
+        for number in 0..12 {
+            world.thaw(number);
+        }
+        world.run(Duration::from_secs(8));
+        let idle = world
+            .nodes
+            .iter()
+            .filter(|it| !it.feed.may_take_work(world.now));
+        expect_that!(idle.count(), eq(0));
+    }
+}
+
+#[gtest]
+fn a_cut_off_daemon_stops_within_the_lease_and_keeps_its_revision() {
+    let mut world = World::new(6, 3);
+    world.faults = false;
+    world.run(Duration::from_secs(5));
+    let cut = 5;
+    let revision = world.nodes[cut].feed.view().catalogue.revision;
+    world.nodes[cut].frozen = true;
+    world.run(LEASE);
+    expect_that!(world.nodes[cut].feed.may_take_work(world.now), eq(false));
+    expect_that!(
+        world.nodes[cut].feed.view().catalogue.revision,
+        ge(revision)
+    );
+}
+
+#[gtest]
+fn a_restarted_daemon_takes_no_work_before_a_proof() {
+    let mut feed = Feed::new(Settings::default());
+    let now = Instant::now();
+    feed.take_local(Local::Update(change(1)));
+    expect_that!(feed.may_take_work(now), eq(false));
+    feed.take_local(Local::Proved { index: 1, at: now });
+    expect_that!(feed.may_take_work(now), eq(true));
+}
+
+#[gtest]
+fn a_proof_counts_from_the_question_however_long_the_answer_took() {
+    let start = Instant::now() + Duration::from_mins(1);
+    let mut parent = Feed::new(Settings::default());
+    parent.take_local(Local::Proved {
+        index: 0,
+        at: start,
+    });
+    let mut child = Feed::new(Settings::default());
+    let sent = start + Duration::from_millis(100);
+    // The question takes three seconds, and so does the answer.
+    let arrived = sent + Duration::from_secs(3);
+    let received = arrived + Duration::from_secs(3);
+    let Answer::News(news) = parent.answer(arrived, 0) else {
+        panic!("no snapshot is due");
+    };
+    child.take_news(received, sent, news);
+    expect_that!(child.may_take_work(received), eq(false));
+}
+
+#[gtest]
+fn a_stale_time_by_setting_allows_work_for_as_long() {
+    let now = Instant::now();
+    let settings = Settings {
+        stale_max: Duration::from_mins(1),
+        ..Settings::default()
+    };
+    let mut feed = Feed::new(settings);
+    feed.take_local(Local::Proved { index: 0, at: now });
+    let later = |extra: u64| now + LEASE + Duration::from_secs(extra);
+    expect_that!(feed.may_take_work(later(59)), eq(true));
+    expect_that!(feed.may_take_work(later(60)), eq(false));
+}
+
+#[gtest]
+fn the_ring_is_bounded_and_the_late_get_a_snapshot() {
+    let settings = Settings {
+        ring_updates: 8,
+        ..Settings::default()
+    };
+    let mut feed = Feed::new(settings);
+    for index in 1..=100 {
+        feed.take_local(Local::Update(change(index)));
+    }
+    expect_that!(feed.ring_size().0, eq(8));
+    let now = Instant::now();
+    let Answer::Snapshot(snapshot) = feed.answer(now, 50) else {
+        panic!("the updates after 50 are gone");
+    };
+    expect_that!(snapshot.index, eq(100));
+    let mut late = Feed::new(Settings::default());
+    expect_that!(late.take_snapshot(snapshot.clone()), eq(true));
+    expect_that!(late.take_snapshot(snapshot), eq(false));
+    let Answer::News(news) = feed.answer(now, 95) else {
+        panic!("the updates after 95 are kept");
+    };
+    expect_that!(news.updates.len(), eq(5));
+}
+
+#[gtest]
+fn updates_that_come_twice_or_late_change_nothing() {
+    let mut feed = Feed::new(Settings::default());
+    for index in [1, 2, 3, 2, 1, 3, 4] {
+        feed.take_local(Local::Update(change(index)));
+    }
+    expect_that!(feed.view().index, eq(4));
+    expect_that!(feed.view().catalogue.revision, eq(4));
+}
+
+#[gtest]
+fn a_copy_that_a_change_does_not_fit_stops_and_mends_by_snapshot() {
+    let now = Instant::now();
+    let mut good = Feed::new(Settings::default());
+    good.take_local(Local::Update(change(1)));
+    let mut feed = Feed::new(Settings::default());
+    feed.take_local(Local::Proved { index: 0, at: now });
+    let bad = Change {
+        removes: vec![citron_policy::catalogue::Key {
+            kind: citron_policy::catalogue::Kind::Class,
+            name: "nothing".to_owned(),
+        }],
+        ..Change::default()
+    };
+    feed.take_local(Local::Update(Update {
+        index: 1,
+        step: Step::Change(Arc::new(bad)),
+    }));
+    expect_that!(feed.is_damaged(), eq(true));
+    expect_that!(feed.may_take_work(now), eq(false));
+    feed.take_local(Local::Proved {
+        index: 1,
+        at: now + STEP,
+    });
+    expect_that!(feed.may_take_work(now), eq(false));
+    expect_that!(feed.take_snapshot(good.snapshot()), eq(true));
+    feed.take_local(Local::Proved {
+        index: 1,
+        at: now + STEP,
+    });
+    expect_that!(feed.may_take_work(now + STEP), eq(true));
+}
--- /dev/null
+++ b/crates/policy/tests/swim_leaving.rs
@@ -0,0 +1,188 @@
+//! Leaving: by the instance's own word and by the platform's list, which may be
+//! late, early, flapping or wrong.
+
+mod net;
+
+use std::time::Duration;
+
+use citron_policy::{
+    member::{Member, State},
+    platform::{List, Standing},
+    swim::{Event, Kind, MAX_MEMBERS, Message, Swim},
+};
+use googletest::prelude::*;
+use net::{Net, address, name};
+
+/// Time in which a leaving instance is off the lists.
+const OFF_LISTS: Duration = Duration::from_secs(2);
+
+fn settled(count: usize, seed: u64) -> Net {
+    let mut net = Net::new(count, seed);
+    net.run(Duration::from_secs(10));
+    net
+}
+
+fn all(net: &Net) -> Vec<usize> {
+    net.numbers().collect()
+}
+
+fn with_standing(net: &Net, number: usize, standing: Standing) -> List {
+    let mut list = net.list.clone();
+    for entry in &mut list.entries {
+        if entry.id == name(number) {
+            entry.standing = standing;
+        }
+    }
+    list
+}
+
+#[gtest]
+fn an_instance_told_to_go_is_off_the_lists_within_two_seconds() {
+    for seed in 0..8 {
+        for (count, loss) in [(3, 0.0), (12, 0.2), (50, 0.2)] {
+            let mut net = settled(count, seed);
+            net.loss = loss;
+            net.act(1, Swim::leave);
+            net.run(OFF_LISTS);
+            let everyone = all(&net);
+            expect_that!(net.takers(&everyone, &[1]), is_empty());
+            net.loss = 0.0;
+            net.run(Duration::from_secs(10));
+            expect_that!(net.differing(&everyone, &[1], State::Leaving), is_empty());
+        }
+    }
+}
+
+#[gtest]
+fn an_instance_that_ends_is_known_as_gone_without_suspicion() {
+    for seed in 0..8 {
+        let mut net = settled(12, seed);
+        net.act(1, Swim::leave);
+        net.run(Duration::from_secs(5));
+        net.events.clear();
+        net.act(1, |swim, _, rng| swim.depart(rng));
+        net.run(OFF_LISTS);
+        let rest: Vec<usize> = net.numbers().filter(|it| *it != 1).collect();
+        expect_that!(net.differing(&rest, &[1], State::Dead), is_empty());
+        let suspected = net.count(|event| matches!(event, Event::Suspected(_)));
+        expect_that!(suspected, eq(0));
+    }
+}
+
+#[gtest]
+fn the_list_that_only_the_leaving_instance_read_counts_for_all() {
+    for seed in 0..8 {
+        let mut net = settled(12, seed);
+        let list = with_standing(&net, 1, Standing::Leaving);
+        net.tell_list(1, &list);
+        net.run(OFF_LISTS);
+        expect_that!(net.takers(&all(&net), &[1]), is_empty());
+    }
+}
+
+#[gtest]
+fn the_list_that_only_another_instance_read_counts_there_at_once() {
+    let mut net = settled(12, 1);
+    let list = with_standing(&net, 1, Standing::Leaving);
+    net.tell_list(5, &list);
+    expect_that!(net.takers(&[5], &[1]), is_empty());
+    expect_that!(net.takers(&[6], &[1]).len(), eq(1));
+}
+
+#[gtest]
+fn a_late_list_does_not_bring_a_leaving_instance_back() {
+    let mut net = settled(12, 2);
+    net.act(1, Swim::leave);
+    net.run(OFF_LISTS);
+    let list = with_standing(&net, 1, Standing::Live);
+    for _ in 0..10 {
+        net.tell_list_all(&list);
+        net.run(Duration::from_secs(10));
+        expect_that!(net.takers(&all(&net), &[1]), is_empty());
+    }
+}
+
+#[gtest]
+fn a_flapping_list_keeps_the_instance_leaving_until_it_is_steady() {
+    let mut net = settled(12, 3);
+    let leaving = with_standing(&net, 1, Standing::Leaving);
+    let live = with_standing(&net, 1, Standing::Live);
+    for _ in 0..10 {
+        net.tell_list_all(&leaving);
+        net.run(Duration::from_secs(2));
+        expect_that!(net.takers(&all(&net), &[1]), is_empty());
+        net.tell_list_all(&live);
+        net.run(Duration::from_secs(2));
+        expect_that!(net.takers(&all(&net), &[1]), is_empty());
+    }
+    net.run(net.settings.return_hold + Duration::from_secs(5));
+    expect_that!(net.takers(&all(&net), &[1]).len(), eq(12));
+    let listed = net.count(|event| matches!(event, Event::Listed(_)));
+    expect_that!(listed, eq(2));
+}
+
+#[gtest]
+fn a_wrong_list_evicts_nobody_who_is_there() {
+    let mut net = settled(12, 4);
+    let everyone = all(&net);
+    let mut half = net.list.clone();
+    half.entries.truncate(6);
+    for list in [half, List::default()] {
+        net.tell_list_all(&list);
+        net.run(Duration::from_mins(20));
+        expect_that!(
+            net.differing(&everyone, &everyone, State::Alive),
+            is_empty()
+        );
+    }
+}
+
+#[gtest]
+fn an_instance_that_is_not_listed_is_not_taken_in_until_it_is() {
+    let mut net = settled(12, 5);
+    let full = net.list.clone();
+    let mut short = full.clone();
+    short.entries.truncate(11);
+    // The others start anew with a list that lacks the last one.
+    net.list = short;
+    for number in 0..11 {
+        net.boot(number);
+    }
+    net.run(Duration::from_secs(10));
+    let listed: Vec<usize> = (0..11).collect();
+    expect_that!(net.takers(&listed, &[11]), is_empty());
+    expect_that!(net.differing(&listed, &listed, State::Alive), is_empty());
+    net.tell_list_all(&full);
+    net.run(Duration::from_secs(5));
+    expect_that!(
+        net.differing(&all(&net), &all(&net), State::Alive),
+        is_empty()
+    );
+}
+
+#[gtest]
+fn the_table_is_bounded_against_made_up_names() {
+    let mut net = Net::new(2, 6);
+    net.list.entries.clear();
+    net.boot(0);
+    for number in 0..3_000 {
+        let record = Member {
+            id: format!("fake-{number}"),
+            incarnation: 1,
+            ..net.member(1, 1).expect("its own record")
+        };
+        let message = Message {
+            from: name(1),
+            incarnation: 1,
+            kind: Kind::Gossip,
+            want: false,
+            records: vec![record],
+            vitals: Vec::new(),
+        };
+        net.act(0, |swim, now, rng| {
+            swim.on_message(now, address(1), message, rng)
+        });
+    }
+    let members = net.nodes[&address(0)].swim.members(net.now);
+    expect_that!(members.len(), le(MAX_MEMBERS + 1));
+}
