--- a/crates/policy/src/ledger.rs
+++ b/crates/policy/src/ledger.rs
@@ -36,8 +36,8 @@
         Self {
             retention: Duration::from_hours(24),
             freed_retention: Duration::from_mins(10),
-            records: 200_000,
-            bytes: 64 << 20,
+            records: 100_000,
+            bytes: 32 << 20,
         }
     }
 }
--- a/crates/policy/src/ledger/table.rs
+++ b/crates/policy/src/ledger/table.rs
@@ -13,8 +13,8 @@
 /// Longest content type that is kept.
 const MAX_TYPE_BYTES: usize = 256;
 
-/// Bytes of a record beside its key and answer.
-const RECORD_BYTES: usize = 256;
+/// Bytes of a record beside its key and answer, the allocator's share included.
+const RECORD_BYTES: usize = 400;
 
 /// Most attempts that a key remembers as not run.
 const MAX_FREED: usize = 8;
