operators: accepted changes proved by real processes; no second cluster

Two faults found by it, both mended: - A replica whose disk was lost, asked at once to form a cluster of itself, did. Cause: right after its start it knows no other member. Ruled out: the promise that voters give once (an empty folder has given none).

'wait' goes on through failed questions until its time is over, and a question has its own time, so that a frozen daemon is named and not taken for silence of the one that was asked.

--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -134,8 +134,8 @@
     {
         let mut failures = Failures::default();
         for address in &self.settings.admin {
-            let within = ATTEMPT_TIMEOUT.min(self.settings.timeout);
-            match self.attempt(Method::GET, address, path, &(), within).await {
+            let attempt = self.attempt(Method::GET, address, path, &(), ATTEMPT_TIMEOUT);
+            match attempt.await {
                 Attempt::Done(answer) => return Ok(answer),
                 Attempt::Refused(problem) => return Err(Error::Refused(problem)),
                 Attempt::NotDone(reason) | Attempt::MaybeDone(reason) => {
--- a/crates/ctl/src/command/apply.rs
+++ b/crates/ctl/src/command/apply.rs
@@ -52,7 +52,8 @@
         "steps": plan.to_json(),
     });
     if arguments.wait {
-        let waited = wait(client, revision, timeout, now).await?;
+        let waited = wait(client, revision, timeout, now).await;
+        let waited = waited.unwrap_or_else(|outcome| outcome);
         return Ok(joined(&text, body, &waited));
     }
     Ok(Outcome::done(text, body))
@@ -76,26 +77,34 @@
 ) -> Result<Outcome, Outcome> {
     let path = format!("/v1/force?revision={revision}");
     loop {
-        let force: Force = client.get(&path).await?;
-        if force.lagging.is_empty() {
-            let count = force.in_force.len();
-            let text = format!("revision {revision} is in force on all {count} live daemons");
-            let body = json!({"outcome": "done", "revision": revision, "in_force": force.in_force});
-            return Ok(Outcome::done(text, body));
+        let asked = client.get::<Force>(&path).await;
+        let over = now.elapsed() + POLL_PAUSE >= timeout;
+        match asked {
+            Ok(force) if force.lagging.is_empty() => return Ok(in_force(&force)),
+            Ok(force) if over => return Ok(not_in_force(&force)),
+            Err(error) if over || matches!(error, Error::Refused(_)) => return Err(error.into()),
+            Ok(_) | Err(_) => actix_rt::time::sleep(POLL_PAUSE).await,
         }
-        if now.elapsed() + POLL_PAUSE >= timeout {
-            return Ok(Outcome {
-                exit: Exit::NotInForce,
-                text: render::lagging(&force),
-                body: json!({
-                    "outcome": "not-in-force",
-                    "revision": revision,
-                    "in_force": force.in_force,
-                    "lagging": force.lagging,
-                }),
-            });
-        }
-        actix_rt::time::sleep(POLL_PAUSE).await;
+    }
+}
+
+fn in_force(force: &Force) -> Outcome {
+    let (revision, count) = (force.revision, force.in_force.len());
+    let text = format!("revision {revision} is in force on all {count} live daemons");
+    let body = json!({"outcome": "done", "revision": revision, "in_force": force.in_force});
+    Outcome::done(text, body)
+}
+
+fn not_in_force(force: &Force) -> Outcome {
+    Outcome {
+        exit: Exit::NotInForce,
+        text: render::lagging(force),
+        body: json!({
+            "outcome": "not-in-force",
+            "revision": force.revision,
+            "in_force": force.in_force,
+            "lagging": force.lagging,
+        }),
     }
 }
 
@@ -142,7 +151,7 @@
 
 fn joined(text: &str, mut body: serde_json::Value, waited: &Outcome) -> Outcome {
     body["outcome"] = waited.body["outcome"].clone();
-    for part in ["in_force", "lagging"] {
+    for part in ["in_force", "lagging", "detail"] {
         if let Some(value) = waited.body.get(part) {
             body[part] = value.clone();
         }
--- a/crates/ctl/src/command/show.rs
+++ b/crates/ctl/src/command/show.rs
@@ -82,7 +82,8 @@
     };
     let Done {} = client.once("/v1/init", &init).await?;
     let text = "the cluster is formed: see `citronctl status`".to_owned();
-    Ok(Outcome::done(text, json!({"outcome": "done"})))
+    let body = json!({"outcome": "done"});
+    Ok(Outcome::done(text, body))
 }
 
 /// Lets one replica count in place of another.
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -22,7 +22,7 @@
 use std::{rc::Rc, sync::Arc};
 
 use actix_http::{HttpMessage, Method, Request, Response, StatusCode, body::BoxBody, header};
-use citron_policy::{feed::View, id::InstanceId, member::Members};
+use citron_policy::{feed::View, id::InstanceId, member::Members, platform::List};
 use citron_wire::{admin::Kind, generated::status as proto};
 use futures_util::future::LocalBoxFuture;
 use prometheus_client::registry::Registry;
@@ -50,6 +50,8 @@
     pub hub: Hub,
     /// The daemons.
     pub members: watch::Receiver<Arc<Members>>,
+    /// Instances that the platform lists.
+    pub platform: watch::Receiver<Arc<List>>,
     /// Catalogue in force.
     pub view: watch::Receiver<Arc<View>>,
     /// Events of this daemon.
--- a/crates/daemon/src/admin/replica.rs
+++ b/crates/daemon/src/admin/replica.rs
@@ -2,16 +2,29 @@
 
 use std::{rc::Rc, time::Duration};
 
-use actix_http::{Request, Response, body::BoxBody};
-use citron_policy::id::{InstanceId, ReplicaId};
-use citron_wire::admin::{Done, Init, Replace, replica_of};
+use actix_http::{Request, Response, StatusCode, body::BoxBody};
+use citron_policy::{
+    id::{InstanceId, ReplicaId},
+    member::State,
+};
+use citron_wire::admin::{Done, Init, Kind, Replace, replica_of};
 
 use super::{Ports, Problem, body, problem::json};
+use crate::control;
 
 /// Longest time to form the cluster or to replace a replica, which may first
 /// have to take in everything committed.
 const REPLICA_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Longest wait for the replicas to say whether they belong to a cluster.
+const STATUS_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Pause between two looks whether the voters take part.
+const FORMED_PAUSE: Duration = Duration::from_millis(100);
+
+/// Most looks whether the voters take part.
+const FORMED_TRIES: usize = 50;
+
 /// Forms the cluster, once.
 pub(super) async fn init(
     ports: &Rc<Ports>,
@@ -20,7 +33,11 @@
 ) -> Result<Response<BoxBody>, Problem> {
     let init: Init = body::read(request).await?;
     let voters = voters(ports, &init.instances)?;
-    let outcome = ports.log.init(voters, REPLICA_TIMEOUT).await;
+    check_unformed(ports).await?;
+    let outcome = match ports.log.init(voters.clone(), REPLICA_TIMEOUT).await {
+        Ok(()) => wait_formed(ports, &voters).await,
+        Err(error) => Err(error),
+    };
     let text = match &outcome {
         Ok(()) => format!("cluster formed by {operator}"),
         Err(error) => format!("cluster not known to be formed by {operator}: {error}"),
@@ -53,6 +70,80 @@
     Ok(voters)
 }
 
+/// Waits until a majority of the voters take part, so that the cluster bears
+/// the loss of the replica that formed it.
+async fn wait_formed(ports: &Ports, voters: &[ReplicaId]) -> Result<(), control::Error> {
+    let majority = voters.len() / 2 + 1;
+    for _ in 0..FORMED_TRIES {
+        let standing = ports.log.status(STATUS_TIMEOUT).await;
+        let formed = standing
+            .iter()
+            .filter(|(_, status)| status.formed && voters.contains(&status.replica));
+        if formed.count() >= majority {
+            return Ok(());
+        }
+        actix_rt::time::sleep(FORMED_PAUSE).await;
+    }
+    Err(control::Error::Unsure)
+}
+
+/// Refuses where a cluster exists already, or one may exist unseen. A replica
+/// whose disk was lost looks like one that was never used.
+async fn check_unformed(ports: &Ports) -> Result<(), Problem> {
+    let standing = ports.log.status(STATUS_TIMEOUT).await;
+    let formed = standing.iter().find(|(_, status)| status.formed);
+    if let Some((instance, _)) = formed {
+        return Err(refused(format!(
+            "the replica on {instance} belongs to a cluster already: to bring back a replica whose \
+             disk is lost, use `citronctl replace-replica OLD NEW`"
+        )));
+    }
+    check_joined(ports)?;
+    let members = ports.members.borrow();
+    let answered = |id: &InstanceId| standing.iter().any(|(instance, _)| instance == id);
+    for member in members.values() {
+        if member.revision > 0 {
+            return Err(refused(format!(
+                "{} has revision {} in force, so a cluster exists: see `citronctl status`",
+                member.id, member.revision
+            )));
+        }
+        if member.replica.is_some() && member.state != State::Dead && !answered(&member.id) {
+            return Err(refused(format!(
+                "the replica on {} does not answer, so it is not known whether a cluster exists: \
+                 wait until `citronctl status` shows it",
+                member.id
+            )));
+        }
+    }
+    Ok(())
+}
+
+/// Refuses while an instance on the platform's list is not known: right after a
+/// start, a daemon that lost its disk knows nobody who could tell it so.
+fn check_joined(ports: &Ports) -> Result<(), Problem> {
+    let list = ports.platform.borrow();
+    let members = ports.members.borrow();
+    if !list.entries.iter().any(|it| it.id == *ports.hub.me()) {
+        return Err(refused(format!(
+            "the platform's list does not name {}: wait until it does",
+            ports.hub.me()
+        )));
+    }
+    match list.entries.iter().find(|it| !members.contains_key(&it.id)) {
+        None => Ok(()),
+        Some(absent) => Err(refused(format!(
+            "{} is on the platform's list and has not joined, so it is not known whether a cluster \
+             exists: wait until `citronctl status` shows it, or until the list drops it",
+            absent.id
+        ))),
+    }
+}
+
+fn refused(detail: String) -> Problem {
+    Problem::new(StatusCode::CONFLICT, Kind::Refused, detail)
+}
+
 /// Lets a new replica count in place of a lost one.
 pub(super) async fn replace(
     ports: &Rc<Ports>,
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -306,6 +306,7 @@
             log: Rc::new(started.control.clone()),
             hub: hub.clone(),
             members: gossip.members(),
+            platform: platform.list(),
             view: follow.view(),
             ring,
             registry: Rc::new(registry),
--- a/crates/daemon/tests/admin/mod.rs
+++ b/crates/daemon/tests/admin/mod.rs
@@ -1,6 +1,12 @@
 //! An operators' interface over a scripted control log, on loopback.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use citron_daemon::{
     admin::{Admin, Log, Metrics, Ports, Tokens},
@@ -14,6 +20,7 @@
     feed::View,
     id::{InstanceId, ReplicaId, Revision},
     member::{Member, Members, State},
+    platform::{self, List},
     state::{Answer, Command},
 };
 use citron_wire::Body;
@@ -40,6 +47,10 @@
     pub outcome: RefCell<Option<Result<(), Error>>>,
     /// Changes submitted.
     pub changes: RefCell<Vec<Change>>,
+    /// Instances whose replica answers, and whether it belongs to a cluster.
+    pub standing: RefCell<Vec<(&'static str, bool)>>,
+    /// Whether the replicas take part once the cluster is formed.
+    pub joins: Cell<bool>,
     /// Replicas named.
     pub replicas: RefCell<Vec<ReplicaId>>,
 }
@@ -58,15 +69,19 @@
     }
 
     fn status(&self, _within: Duration) -> LocalBoxFuture<'static, Vec<(InstanceId, Status)>> {
-        let status = Status {
-            replica: REPLICA,
-            formed: true,
-            role: Role::Leader,
-            term: 3,
-            voters: vec![REPLICA],
-            ..Status::default()
-        };
-        Box::pin(std::future::ready(vec![("a".to_owned(), status)]))
+        let standing = self.standing.borrow();
+        let all = standing.iter().map(|(instance, formed)| {
+            let status = Status {
+                replica: REPLICA,
+                formed: *formed,
+                role: Role::Leader,
+                term: 3,
+                voters: vec![REPLICA],
+                ..Status::default()
+            };
+            ((*instance).to_owned(), status)
+        });
+        Box::pin(std::future::ready(all.collect()))
     }
 
     fn init(
@@ -76,6 +91,10 @@
     ) -> LocalBoxFuture<'static, Result<(), Error>> {
         self.replicas.borrow_mut().extend(voters);
         let outcome = self.outcome.borrow_mut().take();
+        let joined = self.joins.get();
+        for (_, formed) in self.standing.borrow_mut().iter_mut() {
+            *formed = joined;
+        }
         Box::pin(std::future::ready(outcome.unwrap_or(Ok(()))))
     }
 
@@ -103,6 +122,8 @@
     pub hub: Hub,
     /// Its view of the others.
     pub members: watch::Sender<Arc<Members>>,
+    /// What the platform lists.
+    pub platform: watch::Sender<Arc<List>>,
     /// Its catalogue.
     pub view: watch::Sender<Arc<View>>,
 }
@@ -113,6 +134,7 @@
         let script = Rc::new(Script::default());
         let (hub, ring) = (Hub::new(me, CLUSTER), Ring::default());
         let (members, members_seen) = watch::channel(Arc::default());
+        let (platform, platform_seen) = watch::channel(Arc::default());
         let (view, view_seen) = watch::channel(Arc::default());
         let metrics = Metrics::default();
         let mut registry = Registry::default();
@@ -123,6 +145,7 @@
             log,
             hub: hub.clone(),
             members: members_seen,
+            platform: platform_seen,
             view: view_seen,
             ring: ring.clone(),
             registry: Rc::new(registry),
@@ -146,10 +169,28 @@
             ring,
             hub,
             members,
+            platform,
             view,
         }
     }
 
+    /// Sets the platform's list to these daemons.
+    pub fn list<'a, I>(&self, members: I)
+    where
+        I: IntoIterator<Item = &'a Member>,
+    {
+        let entries = members.into_iter().map(|it| platform::Entry {
+            id: it.id.clone(),
+            domain: it.domain.clone(),
+            peer: it.peer,
+            standing: platform::Standing::Live,
+        });
+        self.platform.send_replace(Arc::new(List {
+            entries: entries.collect(),
+            runners: Vec::new(),
+        }));
+    }
+
     /// Puts a catalogue of this revision in force.
     pub fn set_revision(&self, revision: Revision) {
         let catalogue = Catalogue::from_entries(revision, [class("repair")]);
@@ -170,6 +211,7 @@
     for daemon in daemons {
         daemon.hub.set_book(book.clone());
         daemon.members.send_replace(Arc::new(members.clone()));
+        daemon.list(members.values());
     }
 }
 
--- a/crates/daemon/tests/admin_http.rs
+++ b/crates/daemon/tests/admin_http.rs
@@ -23,7 +23,8 @@
 
 async fn send(method: &str, url: String, token: Option<&str>, body: Value) -> Reply {
     let method = method.parse().expect("a method");
-    let mut request = awc::Client::default().request(method, url);
+    let client = awc::Client::builder().disable_timeout().finish();
+    let mut request = client.request(method, url);
     if let Some(token) = token {
         request = request.insert_header(("authorization", format!("Bearer {token}")));
     }
@@ -303,6 +304,7 @@
 fn status_names_members_replicas_and_leader() {
     actix_rt::System::new().block_on(async {
         let a = Daemon::start("a").await;
+        a.script.standing.replace(vec![("a", true)]);
         join(&[&a]);
         let reply = get(&a, "/v1/status").await;
         expect_that!(reply.body["leader"], eq(&json!("a")));
@@ -319,9 +321,19 @@
 fn forming_takes_instances_and_replacing_takes_replicas_in_hex() {
     actix_rt::System::new().block_on(async {
         let a = Daemon::start("a").await;
+        a.script.standing.replace(vec![("a", false)]);
         join(&[&a]);
         let reply = post(&a, "/v1/init", json!({"instances": ["a"]})).await;
+        expect_that!(
+            reply.body["kind"],
+            eq(&json!("unknown")),
+            "no voter takes part"
+        );
+        a.script.replicas.take();
+        a.script.joins.set(true);
+        let reply = post(&a, "/v1/init", json!({"instances": ["a"]})).await;
         expect_that!(reply.status, eq(StatusCode::OK));
+        a.script.standing.replace(vec![("a", false)]);
         let replace = json!({"old": "0000000000000abc", "new": "0000000000000def"});
         let reply = post(&a, "/v1/replicas/replace", replace).await;
         expect_that!(reply.status, eq(StatusCode::OK));
@@ -351,6 +363,46 @@
     });
 }
 
+#[gtest]
+fn no_second_cluster_is_formed_beside_one_that_exists_or_may() {
+    actix_rt::System::new().block_on(async {
+        let (a, b) = (Daemon::start("a").await, Daemon::start("b").await);
+        join(&[&a, &b]);
+        let cases = [
+            (
+                vec![("a", false), ("b", true)],
+                "belongs to a cluster already",
+            ),
+            (vec![("a", false)], "the replica on b does not answer"),
+        ];
+        for (standing, reason) in cases {
+            a.script.standing.replace(standing);
+            let body = json!({"instances": ["a"]});
+            let reply = post(&a, "/v1/init", body).await;
+            expect_that!(reply.status, eq(StatusCode::CONFLICT));
+            let detail = reply.body["detail"].as_str().unwrap_or_default();
+            expect_that!(detail, contains_substring(reason));
+        }
+        a.script.standing.replace(vec![("a", false)]);
+        let body = json!({"instances": ["a"]});
+        let all = a.members.borrow().clone();
+        let alone = all.iter().filter(|(id, _)| *id == "a");
+        let alone = alone.map(|(id, member)| (id.clone(), member.clone()));
+        a.members.send_replace(std::sync::Arc::new(alone.collect()));
+        let reply = post(&a, "/v1/init", body.clone()).await;
+        let detail = reply.body["detail"].as_str().unwrap_or_default();
+        expect_that!(
+            detail,
+            contains_substring("b is on the platform's list and has not joined")
+        );
+        a.list([]);
+        let reply = post(&a, "/v1/init", body).await;
+        let detail = reply.body["detail"].as_str().unwrap_or_default();
+        expect_that!(detail, contains_substring("list does not name a"));
+        expect_that!(a.script.replicas.borrow().len(), eq(0));
+    });
+}
+
 #[gtest]
 fn metrics_count_answers_by_status() {
     actix_rt::System::new().block_on(async {
--- a/crates/daemon/tests/common/cluster.rs
+++ b/crates/daemon/tests/common/cluster.rs
@@ -13,8 +13,12 @@
 };
 
 /// Operator and token of all test clusters.
-const OPERATOR: &str = "test";
-const TOKEN: &str = "operator-token-of-the-tests-0123456789";
+pub const OPERATOR: &str = "test";
+pub const TOKEN: &str = "operator-token-of-the-tests-0123456789";
+
+/// Another operator with a token of its own.
+pub const RIVAL: &str = "rival";
+pub const RIVAL_TOKEN: &str = "another-token-of-the-tests-0123456789";
 
 /// API key of the test account.
 pub const KEY: &str = "key-of-the-test-account";
@@ -101,7 +105,8 @@
         };
         let engines = start("engine", plan.engines, &plan.engine_arguments);
         let services = start("service", plan.services, &plan.service_arguments);
-        std::fs::write(path.join("operators"), format!("{OPERATOR} {TOKEN}\n")).expect("a file");
+        let operators = format!("{OPERATOR} {TOKEN}\n{RIVAL} {RIVAL_TOKEN}\n");
+        std::fs::write(path.join("operators"), operators).expect("a file");
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let daemons = (0..plan.daemons)
             .map(|number| {
