callers: at-most-once proofs over real processes, and two faults they found

Cause: (1) a suspect whose pool had no runner in use waited to its deadline: only the common queue probed runners that were out, and suspects stand outside it (a booking with one service runner answered 504 after 30 s). (2) a plain call's fingerprint was account and body alone, so all GETs of an account shared one: the quarantine of one lookup refused every other lookup of the account. Ruled out for (1): the ledger, whose lookup answered at once; for (2): the marks' table, which held one entry. Change: a suspect without a usable runner is the probe of one that is out; the fingerprint of a plain call covers service, method and path.

--- a/crates/daemon/src/callers/chat.rs
+++ b/crates/daemon/src/callers/chat.rs
@@ -100,7 +100,7 @@
     }
     let messages = head.messages.get().as_bytes();
     let prefix = xxh3_64(&messages[..messages.len().min(PREFIX_BYTES)]);
-    let fingerprint = fingerprint(&caller.account.name, &body);
+    let fingerprint = fingerprint(&[&caller.account.name], &body);
     let stream = head.stream;
     let streamed = if stream {
         body.clone()
@@ -117,11 +117,13 @@
     })
 }
 
-/// Digest of an account and a body, the same on every daemon.
-pub(super) fn fingerprint(account: &str, body: &[u8]) -> u64 {
+/// Digest of what makes two requests the same, equal on every daemon.
+pub(super) fn fingerprint(names: &[&str], body: &[u8]) -> u64 {
     let mut hash = Xxh3::new();
-    hash.update(account.as_bytes());
-    hash.update(&[0]);
+    for name in names {
+        hash.update(name.as_bytes());
+        hash.update(&[0]);
+    }
     hash.update(body);
     hash.digest()
 }
--- a/crates/daemon/src/callers/once.rs
+++ b/crates/daemon/src/callers/once.rs
@@ -19,10 +19,10 @@
     retry::{Attempt, Decision, Fate},
     state::{self, Command},
 };
-use xxhash_rust::xxh3::Xxh3;
 
 use super::{
     Callers, InFlight,
+    chat::fingerprint,
     outcome::Outcome,
     plain::{self, Answer, Call, Failed},
     problem::Problem,
@@ -312,20 +312,15 @@
     })
 }
 
-/// Digest of what makes two calls the same.
+/// Digest of what makes two calls of one key the same.
 fn digest(call: &Call) -> u64 {
-    let mut hash = Xxh3::new();
-    let parts = [
+    let request = &call.request;
+    let names = [
         call.ticket.service.name.as_str(),
-        call.request.method.as_str(),
-        call.request.path.as_str(),
+        request.method.as_str(),
+        request.path.as_str(),
     ];
-    for part in parts {
-        hash.update(part.as_bytes());
-        hash.update(&[0]);
-    }
-    hash.update(&call.request.body);
-    hash.digest()
+    fingerprint(&names, &request.body)
 }
 
 fn within(call: &Call, most: Duration) -> Duration {
--- a/crates/daemon/src/callers/plain.rs
+++ b/crates/daemon/src/callers/plain.rs
@@ -141,7 +141,15 @@
     let path = format!("/{path}{query}");
     let limit = usize::try_from(service.max_body_bytes).unwrap_or(usize::MAX);
     let body = payload::read(request, limit.min(callers.ports().max_body_bytes)).await?;
-    let fingerprint = fingerprint(&caller.account.name, &body);
+    let fingerprint = fingerprint(
+        &[
+            &caller.account.name,
+            &service.name,
+            request.method().as_str(),
+            &path,
+        ],
+        &body,
+    );
     let ticket = caller.admit(callers, &catalogue, service, id, arrived)?;
     let headers = headers(request, &ticket);
     let method = request.method().clone();
--- /dev/null
+++ b/crates/daemon/tests/bookings.rs
@@ -0,0 +1,273 @@
+//! Calls that run at most once, over real processes. The service's own count is
+//! the judge: never over one for a key, and zero for what was answered not-run.
+
+mod common;
+
+use std::{thread, time::Duration};
+
+use common::{
+    cluster::{Cluster, Plan, book, with_key},
+    eventually,
+    http::{self, Reply},
+};
+use googletest::prelude::*;
+use serde_json::{Value, json};
+
+const BODY: &str = r#"{"item":"brooch"}"#;
+
+/// Time allowed for a call whose daemon is lost; its claim ends 5 s later.
+const SHORT_MS: &str = "1000";
+
+/// Time by which something asked of the service is surely under way.
+const UNDER_WAY: Duration = Duration::from_millis(400);
+
+fn outcome(reply: &Reply) -> String {
+    reply.header("citron-outcome").unwrap_or("none").to_owned()
+}
+
+fn kind(reply: &Reply) -> String {
+    let kind = reply.json()["type"].as_str().unwrap_or_default().to_owned();
+    kind.trim_start_matches("urn:citronpond:").to_owned()
+}
+
+/// Sends the call again and again until it gets something final.
+fn resend(cluster: &Cluster, number: usize, key: &str) -> Reply {
+    eventually("a final answer for the key", || {
+        let reply = book(cluster.daemons[number].callers, key, BODY);
+        let passing = reply.status == 0
+            || ["in-progress", "ledger", "cut-off"].contains(&kind(&reply).as_str());
+        let passing = passing || outcome(&reply) == "not-run" && reply.status == 503;
+        (!passing).then_some(reply)
+    })
+}
+
+fn leader(cluster: &Cluster, ask: usize) -> usize {
+    eventually("a leader is known", || {
+        let status = cluster.admin(ask, "GET", "/v1/status", &Value::Null).json();
+        let name = status["leader"].as_str()?.to_owned();
+        cluster
+            .daemons
+            .iter()
+            .position(|daemon| daemon.name == name)
+    })
+}
+
+/// Books in a thread, so that the test can act meanwhile.
+fn begin(
+    cluster: &Cluster,
+    number: usize,
+    key: &'static str,
+    timeout_ms: &'static str,
+) -> thread::JoinHandle<Reply> {
+    let callers = cluster.daemons[number].callers;
+    thread::spawn(move || {
+        let headers = with_key(&[("idempotency-key", key), ("citron-timeout-ms", timeout_ms)]);
+        http::post(
+            callers,
+            "/v1/services/tickets/book",
+            &headers,
+            BODY.as_bytes(),
+        )
+    })
+}
+
+#[gtest]
+fn a_resend_gets_the_stored_answer_and_another_body_is_refused() {
+    let cluster = Cluster::start(Plan {
+        engines: 1,
+        ..Plan::default()
+    });
+    let first = book(cluster.daemons[0].callers, "k1", BODY);
+    expect_that!(outcome(&first), eq("done"));
+    for number in 0..3 {
+        let again = book(cluster.daemons[number].callers, "k1", BODY);
+        expect_that!(
+            (again.status, outcome(&again), again.text()),
+            eq(&(200, "done".to_owned(), first.text()))
+        );
+        let other = book(cluster.daemons[number].callers, "k1", r#"{"item":"ring"}"#);
+        expect_that!(
+            (other.status, kind(&other), outcome(&other)),
+            eq(&(422, "key-reused".to_owned(), "not-run".to_owned()))
+        );
+    }
+    expect_that!(cluster.services[0].runs("k1"), eq(1));
+}
+
+#[gtest]
+fn what_the_service_does_not_answer_is_unknown_and_never_runs_again() {
+    let cluster = Cluster::start(Plan {
+        engines: 1,
+        ..Plan::default()
+    });
+    for (key, close, runs) in [("before", "before", 0), ("after", "after", 1)] {
+        cluster.services[0].fault(&json!({"close": close}));
+        let first = resend(&cluster, 0, key);
+        expect_that!(outcome(&first), eq("unknown"), "{key}");
+        cluster.services[0].fault(&json!({}));
+        for number in 0..3 {
+            let again = resend(&cluster, number, key);
+            expect_that!(
+                (outcome(&again), kind(&again)),
+                eq(&("unknown".to_owned(), "unknown".to_owned())),
+                "{key}"
+            );
+        }
+        expect_that!(cluster.services[0].runs(key), eq(runs), "{key}");
+    }
+}
+
+#[gtest]
+fn what_did_not_run_is_said_so_and_runs_when_sent_again() {
+    let mut cluster = Cluster::start(Plan {
+        engines: 1,
+        ..Plan::default()
+    });
+    cluster.services[0].fault(&json!({"refuse": 503}));
+    let refused = book(cluster.daemons[0].callers, "refused", BODY);
+    expect_that!(outcome(&refused), eq("not-run"));
+    expect_that!(cluster.services[0].runs("refused"), eq(0));
+    cluster.services[0].fault(&json!({}));
+    let again = resend(&cluster, 1, "refused");
+    expect_that!(
+        (outcome(&again), cluster.services[0].runs("refused")),
+        eq(&("done".to_owned(), 1))
+    );
+    cluster.services[0].process.kill();
+    let down = book(cluster.daemons[2].callers, "down", BODY);
+    expect_that!(outcome(&down), eq("not-run"));
+    expect_that!(down.header("retry-after"), some(anything()));
+}
+
+#[gtest]
+fn a_caller_who_leaves_finds_the_answer_under_its_key() {
+    let cluster = Cluster::start(Plan {
+        engines: 1,
+        ..Plan::default()
+    });
+    cluster.services[0].fault(&json!({"delay_after_ms": 1_000, "times": 1}));
+    let headers = with_key(&[("idempotency-key", "left")]);
+    let path = "/v1/services/tickets/book";
+    let left = http::request(
+        cluster.daemons[0].callers,
+        "POST",
+        path,
+        &headers,
+        BODY.as_bytes(),
+    );
+    thread::sleep(UNDER_WAY);
+    drop(left);
+    let during = book(cluster.daemons[1].callers, "left", BODY);
+    expect_that!(kind(&during), eq("in-progress"));
+    expect_that!(during.header("retry-after"), some(anything()));
+    let again = resend(&cluster, 2, "left");
+    expect_that!(
+        (outcome(&again), cluster.services[0].runs("left")),
+        eq(&("done".to_owned(), 1))
+    );
+}
+
+#[gtest]
+fn a_daemon_lost_during_the_call_leaves_in_progress_and_then_unknown() {
+    let mut cluster = Cluster::start(Plan {
+        engines: 1,
+        ..Plan::default()
+    });
+    let victim = (leader(&cluster, 0) + 1) % 3;
+    let other = (victim + 1) % 3;
+    cluster.services[0].fault(&json!({"delay_after_ms": 800, "times": 1}));
+    let call = begin(&cluster, victim, "lost", SHORT_MS);
+    thread::sleep(UNDER_WAY);
+    cluster.daemons[victim].process.kill();
+    expect_that!(call.join().expect("a reply").status, eq(0));
+    let during = book(cluster.daemons[other].callers, "lost", BODY);
+    expect_that!(kind(&during), eq("in-progress"), "{}", during.text());
+    let again = resend(&cluster, other, "lost");
+    expect_that!(kind(&again), eq("unknown"), "{}", again.text());
+    expect_that!(cluster.services[0].runs("lost"), le(1));
+}
+
+#[gtest]
+fn a_leader_lost_or_frozen_during_the_call_costs_no_second_run() {
+    let mut cluster = Cluster::start(Plan {
+        engines: 1,
+        ..Plan::default()
+    });
+    let first = leader(&cluster, 0);
+    let entry = (first + 1) % 3;
+    cluster.services[0].fault(&json!({"delay_after_ms": 800, "times": 1}));
+    let call = begin(&cluster, entry, "frozen", "20000");
+    thread::sleep(UNDER_WAY);
+    cluster.daemons[first].process.signal("STOP");
+    expect_that!(outcome(&call.join().expect("a reply")), eq("done"));
+    let again = resend(&cluster, 3 - first - entry, "frozen");
+    expect_that!(outcome(&again), eq("done"));
+    cluster.daemons[first].process.signal("CONT");
+    let thawed = resend(&cluster, first, "frozen");
+    expect_that!(outcome(&thawed), eq("done"));
+    expect_that!(cluster.services[0].runs("frozen"), eq(1));
+
+    let second = leader(&cluster, entry);
+    let entry = (second + 1) % 3;
+    cluster.services[0].fault(&json!({"delay_after_ms": 800, "times": 1}));
+    let call = begin(&cluster, entry, "killed", "20000");
+    thread::sleep(UNDER_WAY);
+    cluster.daemons[second].process.kill();
+    expect_that!(outcome(&call.join().expect("a reply")), eq("done"));
+    expect_that!(
+        outcome(&resend(&cluster, 3 - second - entry, "killed")),
+        eq("done")
+    );
+    expect_that!(cluster.services[0].runs("killed"), eq(1));
+}
+
+#[gtest]
+fn the_same_keys_through_all_daemons_at_once_run_once_each() {
+    let cluster = Cluster::start(Plan {
+        engines: 1,
+        services: 2,
+        ..Plan::default()
+    });
+    let keys: Vec<String> = (0..20).map(|number| format!("race-{number}")).collect();
+    thread::scope(|scope| {
+        for daemon in &cluster.daemons {
+            for key in &keys {
+                scope.spawn(move || book(daemon.callers, key, BODY));
+            }
+        }
+    });
+    for key in &keys {
+        expect_that!(outcome(&resend(&cluster, 0, key)), eq("done"), "{key}");
+        let runs: u64 = cluster.services.iter().map(|it| it.runs(key)).sum();
+        expect_that!(runs, eq(1), "{key}");
+    }
+}
+
+#[gtest]
+fn one_quarantined_lookup_leaves_the_account_its_others() {
+    let cluster = Cluster::start(Plan {
+        engines: 1,
+        services: 2,
+        ..Plan::default()
+    });
+    let lookup = |path: &str| {
+        let path = format!("/v1/services/tickets/{path}");
+        http::send(
+            cluster.daemons[0].callers,
+            "GET",
+            &path,
+            &with_key(&[]),
+            b"",
+        )
+    };
+    let set = |fault: &Value| cluster.services.iter().for_each(|it| it.fault(fault));
+    set(&json!({"close": "after"}));
+    eventually("the lookup is quarantined", || {
+        (kind(&lookup("poison")) == "quarantined").then_some(())
+    });
+    set(&json!({}));
+    eventually("another lookup is answered", || {
+        (lookup("other").status == 200).then_some(())
+    });
+    expect_that!(kind(&lookup("poison")), eq("quarantined"));
+}
--- a/crates/policy/src/arbiter/grant.rs
+++ b/crates/policy/src/arbiter/grant.rs
@@ -185,7 +185,9 @@
         if account_full || (higher && waited < item.class.wait_bound) {
             return;
         }
-        let Some(runner) = self.pool.quietest(&item.avoid) else {
+        // Without a runner in use, the suspect is the probe of one that is out.
+        let usable = self.pool.quietest(&item.avoid);
+        let Some(runner) = usable.or_else(|| self.pool.probe(now)) else {
             return;
         };
         let key = item.key;
