ctl: a difference that is too large goes out in parts

Cause: 12,000 accounts in one change are over the limit of a log entry, seen with real processes: exit code 1, 'split it into parts'. Ruled out: a larger entry, which would hold up votes and heartbeats behind it. Change: the tool splits by size, in an order in which each part is valid by itself.

Also by real processes: both examples are applied, read back and explained.

Seen failing with a guard off, then passing: - parts in the order of the files: a part is not valid - never split: 'Actual: 1' part, and exit code 1 from the cluster

--- a/crates/ctl/src/command/apply.rs
+++ b/crates/ctl/src/command/apply.rs
@@ -40,10 +40,7 @@
     }
     let id = arguments.change_id.unwrap_or_else(new_id);
     let base = arguments.base.unwrap_or(plan.base);
-    let change = plan.change(id.clone(), base);
-    let accepted = client.change(&change, now).await;
-    let accepted = accepted.map_err(|error| not_accepted(error, &id, base))?;
-    let revision = accepted.revision;
+    let revision = send(client, &plan, &id, base, now).await?;
     let text = format!("{plan}accepted as revision {revision} (change {id})");
     let body = json!({
         "outcome": "done",
@@ -59,6 +56,34 @@
     Ok(Outcome::done(text, body))
 }
 
+/// Sends a plan, in parts if it is too large for one change; gives the last
+/// revision.
+async fn send(
+    client: &Client,
+    plan: &Plan,
+    id: &str,
+    base: Revision,
+    now: Instant,
+) -> Result<Revision, Outcome> {
+    let parts = plan.parts();
+    let mut revision = base;
+    for (number, part) in parts.iter().enumerate() {
+        let id = match parts.len() {
+            1 => id.to_owned(),
+            _ => format!("{id}.{}", number + 1),
+        };
+        let accepted = client.change(&part.change(id.clone(), revision), now).await;
+        match accepted {
+            Ok(accepted) => revision = accepted.revision,
+            Err(error) if number == 0 && parts.len() == 1 => {
+                return Err(not_accepted(error, &id, revision));
+            }
+            Err(error) => return Err(in_part(error, number, parts.len())),
+        }
+    }
+    Ok(revision)
+}
+
 /// Shows what `apply` would send.
 pub(super) async fn diff(client: &Client, arguments: Diff) -> Result<Outcome, Outcome> {
     let plan = plan(client, &arguments.file, arguments.prune).await?;
@@ -149,6 +174,19 @@
     outcome
 }
 
+/// An error after some parts of a plan were accepted.
+fn in_part(error: Error, accepted: usize, parts: usize) -> Outcome {
+    let mut outcome = Outcome::from(error);
+    outcome.body["accepted_parts"] = json!(accepted);
+    outcome.body["parts"] = json!(parts);
+    let hint = format!(
+        "\n{accepted} of {parts} parts were accepted before: run the same command again, without \
+         --change-id and --base, to send what is left"
+    );
+    outcome.text.push_str(&hint);
+    outcome
+}
+
 fn joined(text: &str, mut body: serde_json::Value, waited: &Outcome) -> Outcome {
     body["outcome"] = waited.body["outcome"].clone();
     for part in ["in_force", "lagging", "detail"] {
--- a/crates/ctl/src/plan.rs
+++ b/crates/ctl/src/plan.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use citron_policy::{
-    catalogue::{self, Catalogue, Change, Entry, Key},
+    catalogue::{self, Catalogue, Change, Entry, Key, Kind},
     id::{ChangeId, Revision},
 };
 use serde_json::Value;
@@ -13,6 +13,9 @@
 /// Most faults that a check reports.
 const MAX_FAULTS: usize = 100;
 
+/// Most bytes of entries in one change; the control log takes twice as much.
+const MAX_PART_BYTES: usize = 512 << 10;
+
 /// What a change of one entry does.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
@@ -63,7 +66,7 @@
         }
     }
 
-    /// The change that carries the plan out.
+    /// The change that carries the whole plan out.
     #[must_use]
     pub fn change(&self, id: ChangeId, base: Revision) -> Change {
         let mut change = Change {
@@ -72,14 +75,37 @@
             ..Change::default()
         };
         for step in &self.steps {
-            match step {
-                Step::Create(new) | Step::Update { new, .. } => change.puts.push(new.clone()),
-                Step::Remove(old) => change.removes.push(old.key()),
-            }
+            step.add_to(&mut change);
         }
         change
     }
 
+    /// The plan in parts, of which each is small enough for one change and
+    /// valid once those before it are in force.
+    #[must_use]
+    pub fn parts(&self) -> Vec<Self> {
+        let size: usize = self.steps.iter().map(Step::bytes).sum();
+        if size <= MAX_PART_BYTES {
+            return vec![self.clone()];
+        }
+        let mut steps = self.steps.clone();
+        steps.sort_by_key(Step::rank);
+        let mut parts = vec![Self::default()];
+        let mut used = 0;
+        for step in steps {
+            let bytes = step.bytes();
+            if used + bytes > MAX_PART_BYTES && used > 0 {
+                parts.push(Self::default());
+                used = 0;
+            }
+            used += bytes;
+            if let Some(part) = parts.last_mut() {
+                part.steps.push(step);
+            }
+        }
+        parts
+    }
+
     /// Checks that the plan fits the catalogue.
     ///
     /// # Errors
@@ -154,12 +180,44 @@
 }
 
 impl Step {
+    fn add_to(&self, change: &mut Change) {
+        match self {
+            Self::Create(new) | Self::Update { new, .. } => change.puts.push(new.clone()),
+            Self::Remove(old) => change.removes.push(old.key()),
+        }
+    }
+
+    /// Place among the parts: keys are freed before they are given anew, and
+    /// classes are there for as long as anything refers to them.
+    fn rank(&self) -> u8 {
+        match (self, self.entry().key().kind) {
+            (Self::Remove(_), Kind::Account) => 0,
+            (Self::Create(_) | Self::Update { .. }, Kind::Class) => 1,
+            (Self::Create(_) | Self::Update { .. }, Kind::Service) => 2,
+            (Self::Create(_) | Self::Update { .. }, Kind::Account) => 3,
+            (Self::Remove(_), Kind::Service) => 4,
+            (Self::Remove(_), Kind::Class) => 5,
+        }
+    }
+
+    fn entry(&self) -> &Entry {
+        match self {
+            Self::Create(entry) | Self::Remove(entry) | Self::Update { new: entry, .. } => entry,
+        }
+    }
+
+    /// Size in a change.
+    fn bytes(&self) -> usize {
+        serde_json::to_string(self.entry()).map_or(0, |text| text.len())
+    }
+
     fn to_json(&self) -> Value {
-        let (action, entry) = match self {
-            Self::Create(new) => ("create", new),
-            Self::Update { new, .. } => ("update", new),
-            Self::Remove(old) => ("remove", old),
+        let action = match self {
+            Self::Create(_) => "create",
+            Self::Update { .. } => "update",
+            Self::Remove(_) => "remove",
         };
+        let entry = self.entry();
         serde_json::json!({"action": action, "entry": entry.key().to_string(), "owner": entry.owner()})
     }
 }
--- a/crates/ctl/tests/declaration.rs
+++ b/crates/ctl/tests/declaration.rs
@@ -212,6 +212,36 @@
     expect_that!(pruned.change("c".to_owned(), 1).removes.len(), eq(1));
 }
 
+/// Every part is valid once those before it are in force, also where keys and
+/// classes change hands.
+#[gtest]
+fn a_large_plan_is_split_into_parts_that_are_valid_in_turn() {
+    let accounts = |class: &str, prefix: &str| -> String {
+        let accounts = (0..5_000).map(|number| {
+            format!(
+                "[[account]]\nname = \"{prefix}-{number}\"\nowner = \"desk\"\n\
+                 key_sha256 = \"{number:064x}\"\nclass = \"{class}\"\nmax_running = 1\n\
+                 max_queued = 1\n"
+            )
+        });
+        accounts.collect()
+    };
+    let first = read(&format!("{CLASS}{}", accounts("repair", "old")));
+    let renamed = CLASS.replace("repair", "proofs");
+    let second = read(&format!("{renamed}{}", accounts("proofs", "new")));
+    let mut catalogue = Catalogue::default();
+    for declaration in [first, second] {
+        let plan = Plan::new(&declaration, &catalogue, true);
+        let parts = plan.parts();
+        expect_that!(parts.len(), gt(1));
+        for part in parts {
+            let change = part.change("c".to_owned(), catalogue.revision);
+            catalogue = catalogue.apply(&change).expect("a valid part");
+        }
+        expect_that!(Plan::new(&declaration, &catalogue, true).steps, is_empty());
+    }
+}
+
 fn runner() -> TestRunner {
     let config = Config {
         cases: 256,
--- a/crates/daemon/tests/changes.rs
+++ b/crates/daemon/tests/changes.rs
@@ -24,6 +24,9 @@
 /// Changes between two kills of the leader.
 const KILL_EVERY: u64 = 60;
 
+/// Accounts of the large change.
+const ACCOUNTS: u64 = 12_000;
+
 /// Races of the two operators.
 const RACES: u64 = 8;
 
@@ -360,6 +363,58 @@
     }
 }
 
+#[gtest]
+fn the_examples_are_applied_and_read_back() {
+    let cluster = start();
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    for name in ["kalahari", "karamanlis"] {
+        let folder = root.join(name).to_string_lossy().into_owned();
+        let applied = ctl(&cluster, 0, &["apply", "-f", &folder, "--wait"]);
+        expect_that!(applied.code, eq(0), "{}{}", applied.out, applied.err);
+        let diff = ctl(&cluster, 1, &["diff", "-f", &folder]);
+        expect_that!(diff.out, starts_with("0 changes"));
+    }
+    // What `get` prints is a declaration of all of it.
+    let printed = cluster.folder().join("printed.toml");
+    std::fs::write(&printed, ctl(&cluster, 2, &["get"]).out).expect("a file");
+    let printed = printed.to_string_lossy().into_owned();
+    let diff = ctl(&cluster, 2, &["diff", "--prune", "-f", &printed]);
+    expect_that!(diff.out, starts_with("0 changes against revision 2"));
+    let explained = ctl(&cluster, 1, &["explain", "class/repair-desk"]);
+    expect_that!(
+        explained.out,
+        contains_substring("class/repair-desk, owner counter-team")
+    );
+    expect_that!(
+        explained.out,
+        contains_substring("account/windhoek-counter, owner counter-team")
+    );
+    expect_that!(explained.out, contains_substring("entry-0 CP0801"));
+    let status = ctl(&cluster, 2, &["status"]);
+    for daemon in &cluster.daemons {
+        expect_that!(status.out, contains_substring(daemon.name.as_str()));
+    }
+}
+
+#[gtest]
+fn twelve_thousand_accounts_are_applied_at_once() {
+    let cluster = start();
+    let file = declared(&cluster, "a.toml", "a", 1);
+    let mut text = std::fs::read_to_string(&file).expect("a declaration");
+    for number in 0..ACCOUNTS {
+        let account = format!(
+            "[[account]]\nname = \"account-{number}\"\nowner = \"tests\"\n\
+             key_sha256 = \"{number:064x}\"\nclass = \"a\"\nmax_running = 4\nmax_queued = 8\n"
+        );
+        text.push_str(&account);
+    }
+    std::fs::write(&file, text).expect("a file");
+    let applied = ctl(&cluster, 0, &["apply", "-f", &file, "--wait", "--json"]);
+    expect_that!(applied.code, eq(0), "{}{}", applied.out.len(), applied.err);
+    let again = ctl(&cluster, 1, &["apply", "-f", &file]);
+    expect_that!(again.out, starts_with("nothing to change"));
+}
+
 /// Identity of a daemon's folder, as it says itself.
 fn replica_of(cluster: &Cluster, number: usize) -> String {
     let name = &cluster.daemons[number].name;
