--- a/crates/policy/src/arbiter/queue.rs
+++ b/crates/policy/src/arbiter/queue.rs
@@ -43,11 +43,12 @@
     }
 
     fn place(&self) -> Place {
-        (self.due, self.key)
+        (!self.resume, self.due, self.key)
     }
 }
 
-type Place = (Instant, Key);
+/// Order in a line: work to be resumed first, then by due time.
+type Place = (bool, Instant, Key);
 
 #[derive(Debug, Default)]
 struct Line {
@@ -121,7 +122,7 @@
     pub(super) fn in_front(&self, item: &Item, count: usize) -> bool {
         self.classes
             .get(&item.class.name)
-            .is_some_and(|line| line.iter().take(count).any(|(_, key)| *key == item.key))
+            .is_some_and(|line| line.iter().take(count).any(|(.., key)| *key == item.key))
     }
 
     pub(super) fn push(&mut self, item: Item) {
@@ -235,14 +236,16 @@
     /// The next one of a class, for its floor.
     pub(super) fn next_of_class(&self, class: &ClassId, now: Instant) -> Option<Key> {
         let line = self.classes.get(class)?;
-        let mut places = line.range((now, Key::default())..).chain(line.iter());
+        let timely = line.range((true, now, Key::default())..);
+        let resumed = line.iter().take_while(|(fresh, ..)| !fresh);
+        let mut places = resumed.chain(timely).chain(line.iter());
         places
-            .find(|(_, key)| {
+            .find(|(.., key)| {
                 self.items
                     .get(key)
                     .is_some_and(|item| !self.blocked.contains(&item.account))
             })
-            .map(|(_, key)| *key)
+            .map(|(.., key)| *key)
     }
 
     /// The newest of the lowest tier.
@@ -266,23 +269,23 @@
     pub(super) fn overdue(&self, tier: usize, now: Instant) -> Vec<Key> {
         let lines = self.tiers[tier].lines.values();
         lines
-            .flat_map(|line| line.places.iter().take_while(|(due, _)| *due <= now))
-            .map(|(_, key)| *key)
+            .flat_map(|line| line.places.iter().take_while(|(_, due, _)| *due <= now))
+            .map(|(.., key)| *key)
             .collect()
     }
 }
 
 fn first(places: &BTreeSet<Place>, now: Instant, late: bool) -> Option<Key> {
+    let (fresh, due, key) = places.first()?;
     if late {
-        let (due, key) = places.first()?;
         // One that can still meet its target was found in the first pass.
-        return places
-            .last()
-            .is_some_and(|(last, _)| *last <= now && *due <= now)
-            .then_some(*key);
+        let (_, last, _) = places.last()?;
+        let all_late = *fresh && *due <= now && *last <= now;
+        return all_late.then_some(*key);
     }
-    places
-        .range((now, Key::default())..)
-        .next()
-        .map(|(_, key)| *key)
+    if !fresh {
+        return Some(*key);
+    }
+    let timely = places.range((true, now, Key::default())..).next();
+    timely.map(|(.., key)| *key)
 }
