slots: shed late requests of an overloaded tier unless its class starves

Cause of late answers to requests that were given up: the oldest four of a class were kept for the floor even while the class was served, and newer ones passed them; the latest shed came after 36.9 s. They are now kept only while their class has had no grant since they came, and late ones come last only while their tier is overloaded.

--- a/crates/policy/src/arbiter/admit.rs
+++ b/crates/policy/src/arbiter/admit.rs
@@ -207,15 +207,19 @@
         }
     }
 
+    /// Gives up requests whose target has passed while their tier is overloaded.
     fn shed_overdue(&mut self, now: Instant, tier: usize, effects: &mut Vec<Effect>) {
-        for key in self.queue.overdue(tier, now) {
-            let Some(item) = self.queue.get(key) else {
+        let overdue = self.queue.overdue(tier, now);
+        let first = overdue.first().and_then(|key| self.queue.get(*key));
+        let overloaded = first.is_some_and(|it| self.wait(it) > self.patience(&it.class));
+        self.queue.set_overloaded(tier, overloaded);
+        if !overloaded {
+            return;
+        }
+        for key in overdue {
+            let Some(item) = self.queue.get(key).filter(|it| !self.is_spared(it)) else {
                 continue;
             };
-            let spared = item.resume || self.queue.in_front(item, self.settings.reserve);
-            if spared || self.wait(item) <= self.patience(&item.class) {
-                continue;
-            }
             let retry_after = self.retry_after(item);
             if let Some(item) = self.take_waiting(key) {
                 self.refuse_item(&item, Refusal::Shed { retry_after }, effects);
@@ -223,6 +227,13 @@
         }
     }
 
+    /// Whether a late request is kept: work to be resumed, and the oldest of a
+    /// class that had no grant since they came, for the floor to serve.
+    fn is_spared(&self, item: &Item) -> bool {
+        let starving = self.floor.starves_since(&item.class.name, item.taken);
+        item.resume || (starving && self.queue.in_front(item, self.settings.reserve))
+    }
+
     /// Gives up everything that waits once no runner is in use.
     pub(super) fn refuse_without_runner(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         if self.collecting.is_some() || self.pool.usable() > 0 {
--- a/crates/policy/src/arbiter/floor.rs
+++ b/crates/policy/src/arbiter/floor.rs
@@ -63,6 +63,11 @@
         self.credit >= 1.0
     }
 
+    /// Whether a class has had no grant since a time.
+    pub(super) fn starves_since(&self, class: &ClassId, time: Instant) -> bool {
+        self.since.get(class).is_some_and(|since| *since <= time)
+    }
+
     /// How long a class is past its bound.
     pub(super) fn overrun(&self, now: Instant, class: &Class) -> Option<Duration> {
         let since = self.since.get(&class.name)?;
--- a/crates/policy/src/arbiter/queue.rs
+++ b/crates/policy/src/arbiter/queue.rs
@@ -1,9 +1,9 @@
 //! The one queue: strict tiers, fair between accounts, earliest target first.
 //!
 //! Inside a tier the account that was served least goes next; of one account,
-//! the request whose target is nearest. Requests whose target has passed come
-//! after those that can still meet it, since serving them first would make all
-//! of them late. An account at its running limit is skipped until it releases.
+//! the request whose target is nearest. While more waits than can be served in
+//! time, requests whose target has passed come last, since serving them first
+//! would make all of them late. An account at its running limit is skipped until it releases.
 
 use std::{collections::BTreeSet, sync::Arc, time::Instant};
 
@@ -66,6 +66,25 @@
     ages: BTreeSet<(Instant, Key)>,
     /// Service of the account granted last.
     level: u64,
+    /// Whether more waits than can be served in time.
+    overloaded: bool,
+}
+
+impl Tier {
+    /// The next of a line, in the pass for timely or for late ones.
+    fn first(&self, places: &BTreeSet<Place>, now: Instant, late: bool) -> Option<Key> {
+        let (fresh, due, key) = places.first()?;
+        let timely = !fresh || *due > now || !self.overloaded;
+        if timely {
+            return (!late).then_some(*key);
+        }
+        let next = places.range((true, now, Key::default())..).next();
+        match (next, late) {
+            (Some((.., next)), false) => Some(*next),
+            (None, true) => Some(*key),
+            _ => None,
+        }
+    }
 }
 
 /// Requests that wait.
@@ -118,6 +137,12 @@
         waiting.map(|(class, _)| class)
     }
 
+    /// Tells whether more waits in a tier than can be served in time; then those
+    /// whose target has passed come last.
+    pub(super) fn set_overloaded(&mut self, tier: usize, overloaded: bool) {
+        self.tiers[tier].overloaded = overloaded;
+    }
+
     /// Whether the item is among the `count` oldest of its class.
     pub(super) fn in_front(&self, item: &Item, count: usize) -> bool {
         self.classes
@@ -226,7 +251,7 @@
                         return found;
                     }
                     let line = tier.lines.get(account);
-                    found.extend(line.and_then(|line| first(&line.places, now, late)));
+                    found.extend(line.and_then(|line| tier.first(&line.places, now, late)));
                 }
             }
         }
@@ -274,18 +299,3 @@
             .collect()
     }
 }
-
-fn first(places: &BTreeSet<Place>, now: Instant, late: bool) -> Option<Key> {
-    let (fresh, due, key) = places.first()?;
-    if late {
-        // One that can still meet its target was found in the first pass.
-        let (_, last, _) = places.last()?;
-        let all_late = *fresh && *due <= now && *last <= now;
-        return all_late.then_some(*key);
-    }
-    if !fresh {
-        return Some(*key);
-    }
-    let timely = places.range((true, now, Key::default())..).next();
-    timely.map(|(.., key)| *key)
-}
