--- a/crates/policy/benches/slots.rs
+++ b/crates/policy/benches/slots.rs
@@ -33,6 +33,7 @@
         (0.7, 1.0, Trouble::None),
         (1.0, 1.0, Trouble::None),
         (2.0, 1.0, Trouble::None),
+        (3.0, 1.0, Trouble::None),
         (0.7, 8.0, Trouble::None),
         (0.7, 1.0, Trouble::Straggler),
         (0.7, 1.0, Trouble::Crash),
