slots: tests of tiers, floors, runner health and the crash rule

The property tests run generated arrivals, deaths, moves and doubled arbiters from fixed seeds. One fault was found by them and mended: asks taken in while a new arbiter collected holds stayed queued when the service had no runner; they are refused now when the collecting ends.

--- a/crates/policy/benches/slots.rs
+++ b/crates/policy/benches/slots.rs
@@ -90,9 +90,10 @@
             offered_tokens += f64::from(arrival.tokens);
             received += f64::from(request.done);
             let first = request.first.map(|it| it - request.sent);
-            let between = request.first.zip(request.last).map(|(first, last)| {
-                (last - first) / arrival.tokens.saturating_sub(1).max(1)
-            });
+            let between = request
+                .first
+                .zip(request.last)
+                .map(|(first, last)| (last - first) / arrival.tokens.saturating_sub(1).max(1));
             let good = first.is_some_and(|it| it <= declared.first_token)
                 && between.is_some_and(|it| it <= declared.between_tokens);
             if arrival.at > TIME / 3 + Duration::from_secs(10) {
--- a/crates/policy/benches/slots/arrivals.rs
+++ b/crates/policy/benches/slots/arrivals.rs
@@ -53,7 +53,10 @@
 /// Arrivals of an offer, in order of time.
 pub fn arrivals(offer: &Offer, tokens_per_second: f64) -> Vec<Arrival> {
     let mut random = StdRng::seed_from_u64(offer.seed);
-    let mean: f64 = CLASSES.iter().map(|(_, share, tokens)| share * tokens).sum();
+    let mean: f64 = CLASSES
+        .iter()
+        .map(|(_, share, tokens)| share * tokens)
+        .sum();
     let rate = offer.load * tokens_per_second / mean;
     let mut all = Vec::new();
     for (class, (_, share, tokens)) in CLASSES.iter().enumerate() {
--- a/crates/policy/benches/slots/model.rs
+++ b/crates/policy/benches/slots/model.rs
@@ -394,7 +394,8 @@
     }
 
     fn report(&mut self) {
-        self.past.push(self.engines.iter().map(Engine::load).collect());
+        self.past
+            .push(self.engines.iter().map(Engine::load).collect());
         let lag = usize::try_from(REPORT_LAG.as_millis() / REPORT.as_millis()).unwrap_or(1);
         if self.past.len() > lag {
             self.reports = self.past[self.past.len() - 1 - lag].clone();
--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -307,6 +307,7 @@
             }
             Event::Tick => self.on_tick(now, &mut effects),
         }
+        self.end_collecting(now, &mut effects);
         self.pump(now, &mut effects);
         effects
     }
@@ -370,13 +371,6 @@
         if passed > self.settings.lease / 2 {
             self.forgive(passed);
         }
-        if self
-            .collecting
-            .as_ref()
-            .is_some_and(|collecting| now >= collecting.until)
-        {
-            self.collecting = None;
-        }
         self.expire_askers(now, effects);
         self.expire_items(now, effects);
         for turn in self.pool.judge(now) {
@@ -384,6 +378,18 @@
         }
     }
 
+    /// Starts granting once every daemon has told what it holds, or time is up.
+    fn end_collecting(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        let ended = self
+            .collecting
+            .as_ref()
+            .is_some_and(|it| it.missing.is_empty() || now >= it.until);
+        if ended {
+            self.collecting = None;
+            self.refuse_without_runner(now, effects);
+        }
+    }
+
     fn on_turn(&mut self, now: Instant, turn: Turn, effects: &mut Vec<Effect>) {
         match &turn {
             Turn::Aside(runner) => {
--- a/crates/policy/src/arbiter/hold.rs
+++ b/crates/policy/src/arbiter/hold.rs
@@ -339,9 +339,6 @@
         }
         if let Some(collecting) = &mut self.collecting {
             collecting.missing.swap_remove(from);
-            if collecting.missing.is_empty() {
-                self.collecting = None;
-            }
         }
     }
 
@@ -454,9 +451,6 @@
         }
         if let Some(collecting) = &mut self.collecting {
             collecting.missing.retain(|name| live.contains(name));
-            if collecting.missing.is_empty() {
-                self.collecting = None;
-            }
         }
     }
 
--- /dev/null
+++ b/crates/policy/tests/arbiter_health.rs
@@ -0,0 +1,272 @@
+//! Stragglers, broken and leaving runners, load reports and prefixes.
+
+mod slots;
+
+use std::time::Duration;
+
+use citron_policy::{
+    arbiter::{self, End, Note, Refusal, Sample, Turn},
+    platform::Standing,
+};
+use googletest::prelude::*;
+use indexmap::IndexMap;
+use slots::{Daemons, Told, ask, catalogue, runners, sample};
+
+/// A pool under steady load, where each runner has its own pace.
+struct Pool {
+    daemons: Daemons,
+    next: u64,
+    /// End and runner of what is in use.
+    held: IndexMap<u64, (std::time::Instant, String)>,
+    slow: Vec<String>,
+    /// Waits for the first token of the last requests.
+    firsts: Vec<(std::time::Instant, Duration)>,
+}
+
+const FAST: Duration = Duration::from_millis(400);
+
+impl Pool {
+    fn new(count: usize) -> Self {
+        Self {
+            daemons: Daemons::new(2, catalogue(4, |_| {}), runners(count)),
+            next: 0,
+            held: IndexMap::new(),
+            slow: Vec::new(),
+            firsts: Vec::new(),
+        }
+    }
+
+    fn whole(&self, runner: &String) -> Duration {
+        if self.slow.contains(runner) {
+            FAST * 10
+        } else {
+            FAST
+        }
+    }
+
+    /// Offers `rate` requests each 50 ms.
+    fn run(&mut self, time: Duration, rate: u64) {
+        let end = self.daemons.now + time;
+        while self.daemons.now < end {
+            for _ in 0..rate {
+                let tier = self.next % 3;
+                let mut ask = ask(self.next, &format!("c{tier}"), "a");
+                ask.fingerprint = 0;
+                self.daemons.take(1, ask);
+                self.next += 1;
+            }
+            self.daemons.settle();
+            self.take_grants();
+            self.daemons.now += Duration::from_millis(50);
+            self.finish_due();
+            self.daemons.tick();
+            self.daemons.settle();
+        }
+    }
+
+    fn take_grants(&mut self) {
+        for told in self.daemons.drain() {
+            match told {
+                Told::Granted { ticket, runner, .. } => {
+                    let whole = self.whole(&runner);
+                    self.firsts.push((self.daemons.now, whole / 10));
+                    self.held.insert(ticket, (self.daemons.now + whole, runner));
+                }
+                Told::Preempted { ticket, .. } => {
+                    self.held.swap_remove(&ticket);
+                    self.daemons
+                        .release(1, ticket, sample(End::Preempted, FAST));
+                }
+                Told::Refused { .. } => {}
+            }
+        }
+    }
+
+    fn finish_due(&mut self) {
+        let now = self.daemons.now;
+        let due = self.held.iter().filter(|(_, (end, _))| *end <= now);
+        let due: Vec<u64> = due.map(|(ticket, _)| *ticket).collect();
+        for ticket in due {
+            if let Some((_, runner)) = self.held.swap_remove(&ticket) {
+                let sample = sample(End::Done, self.whole(&runner));
+                self.daemons.release(1, ticket, sample);
+            }
+        }
+    }
+
+    fn aside(&self) -> usize {
+        self.daemons.arbiters[&0].stats().aside
+    }
+}
+
+#[gtest]
+fn a_straggler_is_set_aside_within_ten_seconds_and_comes_back() {
+    let mut pool = Pool::new(10);
+    pool.run(Duration::from_secs(3), 2);
+    expect_that!(pool.aside(), eq(0));
+    pool.slow = vec!["r3".to_owned()];
+    pool.run(Duration::from_secs(10), 2);
+    expect_that!(pool.aside(), eq(1));
+    let slow_use = pool.held.values().filter(|(_, it)| it == "r3").count();
+    expect_that!(slow_use, le(1));
+    pool.slow.clear();
+    pool.run(Duration::from_secs(15), 2);
+    expect_that!(pool.aside(), eq(0));
+}
+
+#[gtest]
+fn at_most_a_third_of_a_pool_is_set_aside() {
+    let mut pool = Pool::new(9);
+    pool.run(Duration::from_secs(3), 2);
+    pool.slow = ["r1", "r2", "r3", "r4"].map(str::to_owned).to_vec();
+    for _ in 0..60 {
+        pool.run(Duration::from_millis(500), 2);
+        expect_that!(pool.aside(), le(3));
+    }
+    expect_that!(pool.aside(), ge(2));
+}
+
+#[gtest]
+fn a_pool_that_slows_down_as_a_whole_stays_in_use() {
+    let mut pool = Pool::new(6);
+    pool.run(Duration::from_secs(3), 1);
+    pool.slow = pool
+        .daemons
+        .runners
+        .iter()
+        .map(|it| it.id.clone())
+        .collect();
+    pool.run(Duration::from_secs(15), 1);
+    expect_that!(pool.aside(), eq(0));
+}
+
+#[gtest]
+fn a_broken_runner_is_left_out_and_probed_with_one_request() {
+    let mut pool = Pool::new(3);
+    pool.run(Duration::from_secs(1), 1);
+    let broken: Vec<u64> = pool
+        .held
+        .iter()
+        .filter(|(_, (_, runner))| runner == "r1")
+        .map(|(ticket, _)| *ticket)
+        .collect();
+    expect_that!(broken, not(is_empty()));
+    for ticket in broken {
+        pool.held.swap_remove(&ticket);
+        pool.daemons.release(1, ticket, sample(End::Broken, FAST));
+    }
+    pool.daemons.settle();
+    expect_that!(pool.daemons.arbiters[&0].stats().usable, eq(2));
+    pool.run(Duration::from_millis(450), 1);
+    expect_that!(
+        pool.held.values().filter(|(_, it)| it == "r1").count(),
+        eq(0)
+    );
+    pool.run(Duration::from_secs(5), 3);
+    expect_that!(pool.daemons.arbiters[&0].stats().usable, eq(3));
+}
+
+#[gtest]
+fn a_service_without_runners_is_told_at_once() {
+    let mut daemons = Daemons::new(1, catalogue(2, |_| {}), Vec::new());
+    daemons.take(0, ask(1, "c0", "a"));
+    daemons.settle();
+    expect_that!(
+        daemons.drain(),
+        elements_are![matches_pattern!(Told::Refused {
+            refusal: matches_pattern!(Refusal::NoRunner { .. }),
+            ..
+        })]
+    );
+}
+
+#[gtest]
+fn a_leaving_runner_gets_no_grant() {
+    let mut daemons = Daemons::new(1, catalogue(2, |_| {}), runners(2));
+    daemons.take(0, ask(1, "c0", "a"));
+    daemons.settle();
+    daemons.drain();
+    daemons.runners[0].standing = Standing::Leaving;
+    let listed = arbiter::Event::Runners(daemons.runners.clone());
+    daemons.arbiter(0, listed);
+    for ticket in 2..8 {
+        daemons.take(0, ask(ticket, "c0", "a"));
+    }
+    daemons.settle();
+    for told in daemons.drain() {
+        if let Told::Granted { runner, .. } = told {
+            expect_that!(runner, eq("r1"));
+        }
+    }
+}
+
+#[gtest]
+fn what_others_run_on_a_runner_counts_against_its_limit() {
+    let mut daemons = Daemons::new(1, catalogue(4, |_| {}), runners(1));
+    daemons.take(0, ask(1, "c0", "a"));
+    daemons.settle();
+    daemons.drain();
+    let report = arbiter::Event::Load {
+        runner: "r0".to_owned(),
+        running: 4,
+        slots: 4,
+    };
+    daemons.arbiter(0, report);
+    daemons.take(0, ask(2, "c0", "a"));
+    daemons.settle();
+    expect_that!(daemons.drain(), is_empty());
+    // The report tells of the past: slots released since are still its own.
+    daemons.release(0, 1, sample(End::Done, FAST));
+    daemons.settle();
+    expect_that!(daemons.drain(), len(eq(1)));
+}
+
+#[gtest]
+fn the_limit_of_a_runner_that_misses_its_targets_goes_down_to_one_at_least() {
+    let mut daemons = Daemons::new(1, catalogue(8, |_| {}), runners(1));
+    let mut next = 0;
+    for _ in 0..200 {
+        daemons.take(0, ask(next, "c0", "a"));
+        daemons.settle();
+        let slow = Sample {
+            between_tokens: Some(Duration::from_millis(300)),
+            ..sample(End::Done, FAST)
+        };
+        daemons.now += Duration::from_millis(200);
+        daemons.release(0, next, slow);
+        daemons.tick();
+        daemons.settle();
+        next += 1;
+    }
+    expect_that!(daemons.arbiters[&0].stats().slots, eq(1));
+}
+
+#[gtest]
+fn a_prefix_goes_back_to_its_runner_unless_that_is_busier() {
+    let mut daemons = Daemons::new(1, catalogue(4, |_| {}), runners(3));
+    let with_prefix = |daemons: &mut Daemons, ticket| {
+        let mut ask = ask(ticket, "c0", "a");
+        ask.prefix = 77;
+        daemons.take(0, ask);
+        daemons.settle();
+        match daemons.drain().pop() {
+            Some(Told::Granted { runner, .. }) => runner,
+            other => panic!("no grant but {other:?}"),
+        }
+    };
+    let first = with_prefix(&mut daemons, 1);
+    let second = with_prefix(&mut daemons, 2);
+    expect_that!(second, eq(&first));
+    let third = with_prefix(&mut daemons, 3);
+    expect_that!(third, not(eq(&first)));
+}
+
+#[gtest]
+fn turns_are_noted_for_operators() {
+    let mut pool = Pool::new(10);
+    pool.run(Duration::from_secs(3), 2);
+    pool.slow = vec!["r3".to_owned()];
+    pool.run(Duration::from_secs(10), 2);
+    let aside = Note::Turned(Turn::Aside("r3".to_owned()));
+    expect_true!(pool.daemons.notes.iter().any(|(_, note)| *note == aside));
+}
--- /dev/null
+++ b/crates/policy/tests/arbiter_tiers.rs
@@ -0,0 +1,432 @@
+//! Tiers and floors over generated arrivals, also while arbiters die, move or
+//! are doubled.
+//!
+//! Every case is generated from a fixed seed; a failure prints its steps.
+
+mod slots;
+
+use std::time::Duration;
+
+use citron_policy::arbiter::{Note, Refusal, Settings};
+use googletest::prelude::*;
+use indexmap::IndexMap;
+use proptest::{
+    collection::vec,
+    prelude::{Just, Strategy, any},
+    prop_oneof,
+    test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner},
+};
+use slots::{Daemons, Told, ask, catalogue, done, runners};
+
+const DAEMONS: usize = 4;
+
+/// Slots of each of the two runners.
+const SLOTS: u32 = 2;
+
+/// One step of a generated case.
+#[derive(Clone, Debug)]
+enum Move {
+    Take {
+        daemon: usize,
+        tier: u8,
+        account: usize,
+    },
+    Release(usize),
+    Pass(u64),
+    Tick,
+    /// The arbiter's state is lost; its daemon lives on.
+    Forget,
+    /// All daemons see another order.
+    Turn(usize),
+    /// Half of the daemons see another order.
+    Split(usize),
+}
+
+fn moves(doubled: bool) -> impl Strategy<Value = Vec<Move>> {
+    let take = (0..DAEMONS, 0..3_u8, 0..3_usize).prop_map(|(daemon, tier, account)| Move::Take {
+        daemon,
+        tier,
+        account,
+    });
+    let change = if doubled {
+        (0..DAEMONS).prop_map(Move::Split).boxed()
+    } else {
+        prop_oneof![(0..DAEMONS).prop_map(Move::Turn), Just(Move::Forget)].boxed()
+    };
+    let step = prop_oneof![
+        12 => take,
+        8 => any::<u16>().prop_map(|it| Move::Release(usize::from(it))),
+        3 => (1..600_u64).prop_map(Move::Pass),
+        2 => Just(Move::Tick),
+        1 => change,
+    ];
+    vec(step, 1..160)
+}
+
+/// A case as it runs, with what must hold.
+struct Case {
+    daemons: Daemons,
+    next: u64,
+    held: IndexMap<(usize, u64), String>,
+    open: IndexMap<u64, u8>,
+    grants: u32,
+    floor_grants: u32,
+    /// Whether only one arbiter is in charge at a time.
+    single: bool,
+}
+
+impl Case {
+    fn new(single: bool) -> Self {
+        let catalogue = catalogue(SLOTS, |class| {
+            class.first_token = Duration::from_secs(1);
+            class.wait_bound = Duration::from_millis(400);
+        });
+        let mut daemons = Daemons::new(DAEMONS, catalogue, runners(2));
+        // With such patience only a full queue sheds.
+        daemons.settings = Settings {
+            max_queue: 10,
+            patience: 1_000.0,
+            ..Settings::default()
+        };
+        Self {
+            daemons,
+            next: 1,
+            held: IndexMap::new(),
+            open: IndexMap::new(),
+            grants: 0,
+            floor_grants: 0,
+            single,
+        }
+    }
+
+    fn step(&mut self, step: &Move) -> std::result::Result<(), TestCaseError> {
+        match step {
+            Move::Take {
+                daemon,
+                tier,
+                account,
+            } => {
+                let account = ["a", "b", "c"][*account];
+                self.open.insert(self.next, *tier);
+                let ask = ask(self.next, &format!("c{tier}"), account);
+                self.next += 1;
+                self.daemons.take(*daemon, ask);
+            }
+            Move::Release(index) => self.release(*index),
+            Move::Pass(ms) => self.daemons.now += Duration::from_millis(*ms),
+            Move::Tick => self.daemons.tick(),
+            Move::Forget => {
+                let hosts = self.daemons.hosts();
+                for host in hosts {
+                    self.daemons.arbiters.swap_remove(&host);
+                }
+            }
+            Move::Turn(first) => self.turn(*first, 0),
+            Move::Split(first) => self.turn(*first, 1),
+        }
+        self.settle()
+    }
+
+    fn release(&mut self, index: usize) {
+        if self.held.is_empty() {
+            return;
+        }
+        let index = index % self.held.len();
+        if let Some(((daemon, ticket), _)) = self.held.swap_remove_index(index) {
+            self.daemons.release(daemon, ticket, done());
+        }
+    }
+
+    fn turn(&mut self, first: usize, every: usize) {
+        let mut order: Vec<String> = (0..DAEMONS).map(slots::name).collect();
+        order.rotate_left(first);
+        if self.single {
+            // The daemon that is first in no order any more steps down.
+            self.daemons.arbiters.retain(|host, _| *host == first);
+        }
+        for daemon in 0..DAEMONS {
+            if every == 0 || daemon % 2 == every {
+                self.daemons.tell_ranks(daemon, &order);
+            }
+        }
+    }
+
+    /// Delivers message by message, checking after each.
+    fn settle(&mut self) -> std::result::Result<(), TestCaseError> {
+        self.check()?;
+        while let Some(message) = self.daemons.sent.pop_front() {
+            self.daemons.deliver(message);
+            self.check()?;
+        }
+        Ok(())
+    }
+
+    fn check(&mut self) -> std::result::Result<(), TestCaseError> {
+        for (host, note) in std::mem::take(&mut self.daemons.notes) {
+            let Some(arbiter) = self.daemons.arbiters.get(&host) else {
+                continue;
+            };
+            let queued = arbiter.stats().queued;
+            self.check_note(&note, &queued)?;
+        }
+        for told in self.daemons.drain() {
+            self.on_told(told)?;
+        }
+        Ok(())
+    }
+
+    fn check_note(
+        &mut self,
+        note: &Note,
+        queued: &[usize],
+    ) -> std::result::Result<(), TestCaseError> {
+        match note {
+            Note::Granted { tier, floor: false } => {
+                self.grants += 1;
+                let higher: usize = queued[..usize::from(*tier)].iter().sum();
+                proptest::prop_assert_eq!(higher, 0, "tier {} passed higher ones", tier);
+            }
+            Note::Granted { .. } => {
+                self.grants += 1;
+                self.floor_grants += 1;
+            }
+            Note::Refused {
+                tier,
+                refusal: Refusal::Shed { retry_after },
+            } => {
+                let lower: usize = queued[usize::from(*tier) + 1..].iter().sum();
+                proptest::prop_assert_eq!(lower, 0, "tier {} shed before lower ones", tier);
+                proptest::prop_assert!(!retry_after.is_zero(), "a time to come back");
+            }
+            Note::Preempted { victim, waiting } => {
+                proptest::prop_assert!(victim > waiting, "{} preempted for {}", victim, waiting);
+            }
+            Note::Refused { .. } | Note::Turned(_) | Note::AskerLost(_) => {}
+        }
+        Ok(())
+    }
+
+    fn on_told(&mut self, told: Told) -> std::result::Result<(), TestCaseError> {
+        match told {
+            Told::Granted {
+                daemon,
+                ticket,
+                runner,
+                ..
+            } => {
+                proptest::prop_assert!(
+                    self.open.swap_remove(&ticket).is_some(),
+                    "ticket {} answered twice",
+                    ticket
+                );
+                self.held.insert((daemon, ticket), runner.clone());
+                let there = self.held.values().filter(|it| **it == runner).count();
+                proptest::prop_assert!(
+                    !self.single || there <= SLOTS as usize,
+                    "{} slots in use on {}",
+                    there,
+                    runner
+                );
+            }
+            Told::Refused { ticket, .. } => {
+                proptest::prop_assert!(
+                    self.open.swap_remove(&ticket).is_some(),
+                    "ticket {} answered twice",
+                    ticket
+                );
+            }
+            Told::Preempted { daemon, ticket } => {
+                if self.held.swap_remove(&(daemon, ticket)).is_some() {
+                    let sample =
+                        slots::sample(citron_policy::arbiter::End::Preempted, Duration::ZERO);
+                    self.daemons.release(daemon, ticket, sample);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Lets everything end, and looks for what got no answer.
+    fn finish(&mut self) -> std::result::Result<(), TestCaseError> {
+        for _ in 0..1_400 {
+            self.daemons.now += Duration::from_millis(50);
+            self.daemons.tick();
+            self.settle()?;
+            self.release(0);
+            self.settle()?;
+        }
+        proptest::prop_assert!(self.open.is_empty(), "no answer to {:?}", self.open);
+        let most = f64::from(self.grants) * 0.05 + f64::from(self.daemons.started);
+        proptest::prop_assert!(f64::from(self.floor_grants) <= most, "floor over its share");
+        Ok(())
+    }
+}
+
+fn run(seed: u8, single: bool) -> std::result::Result<(), String> {
+    let random = TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]);
+    let config = Config {
+        cases: 128,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let mut runner = TestRunner::new_with_rng(config, random);
+    let outcome = runner.run(&moves(!single), |moves| {
+        let mut case = Case::new(single);
+        for step in &moves {
+            case.step(step)?;
+        }
+        case.finish()
+    });
+    outcome.map_err(|error| format!("seed {seed}: {error}"))
+}
+
+#[gtest]
+fn tiers_and_slots_hold_while_arbiters_die_and_move() {
+    expect_that!(run(1, true), ok(anything()));
+}
+
+#[gtest]
+fn tiers_hold_while_arbiters_are_doubled() {
+    expect_that!(run(2, false), ok(anything()));
+}
+
+/// Grants by tier while higher tiers alone fill the pool.
+fn pressed_grants() -> IndexMap<u8, u32> {
+    let mut case = Case::new(true);
+    let mut grants = IndexMap::new();
+    for round in 0..600_u64 {
+        for tier in [0_u8, 0, 1, 2] {
+            let ask = ask(case.next, &format!("c{tier}"), "a");
+            case.next += 1;
+            case.daemons.take(usize::from(tier), ask);
+        }
+        case.daemons.now += Duration::from_millis(20);
+        if round % 3 == 0 {
+            case.daemons.tick();
+        }
+        case.daemons.settle();
+        for (_, note) in std::mem::take(&mut case.daemons.notes) {
+            if let Note::Granted { tier, .. } = note {
+                *grants.entry(tier).or_insert(0) += 1;
+            }
+        }
+        for told in case.daemons.drain() {
+            if let Told::Granted { daemon, ticket, .. } = told {
+                case.held.insert((daemon, ticket), String::new());
+            }
+        }
+        case.release(0);
+        case.daemons.settle();
+    }
+    grants
+}
+
+#[gtest]
+fn every_class_is_served_within_its_floor_under_pressure() {
+    let grants = pressed_grants();
+    let total: u32 = grants.values().sum();
+    let lowest = grants.get(&2).copied().unwrap_or(0);
+    expect_that!(lowest, ge(1));
+    expect_that!(f64::from(lowest), le(f64::from(total) * 0.05 + 2.0));
+    let middle = grants.get(&1).copied().unwrap_or(0);
+    expect_that!(middle, ge(1));
+}
+
+#[gtest]
+fn a_burst_of_one_account_leaves_another_its_turn() {
+    let mut daemons = Daemons::new(2, catalogue(SLOTS, |_| {}), runners(2));
+    for ticket in 0..200 {
+        daemons.take(0, ask(ticket, "c1", "a"));
+    }
+    daemons.take(1, ask(1_000, "c1", "b"));
+    daemons.settle();
+    let mut grants_before = 0;
+    for ticket in 0..10 {
+        daemons.release(0, ticket, done());
+        daemons.settle();
+        let told = daemons.drain();
+        let turn = told
+            .iter()
+            .any(|it| matches!(it, Told::Granted { ticket: 1_000, .. }));
+        if turn {
+            break;
+        }
+        grants_before += 1;
+    }
+    expect_that!(grants_before, le(2));
+}
+
+#[gtest]
+fn a_burst_of_a_lower_class_leaves_a_higher_one_the_next_slot() {
+    let mut daemons = Daemons::new(2, catalogue(SLOTS, |_| {}), runners(2));
+    for ticket in 0..300 {
+        daemons.take(0, ask(ticket, "c2", "a"));
+    }
+    daemons.settle();
+    daemons.drain();
+    daemons.take(1, ask(1_000, "c0", "b"));
+    daemons.settle();
+    daemons.release(0, 0, done());
+    daemons.settle();
+    let told = daemons.drain();
+    expect_true!(
+        told.iter()
+            .any(|it| matches!(it, Told::Granted { ticket: 1_000, .. }))
+    );
+}
+
+#[gtest]
+fn account_limits_hold_over_all_daemons() {
+    let mut daemons = Daemons::new(3, catalogue(8, |_| {}), runners(2));
+    let mut next = (*daemons.catalogue).clone();
+    let mut change = citron_policy::catalogue::Change {
+        operator: "ann".to_owned(),
+        ..Default::default()
+    };
+    change.puts = vec![citron_policy::catalogue::Entry::Account(
+        slots::account("a", 'a', 3, 2).into(),
+    )];
+    next = next.apply(&change).expect("a catalogue");
+    daemons.catalogue = next.into();
+    for ticket in 0..9 {
+        let daemon = usize::try_from(ticket % 3).expect("small");
+        daemons.take(daemon, ask(ticket, "c1", "a"));
+        daemons.settle();
+    }
+    daemons.settle();
+    let told = daemons.drain();
+    let granted = told.iter().filter(|it| matches!(it, Told::Granted { .. }));
+    expect_that!(granted.count(), eq(3));
+    let refused = told.iter().filter(|it| {
+        matches!(
+            it,
+            Told::Refused {
+                refusal: Refusal::Account { .. },
+                ..
+            }
+        )
+    });
+    expect_that!(refused.count(), eq(4));
+}
+
+#[gtest]
+fn a_request_without_a_chance_is_told_at_once_when_to_come_back() {
+    let mut daemons = Daemons::new(1, catalogue(1, |_| {}), runners(1));
+    daemons.take(0, ask(0, "c1", "a"));
+    daemons.settle();
+    daemons.pass(Duration::from_secs(1));
+    daemons.release(
+        0,
+        0,
+        slots::sample(citron_policy::arbiter::End::Done, Duration::from_secs(5)),
+    );
+    for ticket in 1..20 {
+        daemons.take(0, ask(ticket, "c1", "a"));
+    }
+    daemons.settle();
+    let told = daemons.drain();
+    let shed = told.iter().filter(|it| {
+        matches!(it, Told::Refused { refusal: Refusal::Shed { retry_after }, .. } if *retry_after >= Duration::from_secs(5))
+    });
+    expect_that!(shed.count(), ge(14));
+}
--- a/crates/policy/tests/slots/mod.rs
+++ b/crates/policy/tests/slots/mod.rs
@@ -171,6 +171,8 @@
     pub notes: Vec<(usize, Note)>,
     pub proposed: Vec<crash::Step>,
     pub sent: std::collections::VecDeque<Sent>,
+    /// Arbiters started so far.
+    pub started: u32,
     /// Which daemon asks which ones, in order.
     ranks: Vec<String>,
 }
@@ -198,6 +200,7 @@
             notes: Vec::new(),
             proposed: Vec::new(),
             sent: std::collections::VecDeque::new(),
+            started: 0,
             ranks: (0..count).map(name).collect(),
         };
         for _ in 0..count {
@@ -318,6 +321,7 @@
         let (arbiter, effects) = Arbiter::new(self.now, SERVICE.to_owned(), 1, live, settings);
         let epoch = arbiter.epoch();
         self.arbiters.insert(host, arbiter);
+        self.started += 1;
         self.carry_out(host, epoch, effects);
         self.arbiter(host, arbiter::Event::Catalogue(Arc::clone(&self.catalogue)));
         self.arbiter(host, arbiter::Event::Marks(Arc::clone(&self.marks)));
