slots: a reserve of each class beyond the queue limit

A queue full of higher tiers left no request of a lower class for the floor to serve: every arrival of it was shed. Also tests of the desk alone.

--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -56,7 +56,7 @@
 /// Bounds and times of an arbiter.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
-    /// Most requests that wait.
+    /// Most requests that wait, beyond the reserve of each class.
     pub max_queue: usize,
     /// Most askers.
     pub max_askers: usize,
--- a/crates/policy/src/arbiter/admit.rs
+++ b/crates/policy/src/arbiter/admit.rs
@@ -126,6 +126,10 @@
             let retry_after = self.pool.retry_after(now);
             return Err(Refusal::NoRunner { retry_after });
         }
+        if self.suspects.waiting() >= self.settings.max_queue {
+            let retry_after = self.retry_after(item);
+            return Err(Refusal::Shed { retry_after });
+        }
         if ask.resume {
             return self.make_room(item, effects);
         }
@@ -161,13 +165,21 @@
     }
 
     /// Sheds the newest of the lowest tier when the queue is full.
+    ///
+    /// The oldest few of each class stand beyond the limit: the floor can serve
+    /// a class only while some of it waits, and nobody is shed for them.
     fn make_room(&mut self, item: &Item, effects: &mut Vec<Effect>) -> Result<(), Refusal> {
-        if self.queue.len() + self.suspects.waiting() < self.settings.max_queue {
+        let reserve = self.settings.reserve;
+        let full = self.queue.len_beyond(reserve) >= self.settings.max_queue;
+        if !full || self.queue.class_len(&item.class.name) < reserve {
             return Ok(());
         }
-        let lower = self.queue.lowest_tier().is_some_and(|it| it > item.tier());
-        let last = self.queue.last().filter(|_| lower);
-        let Some(victim) = last.and_then(|key| self.take_waiting(key)) else {
+        let last = self.queue.last(reserve);
+        let lower = last.filter(|key| {
+            let last = self.queue.get(*key);
+            last.is_some_and(|last| last.tier() > item.tier())
+        });
+        let Some(victim) = lower.and_then(|key| self.take_waiting(key)) else {
             let retry_after = self.retry_after(item);
             return Err(Refusal::Shed { retry_after });
         };
--- a/crates/policy/src/arbiter/grant.rs
+++ b/crates/policy/src/arbiter/grant.rs
@@ -109,7 +109,7 @@
     /// tier that waits.
     fn probe(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         while let Some(runner) = self.pool.probe(now) {
-            let last = self.queue.last();
+            let last = self.queue.last(0);
             let Some(item) = last.and_then(|key| self.queue.get(key)) else {
                 return;
             };
--- a/crates/policy/src/arbiter/queue.rs
+++ b/crates/policy/src/arbiter/queue.rs
@@ -273,15 +273,20 @@
             .map(|(.., key)| *key)
     }
 
-    /// The newest of the lowest tier.
-    pub(super) fn last(&self) -> Option<Key> {
-        let tier = self.tiers.iter().rev().find(|tier| !tier.ages.is_empty())?;
-        tier.ages.last().map(|(_, key)| *key)
+    /// The newest of the lowest tier whose class has more than `reserve` waiting.
+    pub(super) fn last(&self, reserve: usize) -> Option<Key> {
+        let newest = self.tiers.iter().rev().flat_map(|it| it.ages.iter().rev());
+        let mut keys = newest.map(|(_, key)| *key);
+        keys.find(|key| {
+            let item = self.items.get(key);
+            item.is_some_and(|item| self.class_len(&item.class.name) > reserve)
+        })
     }
 
-    /// The lowest tier with a waiting request.
-    pub(super) fn lowest_tier(&self) -> Option<usize> {
-        self.tiers.iter().rposition(|tier| !tier.ages.is_empty())
+    /// Requests beyond the `reserve` oldest of each class.
+    pub(super) fn len_beyond(&self, reserve: usize) -> usize {
+        let classes = self.classes.values();
+        classes.map(|line| line.len().saturating_sub(reserve)).sum()
     }
 
     /// Those whose deadline has passed.
--- a/crates/policy/tests/arbiter_moves.rs
+++ b/crates/policy/tests/arbiter_moves.rs
@@ -152,6 +152,18 @@
     expect_that!(daemons.arbiters[&0].stats().running, eq(1));
 }
 
+#[gtest]
+fn a_lost_release_is_mended_by_the_heartbeats_of_an_asker_that_holds_more() {
+    let mut daemons = daemons();
+    daemons.take(1, ask(1, "c0", "a"));
+    daemons.take(1, ask(2, "c0", "a"));
+    daemons.settle();
+    daemons.release(1, 1, done());
+    daemons.sent.clear();
+    daemons.pass(Duration::from_secs(3));
+    expect_that!(daemons.arbiters[&0].stats().running, eq(1));
+}
+
 #[gtest]
 fn a_passed_deadline_is_refused_at_once() {
     let mut daemons = daemons();
--- a/crates/policy/tests/crash_rule.rs
+++ b/crates/policy/tests/crash_rule.rs
@@ -243,6 +243,84 @@
     check(true, 4);
 }
 
+/// A killer that ran alone on a daemon and broke the runner, with the marks lost
+/// on the way to the control log.
+fn quarantined_by(daemon: usize) -> Daemons {
+    let mut daemons = Daemons::new(4, catalogue(4, |_| {}), runners(2));
+    let mut killer = ask(1, "c0", "a");
+    killer.fingerprint = KILLER;
+    killer.suspected = true;
+    daemons.desk(
+        daemon,
+        citron_policy::desk::Event::Reply {
+            from: slots::name(0),
+            epoch: 1,
+            reply: citron_policy::arbiter::Reply::Mark(Step::Suspected(vec![KILLER])),
+        },
+    );
+    daemons.take(daemon, killer);
+    daemons.settle();
+    expect_that!(
+        daemons.drain(),
+        elements_are![matches_pattern!(Told::Granted {
+            alone: eq(&true),
+            ..
+        })]
+    );
+    daemons.release(daemon, 1, sample(End::Broken, Duration::ZERO));
+    daemons.sent.clear();
+    daemons
+}
+
+fn refused(daemons: &mut Daemons, daemon: usize) -> bool {
+    let mut killer = ask(9, "c0", "a");
+    killer.fingerprint = KILLER;
+    daemons.take(daemon, killer);
+    daemons.pass(Duration::from_secs(1));
+    let told = daemons.drain();
+    told.contains(&Told::Refused {
+        daemon,
+        ticket: 9,
+        refusal: Refusal::Quarantined,
+    })
+}
+
+#[gtest]
+fn the_daemon_that_saw_a_crash_tells_a_new_arbiter() {
+    let mut daemons = quarantined_by(2);
+    daemons.kill(0);
+    daemons.notice();
+    expect_true!(refused(&mut daemons, 3));
+}
+
+#[gtest]
+fn a_mark_outlives_the_arbiter_and_the_daemon_that_saw_the_crash() {
+    let mut daemons = quarantined_by(2);
+    // The third daemon holds a slot, so that the arbiter knows it.
+    daemons.take(3, ask(5, "c0", "a"));
+    daemons.settle();
+    daemons.drain();
+    daemons.desk(2, citron_policy::desk::Event::Ranks(vec![slots::name(0)]));
+    let recital = citron_policy::arbiter::Asked {
+        least: 0,
+        fallback: false,
+        request: citron_policy::arbiter::Request::Release(1, sample(End::Broken, Duration::ZERO)),
+    };
+    let from = slots::name(2);
+    daemons.arbiter(
+        0,
+        citron_policy::arbiter::Event::Asked {
+            from,
+            asked: recital,
+        },
+    );
+    daemons.settle();
+    daemons.kill(0);
+    daemons.kill(2);
+    daemons.notice();
+    expect_true!(refused(&mut daemons, 3));
+}
+
 #[gtest]
 fn a_quarantined_request_is_refused_without_asking() {
     let mut daemons = Daemons::new(2, catalogue(4, |_| {}), runners(2));
--- /dev/null
+++ b/crates/policy/tests/desk_asks.rs
@@ -0,0 +1,150 @@
+//! The asking side alone: what it answers when arbiters are silent or confused.
+
+mod slots;
+
+use std::time::{Duration, Instant};
+
+use citron_policy::{
+    arbiter::{Refusal, Reply, Request},
+    desk::{Desk, Effect, Event, Settings},
+};
+use googletest::prelude::*;
+use slots::ask;
+
+fn desk(now: Instant) -> Desk {
+    let mut desk = Desk::new(now, Settings::default());
+    let ranks = ["i0", "i1", "i2"].map(str::to_owned).to_vec();
+    expect_that!(desk.on_event(now, Event::Ranks(ranks)), is_empty());
+    desk
+}
+
+fn take(desk: &mut Desk, now: Instant, ticket: u64, within: Duration) -> Vec<Effect> {
+    let ask = ask(ticket, "c0", "a");
+    let deadline = now + within;
+    desk.on_event(now, Event::Take { ask, deadline })
+}
+
+fn reply(desk: &mut Desk, now: Instant, from: &str, epoch: u64, reply: Reply) -> Vec<Effect> {
+    let from = from.to_owned();
+    desk.on_event(now, Event::Reply { from, epoch, reply })
+}
+
+fn grant(ticket: u64) -> Reply {
+    Reply::Grant {
+        ticket,
+        runner: "r0".to_owned(),
+        alone: false,
+    }
+}
+
+#[gtest]
+fn a_passed_deadline_is_told_though_no_arbiter_answers() {
+    let now = Instant::now();
+    let mut desk = desk(now);
+    take(&mut desk, now, 1, Duration::from_millis(300));
+    let now = now + Duration::from_millis(301);
+    let effects = desk.on_event(now, Event::Tick);
+    expect_that!(effects, contains(eq(&Effect::Refused(1, Refusal::Late))));
+    expect_that!(desk.waiting(), eq(0));
+}
+
+#[gtest]
+fn a_grant_of_an_older_epoch_is_given_back() {
+    let now = Instant::now();
+    let mut desk = desk(now);
+    take(&mut desk, now, 1, Duration::from_secs(9));
+    expect_that!(reply(&mut desk, now, "i0", 5, Reply::Queued(1)), is_empty());
+    let effects = reply(&mut desk, now, "i0", 4, grant(1));
+    expect_that!(
+        effects,
+        elements_are![matches_pattern!(Effect::Send(
+            eq("i0"),
+            matches_pattern!(citron_policy::arbiter::Asked {
+                request: matches_pattern!(Request::Release(eq(&1), anything())),
+                ..
+            })
+        ))]
+    );
+    expect_that!(desk.held(), eq(0));
+    let effects = reply(&mut desk, now, "i0", 5, grant(1));
+    expect_that!(
+        effects,
+        elements_are![matches_pattern!(Effect::Granted { ticket: eq(&1), .. })]
+    );
+}
+
+#[gtest]
+fn a_doubled_grant_is_taken_once() {
+    let now = Instant::now();
+    let mut desk = desk(now);
+    take(&mut desk, now, 1, Duration::from_secs(9));
+    expect_that!(reply(&mut desk, now, "i0", 1, grant(1)), len(eq(1)));
+    expect_that!(reply(&mut desk, now, "i0", 1, grant(1)), is_empty());
+    expect_that!(desk.held(), eq(1));
+}
+
+#[gtest]
+fn a_grant_after_the_caller_left_is_given_back() {
+    let now = Instant::now();
+    let mut desk = desk(now);
+    take(&mut desk, now, 1, Duration::from_secs(9));
+    expect_that!(desk.on_event(now, Event::Cancel(1)), len(eq(1)));
+    let effects = reply(&mut desk, now, "i0", 1, grant(1));
+    expect_that!(
+        effects,
+        elements_are![matches_pattern!(Effect::Send(
+            eq("i0"),
+            matches_pattern!(citron_policy::arbiter::Asked {
+                request: matches_pattern!(Request::Release(eq(&1), anything())),
+                ..
+            })
+        ))]
+    );
+}
+
+#[gtest]
+fn daemons_that_point_at_each_other_are_not_followed_for_ever() {
+    let now = Instant::now();
+    let mut desk = desk(now);
+    take(&mut desk, now, 1, Duration::from_secs(9));
+    let mut hops = 0;
+    for _ in 0..50 {
+        let at = desk.arbiter().cloned().expect("an arbiter");
+        let other = if at == "i0" { "i1" } else { "i0" };
+        let moved = Reply::Moved {
+            to: Some(other.to_owned()),
+        };
+        hops += usize::from(!reply(&mut desk, now, &at, 1, moved).is_empty());
+    }
+    expect_that!(hops, le(3));
+    expect_that!(desk.waiting(), eq(1));
+}
+
+#[gtest]
+fn a_hint_to_an_unknown_daemon_is_followed() {
+    let now = Instant::now();
+    let mut desk = desk(now);
+    take(&mut desk, now, 1, Duration::from_secs(9));
+    let moved = Reply::Moved {
+        to: Some("i9".to_owned()),
+    };
+    let effects = reply(&mut desk, now, "i0", 1, moved);
+    expect_that!(desk.arbiter().map(String::as_str), some(eq("i9")));
+    expect_that!(
+        effects,
+        contains(matches_pattern!(Effect::Send(eq("i9"), anything())))
+    );
+}
+
+#[gtest]
+fn a_return_to_the_first_rank_follows_its_first_answer() {
+    let now = Instant::now();
+    let mut desk = desk(now);
+    take(&mut desk, now, 1, Duration::from_secs(9));
+    let now = now + Duration::from_millis(600);
+    drop(desk.on_event(now, Event::Tick));
+    expect_that!(desk.arbiter().map(String::as_str), some(eq("i1")));
+    expect_that!(reply(&mut desk, now, "i1", 1, Reply::Queued(1)), is_empty());
+    drop(reply(&mut desk, now, "i0", 1, Reply::Beat));
+    expect_that!(desk.arbiter().map(String::as_str), some(eq("i0")));
+}
