--- a/crates/policy/tests/crash_rule.rs
+++ b/crates/policy/tests/crash_rule.rs
@@ -29,6 +29,7 @@
     crashes: u32,
     quarantined: u32,
     open: IndexSet<u64>,
+    again: Vec<(usize, u64)>,
     /// Whether marks reach all daemons by the control log.
     log: bool,
 }
@@ -44,6 +45,7 @@
             crashes: 0,
             quarantined: 0,
             open: IndexSet::new(),
+            again: Vec::new(),
             log,
         }
     }
@@ -64,6 +66,9 @@
         let end = self.daemons.now + time;
         while self.daemons.now < end {
             self.daemons.now += Duration::from_millis(50);
+            for (daemon, fingerprint) in std::mem::take(&mut self.again) {
+                self.send(daemon, fingerprint);
+            }
             self.daemons.tick();
             self.settle();
             self.commit();
@@ -117,8 +122,8 @@
             return;
         }
         expect_that!(*refusal, not(eq(&Refusal::Quarantined)));
-        // A bystander is sent again.
-        self.send(daemon, fingerprint);
+        // A bystander is sent again, a little later.
+        self.again.push((daemon, fingerprint));
     }
 
     fn finish_one(&mut self) {
@@ -195,6 +200,11 @@
 /// The killer's caller sends it again through every daemon in turn.
 fn repeat_through_all(seed: u64, log: bool, at_once: usize) -> World {
     let mut world = World::new(seed, log);
+    if at_once > 1 {
+        // The first copies meet an idle pool.
+        (0..at_once).for_each(|daemon| world.send(daemon, KILLER));
+        world.settle();
+    }
     for fingerprint in 1..=12 {
         world.send(
             usize::try_from(fingerprint).expect("small") % DAEMONS,
