--- a/crates/policy/benches/slots.rs
+++ b/crates/policy/benches/slots.rs
@@ -11,11 +11,14 @@
 mod engine;
 #[path = "slots/model.rs"]
 mod model;
+#[path = "slots/report.rs"]
+mod report;
 
 use std::time::Duration;
 
-use arrivals::{CLASSES, Offer, RUNNERS, SLOTS, arrivals, catalogue};
+use arrivals::{Offer, RUNNERS, SLOTS, arrivals, catalogue};
 use model::{Model, Trouble, Way};
+use report::report;
 
 /// Arrivals last this long.
 const TIME: Duration = Duration::from_mins(3);
@@ -66,78 +69,5 @@
     let arrivals = arrivals(offer, capacity());
     let mut model = Model::new(way, trouble, TIME, DAEMONS, catalogue(), arrivals);
     model.run();
-    let catalogue = catalogue();
-    let mut line = format!(
-        "{{\"way\":\"{way:?}\",\"load\":{},\"burst\":{},\"trouble\":\"{trouble:?}\",\"seed\":{}",
-        offer.load, offer.burst, offer.seed
-    );
-    let mut useful = 0.0;
-    let mut offered_tokens = 0.0;
-    let mut received = 0.0;
-    for (class, (name, ..)) in CLASSES.iter().enumerate() {
-        let declared = &catalogue.classes[*name];
-        let mut offered = 0.0_f64;
-        let mut met = 0.0_f64;
-        let mut served = 0_u32;
-        let mut longest = Duration::ZERO;
-        let mut late_notice = Duration::ZERO;
-        let mut after_trouble = [0.0_f64; 2];
-        for (arrival, request) in model.arrivals.iter().zip(&model.requests) {
-            if arrival.class != class || arrival.at < WARM_UP {
-                continue;
-            }
-            offered += 1.0;
-            offered_tokens += f64::from(arrival.tokens);
-            received += f64::from(request.done);
-            let first = request.first.map(|it| it - request.sent);
-            let between = request
-                .first
-                .zip(request.last)
-                .map(|(first, last)| (last - first) / arrival.tokens.saturating_sub(1).max(1));
-            let good = first.is_some_and(|it| it <= declared.first_token)
-                && between.is_some_and(|it| it <= declared.between_tokens);
-            if arrival.at > TIME / 3 + Duration::from_secs(10) {
-                after_trouble[0] += 1.0;
-                after_trouble[1] += f64::from(u8::from(good));
-            }
-            if good {
-                met += 1.0;
-                useful += f64::from(arrival.tokens);
-            }
-            if let Some(granted) = request.granted {
-                served += 1;
-                longest = longest.max(granted - request.sent);
-            }
-            if let Some(after) = request.refused_after {
-                late_notice = late_notice.max(after);
-            }
-        }
-        line += &format!(
-            ",\"{name}\":{{\"offered\":{offered},\"attainment\":{:.4},\"after_10s\":{:.4},\"served\":{served},\"longest_wait_s\":{:.2},\"latest_shed_s\":{:.2}}}",
-            met / offered.max(1.0),
-            after_trouble[1] / after_trouble[0].max(1.0),
-            longest.as_secs_f64(),
-            late_notice.as_secs_f64()
-        );
-    }
-    let ideal = offered_tokens.min(capacity() * (TIME - WARM_UP).as_secs_f64());
-    let waste = &model.waste;
-    line += &format!(
-        ",\"goodput\":{:.4},\"wasted\":{:.4},\"abandoned\":{:.4},\"preempted\":{:.4},\"moved\":{:.4},\"crashed\":{:.4},\"preemptions\":{},\"floor_grants\":{},\"turns\":{}}}",
-        useful / ideal,
-        waste.sum() / received.max(1.0),
-        waste.abandoned / received.max(1.0),
-        waste.preempted / received.max(1.0),
-        waste.moved / received.max(1.0),
-        waste.crashed / received.max(1.0),
-        model.preemptions,
-        model.floor_grants,
-        model.turns.len()
-    );
-    println!("{line}");
-    if std::env::var_os("CITRON_BENCH_TURNS").is_some() {
-        for (at, turn) in &model.turns {
-            eprintln!("{:8.2} {turn:?}", at.as_secs_f64());
-        }
-    }
+    println!("{}", report(way, trouble, offer, &model));
 }
--- a/crates/policy/benches/slots/model.rs
+++ b/crates/policy/benches/slots/model.rs
@@ -203,7 +203,7 @@
         }
         while let Some(Reverse((at, _, happening))) = self.heap.pop() {
             self.now = at;
-            self.happen(happening);
+            self.happen(&happening);
         }
     }
 
@@ -220,8 +220,8 @@
         self.now > self.time + TIMEOUT * 2
     }
 
-    fn happen(&mut self, happening: Happening) {
-        match happening {
+    fn happen(&mut self, happening: &Happening) {
+        match *happening {
             Happening::Arrive(index) => self.arrive(index),
             Happening::Again(index) => self.choose(index),
             Happening::Iterate(runner) => self.iterate(runner),
@@ -343,13 +343,13 @@
         let first = request.first_here;
         let between = first.and_then(|first| {
             let gaps = request.done_here.checked_sub(1).filter(|it| *it > 0)?;
-            Some((self.now - first) / gaps)
+            Some(self.now.saturating_sub(first) / gaps)
         });
         let sample = Sample {
             end,
-            first_token: first.map(|it| it - request.on_runner),
+            first_token: first.map(|it| it.saturating_sub(request.on_runner)),
             between_tokens: between,
-            whole: self.now - request.on_runner,
+            whole: self.now.saturating_sub(request.on_runner),
             tokens: request.done_here,
         };
         let (daemon, ticket) = (self.arrivals[index].daemon, request.ticket);
@@ -509,10 +509,16 @@
                 continue;
             };
             match request.first_here {
-                None => silent[runner] = silent[runner].max(self.now - request.on_runner),
+                None => {
+                    silent[runner] = silent[runner].max(self.now.saturating_sub(request.on_runner));
+                }
                 Some(first) => {
-                    let window = (self.now - first).min(Duration::from_millis(500));
-                    let per_token = (self.now - first).max(window) / request.done_here.max(1);
+                    let window = self
+                        .now
+                        .saturating_sub(first)
+                        .min(Duration::from_millis(500));
+                    let per_token =
+                        self.now.saturating_sub(first).max(window) / request.done_here.max(1);
                     times[runner].0 += per_token;
                     times[runner].1 += 1;
                 }
@@ -652,7 +658,7 @@
         self.waste.abandoned += f64::from(request.done);
         request.refused_after = match refusal {
             Refusal::Late | Refusal::Quarantined => None,
-            _ => Some(self.now - request.sent),
+            _ => Some(self.now.saturating_sub(request.sent)),
         };
     }
 
--- a/crates/policy/tests/arbiter_health.rs
+++ b/crates/policy/tests/arbiter_health.rs
@@ -224,8 +224,7 @@
 #[gtest]
 fn the_limit_of_a_runner_that_misses_its_targets_goes_down_to_one_at_least() {
     let mut daemons = Daemons::new(1, catalogue(8, |_| {}), runners(1));
-    let mut next = 0;
-    for _ in 0..200 {
+    for next in 0..200 {
         daemons.take(0, ask(next, "c0", "a"));
         daemons.settle();
         let slow = Sample {
@@ -236,7 +235,6 @@
         daemons.release(0, next, slow);
         daemons.tick();
         daemons.settle();
-        next += 1;
     }
     expect_that!(daemons.arbiters[&0].stats().slots, eq(1));
 }
--- a/crates/policy/tests/arbiter_tiers.rs
+++ b/crates/policy/tests/arbiter_tiers.rs
@@ -336,7 +336,7 @@
         // Twenty seconds; the first grants come while the pool is empty.
         let late = times.iter().filter(|it| **it > Duration::from_secs(2));
         expect_that!(late.count(), ge(5), "tier {tier}");
-        let gaps = times.windows(2).map(|pair| pair[1] - pair[0]);
+        let gaps = times.windows(2).map(|pair| pair[1].saturating_sub(pair[0]));
         expect_that!(gaps.max(), some(le(Duration::from_secs(4))), "tier {tier}");
     }
     let lower = total - grants[&0].len();
--- a/crates/policy/tests/crash_rule.rs
+++ b/crates/policy/tests/crash_rule.rs
@@ -170,7 +170,9 @@
             return;
         }
         let mut table = (*self.daemons.marks).clone();
-        proposed.iter().for_each(|step| table.apply(step));
+        for step in &proposed {
+            table.apply(step);
+        }
         self.daemons.marks = Arc::new(table);
         let marks = Arc::clone(&self.daemons.marks);
         for daemon in 0..DAEMONS {
@@ -202,7 +204,9 @@
     let mut world = World::new(seed, log);
     if at_once > 1 {
         // The first copies meet an idle pool.
-        (0..at_once).for_each(|daemon| world.send(daemon, KILLER));
+        for daemon in 0..at_once {
+            world.send(daemon, KILLER);
+        }
         world.settle();
     }
     for fingerprint in 1..=12 {
