--- a/crates/daemon/tests/common/cluster.rs
+++ b/crates/daemon/tests/common/cluster.rs
@@ -20,6 +20,9 @@
 pub const RIVAL: &str = "rival";
 pub const RIVAL_TOKEN: &str = "another-token-of-the-tests-0123456789";
 
+/// Shell script that becomes the program at once.
+const PLAIN: &str = r#"exec "$0" "$@""#;
+
 /// API key of the test account.
 pub const KEY: &str = "key-of-the-test-account";
 
@@ -111,7 +114,7 @@
         let daemons = (0..plan.daemons)
             .map(|number| {
                 let data = number < plan.replicas;
-                start_daemon(number, [any; 3], platform.address, data, path)
+                start_daemon(number, [any; 3], platform.address, data, path, PLAIN)
             })
             .collect();
         let cluster = Self {
@@ -133,12 +136,18 @@
 
     /// Starts a daemon again under its addresses and with its data folder.
     pub fn restart(&mut self, number: usize) {
+        self.restart_under(number, PLAIN);
+    }
+
+    /// The same, started by a shell that runs `script` with the program and its arguments.
+    pub fn restart_under(&mut self, number: usize, script: &str) {
         let old = &mut self.daemons[number];
         old.process.kill();
         let addresses = [old.callers, old.peer, old.admin];
         let data = number < self.plan.replicas;
         let platform = self.platform.address;
-        self.daemons[number] = start_daemon(number, addresses, platform, data, self.folder.path());
+        let folder = self.folder.path();
+        self.daemons[number] = start_daemon(number, addresses, platform, data, folder, script);
     }
 
     /// What the platform lists while all is well.
@@ -318,9 +327,13 @@
     platform: SocketAddr,
     data: bool,
     folder: &Path,
+    script: &str,
 ) -> Daemon {
     let name = format!("entry-{number}");
     let mut arguments = vec![
+        "-c".to_owned(),
+        script.to_owned(),
+        env!("CARGO_BIN_EXE_citrond").to_owned(),
         format!("--instance={name}"),
         format!("--domain={}", domain(&name)),
         "--cluster=tests".to_owned(),
@@ -336,8 +349,8 @@
     if data {
         arguments.push(format!("--data={}", folder.join(&name).display()));
     }
-    let program = Path::new(env!("CARGO_BIN_EXE_citrond"));
-    let process = Process::start(program, &arguments, folder.join(format!("{name}.log")));
+    let shell = Path::new("/bin/sh");
+    let process = Process::start(shell, &arguments, folder.join(format!("{name}.log")));
     let address = |field: &str| -> SocketAddr {
         let mut parts = process.ready.split(' ');
         let found = parts.find_map(|part| part.strip_prefix(field));
--- a/crates/daemon/tests/control_processes.rs
+++ b/crates/daemon/tests/control_processes.rs
@@ -344,3 +344,42 @@
         expect_that!(accepted.iter().all(|it| kept.contains(it)), eq(true));
     }
 }
+
+/// A limit on the size of files, set for this child alone, makes its writes fail.
+#[gtest]
+fn a_disk_that_fails_under_a_running_process_ends_it() {
+    let mut cluster = Cluster::start_bare(Plan {
+        daemons: 1,
+        replicas: 1,
+        ..plan()
+    });
+    cluster.form();
+    cluster.apply("first", &catalogue());
+    cluster.restart_under(0, "trap '' XFSZ; ulimit -f 64; exec \"$0\" \"$@\"");
+    let mut base = eventually("the catalogue is back", || {
+        revision(&cluster, 0).filter(|it| *it > 0)
+    });
+    let mut accepted = 0;
+    for number in 0..5_000 {
+        let name = format!("k{number}");
+        let reply = change(&cluster, 0, &name, base, &class(&name));
+        if reply.status != 200 {
+            break;
+        }
+        base = reply.json()["revision"].as_u64().expect("a revision");
+        accepted += 1;
+    }
+    let ended = cluster.daemons[0].process.wait();
+    expect_that!(ended.success(), eq(false));
+    expect_that!(
+        cluster.daemons[0].process.log(),
+        contains_substring("CP0407")
+    );
+    cluster.restart(0);
+    let back = eventually("what was accepted is back", || {
+        revision(&cluster, 0).filter(|it| *it >= base)
+    });
+    // One more may have been written whose answer did not come.
+    expect_that!(back, le(base + 1));
+    expect_that!(names(&cluster, 0).len(), ge(accepted));
+}
