members: three faults of membership found by trials with a guard off

Cause: a trial with refutation switched off grew by a message for each answer (851 MB within minutes): two daemons that hold each other dead answered each other's answers without a pause. At 100 members a restarted daemon got no work from some for 21 s, since its proof came before its record and was dropped. A lone pair of survivors took over 8 s to stop giving work to ten lost ones. Conclusion: each has its test.

--- a/crates/daemon/src/gossip/metrics.rs
+++ b/crates/daemon/src/gossip/metrics.rs
@@ -77,7 +77,7 @@
         );
         registry.register(
             "citron_member_health",
-            "Own failures that slow the probes down; zero is healthy",
+            "Own failures that lengthen the wait for answers; zero is healthy",
             self.health.clone(),
         );
     }
--- a/crates/policy/src/feed/follower.rs
+++ b/crates/policy/src/feed/follower.rs
@@ -195,8 +195,11 @@
 
     /// Takes in a snapshot that is newer than the view; true if it was.
     pub fn take_snapshot(&mut self, snapshot: Snapshot) -> bool {
-        let newer =
-            snapshot.index > self.view.index || (self.damaged && snapshot.index == self.view.index);
+        let newer = if self.damaged {
+            snapshot.index >= self.skipped
+        } else {
+            snapshot.index > self.wanted()
+        };
         let reverts = snapshot.catalogue.revision < self.view.catalogue.revision;
         if !newer || reverts {
             return false;
--- a/crates/policy/src/swim.rs
+++ b/crates/policy/src/swim.rs
@@ -50,6 +50,9 @@
 use probe::{Errand, Probe};
 use rumor::Rumors;
 
+/// Least time between two answers to one daemon that were not asked for.
+const ANSWER_PAUSE: Duration = Duration::from_millis(100);
+
 /// What this daemon says of itself.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Own {
@@ -137,6 +140,8 @@
     next_seed: Instant,
     next_sync: Instant,
     served: (Instant, u32),
+    /// When a sender that is not known was last answered out of turn.
+    answered: Option<Instant>,
     changed: bool,
     urgent: bool,
     shown_at: Option<Instant>,
@@ -182,6 +187,7 @@
             next_seed: now,
             next_sync: now,
             served: (now, 0),
+            answered: None,
             changed: false,
             urgent: true,
             shown_at: None,
@@ -204,10 +210,7 @@
             .peers
             .values()
             .map(|peer| {
-                let member = Member {
-                    state: self.shown(now, peer, cut_off),
-                    ..peer.member.clone()
-                };
+                let member = peer.shown(self.shown(now, peer, cut_off));
                 (member.id.clone(), member)
             })
             .collect();
@@ -224,10 +227,7 @@
         }
         let peer = self.peers.get(id)?;
         let state = self.shown(now, peer, self.cut_off(now));
-        Some(Member {
-            state,
-            ..peer.member.clone()
-        })
+        Some(peer.shown(state))
     }
 
     /// Whether the members are worth reading again.
@@ -409,7 +409,8 @@
                 }
             }
         }
-        if !answer.about.is_empty() || answer.want {
+        let worth = !answer.about.is_empty() || answer.want;
+        if worth && self.may_answer(now, &message.from) {
             effects.push(self.send(from, Kind::Gossip, answer.about, answer.want));
         }
         self.answer_want(from, message.want, &mut effects);
@@ -417,6 +418,22 @@
         effects
     }
 
+    /// Whether a message that wants no answer may get one now.
+    ///
+    /// Two daemons that cannot agree on a record would otherwise answer each
+    /// other's answers without a pause.
+    fn may_answer(&mut self, now: Instant, id: &InstanceId) -> bool {
+        let last = match self.peers.get_mut(id) {
+            Some(peer) => &mut peer.answered,
+            None => &mut self.answered,
+        };
+        let rested = last.is_none_or(|at| now.saturating_duration_since(at) >= ANSWER_PAUSE);
+        if rested {
+            *last = Some(now);
+        }
+        rested
+    }
+
     /// Sends this daemon's record to one who asked for it.
     fn answer_want(&mut self, to: SocketAddr, want: bool, effects: &mut Vec<Effect>) {
         if want {
@@ -483,7 +500,8 @@
     /// Dates the own changing fields anew.
     fn stamp(&mut self, now: Instant) {
         let due = self.wall_ms(now);
-        self.last_stamp = due.max(self.last_stamp.saturating_add(1));
+        let next = self.last_stamp.saturating_add(1);
+        self.last_stamp = due.max(next).max(self.me.incarnation);
         self.stamped = Some(now);
     }
 
@@ -601,9 +619,9 @@
         let Some(peer) = id.and_then(|id| self.peers.get_mut(id)) else {
             return;
         };
-        let current = peer.member.current;
+        let proven = peer.proven();
         self.changed |= peer.take_vital(vital);
-        self.urgent |= peer.member.current != current;
+        self.urgent |= peer.proven() != proven;
     }
 
     /// Marks the sender as heard; says what it must be told and asked for.
--- a/crates/policy/src/swim/peer.rs
+++ b/crates/policy/src/swim/peer.rs
@@ -7,7 +7,7 @@
 use super::message::{Vital, hash};
 
 /// How often a proof that came or went is passed on before other fields.
-const TURN_TELLS: u32 = 4;
+const TURN_TELLS: u32 = 10;
 
 /// One other instance.
 #[derive(Debug)]
@@ -22,6 +22,8 @@
     pub(super) doubted: Option<Instant>,
     /// When it was last heard directly.
     pub(super) heard: Option<Instant>,
+    /// When it was last answered out of turn.
+    pub(super) answered: Option<Instant>,
     /// When its changing fields were said, by its own clock.
     pub(super) stamp: u64,
     /// How often its changing fields were passed on since.
@@ -46,6 +48,7 @@
             suspected,
             doubted: None,
             heard: None,
+            answered: None,
             stamp: 0,
             told: 0,
             turned: false,
@@ -61,13 +64,14 @@
             self.since = now;
         }
         self.suspected = (record.state == State::Suspect).then_some(now);
-        let gone = record.state == State::Dead;
+        let proven = self.proven();
         self.member = Member {
             revision: self.member.revision,
             load: self.member.load,
-            current: self.member.current && !gone,
+            current: self.member.current,
             ..record.clone()
         };
+        self.turn(proven);
         true
     }
 
@@ -76,15 +80,42 @@
         if vital.stamp <= self.stamp {
             return false;
         }
-        self.turned =
-            vital.current != self.member.current || (self.turned && self.told < TURN_TELLS);
+        let proven = self.proven();
+        let old = (self.member.revision, self.member.load);
+        self.turned = self.turned && self.told < TURN_TELLS;
         self.stamp = vital.stamp;
         self.told = 0;
-        let old = (self.member.revision, self.member.load, self.member.current);
         self.member.revision = vital.revision;
         self.member.load = vital.load;
-        self.member.current = vital.current && self.member.state != State::Dead;
-        old != (self.member.revision, self.member.load, self.member.current)
+        self.member.current = vital.current;
+        self.turn(proven);
+        old != (self.member.revision, self.member.load) || proven != self.proven()
+    }
+
+    /// Notes whether the proof came or went.
+    fn turn(&mut self, proven: bool) {
+        if proven != self.proven() {
+            self.turned = true;
+            self.told = 0;
+        }
+    }
+
+    /// Whether it says that its catalogue is current.
+    ///
+    /// What a former process said does not count: its dates are below the
+    /// incarnation of the present one.
+    pub(super) fn proven(&self) -> bool {
+        let present = self.stamp >= self.member.incarnation;
+        self.member.current && present && self.member.state != State::Dead
+    }
+
+    /// Its record as others may see it.
+    pub(super) fn shown(&self, state: State) -> Member {
+        Member {
+            state,
+            current: self.proven(),
+            ..self.member.clone()
+        }
     }
 
     /// Place among those to be passed on; the lowest goes first.
--- a/crates/policy/src/swim/probe.rs
+++ b/crates/policy/src/swim/probe.rs
@@ -14,7 +14,7 @@
 
 use super::{Effect, Event, Swim, message::Kind};
 
-/// Highest count of own failures that slows the probes down.
+/// Highest count of own failures that lengthens the wait for answers.
 const MAX_HEALTH: u32 = 4;
 
 /// Most probes under way on behalf of others.
@@ -67,7 +67,7 @@
         if now < self.next_probe {
             return Vec::new();
         }
-        let interval = self.settings.probe_interval(self.peers.len()) * (1 + self.health);
+        let interval = self.settings.probe_interval(self.peers.len());
         self.next_probe = now + interval.mul_f64(rng.random_range(0.9..1.1));
         let Some(target) = self.next_target(rng) else {
             return Vec::new();
@@ -233,7 +233,6 @@
     fn give_up(&mut self, now: Instant, id: &InstanceId) -> Effect {
         if let Some(peer) = self.peers.get_mut(id) {
             peer.member.state = State::Dead;
-            peer.member.current = false;
             peer.suspected = None;
             peer.doubted = None;
             peer.since = now;
--- a/crates/policy/src/swim/settings.rs
+++ b/crates/policy/src/swim/settings.rs
@@ -66,7 +66,7 @@
         Self {
             tick: Duration::from_millis(50),
             probe_fast: Duration::from_millis(250),
-            probe_slow: Duration::from_millis(500),
+            probe_slow: Duration::from_millis(300),
             probe_timeout: Duration::from_millis(150),
             verdict_timeout: Duration::from_millis(500),
             proxies: 3,
--- a/crates/policy/tests/feed_currency.rs
+++ b/crates/policy/tests/feed_currency.rs
@@ -432,9 +432,13 @@
         at: now + STEP,
     });
     expect_that!(feed.may_take_work(now), eq(false));
+    // What came meanwhile was left out, so a snapshot without it does not do.
+    feed.take_local(Local::Update(change(2)));
+    expect_that!(feed.take_snapshot(good.snapshot()), eq(false));
+    good.take_local(Local::Update(change(2)));
     expect_that!(feed.take_snapshot(good.snapshot()), eq(true));
     feed.take_local(Local::Proved {
-        index: 1,
+        index: 2,
         at: now + STEP,
     });
     expect_that!(feed.may_take_work(now + STEP), eq(true));
--- a/crates/policy/tests/net/mod.rs
+++ b/crates/policy/tests/net/mod.rs
@@ -249,6 +249,12 @@
         }
     }
 
+    /// Lets a machine go on whose socket kept nothing.
+    pub fn thaw_empty(&mut self, number: usize) {
+        self.nodes[&address(number)].inbox.clear();
+        self.thaw(number);
+    }
+
     /// Cuts datagrams from the one set to the other.
     pub fn cut(&mut self, from: &[usize], to: &[usize]) {
         for a in from {
--- a/crates/policy/tests/swim_faults.rs
+++ b/crates/policy/tests/swim_faults.rs
@@ -102,6 +102,40 @@
     }
 }
 
+#[gtest]
+fn a_thawed_instance_gives_nobody_up_by_the_time_it_missed() {
+    for seed in 0..8 {
+        let mut net = settled(12, seed);
+        net.freeze(1);
+        net.run(NO_WORK);
+        net.freeze(0);
+        net.thaw(1);
+        net.run(Duration::from_secs(30));
+        net.events.clear();
+        net.thaw_empty(0);
+        net.run(Duration::from_secs(10));
+        let died = net.count(|event| matches!(event, Event::Died(_)));
+        expect_that!(died, eq(0));
+        let everyone = all(&net);
+        expect_that!(
+            net.differing(&everyone, &everyone, State::Alive),
+            is_empty()
+        );
+    }
+}
+
+#[gtest]
+fn all_give_work_to_a_restarted_instance_soon_after_its_proof() {
+    for seed in 0..4 {
+        let mut net = settled(50, seed);
+        net.act(3, |swim, _, rng| swim.depart(rng));
+        net.run(Duration::from_secs(5));
+        net.boot(3);
+        net.run(Duration::from_secs(4));
+        expect_that!(net.takers(&all(&net), &[3]).len(), eq(50));
+    }
+}
+
 #[gtest]
 fn an_isolated_instance_evicts_nobody_and_comes_back() {
     for seed in 0..8 {
@@ -109,6 +143,8 @@
         let rest: Vec<usize> = (1..12).collect();
         net.cut(&[0], &rest);
         net.cut(&rest, &[0]);
+        net.run(net.settings.silence + Duration::from_secs(1));
+        expect_that!(net.takers(&[0], &rest), is_empty());
         net.run(Duration::from_mins(1));
         expect_that!(net.takers(&rest, &[0]), is_empty());
         expect_that!(net.takers(&[0], &rest), is_empty());
@@ -252,6 +288,24 @@
             );
             expect_that!(net.takers(&everyone, &[3]).len(), eq(12));
         }
+        // What it says from now on counts, too.
+        net.act(3, Swim::leave);
+        net.run(NO_WORK);
+        expect_that!(net.takers(&all(&net), &[3]), is_empty());
+    }
+}
+
+#[gtest]
+fn two_that_are_left_give_no_work_to_the_lost() {
+    for seed in 0..8 {
+        let mut net = settled(12, seed);
+        for lost in 2..12 {
+            net.kill(lost);
+        }
+        net.run(Duration::from_secs(8));
+        let lost: Vec<usize> = (2..12).collect();
+        expect_that!(net.takers(&[0, 1], &lost), is_empty());
+        expect_that!(net.takers(&[0, 1], &[0, 1]).len(), eq(4));
     }
 }
 
