--- a/crates/daemon/src/callers/chat/generation.rs
+++ b/crates/daemon/src/callers/chat/generation.rs
@@ -287,6 +287,10 @@
         self.first_token.get_or_insert(now);
         if let Some(exchange) = &mut self.exchange {
             exchange.first_token.get_or_insert(now);
+            let tokens = self.offset - exchange.first_offset;
+            exchange
+                .slot
+                .note(u32::try_from(tokens).unwrap_or(u32::MAX));
         }
         Step::Token(json)
     }
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -21,6 +21,7 @@
 
 use citron_policy::{
     arbiter::{Ask, Ticket, order},
+    catalogue::Backend,
     crash,
     desk::{self, Desk},
     feed::View,
@@ -223,6 +224,7 @@
             Instant::now(),
             claim.service.clone(),
             grant.runner.clone(),
+            self.inner.streams_tokens(&claim.service),
         ));
         self.inner
             .streams
@@ -325,6 +327,13 @@
             .contains_key(service)
     }
 
+    /// Whether the service's answers come token by token.
+    fn streams_tokens(&self, service: &ServiceId) -> bool {
+        let view = self.inputs.view.borrow();
+        let declared = view.catalogue.services.get(service);
+        declared.is_some_and(|it| it.backend == Backend::Model)
+    }
+
     fn address(&self, runner: &RunnerId) -> Option<SocketAddr> {
         let list = self.inputs.platform.borrow();
         let listed = list.runners.iter().find(|it| it.id == *runner);
@@ -386,7 +395,7 @@
         self.stream.preempted().await;
     }
 
-    /// Notes how many tokens have come; streams that note none are not judged.
+    /// Notes how many tokens have come, so that a silent runner shows early.
     pub fn note(&self, tokens: u32) {
         self.stream.note(Instant::now(), tokens);
     }
--- a/crates/daemon/src/slots/progress.rs
+++ b/crates/daemon/src/slots/progress.rs
@@ -17,6 +17,8 @@
 pub(super) struct Stream {
     pub(super) service: ServiceId,
     runner: RunnerId,
+    /// Whether tokens are noted on it, so that silence tells of the runner.
+    judged: bool,
     granted: Instant,
     tokens: Cell<u32>,
     noted: Cell<Option<Instant>>,
@@ -27,10 +29,11 @@
 }
 
 impl Stream {
-    pub(super) fn new(now: Instant, service: ServiceId, runner: RunnerId) -> Self {
+    pub(super) fn new(now: Instant, service: ServiceId, runner: RunnerId, judged: bool) -> Self {
         Self {
             service,
             runner,
+            judged,
             granted: now,
             tokens: Cell::new(0),
             noted: Cell::new(None),
@@ -70,7 +73,7 @@
     I: Iterator<Item = &'streams Stream>,
 {
     let mut sums: IndexMap<&RunnerId, Sum> = IndexMap::new();
-    for stream in streams {
+    for stream in streams.filter(|it| it.judged) {
         let sum = sums.entry(&stream.runner).or_default();
         if stream.noted.get().is_none() {
             let silent = now.saturating_duration_since(stream.granted);
