daemon: at-most-once proofs wait for events, not for times

Cause: four tests slept 400 ms and hoped that the call was under way by then. Change: the service holds the call, and the test waits until it has read it. Conclusion: the same verdict on a slow machine.

--- a/crates/daemon/tests/bookings.rs
+++ b/crates/daemon/tests/bookings.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use std::{thread, time::Duration};
+use std::thread;
 
 use common::{
     cluster::{Cluster, Plan, book, with_key},
@@ -16,10 +16,7 @@
 const BODY: &str = r#"{"item":"brooch"}"#;
 
 /// Time allowed for a call whose daemon is lost; its claim ends 5 s later.
-const SHORT_MS: &str = "1000";
-
-/// Time by which something asked of the service is surely under way.
-const UNDER_WAY: Duration = Duration::from_millis(400);
+const SHORT_MS: &str = "3000";
 
 fn outcome(reply: &Reply) -> String {
     reply.header("citron-outcome").unwrap_or("none").to_owned()
@@ -71,6 +68,23 @@
     })
 }
 
+/// Makes the service hold calls that it has read, until [`thaw`].
+fn hold(cluster: &Cluster) -> u64 {
+    cluster.services[0].fault(&json!({"freeze": true}));
+    cluster.services[0].count("requests")
+}
+
+fn thaw(cluster: &Cluster) {
+    cluster.services[0].fault(&json!({}));
+}
+
+/// Waits until the service has read one call more than `before`.
+fn wait_held(cluster: &Cluster, before: u64) {
+    eventually("the service has read the call", || {
+        (cluster.services[0].count("requests") > before).then_some(())
+    });
+}
+
 #[gtest]
 fn a_resend_gets_the_stored_answer_and_another_body_is_refused() {
     let cluster = Cluster::start(Plan {
@@ -145,7 +159,7 @@
         engines: 1,
         ..Plan::default()
     });
-    cluster.services[0].fault(&json!({"delay_after_ms": 1_000, "times": 1}));
+    let before = hold(&cluster);
     let headers = with_key(&[("idempotency-key", "left")]);
     let path = "/v1/services/tickets/book";
     let left = http::request(
@@ -155,11 +169,12 @@
         &headers,
         BODY.as_bytes(),
     );
-    thread::sleep(UNDER_WAY);
+    wait_held(&cluster, before);
     drop(left);
     let during = book(cluster.daemons[1].callers, "left", BODY);
     expect_that!(kind(&during), eq("in-progress"));
     expect_that!(during.header("retry-after"), some(anything()));
+    thaw(&cluster);
     let again = resend(&cluster, 2, "left");
     expect_that!(
         (outcome(&again), cluster.services[0].runs("left")),
@@ -175,13 +190,14 @@
     });
     let victim = (leader(&cluster, 0) + 1) % 3;
     let other = (victim + 1) % 3;
-    cluster.services[0].fault(&json!({"delay_after_ms": 800, "times": 1}));
+    let before = hold(&cluster);
     let call = begin(&cluster, victim, "lost", SHORT_MS);
-    thread::sleep(UNDER_WAY);
+    wait_held(&cluster, before);
     cluster.daemons[victim].process.kill();
     expect_that!(call.join().expect("a reply").status, eq(0));
     let during = book(cluster.daemons[other].callers, "lost", BODY);
     expect_that!(kind(&during), eq("in-progress"), "{}", during.text());
+    thaw(&cluster);
     let again = resend(&cluster, other, "lost");
     expect_that!(kind(&again), eq("unknown"), "{}", again.text());
     expect_that!(cluster.services[0].runs("lost"), le(1));
@@ -195,10 +211,11 @@
     });
     let first = leader(&cluster, 0);
     let entry = (first + 1) % 3;
-    cluster.services[0].fault(&json!({"delay_after_ms": 800, "times": 1}));
+    let before = hold(&cluster);
     let call = begin(&cluster, entry, "frozen", "20000");
-    thread::sleep(UNDER_WAY);
+    wait_held(&cluster, before);
     cluster.daemons[first].process.signal("STOP");
+    thaw(&cluster);
     expect_that!(outcome(&call.join().expect("a reply")), eq("done"));
     let again = resend(&cluster, 3 - first - entry, "frozen");
     expect_that!(outcome(&again), eq("done"));
@@ -209,10 +226,11 @@
 
     let second = leader(&cluster, entry);
     let entry = (second + 1) % 3;
-    cluster.services[0].fault(&json!({"delay_after_ms": 800, "times": 1}));
+    let before = hold(&cluster);
     let call = begin(&cluster, entry, "killed", "20000");
-    thread::sleep(UNDER_WAY);
+    wait_held(&cluster, before);
     cluster.daemons[second].process.kill();
+    thaw(&cluster);
     expect_that!(outcome(&call.join().expect("a reply")), eq("done"));
     expect_that!(
         outcome(&resend(&cluster, 3 - second - entry, "killed")),
