raft: an answer to a heartbeat alone no longer ends a probe

Change: an answer below the probed index leaves the probe as it is, and the heartbeat of a probe asks at the probed index.

Estimated sizes move out of the digest's module into their own.

--- a/crates/policy/src/raft/leader.rs
+++ b/crates/policy/src/raft/leader.rs
@@ -1,13 +1,13 @@
 //! A leader's quorum rounds: heartbeats, proofs of currency and stepping down.
 
-use std::{collections::VecDeque, mem, time::Instant};
+use std::{collections::VecDeque, mem, sync::Arc, time::Instant};
 
 use indexmap::IndexMap;
 
 use crate::id::{Index, ReplicaId};
 
 use super::{
-    Effect, MAX_REPLICAS, Node, Payload, Proposal, Refusal, Seat, Token, progress::Progress,
+    Effect, Entry, MAX_REPLICAS, Node, Payload, Proposal, Refusal, Seat, Token, progress::Progress,
     replace::Replacement,
 };
 
@@ -222,9 +222,9 @@
     /// Puts an entry into the leader's own log.
     pub(super) fn push(&mut self, payload: Payload) -> Index {
         let index = self.log.last() + 1;
-        let entry = super::Entry::new(index, self.hard.term, payload);
-        let entry = std::sync::Arc::new(entry);
-        self.log.push(std::sync::Arc::clone(&entry));
+        let entry = Entry::new(index, self.hard.term, payload);
+        let entry = Arc::new(entry);
+        self.log.push(Arc::clone(&entry));
         self.effects.push(Effect::Append(vec![entry]));
         index
     }
--- a/crates/policy/src/raft/progress.rs
+++ b/crates/policy/src/raft/progress.rs
@@ -63,6 +63,15 @@
         }
     }
 
+    /// Where the logs are equal, or may be while that is being found out.
+    pub(super) fn presumed(&self) -> Index {
+        match self.flow {
+            Flow::Probe { .. } => self.next - 1,
+            Flow::Stream { .. } => self.matched,
+            Flow::Install { .. } => 0,
+        }
+    }
+
     /// Whether another batch may be sent.
     pub(super) fn ready(&self, max_inflight: usize) -> bool {
         match &self.flow {
@@ -90,6 +99,8 @@
         self.next = self.next.max(self.matched + 1);
         match &mut self.flow {
             Flow::Install { index: whole, .. } if self.matched < *whole => {}
+            // It answers a heartbeat, which says nothing of the batch under way.
+            Flow::Probe { .. } if self.matched + 1 < self.next => {}
             Flow::Stream { inflight } => {
                 while inflight.front().is_some_and(|it| *it <= self.matched) {
                     inflight.pop_front();
--- a/crates/policy/src/raft/replicate.rs
+++ b/crates/policy/src/raft/replicate.rs
@@ -7,7 +7,7 @@
 use super::{
     Effect, Node, Seat,
     message::{Append, Body, Fit},
-    progress::Flow,
+    progress::Progress,
 };
 
 impl Node {
@@ -40,27 +40,18 @@
 
     /// Sends what is due at a heartbeat: entries, a part of a snapshot or nothing.
     pub(super) fn send_beat(&mut self, now: Instant, to: ReplicaId) {
-        let Seat::Leader(leader) = &self.seat else {
-            return;
-        };
-        let (installs, matched) = leader.progress.get(&to).map_or((false, 0), |it| {
-            (matches!(it.flow, Flow::Install { .. }), it.matched)
-        });
-        if installs {
-            self.resend_chunk(now, to);
-        }
+        self.resend_chunk(now, to);
         if self.wants_entries(to) {
             self.replicate(now, to);
-        } else {
-            // Before `matched` the logs are equal, so this confirms the round alone.
-            let prev_index = matched.max(self.log.base()).min(self.log.last());
-            let prev_index = if installs || matched < self.log.base() {
-                0
-            } else {
-                prev_index
-            };
-            self.send_append(to, prev_index, 0);
+            return;
         }
+        let Seat::Leader(leader) = &self.seat else {
+            return;
+        };
+        let known = leader.progress.get(&to).map_or(0, Progress::presumed);
+        // What is no longer held is committed, and so equal: only the round counts.
+        let prev_index = if known < self.log.base() { 0 } else { known };
+        self.send_append(to, prev_index, 0);
     }
 
     fn send_entries(&mut self, now: Instant, to: ReplicaId) {
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -5,14 +5,15 @@
 
 mod digest;
 mod machine;
+mod size;
 
-use std::{mem, sync::Arc, time::SystemTime};
+use std::{sync::Arc, time::SystemTime};
 
 use crate::{
     catalogue::{Change, Fault, Key},
     crash,
     id::{OperatorId, Revision},
-    ledger::{Claim, MAX_ATTEMPT, Outcome, Settle, Verdict},
+    ledger::{Claim, MAX_ATTEMPT, Settle, Verdict},
 };
 
 pub use machine::{Applied, Kept, Limits, Machine, Snapshot};
@@ -65,36 +66,10 @@
     /// Estimated size in bytes.
     #[must_use]
     pub fn bytes(&self) -> usize {
-        match self {
-            Self::Nothing => 0,
-            Self::Change { change, .. } => bytes_of_change(change),
-            Self::Claim(claim) => {
-                mem::size_of::<Claim>()
-                    + claim.key.account.len()
-                    + claim.key.name.len()
-                    + claim.daemon.len()
-            }
-            Self::Settle(settle) => {
-                let answer = match &settle.outcome {
-                    Outcome::Done(stored) => stored.bytes(),
-                    Outcome::NotRun | Outcome::Unknown => 0,
-                };
-                let key = settle.key.account.len() + settle.key.name.len();
-                mem::size_of::<Settle>() + key + answer
-            }
-            Self::Crash(crash::Step::Suspected(marks)) => mem::size_of_val(marks.as_slice()),
-            Self::Crash(_) => mem::size_of::<crash::Step>(),
-        }
+        size::of_command(self)
     }
 }
 
-/// Estimated size of a change in bytes.
-fn bytes_of_change(change: &Change) -> usize {
-    let puts: usize = change.puts.iter().map(digest::bytes_of).sum();
-    let removes: usize = change.removes.iter().map(|key| key.name.len() + 8).sum();
-    change.id.len() + change.operator.len() + puts + removes
-}
-
 /// What a command came to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Answer {
--- a/crates/policy/src/state/digest.rs
+++ b/crates/policy/src/state/digest.rs
@@ -3,9 +3,11 @@
 //! It is kept in snapshots, so it goes field by field and not by a derived
 //! hash, which may differ between compilers.
 
+use std::time::Duration;
+
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::catalogue::{Backend, Change, Entry, Key, Kind};
+use crate::catalogue::{Backend, Change, Entry, Key, Kind, Service};
 
 /// Digest of everything that a change says, its id left out.
 pub(super) fn of_change(change: &Change) -> u128 {
@@ -23,29 +25,6 @@
     digest.0.digest128()
 }
 
-/// Estimated size of an entry in bytes.
-pub(super) fn bytes_of(entry: &Entry) -> usize {
-    /// Room for the numbers of an entry and the tags of its fields.
-    const FIXED_BYTES: usize = 64;
-    let texts = match entry {
-        Entry::Account(it) => {
-            let classes: usize = it.classes.iter().map(|class| class.len() + 2).sum();
-            it.name.len() + it.owner.len() + it.key_sha256.len() + it.class.len() + classes
-        }
-        Entry::Class(it) => it.name.len() + it.owner.len(),
-        Entry::Service(it) => {
-            let routes: usize = it
-                .once
-                .iter()
-                .map(|route| route.method.len() + route.path.len() + 8)
-                .sum();
-            let statuses = it.refusal_statuses.len() * 3;
-            it.name.len() + it.owner.len() + it.class.len() + routes + statuses
-        }
-    };
-    FIXED_BYTES + texts
-}
-
 struct Digest(Xxh3);
 
 impl Digest {
@@ -72,7 +51,7 @@
         self.text(&key.name);
     }
 
-    fn time(&mut self, value: std::time::Duration) {
+    fn time(&mut self, value: Duration) {
         self.number(u64::try_from(value.as_nanos()).unwrap_or(u64::MAX));
     }
 
@@ -103,7 +82,7 @@
         }
     }
 
-    fn service(&mut self, service: &crate::catalogue::Service) {
+    fn service(&mut self, service: &Service) {
         self.number(match service.backend {
             Backend::Model => 1,
             Backend::Plain => 2,
--- /dev/null
+++ b/crates/policy/src/state/size.rs
@@ -0,0 +1,61 @@
+//! Estimated sizes of commands, for the bounds of queues and messages.
+
+use std::mem;
+
+use super::Command;
+use crate::{
+    catalogue::{Change, Entry},
+    crash,
+    ledger::{Claim, Key, Outcome, Settle},
+};
+
+/// Bytes of an entry's numbers and of the tags of its fields.
+const FIXED_BYTES: usize = 64;
+
+/// Estimated size of a command in bytes.
+pub(super) fn of_command(command: &Command) -> usize {
+    match command {
+        Command::Nothing => 0,
+        Command::Change { change, .. } => of_change(change),
+        Command::Claim(claim) => mem::size_of::<Claim>() + of_key(&claim.key) + claim.daemon.len(),
+        Command::Settle(settle) => {
+            let answer = match &settle.outcome {
+                Outcome::Done(stored) => stored.bytes(),
+                Outcome::NotRun | Outcome::Unknown => 0,
+            };
+            mem::size_of::<Settle>() + of_key(&settle.key) + answer
+        }
+        Command::Crash(crash::Step::Suspected(marks)) => mem::size_of_val(marks.as_slice()),
+        Command::Crash(_) => mem::size_of::<crash::Step>(),
+    }
+}
+
+fn of_key(key: &Key) -> usize {
+    key.account.len() + key.name.len()
+}
+
+fn of_change(change: &Change) -> usize {
+    let puts: usize = change.puts.iter().map(of_entry).sum();
+    let removes: usize = change.removes.iter().map(|key| key.name.len() + 8).sum();
+    change.id.len() + change.operator.len() + puts + removes
+}
+
+fn of_entry(entry: &Entry) -> usize {
+    let texts = match entry {
+        Entry::Account(it) => {
+            let classes: usize = it.classes.iter().map(|class| class.len() + 2).sum();
+            it.name.len() + it.owner.len() + it.key_sha256.len() + it.class.len() + classes
+        }
+        Entry::Class(it) => it.name.len() + it.owner.len(),
+        Entry::Service(it) => {
+            let routes: usize = it
+                .once
+                .iter()
+                .map(|route| route.method.len() + route.path.len() + 8)
+                .sum();
+            let statuses = it.refusal_statuses.len() * 3;
+            it.name.len() + it.owner.len() + it.class.len() + routes + statuses
+        }
+    };
+    FIXED_BYTES + texts
+}
--- a/crates/policy/tests/raft_votes.rs
+++ b/crates/policy/tests/raft_votes.rs
@@ -10,7 +10,8 @@
 use citron_policy::{
     id::{ReplicaId, Term},
     raft::{
-        Effect, Entry, Event, Formation, Hard, Node, Payload, Role, Settings, Stored, Voters,
+        Effect, Entry, Event, Formation, Hard, Node, Payload, Role, Settings, Snapshot, Stored,
+        Voters,
         message::{Body, Fit, Last, Message},
     },
     state::Command,
@@ -105,50 +106,91 @@
     expect_that!(votes(&mut cluster, 11, 13, 52, equal), eq(true));
 }
 
-#[gtest]
-fn an_entry_of_an_older_term_is_not_committed_by_counting() {
-    let now = Instant::now();
-    let mut rng = StdRng::seed_from_u64(4);
-    let stored = Stored {
-        id: 11,
-        hard: Hard {
-            term: 3,
-            vote: None,
-            formation: Some(Formation {
-                id: 9,
-                voters: Voters::new(IDS.to_vec()),
-                active: true,
-            }),
-        },
-        snapshot: None,
-        entries: vec![Arc::new(Entry::new(1, 2, Payload::Nothing))],
-    };
-    let mut node = Node::new(now, Settings::default(), stored, &mut rng);
-    let mut tell = |node: &mut Node, now, term, body| {
-        let message = Message {
+/// Replica 11 with what its folder holds, elected leader of term 4 by 12.
+struct Elected {
+    node: Node,
+    now: Instant,
+    rng: StdRng,
+}
+
+impl Elected {
+    fn new(snapshot: Option<Arc<Snapshot>>, entries: Vec<Arc<Entry>>) -> Self {
+        let mut rng = StdRng::seed_from_u64(4);
+        let voters = Voters::new(IDS.to_vec());
+        let stored = Stored {
+            id: 11,
+            hard: Hard {
+                term: 3,
+                vote: None,
+                formation: Some(Formation {
+                    id: 9,
+                    voters,
+                    active: true,
+                }),
+            },
+            snapshot,
+            entries,
+        };
+        let node = Node::new(Instant::now(), Settings::default(), stored, &mut rng);
+        let now = node.next_wake();
+        let mut elected = Self { node, now, rng };
+        elected.event(Event::Tick);
+        elected.tell(12, Body::PreVoteAnswer { granted: true });
+        elected.tell(12, Body::VoteAnswer { granted: true });
+        assert_eq!(elected.node.standing().role, Role::Leader);
+        elected
+    }
+
+    fn event(&mut self, event: Event) -> Vec<Effect> {
+        self.node.on_event(self.now, event, &mut self.rng)
+    }
+
+    fn tell(&mut self, from: ReplicaId, body: Body) -> Vec<Effect> {
+        self.event(Event::Receive(Message {
             formation: 9,
-            from: 12,
+            from,
             to: 11,
-            term,
+            term: 4,
             body,
-        };
-        node.on_event(now, Event::Receive(message), &mut rng)
-    };
-    let now = node.next_wake();
-    let mut clock = StdRng::seed_from_u64(5);
-    node.on_event(now, Event::Tick, &mut clock);
-    tell(&mut node, now, 4, Body::PreVoteAnswer { granted: true });
-    tell(&mut node, now, 4, Body::VoteAnswer { granted: true });
-    expect_that!(node.standing().role, eq(Role::Leader));
-    let answer = |index| Body::AppendAnswer {
-        round: 1,
-        fit: Fit::Matched(index),
-    };
-    let effects = tell(&mut node, now, 4, answer(1));
+        }))
+    }
+
+    fn matched(&mut self, from: ReplicaId, round: u64, index: u64) -> Vec<Effect> {
+        let fit = Fit::Matched(index);
+        self.tell(from, Body::AppendAnswer { round, fit })
+    }
+}
+
+#[gtest]
+fn an_entry_of_an_older_term_is_not_committed_by_counting() {
+    let old = Arc::new(Entry::new(1, 2, Payload::Nothing));
+    let mut leader = Elected::new(None, vec![old]);
     let commits = |effects: &[Effect]| effects.iter().any(|it| matches!(it, Effect::Commit(_)));
+    let effects = leader.matched(12, 1, 1);
     expect_that!(commits(&effects), eq(false));
-    expect_that!(node.commit(), eq(0));
-    let effects = tell(&mut node, now, 4, answer(2));
+    expect_that!(leader.node.commit(), eq(0));
+    let effects = leader.matched(12, 1, 2);
     expect_that!(commits(&effects), eq(true));
-    expect_that!(node.commit(), eq(2));
+    expect_that!(leader.node.commit(), eq(2));
+}
+
+#[gtest]
+fn an_answer_to_a_heartbeat_alone_brings_no_snapshot() {
+    let snapshot = Snapshot {
+        index: 5,
+        term: 3,
+        voters: Voters::new(IDS.to_vec()),
+        data: Arc::from([7; 100]),
+    };
+    let mut leader = Elected::new(Some(Arc::new(snapshot)), Vec::new());
+    leader.matched(12, 1, 6);
+    // A read sends 13 a heartbeat while the first entry to it is on the way.
+    leader.event(Event::Read(1));
+    let effects = leader.matched(13, 2, 0);
+    let chunks = effects
+        .iter()
+        .filter(|it| matches!(it, Effect::Send(message) if matches!(message.body, Body::Chunk(_))));
+    expect_that!(chunks.count(), eq(0));
+    leader.matched(13, 1, 6);
+    expect_that!(leader.node.commit(), eq(6));
 }
