members: the proof of a restarted instance is told first, also while loads change

Cause: each new dating of the fields reset the count of tells, so that after a while every peer counted as just proven and none went first. Change: a count of its own. An instance that a probe missed is tried again each second, and a newer incarnation ends the doubt; these two have no test of their own.

--- a/crates/policy/src/swim.rs
+++ b/crates/policy/src/swim.rs
@@ -735,8 +735,7 @@
         }
         for (_, at) in due.into_iter().take(take) {
             if let Some((_, peer)) = self.peers.get_index_mut(at) {
-                peer.told += 1;
-                vitals.push(peer.vital());
+                vitals.push(peer.tell());
             }
         }
         vitals
--- a/crates/policy/src/swim/peer.rs
+++ b/crates/policy/src/swim/peer.rs
@@ -28,8 +28,8 @@
     pub(super) stamp: u64,
     /// How often its changing fields were passed on since.
     pub(super) told: u32,
-    /// Whether its proof came or went lately, which is told first.
-    pub(super) turned: bool,
+    /// How often it is still told first, since its proof came or went.
+    turn_tells: u32,
 }
 
 impl Peer {
@@ -51,7 +51,7 @@
             answered: None,
             stamp: 0,
             told: 0,
-            turned: false,
+            turn_tells: 0,
         }
     }
 
@@ -64,6 +64,10 @@
             self.since = now;
         }
         self.suspected = (record.state == State::Suspect).then_some(now);
+        if record.incarnation > self.member.incarnation {
+            // The subject spoke to somebody after the probe that it missed.
+            self.doubted = None;
+        }
         let proven = self.proven();
         self.member = Member {
             revision: self.member.revision,
@@ -82,7 +86,6 @@
         }
         let proven = self.proven();
         let old = (self.member.revision, self.member.load);
-        self.turned = self.turned && self.told < TURN_TELLS;
         self.stamp = vital.stamp;
         self.told = 0;
         self.member.revision = vital.revision;
@@ -95,7 +98,7 @@
     /// Notes whether the proof came or went.
     fn turn(&mut self, proven: bool) {
         if proven != self.proven() {
-            self.turned = true;
+            self.turn_tells = TURN_TELLS;
             self.told = 0;
         }
     }
@@ -120,8 +123,14 @@
 
     /// Place among those to be passed on; the lowest goes first.
     pub(super) fn urgency(&self) -> (bool, u32, Reverse<u64>) {
-        let turned = self.turned && self.told < TURN_TELLS;
-        (!turned, self.told, Reverse(self.stamp))
+        (self.turn_tells == 0, self.told, Reverse(self.stamp))
+    }
+
+    /// Its changing fields, to be passed on now.
+    pub(super) fn tell(&mut self) -> Vital {
+        self.told += 1;
+        self.turn_tells = self.turn_tells.saturating_sub(1);
+        self.vital()
     }
 
     /// Whether its changing fields are worth passing on.
--- a/crates/policy/src/swim/probe.rs
+++ b/crates/policy/src/swim/probe.rs
@@ -174,6 +174,7 @@
         }
         if let Some(peer) = self.peers.get_mut(&probe.target)
             && peer.doubted.is_none()
+            && peer.member.state != State::Dead
         {
             peer.doubted = Some(now);
             self.urgent = true;
@@ -273,12 +274,12 @@
             .collect()
     }
 
-    /// Addresses of those that are not alive, with their last records.
+    /// Addresses of those that are not held reachable, with their last records.
     fn absent(&self) -> Vec<(SocketAddr, Option<Member>)> {
         let dead = self
             .peers
             .values()
-            .filter(|peer| peer.member.state == State::Dead)
+            .filter(|peer| peer.member.state == State::Dead || peer.doubted.is_some())
             .map(|peer| (peer.member.peer, Some(peer.member.clone())));
         let unknown = self
             .listing
--- a/crates/policy/tests/swim_faults.rs
+++ b/crates/policy/tests/swim_faults.rs
@@ -127,12 +127,14 @@
 #[gtest]
 fn all_give_work_to_a_restarted_instance_soon_after_its_proof() {
     for seed in 0..4 {
-        let mut net = settled(50, seed);
+        let mut net = settled(60, seed);
+        // The proofs of all, which came at once at the start, are told first.
+        net.run(Duration::from_secs(20));
         net.act(3, |swim, _, rng| swim.depart(rng));
-        net.run(Duration::from_secs(5));
+        net.run(Duration::from_secs(3));
         net.boot(3);
         net.run(Duration::from_secs(4));
-        expect_that!(net.takers(&all(&net), &[3]).len(), eq(50));
+        expect_that!(net.takers(&all(&net), &[3]).len(), eq(60));
     }
 }
 
