--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -1,6 +1,8 @@
 //! Puts the parts of the daemon together and runs them until it ends.
 
+mod core;
 mod leave;
+mod listeners;
 mod router;
 
 use std::{
@@ -11,8 +13,7 @@
     time::{Duration, Instant},
 };
 
-use actix_rt::net::{TcpListener, UdpSocket};
-use citron_policy::{crash, state::Command};
+use actix_rt::net::TcpListener;
 use derive_more::{Display, Error, From};
 use prometheus_client::registry::Registry;
 use tokio::sync::{oneshot, watch};
@@ -20,35 +21,26 @@
 use crate::{
     admin::{self, Admin, Tokens},
     callers::{self, Callers},
-    control::{self, Control, Replica},
-    event::Ring,
-    follow::{self, Follow},
-    gossip::{self, Gossip, Own},
-    http::{self, Server},
+    control::{self, Replica},
+    gossip::Own,
+    http::{Handler, Server},
     metrics::{Metrics, Reading},
-    operators,
-    peers::{self, Hub},
-    platform::{self, Platform},
+    operators, peers,
     settings::Settings,
-    slots::{self, Slots},
     trace::Tracer,
     upstream,
 };
+use core::Core;
 use leave::Leave;
+use listeners::Listeners;
 use router::Router;
 
 /// Time between two readings of the daemon's own state.
 const TICK: Duration = Duration::from_millis(200);
 
-/// Longest wait for a crash mark to be recorded.
-const MARK_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// Most operator connections.
 const MAX_ADMIN_CONNECTIONS: usize = 256;
 
-/// Tries to find a port that is free for TCP and UDP.
-const BIND_TRIES: u32 = 16;
-
 /// Why the daemon ended.
 #[derive(Debug, Display, Error, From)]
 pub enum Failure {
@@ -137,7 +129,7 @@
         settings.instance
     );
     let left = Leave::new(&parts, &settings).watch(failed).await;
-    parts.gossip.depart().await;
+    parts.core.gossip.depart().await;
     parts.tracer.flush();
     log::info!("CP0103 instance {} has left", settings.instance);
     left
@@ -150,79 +142,6 @@
     })
 }
 
-/// Every listening socket.
-#[derive(Debug)]
-struct Listeners {
-    callers: TcpListener,
-    peer: TcpListener,
-    gossip: UdpSocket,
-    admin: TcpListener,
-    addresses: Addresses,
-}
-
-/// Where the listeners are.
-#[derive(Clone, Copy, Debug)]
-struct Addresses {
-    callers: SocketAddr,
-    peer: SocketAddr,
-    admin: SocketAddr,
-}
-
-impl Listeners {
-    async fn bind(settings: &Settings) -> Result<Self, Failure> {
-        let failed = |flag, address| {
-            move |source| Failure::Bind {
-                flag,
-                address,
-                source,
-            }
-        };
-        let callers = http::bind(settings.callers).await;
-        let (callers, callers_at) = callers.map_err(failed("--callers", settings.callers))?;
-        let admin = http::bind(settings.admin).await;
-        let (admin, admin_at) = admin.map_err(failed("--admin", settings.admin))?;
-        let (peer, gossip, peer_at) = bind_peer(settings.peer)
-            .await
-            .map_err(failed("--peer", settings.peer))?;
-        let addresses = Addresses {
-            callers: callers_at,
-            peer: peer_at,
-            admin: admin_at,
-        };
-        Ok(Self {
-            callers,
-            peer,
-            gossip,
-            admin,
-            addresses,
-        })
-    }
-
-    /// The line on standard output that says where to connect.
-    fn announcement(&self) -> String {
-        let Addresses {
-            callers,
-            peer,
-            admin,
-        } = self.addresses;
-        format!("listening callers={callers} peer={peer} admin={admin}")
-    }
-}
-
-/// Binds TCP and UDP to one port.
-async fn bind_peer(address: SocketAddr) -> io::Result<(TcpListener, UdpSocket, SocketAddr)> {
-    let mut tries = 0;
-    loop {
-        tries += 1;
-        let (listener, bound) = http::bind(address).await?;
-        match UdpSocket::bind(bound).await {
-            Ok(socket) => return Ok((listener, socket, bound)),
-            Err(_) if address.port() == 0 && tries < BIND_TRIES => {}
-            Err(error) => return Err(error),
-        }
-    }
-}
-
 /// What the parts need from outside.
 #[derive(Debug)]
 struct Outside {
@@ -232,12 +151,10 @@
     tokens: Tokens,
 }
 
-/// The running parts.
+/// The running daemon.
 #[derive(Debug)]
 struct Parts {
-    hub: Hub,
-    gossip: Gossip,
-    follow: Follow,
+    core: Core,
     callers: Callers,
     tracer: Tracer,
     metrics: RefCell<Metrics>,
@@ -254,114 +171,58 @@
         listeners: Listeners,
         outside: Outside,
     ) -> (Rc<Self>, oneshot::Receiver<String>) {
-        let hub = Hub::new(&settings.instance, &settings.cluster);
-        let platform = Platform::start(platform::Settings {
-            address: outside.platform,
-            ..platform::Settings::default()
-        });
-        let membership = membership(settings, listeners.addresses, outside.replica.as_ref());
-        let gossip = Gossip::start(membership, listeners.gossip, hub.clone(), platform.list());
-        let replicated = outside.replica.is_some();
-        let started = Control::start(&hub, gossip.members(), outside.replica);
-        let local = replicated.then_some(started.feed);
-        let follow = Follow::start(
-            follow::Settings::default(),
-            hub.clone(),
-            gossip.members(),
-            local,
-        );
-        let ring = Ring::default();
-        let inputs = slots::Inputs {
-            members: gossip.members(),
-            platform: platform.list(),
-            view: follow.view(),
-        };
-        let slots = Slots::new(hub.clone(), inputs, propose(&started.control), ring.clone());
+        let Outside {
+            platform,
+            replica,
+            tracer,
+            tokens,
+        } = outside;
+        let Listeners {
+            callers: callers_in,
+            peer: peer_in,
+            gossip,
+            admin: admin_in,
+            addresses,
+        } = listeners;
+        let (core, failed) = Core::start(settings, addresses, gossip, platform, replica);
         let (draining, drained) = watch::channel(false);
         let upstream = upstream::Metrics::default();
-        let callers = Callers::new(callers::Ports {
-            me: settings.instance.clone(),
-            max_body_bytes: settings.max_body_bytes,
-            view: follow.view(),
-            members: gossip.members(),
-            draining: drained,
-            follow: follow.clone(),
-            slots: slots.clone(),
-            control: started.control.clone(),
-            ring: ring.clone(),
-            tracer: outside.tracer.clone(),
-            upstream: upstream.clone(),
-        });
+        let callers = callers(settings, &core, drained, &tracer, &upstream);
         let metrics = Metrics::default();
         let mut registry = Registry::default();
         metrics.register(&mut registry);
         callers.register(&mut registry);
-        started.control.register(&mut registry);
         upstream.register(&mut registry);
-        gossip.metrics().register(&mut registry);
-        platform.metrics().register(&mut registry);
-        follow.metrics().register(&mut registry);
-        slots.metrics().register(&mut registry);
-        let counters = admin::Metrics::default();
-        counters.register(&mut registry);
-        let admin = Admin::new(admin::Ports {
-            tokens: outside.tokens,
-            log: Rc::new(started.control.clone()),
-            hub: hub.clone(),
-            members: gossip.members(),
-            platform: platform.list(),
-            view: follow.view(),
-            ring,
-            registry: Rc::new(registry),
-            metrics: counters,
-        });
-        let router = Router {
-            admin: admin.clone(),
-            control: started.control,
-            follow: follow.clone(),
-            slots: slots.clone(),
-        };
-        actix_rt::spawn(peers::listen(hub.clone(), listeners.peer, Rc::new(router)));
-        actix_rt::spawn(async move { slots.run().await });
-        let server = Server {
-            listener: listeners.callers,
-            handler: callers.handler(),
-            max_connections: settings.max_connections,
-        };
-        actix_rt::spawn(server.run());
-        let operators = Server {
-            listener: listeners.admin,
-            handler: admin.handler(),
-            max_connections: MAX_ADMIN_CONNECTIONS,
-        };
-        actix_rt::spawn(operators.run());
-        let tracer = outside.tracer;
+        core.register(&mut registry);
+        let admin = admin(&core, tokens, registry);
+        serve_peers(&core, &admin, peer_in);
+        serve_http(callers_in, callers.handler(), settings.max_connections);
+        serve_http(admin_in, admin.handler(), MAX_ADMIN_CONNECTIONS);
         let metrics = RefCell::new(metrics);
+        let told = Cell::new(false);
         let parts = Rc::new(Self {
-            hub,
-            gossip,
-            follow,
+            core,
             callers,
             tracer,
             metrics,
             draining,
-            told: Cell::new(false),
+            told,
         });
         actix_rt::spawn(Rc::clone(&parts).tick());
-        (parts, started.failed)
+        (parts, failed)
     }
 
     /// Tells the others and the metrics how this daemon stands, for ever.
     async fn tick(self: Rc<Self>) {
         loop {
             let reading = self.reading(Instant::now());
-            self.gossip.set_self(Own {
+            self.core.gossip.set_self(Own {
                 leaving: self.told.get(),
                 revision: reading.revision,
                 load: reading.in_flight,
                 current: reading.current,
             });
-            self.metrics.borrow_mut().update(&reading, &self.hub);
+            self.metrics.borrow_mut().update(&reading, &self.core.hub);
             actix_rt::time::sleep(TICK).await;
         }
     }
@@ -369,36 +230,67 @@
     fn reading(&self, now: Instant) -> Reading {
         Reading {
             in_flight: self.callers.in_flight(),
-            revision: self.follow.view().borrow().catalogue.revision,
-            current: self.follow.may_take_work(now),
+            revision: self.core.follow.view().borrow().catalogue.revision,
+            current: self.core.follow.may_take_work(now),
         }
     }
 }
 
-fn membership(
+fn callers(
     settings: &Settings,
-    addresses: Addresses,
-    replica: Option<&Replica>,
-) -> gossip::Settings {
-    gossip::Settings {
-        cluster: settings.cluster.clone(),
+    core: &Core,
+    draining: watch::Receiver<bool>,
+    tracer: &Tracer,
+    upstream: &upstream::Metrics,
+) -> Callers {
+    Callers::new(callers::Ports {
         me: settings.instance.clone(),
-        domain: settings.domain.clone(),
-        peer: addresses.peer,
-        callers: addresses.callers,
-        replica: replica.map(Replica::id),
-    }
+        max_body_bytes: settings.max_body_bytes,
+        view: core.follow.view(),
+        members: core.gossip.members(),
+        draining,
+        follow: core.follow.clone(),
+        slots: core.slots.clone(),
+        control: core.control.clone(),
+        ring: core.ring.clone(),
+        tracer: tracer.clone(),
+        upstream: upstream.clone(),
+    })
 }
 
-/// Records crash marks in the control log; one that is lost is proposed again.
-fn propose(control: &Control) -> slots::Propose {
-    let control = control.clone();
-    Rc::new(move |step: crash::Step| {
-        let control = control.clone();
-        actix_rt::spawn(async move {
-            if let Err(error) = control.submit(Command::Crash(step), MARK_TIMEOUT).await {
-                log::warn!("CP0104 crash mark not recorded: {error}");
-            }
-        });
+fn admin(core: &Core, tokens: Tokens, mut registry: Registry) -> Admin {
+    let metrics = admin::Metrics::default();
+    metrics.register(&mut registry);
+    Admin::new(admin::Ports {
+        tokens,
+        log: Rc::new(core.control.clone()),
+        hub: core.hub.clone(),
+        members: core.gossip.members(),
+        platform: core.platform.list(),
+        view: core.follow.view(),
+        ring: core.ring.clone(),
+        registry: Rc::new(registry),
+        metrics,
     })
 }
+
+fn serve_peers(core: &Core, admin: &Admin, listener: TcpListener) {
+    let router = Router {
+        admin: admin.clone(),
+        control: core.control.clone(),
+        follow: core.follow.clone(),
+        slots: core.slots.clone(),
+    };
+    actix_rt::spawn(peers::listen(core.hub.clone(), listener, Rc::new(router)));
+}
+
+fn serve_http(listener: TcpListener, handler: Handler, max_connections: usize) {
+    actix_rt::spawn(
+        Server {
+            listener,
+            handler,
+            max_connections,
+        }
+        .run(),
+    );
+}
--- /dev/null
+++ b/crates/daemon/src/run/core.rs
@@ -0,0 +1,121 @@
+//! The parts that work without callers or operators: peers, membership, the
+//! control log, the feed and the slots.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use actix_rt::net::UdpSocket;
+use citron_policy::{crash, state::Command};
+use prometheus_client::registry::Registry;
+use tokio::sync::oneshot;
+
+use super::listeners::Addresses;
+use crate::{
+    control::{Control, Replica},
+    event::Ring,
+    follow::{self, Follow},
+    gossip::{self, Gossip},
+    peers::Hub,
+    platform::{self, Platform},
+    settings::Settings,
+    slots::{self, Slots},
+};
+
+/// Longest wait for a crash mark to be recorded.
+const MARK_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The parts.
+#[derive(Debug)]
+pub(super) struct Core {
+    pub(super) hub: Hub,
+    pub(super) platform: Platform,
+    pub(super) gossip: Gossip,
+    pub(super) control: Control,
+    pub(super) follow: Follow,
+    pub(super) slots: Slots,
+    pub(super) ring: Ring,
+}
+
+impl Core {
+    /// Starts the parts; the receiver tells when the control replica stopped.
+    pub(super) fn start(
+        settings: &Settings,
+        addresses: Addresses,
+        socket: UdpSocket,
+        platform: SocketAddr,
+        replica: Option<Replica>,
+    ) -> (Self, oneshot::Receiver<String>) {
+        let hub = Hub::new(&settings.instance, &settings.cluster);
+        let platform = Platform::start(platform::Settings {
+            address: platform,
+            ..platform::Settings::default()
+        });
+        let membership = membership(settings, addresses, replica.as_ref());
+        let gossip = Gossip::start(membership, socket, hub.clone(), platform.list());
+        let replicated = replica.is_some();
+        let started = Control::start(&hub, gossip.members(), replica);
+        let local = replicated.then_some(started.feed);
+        let follow = Follow::start(
+            follow::Settings::default(),
+            hub.clone(),
+            gossip.members(),
+            local,
+        );
+        let ring = Ring::default();
+        let inputs = slots::Inputs {
+            members: gossip.members(),
+            platform: platform.list(),
+            view: follow.view(),
+        };
+        let control = started.control;
+        let slots = Slots::new(hub.clone(), inputs, propose(&control), ring.clone());
+        let task = slots.clone();
+        actix_rt::spawn(async move { task.run().await });
+        let core = Self {
+            hub,
+            platform,
+            gossip,
+            control,
+            follow,
+            slots,
+            ring,
+        };
+        (core, started.failed)
+    }
+
+    /// Adds the metrics of all parts to a registry.
+    pub(super) fn register(&self, registry: &mut Registry) {
+        self.control.register(registry);
+        self.gossip.metrics().register(registry);
+        self.platform.metrics().register(registry);
+        self.follow.metrics().register(registry);
+        self.slots.metrics().register(registry);
+    }
+}
+
+fn membership(
+    settings: &Settings,
+    addresses: Addresses,
+    replica: Option<&Replica>,
+) -> gossip::Settings {
+    gossip::Settings {
+        cluster: settings.cluster.clone(),
+        me: settings.instance.clone(),
+        domain: settings.domain.clone(),
+        peer: addresses.peer,
+        callers: addresses.callers,
+        replica: replica.map(Replica::id),
+    }
+}
+
+/// Records crash marks in the control log; one that is lost is proposed again.
+fn propose(control: &Control) -> slots::Propose {
+    let control = control.clone();
+    Rc::new(move |step: crash::Step| {
+        let control = control.clone();
+        actix_rt::spawn(async move {
+            if let Err(error) = control.submit(Command::Crash(step), MARK_TIMEOUT).await {
+                log::warn!("CP0104 crash mark not recorded: {error}");
+            }
+        });
+    })
+}
--- a/crates/daemon/src/run/leave.rs
+++ b/crates/daemon/src/run/leave.rs
@@ -99,7 +99,7 @@
     }
 
     fn look_at_list(&mut self, now: Instant) {
-        match (self.parts.gossip.leaving(), self.listed) {
+        match (self.parts.core.gossip.leaving(), self.listed) {
             (true, None) if self.told.is_none() => {
                 log::info!("CP0102 leaving: told by the platform's list");
                 self.listed = Some(now);
@@ -116,7 +116,7 @@
 
     fn announce(&self, leaving: bool) {
         if leaving && self.told.is_some() {
-            self.parts.gossip.leave();
+            self.parts.core.gossip.leave();
         }
     }
 }
--- /dev/null
+++ b/crates/daemon/src/run/listeners.rs
@@ -0,0 +1,85 @@
+//! The daemon's listening sockets.
+
+use std::{io, net::SocketAddr};
+
+use actix_rt::net::{TcpListener, UdpSocket};
+
+use super::Failure;
+use crate::{http, settings::Settings};
+
+/// Tries to find a port that is free for TCP and UDP.
+const BIND_TRIES: u32 = 16;
+
+/// Every listening socket.
+#[derive(Debug)]
+pub(super) struct Listeners {
+    pub(super) callers: TcpListener,
+    pub(super) peer: TcpListener,
+    pub(super) gossip: UdpSocket,
+    pub(super) admin: TcpListener,
+    pub(super) addresses: Addresses,
+}
+
+/// Where the listeners are.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Addresses {
+    pub(super) callers: SocketAddr,
+    pub(super) peer: SocketAddr,
+    pub(super) admin: SocketAddr,
+}
+
+impl Listeners {
+    /// Binds all of them; an error names the setting.
+    pub(super) async fn bind(settings: &Settings) -> Result<Self, Failure> {
+        let failed = |flag, address| {
+            move |source| Failure::Bind {
+                flag,
+                address,
+                source,
+            }
+        };
+        let callers = http::bind(settings.callers).await;
+        let (callers, callers_at) = callers.map_err(failed("--callers", settings.callers))?;
+        let admin = http::bind(settings.admin).await;
+        let (admin, admin_at) = admin.map_err(failed("--admin", settings.admin))?;
+        let (peer, gossip, peer_at) = bind_peer(settings.peer)
+            .await
+            .map_err(failed("--peer", settings.peer))?;
+        let addresses = Addresses {
+            callers: callers_at,
+            peer: peer_at,
+            admin: admin_at,
+        };
+        Ok(Self {
+            callers,
+            peer,
+            gossip,
+            admin,
+            addresses,
+        })
+    }
+
+    /// The line on standard output that says where to connect.
+    pub(super) fn announcement(&self) -> String {
+        let Addresses {
+            callers,
+            peer,
+            admin,
+        } = self.addresses;
+        format!("listening callers={callers} peer={peer} admin={admin}")
+    }
+}
+
+/// Binds TCP and UDP to one port.
+async fn bind_peer(address: SocketAddr) -> io::Result<(TcpListener, UdpSocket, SocketAddr)> {
+    let mut tries = 0;
+    loop {
+        tries += 1;
+        let (listener, bound) = http::bind(address).await?;
+        match UdpSocket::bind(bound).await {
+            Ok(socket) => return Ok((listener, socket, bound)),
+            Err(_) if address.port() == 0 && tries < BIND_TRIES => {}
+            Err(error) => return Err(error),
+        }
+    }
+}
