--- a/crates/daemon/tests/changes.rs
+++ b/crates/daemon/tests/changes.rs
@@ -8,6 +8,7 @@
     net::{SocketAddr, TcpStream},
     path::Path,
     process::{Command, Output, Stdio},
+    time::Duration,
 };
 
 use common::{
@@ -116,6 +117,27 @@
     })
 }
 
+/// Sends a change, and kills a daemon while it is under way; the moment differs
+/// with the number of the change.
+fn submit_under_kill(
+    cluster: &Cluster,
+    first: usize,
+    change: &Value,
+    killed: Option<usize>,
+    number: u64,
+) -> (u16, Value) {
+    let delay = Duration::from_millis(number % 7 * 3);
+    std::thread::scope(|scope| {
+        if let Some(killed) = killed {
+            scope.spawn(move || {
+                std::thread::sleep(delay);
+                cluster.daemons[killed].process.signal("KILL");
+            });
+        }
+        submit(cluster, first, change)
+    })
+}
+
 /// Revision and queue limits of all classes, as one daemon has them in force.
 fn in_force(cluster: &Cluster, number: usize) -> Option<(u64, IndexMap<String, u64>)> {
     let reply = cluster.admin(number, "GET", "/v1/catalogue", &Value::Null);
@@ -256,11 +278,8 @@
         let change =
             json!({"id": format!("c{number}"), "base": number, "operator": "", "puts": puts});
         let killed = (number % KILL_EVERY == KILL_EVERY - 1).then(|| leader(&cluster));
-        if let Some(killed) = killed {
-            cluster.daemons[killed].process.kill();
-        }
         let first = usize::try_from(number % 3).expect("small");
-        let (status, answer) = submit(&cluster, first, &change);
+        let (status, answer) = submit_under_kill(&cluster, first, &change, killed, number);
         assert_eq!(
             (status, answer["revision"].as_u64()),
             (200, Some(number + 1)),
