slots: runners that were given up come back, whoever asks

Seen with real processes: with requests of the highest class only, a runner that broke once was never tried again as long as another was in use, since probes waited for a request of the lowest class; and with every runner down, a suspect waited for its deadline (20 s), since it was neither granted nor refused. A due probe now waits at most 3 s for the lowest class, and a suspect may be the probe when no runner is in use.

--- a/crates/policy/src/arbiter/grant.rs
+++ b/crates/policy/src/arbiter/grant.rs
@@ -114,8 +114,11 @@
                 return;
             };
             let none_usable = self.pool.usable() == 0;
+            // Without it, a runner would never come back while the lowest
+            // class has no requests.
+            let overdue = self.pool.get(&runner).is_some_and(|it| it.overdue(now));
             if self.queue.is_blocked(&item.account)
-                || !(none_usable || self.is_lowest(item.class.tier))
+                || !(none_usable || overdue || self.is_lowest(item.class.tier))
             {
                 return;
             }
--- a/crates/policy/src/arbiter/runner.rs
+++ b/crates/policy/src/arbiter/runner.rs
@@ -32,6 +32,9 @@
 /// First pause before a runner is probed.
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
 
+/// How long a due probe waits for a request of the lowest class.
+const PROBE_PATIENCE: Duration = Duration::from_secs(3);
+
 /// Longest pause before a runner is probed.
 const LONGEST_PAUSE: Duration = Duration::from_secs(8);
 
@@ -180,6 +183,11 @@
         due && !self.leaving && !self.reserved && self.held == 0
     }
 
+    /// Whether its probe has waited too long for a request of the lowest class.
+    pub(super) fn overdue(&self, now: Instant) -> bool {
+        matches!(self.health, Health::Out { probe_at, .. } if probe_at + PROBE_PATIENCE <= now)
+    }
+
     pub(super) fn on_grant(&mut self, now: Instant) {
         self.held += 1;
         self.roll_peaks(now);
--- /dev/null
+++ b/crates/policy/tests/arbiter_return.rs
@@ -0,0 +1,56 @@
+//! Runners that were given up come back, whoever asks.
+
+mod slots;
+
+use std::time::Duration;
+
+use citron_policy::arbiter::End;
+use googletest::prelude::*;
+use slots::{Daemons, Told, ask, catalogue, done, runners, sample};
+
+/// Takes a slot for a request and says where it was granted.
+fn granted(daemons: &mut Daemons, ticket: u64, class: &str) -> Option<String> {
+    daemons.take(0, ask(ticket, class, "a"));
+    daemons.settle();
+    let told = daemons.drain();
+    told.into_iter().find_map(|told| match told {
+        Told::Granted { runner, .. } => Some(runner),
+        _ => None,
+    })
+}
+
+#[gtest]
+fn a_broken_runner_comes_back_although_the_lowest_class_is_silent() {
+    let mut daemons = Daemons::new(1, catalogue(2, |_| {}), runners(2));
+    expect_that!(granted(&mut daemons, 1, "c0"), some(anything()));
+    daemons.release(0, 1, sample(End::Broken, Duration::from_millis(10)));
+    daemons.settle();
+    expect_that!(daemons.arbiters[&0].stats().usable, eq(1));
+    for ticket in 2..120 {
+        daemons.pass(Duration::from_millis(50));
+        if granted(&mut daemons, ticket, "c0").is_some() {
+            daemons.release(0, ticket, done());
+        }
+        daemons.settle();
+    }
+    expect_that!(daemons.arbiters[&0].stats().usable, eq(2));
+}
+
+#[gtest]
+fn a_suspect_is_told_something_although_no_runner_is_in_use() {
+    let mut daemons = Daemons::new(1, catalogue(2, |_| {}), runners(1));
+    let suspect = |ticket| {
+        let mut ask = ask(ticket, "c0", "a");
+        ask.fingerprint = 7;
+        ask
+    };
+    daemons.take(0, suspect(1));
+    daemons.settle();
+    daemons.release(0, 1, sample(End::Broken, Duration::from_millis(10)));
+    daemons.settle();
+    daemons.drain();
+    daemons.pass(Duration::from_secs(1));
+    daemons.take(0, suspect(2));
+    daemons.pass(Duration::from_secs(2));
+    expect_that!(daemons.drain(), not(is_empty()));
+}
