--- a/crates/standin/src/cli.rs
+++ b/crates/standin/src/cli.rs
@@ -71,6 +71,8 @@
     load_lag_ms: u64,
     #[options(no_short, help = "mean tokens of an answer", default = "64")]
     mean_tokens: u32,
+    #[options(no_short, help = "least tokens of an answer", default = "1")]
+    min_tokens: u32,
     #[options(no_short, help = "seed of the answers' lengths", default = "1")]
     seed: u64,
 }
@@ -184,8 +186,11 @@
         prefill_per_token: Duration::from_micros(args.prefill_us),
         prefixes: args.prefixes,
         load_lag: Duration::from_millis(args.load_lag_ms),
-        mean_tokens: args.mean_tokens,
-        seed: args.seed,
+        lengths: engine::Lengths {
+            mean: args.mean_tokens,
+            min: args.min_tokens,
+            seed: args.seed,
+        },
     };
     let engine = Rc::new(Engine::new(Instant::now(), settings));
     let listener = server::open(address(&args.listen)?).await?;
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -20,7 +20,7 @@
 use actix_http::{Method, StatusCode};
 use serde_json::json;
 
-pub use self::answer::{Answer, Chat, Message, token_text};
+pub use self::answer::{Answer, Chat, Lengths, Message, token_text};
 use self::{
     batch::Batch,
     counts::{Counts, Load},
@@ -49,10 +49,8 @@
     pub prefixes: usize,
     /// Age of the load that is reported.
     pub load_lag: Duration,
-    /// Mean number of tokens of an answer.
-    pub mean_tokens: u32,
-    /// Seed of answer lengths.
-    pub seed: u64,
+    /// How long answers are.
+    pub lengths: Lengths,
 }
 
 impl Default for Settings {
@@ -64,8 +62,11 @@
             prefill_per_token: Duration::from_micros(200),
             prefixes: 64,
             load_lag: Duration::from_millis(500),
-            mean_tokens: 64,
-            seed: 1,
+            lengths: Lengths {
+                mean: 64,
+                min: 1,
+                seed: 1,
+            },
         }
     }
 }
@@ -162,7 +163,7 @@
             .unwrap_or(0);
         let mine = (
             call.id().to_owned(),
-            Answer::new(chat, self.settings.mean_tokens, self.settings.seed),
+            Answer::new(chat, self.settings.lengths),
         );
         let before = self.last.replace(Some(mine.clone()));
         let (id, answer) = match before {
--- a/crates/standin/src/engine/answer.rs
+++ b/crates/standin/src/engine/answer.rs
@@ -55,6 +55,17 @@
     }
 }
 
+/// How long answers are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lengths {
+    /// Mean number of tokens.
+    pub mean: u32,
+    /// Least number of tokens.
+    pub min: u32,
+    /// Seed that the lengths follow from, beside the prompt.
+    pub seed: u64,
+}
+
 /// The answer to one prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Answer {
@@ -66,11 +77,11 @@
 }
 
 impl Answer {
-    /// The answer to `chat`, about `mean_tokens` long on average.
+    /// The answer to `chat`.
     #[must_use]
-    pub fn new(chat: &Chat, mean_tokens: u32, seed: u64) -> Self {
+    pub fn new(chat: &Chat, lengths: Lengths) -> Self {
         let digest = chat.digest();
-        let natural = length(digest, mean_tokens, seed);
+        let natural = length(digest, lengths);
         let tokens = chat.max_tokens.map_or(natural, |most| most.min(natural));
         Self {
             digest,
@@ -141,11 +152,11 @@
     clippy::cast_sign_loss,
     reason = "the drawn length is positive and far below the limits of either type"
 )]
-fn length(digest: u64, mean_tokens: u32, seed: u64) -> u64 {
-    let mixed = xxh3_64_with_seed(&digest.to_le_bytes(), seed);
+fn length(digest: u64, lengths: Lengths) -> u64 {
+    let mixed = xxh3_64_with_seed(&digest.to_le_bytes(), lengths.seed);
     let unit = f64::from((mixed >> 32) as u32) / (f64::from(u32::MAX) + 1.0);
-    let mean = f64::from(mean_tokens);
-    let drawn = -(1.0 - unit).ln() * mean;
-    let longest = u64::from(mean_tokens) * MAX_MEANS;
-    (drawn.ceil() as u64).clamp(1, longest.max(1))
+    let drawn = (-(1.0 - unit).ln() * f64::from(lengths.mean)).ceil() as u64;
+    let least = u64::from(lengths.min.max(1));
+    let longest = u64::from(lengths.mean) * MAX_MEANS;
+    drawn.clamp(least, longest.max(least))
 }
--- a/crates/standin/src/load/call.rs
+++ b/crates/standin/src/load/call.rs
@@ -53,7 +53,8 @@
     } else {
         format!("/v1/services/{}/{name}", item.service)
     };
-    let body = "x".repeat(item.bytes).into_bytes();
+    // Bodies differ, as those of different tickets do.
+    let body = format!("{key:x<width$}", width = item.bytes).into_bytes();
     let sent = connections.send(target.address, Method::POST, &path, &headers, body.into());
     let mut answer = match sent.await {
         Ok(answer) => answer,
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -47,6 +47,7 @@
     faults: Switch,
     runs: RefCell<IndexMap<String, u64>>,
     requests: Cell<u64>,
+    done: Cell<u64>,
     running: Cell<u64>,
     /// Identity and body of the answer before, for crossed answers.
     last: RefCell<(String, String)>,
@@ -70,6 +71,7 @@
         }
         let body = self.count(call, &fault).await;
         let (id, body) = self.crossed(&fault, call.id(), body);
+        self.done.set(self.done.get() + 1);
         fault.answer(link, StatusCode::OK, &id, body).await
     }
 
@@ -115,6 +117,7 @@
             "requests": self.requests.get(),
             "attempts": self.requests.get(),
             "running": self.running.get(),
+            "done": self.done.get(),
             "runs": runs.values().sum::<u64>(),
             "keys": runs.len(),
             "most": runs.values().max().copied().unwrap_or_default(),
