--- a/crates/daemon/tests/common/cluster.rs
+++ b/crates/daemon/tests/common/cluster.rs
@@ -9,7 +9,7 @@
 use super::{
     eventually,
     http::{self, Reply},
-    process::{Process, StandIn},
+    process::{self, Process, StandIn},
 };
 
 /// Operator and token of all test clusters.
@@ -41,6 +41,12 @@
     pub services: usize,
     /// Their arguments.
     pub service_arguments: Vec<&'static str>,
+    /// Retry budget of the services.
+    pub retry_percent: u32,
+    /// Requests that a runner is given at once.
+    pub max_running_per_runner: u32,
+    /// Whether the start waits until each daemon has answered a request.
+    pub waits_ready: bool,
 }
 
 impl Default for Plan {
@@ -52,6 +58,9 @@
             engine_arguments: vec!["--token-interval-us", "5000", "--mean-tokens", "40"],
             services: 1,
             service_arguments: vec!["--run-ms", "5"],
+            retry_percent: 10,
+            max_running_per_runner: 8,
+            waits_ready: true,
         }
     }
 }
@@ -91,8 +100,11 @@
     pub fn start(plan: Plan) -> Self {
         let cluster = Self::start_bare(plan);
         cluster.form();
-        cluster.apply("first", &catalogue());
-        cluster.wait_ready();
+        cluster.apply("first", &catalogue_of(&cluster.plan));
+        if cluster.plan.waits_ready {
+            cluster.wait_ready();
+        }
+        cluster.wait_runners();
         cluster
     }
 
@@ -224,13 +236,43 @@
     /// Waits until every daemon answers a chat and a plain call.
     pub fn wait_ready(&self) {
         for daemon in &self.daemons {
-            eventually("a daemon takes a chat", || {
-                let reply = chat(daemon.callers, "ready", false, &[]);
-                (reply.status == 200).then_some(())
+            if self.plan.engines > 0 {
+                eventually("a daemon takes a chat", || {
+                    let reply = chat(daemon.callers, "ready", false, &[]);
+                    (reply.status == 200).then_some(())
+                });
+            }
+            if self.plan.services > 0 {
+                eventually("a daemon takes a plain call", || {
+                    (read(daemon.callers, "ready").status == 200).then_some(())
+                });
+            }
+        }
+    }
+
+    /// Waits until every daemon takes work.
+    pub fn wait_runners(&self) {
+        for daemon in &self.daemons {
+            eventually("a daemon takes work", || {
+                (http::get(daemon.callers, "/readyz").status == 200).then_some(())
+            });
+            eventually("a daemon knows the catalogue", || {
+                let models = http::get(daemon.callers, "/v1/models").json();
+                (models["data"][0]["id"] == "model").then_some(())
             });
         }
     }
 
+    /// Drives load against the daemons and gives the report.
+    pub fn load(&self, arguments: &[&str], mix: &Value) -> Value {
+        let addresses: Vec<String> = self
+            .daemons
+            .iter()
+            .map(|it| it.callers.to_string())
+            .collect();
+        process::load(&addresses.join(","), arguments, mix)
+    }
+
     /// The metric's value on a daemon, summed over its labels.
     pub fn metric(&self, number: usize, name: &str) -> f64 {
         let text = self.admin(number, "GET", "/metrics", &Value::Null).text();
@@ -269,6 +311,12 @@
     http::post(callers, path, &with_key(&headers), body.as_bytes())
 }
 
+/// Asks a daemon for a plain call that may be repeated.
+pub fn read(callers: SocketAddr, body: &str) -> Reply {
+    let path = "/v1/services/tickets/status";
+    http::post(callers, path, &with_key(&[]), body.as_bytes())
+}
+
 /// Headers with the test account's key.
 pub fn with_key<'a>(headers: &[(&'a str, &'a str)]) -> Vec<(&'a str, &'a str)> {
     let mut all = vec![
@@ -279,8 +327,13 @@
     all
 }
 
-/// Two classes, an account, a model service and a plain one.
+/// The catalogue of the default plan.
 pub fn catalogue() -> Value {
+    catalogue_of(&Plan::default())
+}
+
+/// Two classes, an account, a model service and a plain one.
+pub fn catalogue_of(plan: &Plan) -> Value {
     let class = |name: &str, tier: u8| {
         json!({
             "kind": "class", "name": name, "owner": "tests", "tier": tier,
@@ -291,7 +344,9 @@
     let service = |name: &str, backend: &str| {
         json!({
             "kind": "service", "name": name, "owner": "tests", "backend": backend,
-            "class": "desk", "max_running_per_runner": 8, "retry_percent": 10,
+            "class": "desk",
+            "max_running_per_runner": plan.max_running_per_runner,
+            "retry_percent": plan.retry_percent,
             "refusal_statuses": [503], "timeout_ms": 30_000,
             "once": if backend == "plain" { json!([{"method": "POST", "path": "/book"}]) } else { json!([]) },
         })
--- a/crates/daemon/tests/common/process.rs
+++ b/crates/daemon/tests/common/process.rs
@@ -165,6 +165,21 @@
     }
 }
 
+/// Runs the load driver to its end and gives its report.
+pub fn load(addresses: &str, arguments: &[&str], mix: &Value) -> Value {
+    let output = Command::new(program())
+        .args(["load", "--entries", addresses, "--mix", &mix.to_string()])
+        .args(arguments)
+        .output()
+        .expect("the load driver");
+    serde_json::from_slice(&output.stdout).unwrap_or_else(|error| {
+        panic!(
+            "no report ({error}): {}",
+            String::from_utf8_lossy(&output.stderr)
+        )
+    })
+}
+
 /// The stand-in's binary, which the same build put next to the daemon's.
 fn program() -> PathBuf {
     Path::new(env!("CARGO_BIN_EXE_citrond")).with_file_name("citron-standin")
