--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -115,6 +115,8 @@
         started,
         settings,
     });
+    // The first requests come at once, so the list is asked for before.
+    run.entries.choose(&run.connections).await;
     if run.settings.workers > 0 {
         Rc::clone(&run).work().await;
     } else {
--- a/crates/standin/src/load/hold.rs
+++ b/crates/standin/src/load/hold.rs
@@ -19,6 +19,8 @@
     check(settings)?;
     let connections = Rc::new(Connections::new(false));
     let entries = Rc::new(Entries::new(&settings.addresses, settings.direct));
+    // All streams start at once, so the list is asked for before.
+    entries.choose(&connections).await;
     let kept = Rc::new(Cell::new(0_usize));
     let begun = Instant::now();
     let streams = (0..count).map(|number| {
