--- a/crates/daemon/src/callers/chat/generation.rs
+++ b/crates/daemon/src/callers/chat/generation.rs
@@ -204,11 +204,7 @@
                     self.callers.ports().upstream.fail(&failure);
                     self.avoid.push(slot.runner.clone());
                     slot.release(sample(end_of(&failure), begun));
-                    self.again(
-                        failure.ending(),
-                        &failure.to_string(),
-                        StatusCode::BAD_GATEWAY,
-                    )?;
+                    self.again(failure.ending(), &failure.to_string(), status_of(&failure))?;
                 }
             }
         }
@@ -353,11 +349,7 @@
             self.avoid.push(exchange.slot.runner.clone());
         }
         self.close(end_of(failure));
-        self.again(
-            failure.ending(),
-            &failure.to_string(),
-            StatusCode::BAD_GATEWAY,
-        )
+        self.again(failure.ending(), &failure.to_string(), status_of(failure))
     }
 
     /// Whether another attempt is made after one that ended so.
@@ -484,6 +476,13 @@
     }
 }
 
+fn status_of(failure: &Failure) -> StatusCode {
+    match failure {
+        Failure::Late => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::BAD_GATEWAY,
+    }
+}
+
 fn kind_of(reason: Reason) -> &'static str {
     match reason {
         Reason::Ran => "upstream",
--- a/crates/daemon/src/upstream/metrics.rs
+++ b/crates/daemon/src/upstream/metrics.rs
@@ -3,7 +3,7 @@
 use citron_policy::retry::Ending;
 use prometheus_client::{
     encoding::{EncodeLabelSet, EncodeLabelValue},
-    metrics::{counter::Counter, family::Family, gauge::Gauge},
+    metrics::{counter::Counter, family::Family},
     registry::Registry,
 };
 
@@ -14,8 +14,6 @@
 pub struct Metrics {
     /// Exchanges begun.
     pub exchanges: Counter,
-    /// Exchanges and streams open now.
-    pub open: Gauge,
     /// Exchanges that failed, by how they ended.
     pub failures: Family<Label, Counter>,
 }
@@ -60,11 +58,6 @@
             "Exchanges begun with runners",
             self.exchanges.clone(),
         );
-        registry.register(
-            "citron_upstream_open",
-            "Exchanges open with runners",
-            self.open.clone(),
-        );
         registry.register(
             "citron_upstream_failures",
             "Exchanges with runners that failed, by ending",
