daemon: the harness asks services nothing by itself

A test that counts what reached a service saw the harness's own call; the tests of answers ask until the service is known by themselves now.

--- a/crates/daemon/tests/answers.rs
+++ b/crates/daemon/tests/answers.rs
@@ -45,6 +45,18 @@
     }
 }
 
+/// A cluster whose daemons answer chats and plain calls.
+fn start(plan: Plan) -> Cluster {
+    let has_services = plan.services > 0;
+    let cluster = Cluster::start(plan);
+    for daemon in cluster.daemons.iter().filter(|_| has_services) {
+        eventually("a daemon takes a plain call", || {
+            (read(daemon.callers, "ready").status == 200).then_some(())
+        });
+    }
+    cluster
+}
+
 /// An engine that the router does not know, to say what an answer must be.
 fn reference(cluster: &Cluster) -> StandIn {
     StandIn::start("engine", &ENGINE, cluster.folder())
@@ -137,7 +149,7 @@
 
 #[gtest]
 fn streams_are_whole_and_ones_own_whatever_an_engine_does() {
-    let cluster = Cluster::start(plan());
+    let cluster = start(plan());
     let reference = reference(&cluster);
     let [one, other] = [0, 1].map(|number| cluster.daemons[number].callers);
     for (number, fault) in [
@@ -182,7 +194,7 @@
 
 #[gtest]
 fn a_stream_that_no_engine_completes_is_visibly_cut() {
-    let cluster = Cluster::start(plan());
+    let cluster = start(plan());
     let reference = reference(&cluster);
     let daemon = cluster.daemons[0].callers;
     for fault in [json!({"die_after_tokens": 3}), json!({"skip_token": 5})] {
@@ -210,7 +222,7 @@
 
 #[gtest]
 fn an_engine_that_is_killed_in_the_middle_costs_no_token() {
-    let mut cluster = Cluster::start(Plan {
+    let mut cluster = start(Plan {
         engine_arguments: [&ENGINE[..], &["--token-interval-us", "15000"]].concat(),
         ..plan()
     });
@@ -234,7 +246,7 @@
 
 #[gtest]
 fn plain_answers_are_whole_and_ones_own_or_not_given() {
-    let cluster = Cluster::start(plan());
+    let cluster = start(plan());
     let daemon = cluster.daemons[0].callers;
     let own = |reply: &Reply, body: &str| {
         expect_that!(reply.status, eq(200));
@@ -277,7 +289,7 @@
 
 #[gtest]
 fn crossed_plain_answers_reach_nobody() {
-    let cluster = Cluster::start(Plan {
+    let cluster = start(Plan {
         services: 1,
         ..plan()
     });
@@ -294,7 +306,7 @@
 
 #[gtest]
 fn a_booking_whose_answer_is_lost_is_unknown_and_ran_at_most_once() {
-    let cluster = Cluster::start(plan());
+    let cluster = start(plan());
     let [one, other] = [0, 1].map(|number| cluster.daemons[number].callers);
     for (number, fault) in [
         json!({"cut": "length"}),
@@ -329,7 +341,7 @@
 
 #[gtest]
 fn a_late_answer_is_not_given_to_the_next_caller() {
-    let cluster = Cluster::start(Plan {
+    let cluster = start(Plan {
         services: 1,
         ..plan()
     });
@@ -348,7 +360,7 @@
 
 #[gtest]
 fn many_callers_at_once_get_their_own_while_engines_misbehave() {
-    let cluster = Cluster::start(plan());
+    let cluster = start(plan());
     let mix = json!([{
         "name": "desk", "kind": "chat", "service": "model", "class": "desk",
         "key": common::cluster::KEY, "timeout_ms": 20_000,
@@ -422,7 +434,7 @@
 
 #[gtest]
 fn a_caller_that_leaves_frees_its_slot_and_the_engine() {
-    let cluster = Cluster::start(Plan {
+    let cluster = start(Plan {
         engines: 1,
         engine_arguments: vec!["--token-interval-us", "5000", "--min-tokens", "20000"],
         services: 0,
@@ -448,7 +460,7 @@
 
 #[gtest]
 fn a_caller_that_leaves_the_queue_is_never_run() {
-    let cluster = Cluster::start(Plan {
+    let cluster = start(Plan {
         engines: 1,
         engine_arguments: vec!["--token-interval-us", "5000", "--min-tokens", "20000"],
         services: 0,
--- a/crates/daemon/tests/common/cluster.rs
+++ b/crates/daemon/tests/common/cluster.rs
@@ -233,20 +233,13 @@
         })
     }
 
-    /// Waits until every daemon answers a chat and a plain call.
+    /// Waits until every daemon answers a chat.
     pub fn wait_ready(&self) {
-        for daemon in &self.daemons {
-            if self.plan.engines > 0 {
-                eventually("a daemon takes a chat", || {
-                    let reply = chat(daemon.callers, "ready", false, &[]);
-                    (reply.status == 200).then_some(())
-                });
-            }
-            if self.plan.services > 0 {
-                eventually("a daemon takes a plain call", || {
-                    (read(daemon.callers, "ready").status == 200).then_some(())
-                });
-            }
+        for daemon in self.daemons.iter().filter(|_| self.plan.engines > 0) {
+            eventually("a daemon takes a chat", || {
+                let reply = chat(daemon.callers, "ready", false, &[]);
+                (reply.status == 200).then_some(())
+            });
         }
     }
 
