--- a/crates/ctl/src/plan.rs
+++ b/crates/ctl/src/plan.rs
@@ -14,7 +14,7 @@
 const MAX_FAULTS: usize = 100;
 
 /// Most bytes of entries in one change; the control log takes twice as much.
-const MAX_PART_BYTES: usize = 512 << 10;
+const MAX_PART_BYTES: usize = 256 << 10;
 
 /// What a change of one entry does.
 #[derive(Clone, Debug, PartialEq, Eq)]
