--- a/crates/wire/benches/members.rs
+++ b/crates/wire/benches/members.rs
@@ -283,7 +283,7 @@
 
 fn detection(count: usize, trials: usize) {
     let mut net = Net::new(count);
-    net.run(Duration::from_secs(20));
+    net.run(Duration::from_mins(1));
     let (mut first, mut all) = (Vec::new(), Vec::new());
     for trial in 0..trials {
         let number = (trial * 7 + 3) % count;
@@ -324,7 +324,7 @@
 /// Time until all give work to a daemon that started anew.
 fn joining(count: usize) {
     let mut net = Net::new(count);
-    net.run(Duration::from_secs(20));
+    net.run(Duration::from_mins(1));
     let mut times = Vec::new();
     for number in 0..12 {
         net.act(address(number), |swim, _, rng| swim.depart(rng));
@@ -346,7 +346,7 @@
 
 fn leaving(count: usize) {
     let mut net = Net::new(count);
-    net.run(Duration::from_secs(20));
+    net.run(Duration::from_mins(1));
     let mut times = Vec::new();
     for number in 0..12 {
         net.act(address(number), Swim::leave);
