callers: a runner of a plain service that refuses everything is given up

Cause: a listed refusal was told to the arbiter as a finished request, so a runner that refused at once looked like the fastest and drew the traffic. Ruled out: the retry budget, which only bounds what follows. Change: a refusal that proves that nothing ran is told as one.

--- a/crates/daemon/src/callers/plain.rs
+++ b/crates/daemon/src/callers/plain.rs
@@ -273,6 +273,7 @@
     ports.upstream.exchanges.inc();
     let outcome = exchange(call, slot.address, &limits).await;
     let end = match &outcome {
+        Ok(answer) if fate(call, answer) == Fate::NotRun => End::Refused,
         Ok(_) => End::Done,
         Err(Failure::Late) => End::Late,
         Err(failure) if failure.broke() => End::Broken,
@@ -318,12 +319,17 @@
     })
 }
 
+fn fate(call: &Call, answer: &Answer) -> Fate {
+    let ending = Ending::Answered(answer.status.as_u16());
+    ending.fate(&call.ticket.service.refusal_statuses)
+}
+
 /// Tells an answer from a refusal that speaks of the moment only.
 fn judge(call: &Call, answer: Answer) -> Result<Answer, Failed> {
-    let ending = Ending::Answered(answer.status.as_u16());
-    if ending.fate(&call.ticket.service.refusal_statuses) == Fate::Ran {
+    if fate(call, &answer) == Fate::Ran {
         return Ok(answer);
     }
+    let ending = Ending::Answered(answer.status.as_u16());
     let detail = format!("the service answered {}", answer.status);
     Err(Failed {
         ending,
--- a/crates/daemon/tests/bookings.rs
+++ b/crates/daemon/tests/bookings.rs
@@ -289,3 +289,27 @@
     });
     expect_that!(kind(&lookup("poison")), eq("quarantined"));
 }
+
+#[gtest]
+fn a_runner_that_refuses_everything_is_given_up() {
+    let cluster = Cluster::start(Plan {
+        engines: 1,
+        services: 2,
+        ..Plan::default()
+    });
+    cluster.services[0].fault(&json!({"refuse": 503}));
+    let before = cluster.services[0].count("requests");
+    for number in 0..60 {
+        let path = format!("/v1/services/tickets/{number}");
+        http::send(
+            cluster.daemons[0].callers,
+            "GET",
+            &path,
+            &with_key(&[]),
+            b"",
+        );
+    }
+    // Three refusals in a row, and the probes of what may be many seconds.
+    let met = cluster.services[0].count("requests") - before;
+    expect_that!(met, le(12));
+}
