ctl: variables of the tool have a prefix of their own

Cause: citrond and citronctl both read CITRON_ADMIN, the daemon as one address and the tool as a list, so a host with both set for the tool starts no daemon. Change: the tool reads CITRONCTL_ADMIN, _TOKEN, _TOKEN_FILE, _TIMEOUT, _JSON.

--- a/crates/ctl/src/settings.rs
+++ b/crates/ctl/src/settings.rs
@@ -61,7 +61,7 @@
     },
     /// No token was given.
     #[display(
-        "no operator token: give --token-file FILE, or set CITRON_TOKEN_FILE or CITRON_TOKEN"
+        "no operator token: give --token-file FILE, or set CITRONCTL_TOKEN_FILE or CITRONCTL_TOKEN"
     )]
     NoToken,
 }
@@ -85,35 +85,35 @@
 pub const SETTINGS: [Setting; 5] = [
     Setting {
         flag: Some("admin"),
-        variable: "CITRON_ADMIN",
+        variable: "CITRONCTL_ADMIN",
         value: Some("ADDRESS[,ADDRESS…]"),
         help: "Operators' addresses of daemons; the next is tried if one does not answer",
         set: set_admin,
     },
     Setting {
         flag: Some("token-file"),
-        variable: "CITRON_TOKEN_FILE",
+        variable: "CITRONCTL_TOKEN_FILE",
         value: Some("FILE"),
         help: "File that holds the operator's token",
         set: set_token_file,
     },
     Setting {
         flag: None,
-        variable: "CITRON_TOKEN",
+        variable: "CITRONCTL_TOKEN",
         value: Some("TOKEN"),
         help: "The operator's token; has no flag, since others can read a command line",
         set: set_token,
     },
     Setting {
         flag: Some("timeout"),
-        variable: "CITRON_TIMEOUT",
+        variable: "CITRONCTL_TIMEOUT",
         value: Some("TIME"),
         help: "Longest time for the command, such as 30s",
         set: set_timeout,
     },
     Setting {
         flag: Some("json"),
-        variable: "CITRON_JSON",
+        variable: "CITRONCTL_JSON",
         value: None,
         help: "Print JSON for scripts",
         set: set_json,
--- a/crates/ctl/tests/tool.rs
+++ b/crates/ctl/tests/tool.rs
@@ -45,8 +45,8 @@
     // An empty variable counts as none.
     let output = Command::new(env!("CARGO_BIN_EXE_citronctl"))
         .env_clear()
-        .env("CITRON_ADMIN", addresses.join(","))
-        .env("CITRON_TOKEN", TOKEN)
+        .env("CITRONCTL_ADMIN", addresses.join(","))
+        .env("CITRONCTL_TOKEN", TOKEN)
         .args(arguments)
         .stdin(Stdio::null())
         .output()
@@ -263,7 +263,7 @@
     let daemons = Daemon::start(1);
     let output = Command::new(env!("CARGO_BIN_EXE_citronctl"))
         .env_clear()
-        .env("CITRON_TOKEN", "not-the-token-of-anybody")
+        .env("CITRONCTL_TOKEN", "not-the-token-of-anybody")
         .args(["--admin", &daemons[0].address.to_string(), "get"])
         .output()
         .expect("the tool runs");
@@ -298,7 +298,7 @@
         .expect("the tool runs");
     expect_that!(
         finished(&output).err,
-        contains_substring("CITRON_TOKEN_FILE")
+        contains_substring("CITRONCTL_TOKEN_FILE")
     );
 }
 
@@ -310,7 +310,7 @@
         "apply",
         "replace-replica",
         "--token-file",
-        "CITRON_TOKEN",
+        "CITRONCTL_TOKEN",
         "Exit codes",
     ] {
         expect_that!(run.out, contains_substring(part));
--- a/crates/daemon/tests/changes.rs
+++ b/crates/daemon/tests/changes.rs
@@ -64,8 +64,8 @@
     let mut command = Command::new(program);
     command
         .env_clear()
-        .env("CITRON_ADMIN", addresses.join(","))
-        .env("CITRON_TOKEN", token)
+        .env("CITRONCTL_ADMIN", addresses.join(","))
+        .env("CITRONCTL_TOKEN", token)
         .args(arguments)
         .stdin(Stdio::null())
         .stdout(Stdio::piped())
