--- /dev/null
+++ b/crates/wire/benches/slots.rs
@@ -0,0 +1,125 @@
+//! Bytes of slot messages on a peer connection, as JSON lines.
+//!
+//! Run with `cargo bench -p citron-wire --bench slots`. Nothing is drawn at
+//! random, so every run gives the same figures.
+
+use std::time::Duration;
+
+use bytes::BytesMut;
+use citron_policy::arbiter::{Ask, Asked, Beat, End, Progress, Reply, Request, Sample};
+use citron_wire::{Body, Frame, VERSION, codec::Codec, generated::slot as proto, slot};
+use tokio_util::codec::Encoder;
+
+/// Bytes of the IP and TCP heads of a segment.
+const TCP_HEAD_BYTES: usize = 52;
+
+/// Requests a second at one daemon at the size in two years.
+const REQUESTS_PER_S: usize = 47;
+
+/// Heartbeats a second to each arbiter.
+const BEATS_PER_S: usize = 2;
+
+const TICKET: u64 = 4_000_000;
+const SERVICE: &str = "assistant";
+
+fn ask() -> Request {
+    Request::Ask(Ask {
+        ticket: TICKET,
+        class: "repair-desk".to_owned(),
+        account: "windhoek-counter".to_owned(),
+        fingerprint: u64::MAX / 3,
+        prefix: u64::MAX / 5,
+        remaining: Duration::from_mins(1),
+        ..Ask::default()
+    })
+}
+
+fn release() -> Request {
+    let sample = Sample {
+        end: End::Done,
+        first_token: Some(Duration::from_millis(400)),
+        between_tokens: Some(Duration::from_millis(30)),
+        whole: Duration::from_secs(10),
+        tokens: 316,
+    };
+    Request::Release(TICKET, sample)
+}
+
+fn beat(runners: usize) -> Request {
+    let progress = (0..runners).map(|number| Progress {
+        runner: format!("runner-{number:04}"),
+        silent: Duration::from_millis(300),
+        between_tokens: Some(Duration::from_millis(30)),
+    });
+    Request::Beat(Beat {
+        count: 400,
+        digest: u64::MAX / 7,
+        progress: progress.collect(),
+    })
+}
+
+fn asked(request: Request) -> proto::Message {
+    slot::of_asked(
+        SERVICE,
+        0,
+        vec![Asked {
+            least: 1_700_000_000_000,
+            fallback: false,
+            request,
+        }],
+    )
+}
+
+fn reply(reply: Reply) -> proto::Message {
+    slot::of_replies(SERVICE, 0, 1_700_000_000_000, vec![reply])
+}
+
+/// Bytes of a frame that is not the first of its connection.
+fn bytes(message: &proto::Message) -> usize {
+    let frame = || Frame {
+        version: VERSION,
+        cluster: "citronpond".to_owned(),
+        from: "entry-001".to_owned(),
+        call: 0,
+        answer: false,
+        body: Some(Body::Slot(message.clone())),
+    };
+    let mut codec = Codec::new("citronpond");
+    let mut first = BytesMut::new();
+    codec.encode(frame(), &mut first).expect("a frame");
+    let mut second = BytesMut::new();
+    codec.encode(frame(), &mut second).expect("a frame");
+    second.len()
+}
+
+fn main() {
+    let grant = Reply::Grant {
+        ticket: TICKET,
+        runner: "runner-0001".to_owned(),
+        alone: false,
+    };
+    let messages = [
+        ("ask", asked(ask())),
+        ("grant", reply(grant)),
+        ("release", asked(release())),
+        ("beat_0_runners", asked(beat(0))),
+        ("beat_64_runners", asked(beat(64))),
+        ("beat_answer", reply(Reply::Beat)),
+    ];
+    for (name, message) in &messages {
+        println!(
+            r#"{{"bench":"slots","message":"{name}","frame_bytes":{}}}"#,
+            bytes(message)
+        );
+    }
+    let of = |index: usize| bytes(&messages[index].1);
+    let sent = of(0) + of(2);
+    let received = of(1);
+    println!(
+        r#"{{"bench":"slots","requests_per_s":{REQUESTS_PER_S},"asker_sent_bytes_per_s":{},"asker_received_bytes_per_s":{},"heads_if_none_share_a_segment_bytes_per_s":{},"beat_bytes_per_s_per_arbiter":{}}}"#,
+        sent * REQUESTS_PER_S,
+        received * REQUESTS_PER_S,
+        3 * TCP_HEAD_BYTES * REQUESTS_PER_S,
+        BEATS_PER_S * (of(3) + of(5)),
+    );
+}
