--- a/crates/policy/src/catalogue.rs
+++ b/crates/policy/src/catalogue.rs
@@ -36,7 +36,7 @@
     pub owner: String,
     /// SHA-256 of the account's API key, in lower-case hex.
     pub key_sha256: String,
-    /// Class of requests that name none.
+    /// Class of requests that name none, where the service's own is not open to it.
     pub class: ClassId,
     /// Further classes that the account may ask for.
     #[serde(default)]
@@ -106,7 +106,7 @@
     pub owner: String,
     /// What stands behind it.
     pub backend: Backend,
-    /// Class of requests whose account names none that is allowed.
+    /// Class of requests that name none, if the account may use it.
     pub class: ClassId,
     /// Routes that must run at most once.
     #[serde(default)]
