--- a/crates/ctl/src/command/show.rs
+++ b/crates/ctl/src/command/show.rs
@@ -36,6 +36,7 @@
             Entry::Account(account) => ("account", toml::to_string(account)?),
             Entry::Class(class) => ("class", toml::to_string(class)?),
             Entry::Service(service) => ("service", toml::to_string(service)?),
+            Entry::Route(route) => ("route", toml::to_string(route)?),
         };
         let entry = format!("\n[[{kind}]]\n{}", nested(kind, &fields));
         text.push_str(&entry);
--- a/crates/ctl/src/declaration/parse.rs
+++ b/crates/ctl/src/declaration/parse.rs
@@ -2,7 +2,10 @@
 
 use std::{ops::Range, path::Path, sync::Arc};
 
-use citron_policy::catalogue::{Account, Class, Entry, Kind, Service};
+use citron_policy::{
+    catalogue::{Account, Class, Entry, Kind, Service},
+    route::Route,
+};
 use serde::de::DeserializeOwned;
 use toml::{
     Spanned,
@@ -56,7 +59,7 @@
 
 impl Reader<'_> {
     fn read_kind(&mut self, name: &Spanned<toml::de::DeString<'_>>, value: Spanned<DeValue<'_>>) {
-        let kinds = [Kind::Account, Kind::Class, Kind::Service];
+        let kinds = [Kind::Account, Kind::Class, Kind::Service, Kind::Route];
         let text = name.get_ref().to_string();
         let Some(kind) = kinds.into_iter().find(|it| it.to_string() == text) else {
             return self.fault(Some(name.span()), None, Reason::Kind { name: text });
@@ -69,6 +72,7 @@
                 Kind::Account => self.read_entry::<Account>(kind, entry),
                 Kind::Class => self.read_entry::<Class>(kind, entry),
                 Kind::Service => self.read_entry::<Service>(kind, entry),
+                Kind::Route => self.read_entry::<Route>(kind, entry),
             }
         }
     }
@@ -197,6 +201,12 @@
     }
 }
 
+impl Declarable for Route {
+    fn into_entry(self) -> Entry {
+        Entry::Route(Arc::new(self))
+    }
+}
+
 /// Offsets at which lines start.
 struct Lines(Vec<usize>);
 
--- a/crates/ctl/src/plan.rs
+++ b/crates/ctl/src/plan.rs
@@ -159,6 +159,7 @@
         | catalogue::Fault::Missing { key, .. }
         | catalogue::Fault::Range { key, .. }
         | catalogue::Fault::SameKey { key, .. }
+        | catalogue::Fault::SamePlace { key, .. }
         | catalogue::Fault::Unknown { key } => Some(key),
         catalogue::Fault::TooLarge { .. } => None,
     }
@@ -187,14 +188,14 @@
         }
     }
 
-    /// Place among the parts: keys are freed before they are given anew, and
-    /// classes are there for as long as anything refers to them.
+    /// Place among the parts: keys and places are freed before they are given
+    /// anew, and what others refer to is there for as long as they do.
     fn rank(&self) -> u8 {
         match (self, self.entry().key().kind) {
-            (Self::Remove(_), Kind::Account) => 0,
+            (Self::Remove(_), Kind::Account | Kind::Route) => 0,
             (Self::Create(_) | Self::Update { .. }, Kind::Class) => 1,
             (Self::Create(_) | Self::Update { .. }, Kind::Service) => 2,
-            (Self::Create(_) | Self::Update { .. }, Kind::Account) => 3,
+            (Self::Create(_) | Self::Update { .. }, Kind::Account | Kind::Route) => 3,
             (Self::Remove(_), Kind::Service) => 4,
             (Self::Remove(_), Kind::Class) => 5,
         }
--- a/crates/daemon/src/admin/explain.rs
+++ b/crates/daemon/src/admin/explain.rs
@@ -62,7 +62,7 @@
             "nothing to explain: give request=ID or entry=KIND/NAME",
         ));
     };
-    let kinds = [Kind::Account, Kind::Class, Kind::Service];
+    let kinds = [Kind::Account, Kind::Class, Kind::Service, Kind::Route];
     let parts = text.split_once('/');
     let key = parts.and_then(|(kind, name)| {
         let kind = kinds.into_iter().find(|it| it.to_string() == kind)?;
@@ -111,12 +111,15 @@
 }
 
 fn refers_to(entry: &Entry, key: &Key) -> bool {
-    if key.kind != Kind::Class {
-        return false;
-    }
-    match entry {
-        Entry::Account(account) => account.class == key.name || account.classes.contains(&key.name),
-        Entry::Class(_) => false,
-        Entry::Service(service) => service.class == key.name,
+    match (entry, key.kind) {
+        (Entry::Account(account), Kind::Class) => {
+            account.class == key.name || account.classes.contains(&key.name)
+        }
+        (Entry::Service(service), Kind::Class) => service.class == key.name,
+        (Entry::Route(route), Kind::Class) => route.class == key.name,
+        (Entry::Route(route), Kind::Service) => {
+            route.backends.iter().any(|it| it.service == key.name)
+        }
+        _ => false,
     }
 }
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -8,19 +8,14 @@
 mod chat;
 mod entries;
 mod once;
-mod outcome;
-mod payload;
+pub(crate) mod outcome;
+pub(crate) mod payload;
 mod plain;
-mod problem;
+pub(crate) mod problem;
 mod retries;
 mod ticket;
 
-use std::{
-    cell::Cell,
-    rc::Rc,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 
 use actix_http::{ConnectionType, Method, Request, Response, StatusCode, body::BoxBody};
 use citron_policy::{
@@ -32,12 +27,12 @@
 use tokio::sync::watch;
 
 use crate::{
-    control::Control, event::Ring, follow::Follow, http::Handler, slots::Slots, trace::Tracer,
-    upstream,
+    clock, control::Control, event::Ring, follow::Follow, http::Handler, slots::Slots,
+    trace::Tracer, upstream,
 };
 use attainment::Attainment;
 use problem::Problem;
-use retries::Retries;
+pub(crate) use retries::Retries;
 
 /// What the callers' interface works with.
 #[derive(Clone, Debug)]
@@ -159,9 +154,7 @@
     }
 
     fn begin(&self) -> InFlight {
-        let count = &self.inner.in_flight;
-        count.set(count.get() + 1);
-        InFlight(Rc::clone(count))
+        InFlight::begin(&self.inner.in_flight)
     }
 
     fn ports(&self) -> &Ports {
@@ -169,7 +162,7 @@
     }
 
     /// Whether new work may be taken, or the problem to answer with.
-    fn check_open(&self, now: Instant) -> Result<(), Problem> {
+    fn check_open(&self) -> Result<(), Problem> {
         if *self.ports().draining.borrow() {
             let detail = "this instance is leaving: use one of the addresses in `try`";
             return Err(self.elsewhere(Problem::new(
@@ -178,7 +171,7 @@
                 detail,
             )));
         }
-        if !self.ports().follow.may_take_work(now) {
+        if !self.ports().follow.may_take_work(clock::now()) {
             let detail = "this instance cannot show that its catalogue is current: use one of the addresses in `try`";
             return Err(self.elsewhere(Problem::new(
                 StatusCode::SERVICE_UNAVAILABLE,
@@ -207,7 +200,15 @@
 
 /// One request in hand; the daemon does not end before all are dropped.
 #[derive(Debug)]
-struct InFlight(Rc<Cell<u32>>);
+pub(crate) struct InFlight(Rc<Cell<u32>>);
+
+impl InFlight {
+    /// Counts one more until it is dropped.
+    pub(crate) fn begin(count: &Rc<Cell<u32>>) -> Self {
+        count.set(count.get() + 1);
+        Self(Rc::clone(count))
+    }
+}
 
 impl Drop for InFlight {
     fn drop(&mut self) {
--- a/crates/daemon/src/callers/chat.rs
+++ b/crates/daemon/src/callers/chat.rs
@@ -73,7 +73,7 @@
     id: RequestId,
     arrived: Instant,
 ) -> Result<Chat, Problem> {
-    callers.check_open(arrived)?;
+    callers.check_open()?;
     let catalogue = Arc::clone(&callers.ports().view.borrow().catalogue);
     let caller = Caller::of(&catalogue, request)?;
     let body = payload::read(request, callers.ports().max_body_bytes).await?;
--- a/crates/daemon/src/callers/chat/generation.rs
+++ b/crates/daemon/src/callers/chat/generation.rs
@@ -227,6 +227,9 @@
             deadline: ticket.deadline,
             avoid: self.avoid.clone(),
             resume: self.offset > 0,
+            tier: ticket.account.tier,
+            prompt: Vec::new(),
+            output: 0,
         };
         let taken = self.callers.ports().slots.take(want).await;
         taken.map_err(|refusal| {
@@ -274,6 +277,7 @@
             path: PATH.to_owned(),
             headers,
             body: self.chat.body.clone(),
+            ..upstream::Request::default()
         }
     }
 
--- a/crates/daemon/src/callers/entries.rs
+++ b/crates/daemon/src/callers/entries.rs
@@ -1,6 +1,6 @@
 //! Which addresses to use, which models there are, and whether this daemon is well.
 
-use std::{net::SocketAddr, time::Instant};
+use std::net::SocketAddr;
 
 use actix_http::{Request, Response, ResponseBuilder, StatusCode, body::BoxBody, header};
 use citron_policy::{
@@ -19,7 +19,7 @@
 /// Answers `GET /v1/entries`.
 pub(super) fn list(callers: &Callers, request: &Request) -> Response<BoxBody> {
     let ports = callers.ports();
-    let open = callers.check_open(Instant::now());
+    let open = callers.check_open();
     let current = open.is_ok();
     let query = request.uri().query().unwrap_or_default();
     let domain = query
@@ -73,7 +73,7 @@
 
 /// Answers `GET /readyz`: new work is taken.
 pub(super) fn ready(callers: &Callers) -> Response<BoxBody> {
-    match callers.check_open(Instant::now()) {
+    match callers.check_open() {
         Ok(()) => json_answer(StatusCode::OK, &json!({"ready": true})),
         Err(problem) => problem.response(rand::random()),
     }
--- a/crates/daemon/src/callers/outcome.rs
+++ b/crates/daemon/src/callers/outcome.rs
@@ -5,7 +5,7 @@
 
 /// Value of the `Citron-Outcome` header.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub(super) enum Outcome {
+pub(crate) enum Outcome {
     /// It ran, and this is its answer.
     #[display("done")]
     Done,
--- a/crates/daemon/src/callers/payload.rs
+++ b/crates/daemon/src/callers/payload.rs
@@ -12,7 +12,7 @@
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Reads the whole body, at most `limit` bytes.
-pub(super) async fn read(request: &mut Request, limit: usize) -> Result<Bytes, Problem> {
+pub(crate) async fn read(request: &mut Request, limit: usize) -> Result<Bytes, Problem> {
     let stated = request
         .headers()
         .get(header::CONTENT_LENGTH)
--- a/crates/daemon/src/callers/plain.rs
+++ b/crates/daemon/src/callers/plain.rs
@@ -121,7 +121,7 @@
     id: RequestId,
     arrived: Instant,
 ) -> Result<Call, Problem> {
-    callers.check_open(arrived)?;
+    callers.check_open()?;
     let catalogue = Arc::clone(&callers.ports().view.borrow().catalogue);
     let caller = Caller::of(&catalogue, request)?;
     let rest = request.path().strip_prefix(PREFIX).unwrap_or_default();
@@ -159,6 +159,7 @@
         path,
         headers,
         body,
+        ..upstream::Request::default()
     };
     Ok(Call {
         ticket,
@@ -247,6 +248,9 @@
         deadline: ticket.deadline,
         avoid: avoid.to_vec(),
         resume: false,
+        tier: ticket.account.tier,
+        prompt: Vec::new(),
+        output: 0,
     };
     let taken = callers.ports().slots.take(want).await;
     taken.map_err(|refusal| {
--- a/crates/daemon/src/callers/problem.rs
+++ b/crates/daemon/src/callers/problem.rs
@@ -26,30 +26,30 @@
 
 /// An error as the caller sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct Problem {
+pub(crate) struct Problem {
     /// HTTP status.
-    pub(super) status: StatusCode,
+    pub(crate) status: StatusCode,
     /// Short name, stable for programs.
-    pub(super) kind: &'static str,
+    pub(crate) kind: &'static str,
     /// What happened and what to do.
-    pub(super) detail: String,
+    pub(crate) detail: String,
     /// Whether the request ran.
-    pub(super) outcome: Outcome,
+    pub(crate) outcome: Outcome,
     /// When to come back.
-    pub(super) retry_after: Option<Duration>,
+    pub(crate) retry_after: Option<Duration>,
     /// Catalogue entry that it concerns.
-    pub(super) entry: Option<Box<Affected>>,
+    pub(crate) entry: Option<Box<Affected>>,
     /// Other addresses to use.
-    pub(super) others: Vec<SocketAddr>,
+    pub(crate) others: Vec<SocketAddr>,
 }
 
 /// A catalogue entry and who answers for it.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct Affected {
+pub(crate) struct Affected {
     /// The entry.
-    pub(super) key: Key,
+    pub(crate) key: Key,
     /// Its owner.
-    pub(super) owner: String,
+    pub(crate) owner: String,
 }
 
 impl Problem {
--- a/crates/daemon/src/callers/retries.rs
+++ b/crates/daemon/src/callers/retries.rs
@@ -5,22 +5,40 @@
 use citron_policy::{
     catalogue::Service,
     id::ServiceId,
-    retry::{self, Attempt, Budget, Decision},
+    retry::{self, Attempt, Budget, DEFAULT_BURST, Decision},
 };
 use indexmap::IndexMap;
 use prometheus_client::{metrics::counter::Counter, registry::Registry};
 
 /// Budgets by service.
-#[derive(Debug, Default)]
-pub(super) struct Retries {
+#[derive(Debug)]
+pub(crate) struct Retries {
+    /// Most retries that each budget keeps.
+    burst: u32,
     budgets: RefCell<IndexMap<ServiceId, Budget>>,
     made: Counter,
     refused: Counter,
 }
 
+impl Default for Retries {
+    fn default() -> Self {
+        Self::new(DEFAULT_BURST)
+    }
+}
+
 impl Retries {
+    /// Budgets that keep at most `burst` retries.
+    pub(crate) fn new(burst: u32) -> Self {
+        Self {
+            burst,
+            budgets: RefCell::default(),
+            made: Counter::default(),
+            refused: Counter::default(),
+        }
+    }
+
     /// Adds the counters to a registry.
-    pub(super) fn register(&self, registry: &mut Registry) {
+    pub(crate) fn register(&self, registry: &mut Registry) {
         registry.register(
             "citron_retries",
             "Attempts made again at another runner",
@@ -34,12 +52,12 @@
     }
 
     /// Counts a request of the service.
-    pub(super) fn earn(&self, service: &Service) {
+    pub(crate) fn earn(&self, service: &Service) {
         self.with(service, Budget::earn);
     }
 
     /// Decides what follows a failed attempt.
-    pub(super) fn next(&self, now: Instant, service: &Service, attempt: &Attempt) -> Decision {
+    pub(crate) fn next(&self, now: Instant, service: &Service, attempt: &Attempt) -> Decision {
         let decision = self.with(service, |budget| retry::next(now, attempt, budget));
         match decision {
             Decision::Again => self.made.inc(),
@@ -55,7 +73,7 @@
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets
             .entry(service.name.clone())
-            .or_insert_with(|| Budget::new(service.retry_percent));
+            .or_insert_with(|| Budget::new(service.retry_percent).with_burst(self.burst));
         budget.set_percent(service.retry_percent);
         act(budget)
     }
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -7,6 +7,7 @@
 
 mod client;
 mod driver;
+mod form;
 mod metrics;
 mod outcome;
 mod replica;
@@ -16,7 +17,7 @@
 
 use citron_policy::{
     feed,
-    id::{Fingerprint, Index, InstanceId, ReplicaId, Term},
+    id::{Fingerprint, Index, InstanceId, ReplicaId, Term, Version},
     ledger::{Key, Verdict},
     member::{Members, State},
     raft,
@@ -35,7 +36,7 @@
     driver::{Outgoing, Port},
     metrics::Metrics,
 };
-pub use self::{replica::Replica, store::Store};
+pub use self::{form::form, replica::Replica, store::Store};
 
 /// Settings of a replica.
 #[derive(Clone, Debug)]
@@ -235,6 +236,21 @@
         }
     }
 
+    /// The version of the declaration in force, after a quorum round.
+    ///
+    /// # Errors
+    /// [`Error`] when no leader confirmed it in time.
+    pub async fn version(&self, within: Duration) -> Result<Option<Version>, Error> {
+        let question = proto::message::Body::Version(proto::Ask {});
+        match self.ask_leader(question, within).await? {
+            proto::message::Body::Answer(proto::Answer {
+                answer: Some(proto::answer::Answer::Declared(version)),
+            }) => Ok(Some(version)),
+            proto::message::Body::Done(_) => Ok(None),
+            _ => Err(outcome::crossed()),
+        }
+    }
+
     /// How the known replicas stand; those that do not answer are left out.
     pub async fn status(&self, within: Duration) -> Vec<(InstanceId, Status)> {
         let asked = self
--- a/crates/daemon/src/control/driver.rs
+++ b/crates/daemon/src/control/driver.rs
@@ -9,7 +9,7 @@
         Arc,
         mpsc::{Receiver, RecvTimeoutError},
     },
-    time::{Instant, SystemTime},
+    time::{Duration, Instant, SystemTime},
 };
 
 use citron_journal::{Error as Fault, Files};
@@ -19,7 +19,7 @@
     ledger,
     raft::{
         Effect, Entry, Event, Node, Payload, Proposal, Role as Part, Snapshot, Standing, Token,
-        message::Message,
+        message::Message, seats::Vacancy,
     },
     state::{Answer, Command, Machine},
 };
@@ -28,6 +28,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::{Role, Settings, Status, metrics::Metrics, outcome, store::Store};
+use crate::clock;
 
 use self::feeder::Feeder;
 pub(super) use self::port::Port;
@@ -44,6 +45,9 @@
 /// Most inputs that share one sync.
 const BATCH: usize = 1_024;
 
+/// Time between two looks for a lost voter.
+const SEAT_PAUSE: Duration = Duration::from_millis(200);
+
 /// Where an answer goes.
 pub(super) type Reply = oneshot::Sender<proto::message::Body>;
 
@@ -81,13 +85,18 @@
         digest: u64,
         reply: Reply,
     },
+    /// The version in force.
+    Version(Reply),
     Done(Reply),
 }
 
 impl Question {
     fn reply(self) -> Reply {
         match self {
-            Self::Propose(reply) | Self::Read { reply, .. } | Self::Done(reply) => reply,
+            Self::Propose(reply)
+            | Self::Read { reply, .. }
+            | Self::Version(reply)
+            | Self::Done(reply) => reply,
         }
     }
 }
@@ -112,6 +121,8 @@
     /// Index of the latest snapshot, and bytes of the entries since.
     snapshot_index: Index,
     since_snapshot: usize,
+    /// When to look for a lost voter again.
+    next_seat: Instant,
 }
 
 impl<F> Driver<F>
@@ -139,6 +150,7 @@
             questions: IndexMap::new(),
             accepted: IndexMap::new(),
             since_snapshot: 0,
+            next_seat: clock::now(),
         }
     }
 
@@ -146,7 +158,7 @@
     pub(super) fn run(mut self) -> Result<(), Fault> {
         loop {
             let wait = self.node.next_wake();
-            let wait = wait.saturating_duration_since(Instant::now());
+            let wait = wait.saturating_duration_since(clock::now());
             let batch = match self.inputs.recv_timeout(wait) {
                 Ok(first) => {
                     let rest = self.inputs.try_iter().take(BATCH);
@@ -181,6 +193,7 @@
         for effect in effects {
             self.carry_out(effect);
         }
+        self.fill_seat()?;
         self.keep_snapshot()?;
         self.feeder.flush(&self.machine);
         self.measure();
@@ -188,7 +201,7 @@
     }
 
     fn step(&mut self, event: Event) -> Vec<Effect> {
-        self.node.on_event(Instant::now(), event, &mut rand::rng())
+        self.node.on_event(clock::now(), event, &mut rand::rng())
     }
 
     fn ask(
@@ -215,6 +228,10 @@
                 let token = self.remember(Question::Read { key, digest, reply });
                 return self.step(Event::Read(token));
             }
+            Body::Version(_) => {
+                let token = self.remember(Question::Version(reply));
+                return self.step(Event::Read(token));
+            }
             Body::Init(init) => {
                 let token = self.remember(Question::Done(reply));
                 let voters = init.voters;
@@ -275,6 +292,13 @@
                 let verdict = verdict.as_ref().map(proto::Verdict::from);
                 answer(reply, Body::LookedUp(proto::LookedUp { verdict }));
             }
+            (Question::Version(reply), Ok(())) => {
+                let body = match self.machine.declaration() {
+                    Some(it) => Body::Answer((&Answer::Declared(it.version)).into()),
+                    None => Body::Done(proto::Done {}),
+                };
+                answer(reply, body);
+            }
             (Question::Propose(reply) | Question::Done(reply), Ok(())) => {
                 answer(reply, Body::Done(proto::Done {}));
             }
@@ -353,6 +377,30 @@
         }
     }
 
+    /// Lets a learner count in place of a voter that is lost.
+    fn fill_seat(&mut self) -> Result<(), Fault> {
+        let now = clock::now();
+        if now < self.next_seat {
+            return Ok(());
+        }
+        self.next_seat = now + SEAT_PAUSE;
+        let Some(Vacancy { old, new }) = self.node.vacancy(now) else {
+            return Ok(());
+        };
+        log::warn!(
+            event = "CP0410";
+            "replica {old:016x} is lost: {new:016x} is to count in its place"
+        );
+        let token = self.next_token;
+        self.next_token += 1;
+        let effects = self.step(Event::Replace { token, old, new });
+        self.persist(&effects)?;
+        for effect in effects {
+            self.carry_out(effect);
+        }
+        Ok(())
+    }
+
     fn keep_snapshot(&mut self) -> Result<(), Fault> {
         let index = self.machine.index();
         let entries = index - self.snapshot_index;
--- a/crates/daemon/src/control/driver/feeder.rs
+++ b/crates/daemon/src/control/driver/feeder.rs
@@ -56,6 +56,7 @@
         let snapshot = Local::Snapshot {
             index: machine.index(),
             catalogue: Arc::clone(machine.catalogue()),
+            declaration: machine.declaration().cloned(),
             marks: Arc::clone(machine.marks()),
         };
         self.lags = self.feed.try_send(snapshot).is_err();
--- a/crates/daemon/src/control/replica.rs
+++ b/crates/daemon/src/control/replica.rs
@@ -1,6 +1,6 @@
 //! Opening a data folder, and starting the thread that serves it.
 
-use std::{fmt, sync::mpsc::sync_channel, thread, time::Instant};
+use std::{fmt, sync::mpsc::sync_channel, thread};
 
 use citron_journal::Disk;
 use citron_policy::{
@@ -11,6 +11,8 @@
 };
 use tokio::sync::{mpsc, oneshot};
 
+use crate::clock;
+
 use super::{
     Error, Settings,
     driver::{Driver, INPUT_QUEUE, Links, Outgoing, Port},
@@ -73,7 +75,7 @@
         let port = Port::new(self.id(), sender, metrics.clone());
         let mut rng = rand::rng();
         let node = Node::new(
-            Instant::now(),
+            clock::now(),
             self.settings.raft.clone(),
             self.stored,
             &mut rng,
--- /dev/null
+++ b/crates/daemon/src/exchange.rs
@@ -0,0 +1,184 @@
+//! Opaque requests of callers: admit, wait, attempt, relay, settle.
+//!
+//! Method, path and body go to a runner as they came. What may be done again
+//! follows from the route: a request that may run once is sent once, and again
+//! only after the runner's own word that it did not run. A refusal that
+//! promises that nothing ran is given only where nothing was handed over, or
+//! the runner said so.
+
+mod admit;
+mod attempt;
+mod events;
+mod relay;
+mod run;
+
+use std::{cell::Cell, rc::Rc, sync::Arc, time::Instant};
+
+use actix_http::{ConnectionType, Request, Response, body::BoxBody};
+use citron_policy::feed::View;
+use prometheus_client::registry::Registry;
+use tokio::sync::watch;
+
+use crate::{
+    callers::{InFlight, Retries, payload},
+    edge::{Ask, Outside, Problem},
+    follow::Follow,
+    http::{Handler, Watch},
+    slots::Slots,
+    upstream,
+};
+use admit::Admitted;
+use run::{Run, Step};
+
+/// Retries that a daemon saves up for each service; a dozen daemons together
+/// stay within the slack that a service bears.
+const RETRY_BURST: u32 = 5;
+
+/// What the exchange works with.
+#[derive(Clone, Debug)]
+pub struct Ports {
+    /// Largest request body in bytes.
+    pub max_body_bytes: usize,
+    /// Catalogue in force.
+    pub view: watch::Receiver<Arc<View>>,
+    /// Proof that the catalogue is current.
+    pub follow: Follow,
+    /// Becomes true when the daemon takes no new callers.
+    pub draining: watch::Receiver<bool>,
+    /// Slots on runners.
+    pub slots: Slots,
+    /// The adapter.
+    pub outside: Outside,
+    /// Exchanges with runners.
+    pub upstream: upstream::Metrics,
+}
+
+/// The exchange; clones share it.
+#[derive(Clone, Debug)]
+pub struct Exchange {
+    inner: Rc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    ports: Ports,
+    in_flight: Rc<Cell<u32>>,
+    retries: Retries,
+}
+
+impl Exchange {
+    /// An exchange over `ports`.
+    #[must_use]
+    pub fn new(ports: Ports) -> Self {
+        let inner = Inner {
+            ports,
+            in_flight: Rc::default(),
+            retries: Retries::new(RETRY_BURST),
+        };
+        Self {
+            inner: Rc::new(inner),
+        }
+    }
+
+    /// Adds the metrics to a registry.
+    pub fn register(&self, registry: &mut Registry) {
+        self.inner.retries.register(registry);
+    }
+
+    /// Requests in hand.
+    #[must_use]
+    pub fn in_flight(&self) -> u32 {
+        self.inner.in_flight.get()
+    }
+
+    /// The handler for the callers' listener.
+    #[must_use]
+    pub fn handler(&self) -> Handler {
+        let exchange = self.clone();
+        Rc::new(move |request| {
+            let exchange = exchange.clone();
+            Box::pin(async move {
+                let mut response = exchange.answer(request).await;
+                if *exchange.ports().draining.borrow() {
+                    response
+                        .head_mut()
+                        .set_connection_type(ConnectionType::Close);
+                }
+                response
+            })
+        })
+    }
+
+    fn ports(&self) -> &Ports {
+        &self.inner.ports
+    }
+
+    async fn answer(&self, mut request: Request) -> Response<BoxBody> {
+        let arrived = Instant::now();
+        let guard = InFlight::begin(&self.inner.in_flight);
+        let ask = match self.ports().outside.callers.read(request.head()) {
+            Ok(ask) => ask,
+            Err(problem) => return self.refuse("", &problem),
+        };
+        let id = ask.id.clone();
+        match self.admit(&mut request, ask, arrived).await {
+            Ok(admitted) => self.serve(admitted, guard).await,
+            Err(problem) => self.refuse(&id, &problem),
+        }
+    }
+
+    async fn admit(
+        &self,
+        request: &mut Request,
+        ask: Ask,
+        arrived: Instant,
+    ) -> Result<Admitted, Problem> {
+        let body = payload::read(request, self.ports().max_body_bytes).await;
+        let body = body.map_err(|problem| Problem {
+            status: problem.status,
+            kind: problem.kind,
+            detail: problem.detail,
+            retry_after: None,
+        })?;
+        let watch = request.conn_data::<Watch>().cloned();
+        admit::admit(self.ports(), request, ask, body, watch, arrived)
+    }
+
+    async fn serve(&self, admitted: Admitted, guard: InFlight) -> Response<BoxBody> {
+        let id = admitted.ask.id.clone();
+        let watch = admitted.watch.clone();
+        self.inner.retries.earn(&admitted.service);
+        let mut run = Run::new(self.clone(), admitted);
+        let first = tokio::select! {
+            step = run.next() => step,
+            () = gone(watch.as_ref()) => {
+                run.abandon();
+                let problem = Problem::gone();
+                return self.refuse(&id, &problem);
+            }
+        };
+        match first {
+            Step::Whole(answer) => answer.response(),
+            Step::Failed(problem) => self.refuse(&id, &problem),
+            Step::Events(events) => relay::answer(run, events, guard),
+            Step::Done => relay::answer(run, bytes::Bytes::new(), guard),
+        }
+    }
+
+    fn refuse(&self, id: &str, problem: &Problem) -> Response<BoxBody> {
+        log::info!(
+            event = "CP1002", request = id, status = problem.status.as_u16(), kind = problem.kind,
+            retry_after_ms = problem.retry_after.map(|it| it.as_millis());
+            "{}", problem.detail
+        );
+        self.ports().outside.callers.refuse(id, problem)
+    }
+}
+
+/// Resolves when the caller has left.
+async fn gone(watch: Option<&Watch>) {
+    match watch {
+        Some(watch) => watch.gone().await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/exchange/admit.rs
@@ -0,0 +1,167 @@
+//! Which requests are taken, for which route, account and service.
+//!
+//! The same is checked again right before a request is sent, since it may have
+//! waited, or the process may have stood still, while a change came into force.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use actix_http::{HttpMessage as _, Method, Request, StatusCode, header::HeaderMap};
+use bytes::Bytes;
+use citron_policy::{
+    catalogue::{Account, Catalogue, Class, Service},
+    route::Route,
+};
+use sha2::{Digest, Sha256};
+
+use super::Ports;
+use crate::{
+    clock,
+    edge::{Ask, Problem},
+    http::Watch,
+};
+
+/// Time to come back to a daemon that does not know what is in force: the
+/// longest that a daemon usually takes to hear of it after a start.
+const UNKNOWN_RETRY: Duration = Duration::from_millis(250);
+
+/// A request that was taken.
+#[derive(Clone, Debug)]
+pub(super) struct Admitted {
+    pub(super) ask: Ask,
+    pub(super) method: Method,
+    /// Path and query as they came.
+    pub(super) path: String,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) route: Arc<Route>,
+    pub(super) class: Arc<Class>,
+    pub(super) account: Option<Arc<Account>>,
+    pub(super) service: Arc<Service>,
+    pub(super) arrived: Instant,
+    pub(super) deadline: Instant,
+    pub(super) watch: Option<Watch>,
+}
+
+impl Admitted {
+    /// Tier of the request; zero goes first.
+    pub(super) fn tier(&self) -> u8 {
+        let own = self.account.as_ref().and_then(|it| it.tier);
+        own.unwrap_or(self.class.tier)
+    }
+}
+
+/// What the catalogue allows a request.
+#[derive(Clone, Debug)]
+pub(super) struct Allowed {
+    pub(super) route: Arc<Route>,
+    pub(super) class: Arc<Class>,
+    pub(super) account: Option<Arc<Account>>,
+}
+
+/// Takes a request, or says why not.
+pub(super) fn admit(
+    ports: &Ports,
+    request: &Request,
+    ask: Ask,
+    body: Bytes,
+    watch: Option<Watch>,
+    arrived: Instant,
+) -> Result<Admitted, Problem> {
+    let catalogue = current(ports)?;
+    let allowed = allow(&catalogue, &ask, request.path())?;
+    let service = service(&catalogue, &allowed.route)?;
+    let allowance = ask.patience.unwrap_or(allowed.route.timeout);
+    let deadline = arrived + allowance.min(allowed.route.timeout);
+    let path = request
+        .uri()
+        .path_and_query()
+        .map_or_else(|| request.path().to_owned(), ToString::to_string);
+    Ok(Admitted {
+        method: request.method().clone(),
+        path,
+        headers: request.headers().clone(),
+        body,
+        route: allowed.route,
+        class: allowed.class,
+        account: allowed.account,
+        service,
+        arrived,
+        deadline,
+        watch,
+        ask,
+    })
+}
+
+/// The catalogue, if it is known to be current.
+pub(super) fn current(ports: &Ports) -> Result<Arc<Catalogue>, Problem> {
+    let view = ports.view.borrow();
+    if !ports.follow.may_take_work(clock::now()) || view.declaration.is_none() {
+        return Err(Problem {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            kind: "cut-off",
+            detail: "this instance cannot show that its catalogue is current: use another address"
+                .to_owned(),
+            retry_after: Some(UNKNOWN_RETRY),
+        });
+    }
+    Ok(Arc::clone(&view.catalogue))
+}
+
+/// The route and account of a request.
+pub(super) fn allow(catalogue: &Catalogue, ask: &Ask, path: &str) -> Result<Allowed, Problem> {
+    let route = catalogue.route(&ask.host, path).ok_or_else(|| Problem {
+        status: StatusCode::NOT_FOUND,
+        kind: "route",
+        detail: format!("no route begins {path:?} on host {:?}", ask.host),
+        retry_after: None,
+    })?;
+    let account = account(catalogue, ask, route)?;
+    let class = catalogue.classes.get(&route.class).cloned();
+    let class = class.ok_or_else(|| missing("class", &route.class))?;
+    Ok(Allowed {
+        route: Arc::clone(route),
+        class,
+        account,
+    })
+}
+
+fn account(
+    catalogue: &Catalogue,
+    ask: &Ask,
+    route: &Route,
+) -> Result<Option<Arc<Account>>, Problem> {
+    let known = ask.key.as_ref().and_then(|key| {
+        let digest = format!("{:x}", Sha256::digest(key.as_bytes()));
+        catalogue.account_by_digest(&digest)
+    });
+    if known.is_none() && !route.public && catalogue.has_keys() {
+        return Err(Problem {
+            status: StatusCode::UNAUTHORIZED,
+            kind: "key",
+            detail: "the API key belongs to no account: check it, or ask an operator".to_owned(),
+            retry_after: None,
+        });
+    }
+    Ok(known.cloned())
+}
+
+/// A service of the route, drawn by weight.
+pub(super) fn service(catalogue: &Catalogue, route: &Route) -> Result<Arc<Service>, Problem> {
+    let name = route
+        .backend(rand::random())
+        .ok_or_else(|| missing("backend", &route.name))?;
+    let service = catalogue.services.get(name).cloned();
+    service.ok_or_else(|| missing("service", name))
+}
+
+fn missing(kind: &'static str, name: &str) -> Problem {
+    Problem {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        kind: "declaration",
+        detail: format!("the catalogue lacks {kind} {name:?}: ask an operator"),
+        retry_after: Some(Duration::from_secs(1)),
+    }
+}
--- a/crates/daemon/src/follow.rs
+++ b/crates/daemon/src/follow.rs
@@ -18,8 +18,9 @@
 
 use bytes::{Bytes, BytesMut};
 use citron_policy::{
+    catalogue::Catalogue,
     feed::{self, Feed, Local, View},
-    id::{Index, InstanceId},
+    id::{Index, InstanceId, Version},
     member::Members,
     relay,
 };
@@ -31,7 +32,7 @@
 use futures_util::future::LocalBoxFuture;
 use tokio::sync::{mpsc, watch};
 
-use crate::peers::Hub;
+use crate::{clock, edge::Declarations, peers::Hub};
 
 pub use metrics::Metrics;
 
@@ -54,10 +55,13 @@
 const SNAPSHOT_KEEP: Duration = Duration::from_secs(10);
 
 /// How the control log is followed.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Default, derive_more::Debug)]
 pub struct Settings {
     /// Bounds and times of the feed.
     pub feed: feed::Settings,
+    /// Reads declarations of another format into the catalogue.
+    #[debug(skip)]
+    pub reader: Option<Rc<dyn Declarations>>,
 }
 
 /// Follows the control log for this daemon; clones share it.
@@ -70,6 +74,9 @@
     hub: Hub,
     members: watch::Receiver<Arc<Members>>,
     feed: RefCell<Feed>,
+    reader: Option<Rc<dyn Declarations>>,
+    /// What the reader made of the declaration in force.
+    declared: RefCell<Option<(Version, Arc<Catalogue>)>>,
     view: watch::Sender<Arc<View>>,
     held: Cell<usize>,
     snapshot: RefCell<Option<serve::Encoded>>,
@@ -98,6 +105,8 @@
             hub,
             members,
             feed: RefCell::new(Feed::new(settings.feed)),
+            reader: settings.reader,
+            declared: RefCell::default(),
             view: watch::Sender::new(Arc::default()),
             held: Cell::new(0),
             snapshot: RefCell::default(),
@@ -179,22 +188,22 @@
 
     /// Whether the local replica leads, so that nobody needs to be asked.
     fn is_fresh(&self) -> bool {
-        let age = self.inner.feed.borrow().proof_age(Instant::now());
+        let age = self.inner.feed.borrow().proof_age(clock::now());
         age.is_some_and(|age| age < FRESH)
     }
 
     /// Asks a parent once; false if another one should be asked next.
     async fn ask(&self, parent: &InstanceId) -> bool {
-        let sent = Instant::now();
+        let sent = clock::now();
         let (question, hold) = self.question(sent);
         let answer = self.call(parent, question, hold + GRACE).await;
-        let now = Instant::now();
+        let now = clock::now();
         match answer {
             Some(proto::message::Body::News(news)) => self.take_news(parent, now, sent, news),
             Some(proto::message::Body::Part(part)) => self.take_parts(parent, part).await,
             Some(proto::message::Body::Pull(_)) | None => return false,
         }
-        let age = self.inner.feed.borrow().proof_age(Instant::now());
+        let age = self.inner.feed.borrow().proof_age(clock::now());
         age.is_some_and(|age| age < STALE)
     }
 
@@ -331,15 +340,48 @@
             );
         }
         if changed {
+            let view = self.with_declared(view);
             self.inner.view.send_replace(Arc::new(view));
         }
     }
 
+    /// The view with the catalogue that its declaration makes.
+    fn with_declared(&self, view: View) -> View {
+        let (Some(reader), Some(declaration)) = (&self.inner.reader, &view.declaration) else {
+            return view;
+        };
+        let mut declared = self.inner.declared.borrow_mut();
+        if declared
+            .as_ref()
+            .is_none_or(|it| it.0 != declaration.version)
+        {
+            match reader.read(&declaration.source) {
+                Ok(reading) => {
+                    let version = declaration.version;
+                    log::info!(event = "CP0708", version; "declaration in force");
+                    *declared = Some((version, Arc::new(reading.catalogue)));
+                }
+                // It was read before it was accepted, so this release is older.
+                Err(error) => log::error!(
+                    event = "CP0709", version = declaration.version;
+                    "declaration not understood: {error}"
+                ),
+            }
+        }
+        match declared.as_ref() {
+            Some((_, catalogue)) => View {
+                catalogue: Arc::clone(catalogue),
+                ..view
+            },
+            None => view,
+        }
+    }
+
     /// Tells when the lease runs out and when it is back.
     async fn watch_lease(self) {
         let mut held = false;
         loop {
-            let now = Instant::now();
+            let now = clock::now();
             let holds = self.may_take_work(now);
             if holds && !held {
                 log::info!("CP0701 the catalogue is known to be current: work is taken");
--- a/crates/daemon/src/follow/serve.rs
+++ b/crates/daemon/src/follow/serve.rs
@@ -14,6 +14,7 @@
 use proto::message::Body;
 
 use super::Follow;
+use crate::clock;
 
 /// Most questions held at once.
 const MAX_HELD: usize = 64;
@@ -53,7 +54,7 @@
     follow: Follow,
     message: proto::Message,
 ) -> Result<proto::Message, String> {
-    let arrived = Instant::now();
+    let arrived = clock::now();
     let Some(Body::Pull(pull)) = message.body else {
         return Err("not a question of the feed: upgrade the older daemon".to_owned());
     };
@@ -82,7 +83,7 @@
             .inner
             .feed
             .borrow()
-            .is_due(Instant::now(), arrived, pull.index, most);
+            .is_due(clock::now(), arrived, pull.index, most);
         if due {
             return;
         }
@@ -121,7 +122,7 @@
         Some(encoded) => encoded,
         None => kept.insert(encode(follow)?),
     };
-    encoded.asked = Instant::now();
+    encoded.asked = clock::now();
     let start = usize::try_from(offset)
         .unwrap_or(usize::MAX)
         .min(encoded.bytes.len());
@@ -140,6 +141,6 @@
     Ok(Encoded {
         index: snapshot.index,
         bytes: codec::encode_snapshot(&snapshot)?,
-        asked: Instant::now(),
+        asked: clock::now(),
     })
 }
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -56,6 +56,8 @@
     pub callers: SocketAddr,
     /// Identity of its data folder, if it is a control replica.
     pub replica: Option<ReplicaId>,
+    /// Addresses for peers of daemons that may be there.
+    pub seeds: Vec<SocketAddr>,
 }
 
 impl Settings {
@@ -110,12 +112,13 @@
         list: watch::Receiver<Arc<List>>,
     ) -> Self {
         let tick = swim::Settings::default().tick;
-        let swim = Swim::new(
+        let mut swim = Swim::new(
             Instant::now(),
             wall_ms(),
             settings.member(),
             swim::Settings::default(),
         );
+        swim.set_seeds(settings.seeds);
         let members = watch::Sender::new(Arc::new(swim.members(Instant::now())));
         let inner = Inner {
             cluster: settings.cluster,
@@ -152,6 +155,11 @@
         self.inner.swim.borrow().cut_off(Instant::now())
     }
 
+    /// Replaces the addresses at which other daemons may be found.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        self.inner.swim.borrow_mut().set_seeds(seeds);
+    }
+
     /// Says anew what others should know of this daemon.
     pub fn set_self(&self, own: Own) {
         let now = Instant::now();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,13 +7,18 @@
 
 pub mod admin;
 pub mod callers;
+pub mod clock;
 pub mod control;
+pub mod edge;
 pub mod event;
+pub mod exchange;
 pub mod follow;
 pub mod gossip;
+pub mod handle;
 pub mod http;
 pub mod metrics;
 pub mod operators;
+pub mod output;
 pub mod peers;
 pub mod platform;
 pub mod run;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -20,7 +20,7 @@
         Ok(Request::Help) => print(&settings::help()),
         Ok(Request::Version) => print(concat!("citrond ", env!("CARGO_PKG_VERSION"), "\n")),
         Ok(Request::Check(settings)) => exit(run::check(&settings), EXIT_SETTINGS),
-        Ok(Request::Run(settings)) => exit(run::run(settings), EXIT_FAILED),
+        Ok(Request::Run(settings)) => exit(run::run(settings, None), EXIT_FAILED),
         Err(faults) => {
             eprintln!("{faults}");
             ExitCode::from(EXIT_SETTINGS)
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,13 +1,19 @@
 //! Metrics of the process and of the peer connections.
 
-use std::{fs, sync::atomic::AtomicU64};
+use std::{fs, rc::Rc, sync::atomic::AtomicU64};
+
+use actix_http::{ResponseBuilder, StatusCode, header};
 
 use prometheus_client::{
+    encoding::text::encode,
     metrics::{counter::Counter, gauge::Gauge},
     registry::Registry,
 };
 
-use crate::peers::{Counts, Hub};
+use crate::{
+    http::Handler,
+    peers::{Counts, Hub},
+};
 
 /// Clock ticks a second in `/proc`, fixed on Linux.
 const TICKS_PER_SECOND: f64 = 100.0;
@@ -15,6 +21,27 @@
 /// Bytes of a memory page.
 const PAGE_BYTES: i64 = 4_096;
 
+/// Media type of the exposition.
+const MEDIA_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Serves a registry's metrics at every path.
+#[must_use]
+pub fn handler(registry: Rc<Registry>) -> Handler {
+    Rc::new(move |_| {
+        let mut text = String::new();
+        let encoded = encode(&mut text, &registry);
+        let response = match encoded {
+            Ok(()) => ResponseBuilder::new(StatusCode::OK)
+                .insert_header((header::CONTENT_TYPE, MEDIA_TYPE))
+                .body(text),
+            Err(error) => {
+                ResponseBuilder::new(StatusCode::INTERNAL_SERVER_ERROR).body(error.to_string())
+            }
+        };
+        Box::pin(std::future::ready(response.map_into_boxed_body()))
+    })
+}
+
 /// Gauges and counters that are brought up to date by a timer.
 #[derive(Debug, Default)]
 pub struct Metrics {
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -16,25 +16,33 @@
 use awc::Client;
 use citron_policy::platform::List;
 use derive_more::{Display, Error};
+use futures_util::future::LocalBoxFuture;
 use prometheus_client::{
     metrics::{counter::Counter, gauge::Gauge},
     registry::Registry,
 };
 use rand::{Rng, RngExt};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
+
+use crate::edge::Listing;
 
 /// Largest list accepted, in bytes; 8,000 entries take about 1.2 MB.
 pub const MAX_LIST_BYTES: usize = 8 << 20;
 
 /// How the platform's list is read.
-#[derive(Clone, Debug)]
+#[derive(Clone, derive_more::Debug)]
 pub struct Settings {
     /// Address of the platform's HTTP interface.
     pub address: SocketAddr,
     /// Time between two readings.
     pub interval: Duration,
+    /// Time between two readings while nothing here depends on the list.
+    pub idle_interval: Duration,
     /// Longest time for one reading.
     pub timeout: Duration,
+    /// Reads another format; the own one at `address` if none.
+    #[debug(skip)]
+    pub listing: Option<Rc<dyn Listing>>,
 }
 
 impl Default for Settings {
@@ -42,7 +50,9 @@
         Self {
             address: SocketAddr::from(([127, 0, 0, 1], 7_400)),
             interval: Duration::from_secs(1),
+            idle_interval: Duration::from_secs(1),
             timeout: Duration::from_secs(2),
+            listing: None,
         }
     }
 }
@@ -122,6 +132,9 @@
 pub struct Platform {
     list: watch::Receiver<Arc<List>>,
     read: Rc<Cell<Option<Instant>>>,
+    /// Whether something here depends on the list.
+    needed: Rc<Cell<bool>>,
+    wake: Rc<Notify>,
     metrics: Metrics,
 }
 
@@ -133,6 +146,8 @@
         let platform = Self {
             list,
             read: Rc::default(),
+            needed: Rc::default(),
+            wake: Rc::default(),
             metrics: Metrics::default(),
         };
         actix_rt::spawn(platform.clone().run(settings, sender));
@@ -145,6 +160,13 @@
         self.list.clone()
     }
 
+    /// Says whether something here depends on the list; if so, it is read at once.
+    pub fn set_needed(&self, needed: bool) {
+        if !self.needed.replace(needed) && needed {
+            self.wake.notify_one();
+        }
+    }
+
     /// When the last good list was read, if any was.
     #[must_use]
     pub fn read_at(&self) -> Option<Instant> {
@@ -164,13 +186,12 @@
     }
 
     async fn run(self, settings: Settings, sender: watch::Sender<Arc<List>>) {
-        let client = Client::builder()
-            .timeout(settings.timeout)
-            .disable_redirects()
-            .finish();
+        let listing = settings.listing.clone().unwrap_or_else(|| {
+            Rc::new(Own::new(settings.address, settings.timeout)) as Rc<dyn Listing>
+        });
         let mut failing = false;
         loop {
-            let outcome = read(&client, settings.address).await;
+            let outcome = listing.read().await;
             self.metrics.readings.inc();
             match outcome {
                 Ok(list) => {
@@ -193,7 +214,15 @@
             if let Some(read) = self.read.get() {
                 self.metrics.age.set(read.elapsed().as_secs_f64());
             }
-            actix_rt::time::sleep(pause(settings.interval, &mut rand::rng())).await;
+            let interval = if self.needed.get() {
+                settings.interval
+            } else {
+                settings.idle_interval
+            };
+            tokio::select! {
+                () = actix_rt::time::sleep(pause(interval, &mut rand::rng())) => {}
+                () = self.wake.notified() => {}
+            }
         }
     }
 
@@ -212,6 +241,32 @@
     }
 }
 
+/// The list in citronpond's own format.
+struct Own {
+    client: Client,
+    address: SocketAddr,
+}
+
+impl Own {
+    fn new(address: SocketAddr, timeout: Duration) -> Self {
+        let client = Client::builder()
+            .timeout(timeout)
+            .disable_redirects()
+            .finish();
+        Self { client, address }
+    }
+}
+
+impl Listing for Own {
+    fn read(&self) -> LocalBoxFuture<'static, Result<List, String>> {
+        let (client, address) = (self.client.clone(), self.address);
+        Box::pin(async move {
+            let list = read(&client, address).await;
+            list.map_err(|failure| failure.to_string())
+        })
+    }
+}
+
 /// One reading of the list.
 async fn read(client: &Client, address: SocketAddr) -> Result<List, Failure> {
     let request = client.get(format!("http://{address}/v1/list")).send();
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -21,11 +21,15 @@
 use crate::{
     admin::{self, Admin, Tokens},
     callers::{self, Callers},
+    clock,
     control::{self, Replica},
+    edge::Outside,
+    exchange::{self, Exchange},
     gossip::Own,
+    handle::Handle,
     http::{Handler, Server},
-    metrics::{Metrics, Reading},
-    operators, peers,
+    metrics::{self, Metrics, Reading},
+    operators, peers, platform,
     settings::Settings,
     trace::Tracer,
     upstream,
@@ -38,6 +42,12 @@
 /// Time between two readings of the daemon's own state.
 const TICK: Duration = Duration::from_millis(200);
 
+/// Time between two readings of a priced list on a daemon that hosts no arbiter.
+const IDLE_LIST_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Most connections to an adapter's desk.
+const MAX_DESK_CONNECTIONS: usize = 256;
+
 /// Most operator connections.
 const MAX_ADMIN_CONNECTIONS: usize = 256;
 
@@ -92,22 +102,28 @@
     Ok(())
 }
 
-/// Runs the daemon until it has left.
+/// Runs the daemon until it has left, behind an adapter if there is one.
 ///
 /// # Errors
 /// [`Failure`] when it could not start or had to stop.
-pub fn run(settings: Settings) -> Result<(), Failure> {
-    actix_rt::System::new().block_on(Box::pin(serve(settings)))
+pub fn run(settings: Settings, outside: Option<Outside>) -> Result<(), Failure> {
+    actix_rt::System::new().block_on(Box::pin(serve(settings, outside)))
 }
 
-async fn serve(settings: Settings) -> Result<(), Failure> {
-    let tokens = operators::read(&settings)?;
-    let platform = platform_address(&settings)?;
+async fn serve(settings: Settings, outside: Option<Outside>) -> Result<(), Failure> {
+    let named = settings.operator_token_file.is_some() || settings.operator_tokens.is_some();
+    // Operators of another protocol come through its desk.
+    let tokens = match &outside {
+        Some(_) if !named => Tokens::default(),
+        _ => operators::read(&settings)?,
+    };
+    let platform = platform(&settings, outside.as_ref())?;
     let tracer = match &settings.trace_file {
         Some(file) => Tracer::to_file(file)?,
         None => Tracer::default(),
     };
-    let listeners = Listeners::bind(&settings).await?;
+    let desks = outside.as_ref().map_or(&[][..], |it| &it.desks);
+    let listeners = Listeners::bind(&settings, desks).await?;
     let replica = settings.data.as_ref().map(|folder| {
         Replica::open(&control::Settings {
             folder: folder.clone(),
@@ -116,13 +132,14 @@
     });
     let replica = replica.transpose()?;
     let announcement = listeners.announcement();
-    let outside = Outside {
+    let resources = Resources {
         platform,
+        outside,
         replica,
         tracer,
         tokens,
     };
-    let (parts, failed) = Parts::start(&settings, listeners, outside);
+    let (parts, failed) = Parts::start(&settings, listeners, resources);
     println!("{announcement}");
     log::info!(
         "CP0101 instance {} is up: {announcement}",
@@ -135,6 +152,21 @@
     left
 }
 
+/// How the list of runners is read.
+fn platform(settings: &Settings, outside: Option<&Outside>) -> Result<platform::Settings, Failure> {
+    let Some(outside) = outside else {
+        return Ok(platform::Settings {
+            address: platform_address(settings)?,
+            ..platform::Settings::default()
+        });
+    };
+    Ok(platform::Settings {
+        idle_interval: IDLE_LIST_INTERVAL,
+        listing: Some(Rc::clone(&outside.listing)),
+        ..platform::Settings::default()
+    })
+}
+
 fn platform_address(settings: &Settings) -> Result<SocketAddr, Failure> {
     let host = settings.platform.trim_start_matches("http://");
     host.parse().map_err(|_error| Failure::Platform {
@@ -144,8 +176,9 @@
 
 /// What the parts need from outside.
 #[derive(Debug)]
-struct Outside {
-    platform: SocketAddr,
+struct Resources {
+    platform: platform::Settings,
+    outside: Option<Outside>,
     replica: Option<Replica>,
     tracer: Tracer,
     tokens: Tokens,
@@ -155,7 +188,7 @@
 #[derive(Debug)]
 struct Parts {
     core: Core,
-    callers: Callers,
+    front: Front,
     tracer: Tracer,
     metrics: RefCell<Metrics>,
     draining: watch::Sender<bool>,
@@ -169,40 +202,57 @@
     fn start(
         settings: &Settings,
         listeners: Listeners,
-        outside: Outside,
+        resources: Resources,
     ) -> (Rc<Self>, oneshot::Receiver<String>) {
-        let Outside {
+        let Resources {
             platform,
+            outside,
             replica,
             tracer,
             tokens,
-        } = outside;
+        } = resources;
         let Listeners {
             callers: callers_in,
             peer: peer_in,
             gossip,
             admin: admin_in,
+            metrics: metrics_in,
+            desks,
             addresses,
         } = listeners;
-        let (core, failed) = Core::start(settings, addresses, gossip, platform, replica);
+        let reader = outside.as_ref().map(|it| Rc::clone(&it.declarations));
+        let (core, failed) = Core::start(settings, addresses, gossip, platform, replica, reader);
         let (draining, drained) = watch::channel(false);
         let upstream = upstream::Metrics::default();
-        let callers = callers(settings, &core, drained, &tracer, &upstream);
+        let handle = handle(&core, drained.clone());
+        let front = match &outside {
+            Some(outside) => Front::Outside(exchange(settings, &core, drained, outside, &upstream)),
+            None => Front::Own(callers(settings, &core, drained, &tracer, &upstream)),
+        };
         let metrics = Metrics::default();
         let mut registry = Registry::default();
         metrics.register(&mut registry);
-        callers.register(&mut registry);
+        front.register(&mut registry);
         upstream.register(&mut registry);
         core.register(&mut registry);
-        let admin = admin(&core, tokens, registry);
+        let asked = admin::Metrics::default();
+        asked.register(&mut registry);
+        let registry = Rc::new(registry);
+        let admin = admin(&core, tokens, asked, Rc::clone(&registry));
         serve_peers(&core, &admin, peer_in);
-        serve_http(callers_in, callers.handler(), settings.max_connections);
+        serve_http(callers_in, front.handler(), settings.max_connections);
+        if let Some(listener) = metrics_in {
+            serve_http(listener, metrics::handler(registry), MAX_ADMIN_CONNECTIONS);
+        }
+        if let Some(outside) = outside {
+            serve_desks(&outside, &handle, desks);
+        }
         serve_http(admin_in, admin.handler(), MAX_ADMIN_CONNECTIONS);
         let metrics = RefCell::new(metrics);
         let told = Cell::new(false);
         let parts = Rc::new(Self {
             core,
-            callers,
+            front,
             tracer,
             metrics,
             draining,
@@ -215,7 +265,8 @@
     /// Tells the others and the metrics how this daemon stands, for ever.
     async fn tick(self: Rc<Self>) {
         loop {
-            let reading = self.reading(Instant::now());
+            let reading = self.reading(clock::now());
+            self.core.platform.set_needed(self.core.slots.hosts());
             self.core.gossip.set_self(Own {
                 leaving: self.told.get(),
                 revision: reading.revision,
@@ -227,15 +278,92 @@
         }
     }
 
+    /// Whether callers may come here.
+    fn takes_work(&self, now: Instant) -> bool {
+        let declared = self.core.follow.view().borrow().declaration.is_some();
+        let known = matches!(self.front, Front::Own(_)) || declared;
+        known && self.core.follow.may_take_work(now)
+    }
+
     fn reading(&self, now: Instant) -> Reading {
         Reading {
-            in_flight: self.callers.in_flight(),
+            in_flight: self.front.in_flight(),
             revision: self.core.follow.view().borrow().catalogue.revision,
-            current: self.core.follow.may_take_work(now),
+            current: self.takes_work(now),
+        }
+    }
+}
+
+/// What callers speak to.
+#[derive(Debug)]
+enum Front {
+    /// Citronpond's own interface.
+    Own(Callers),
+    /// Requests of another protocol.
+    Outside(Exchange),
+}
+
+impl Front {
+    fn handler(&self) -> Handler {
+        match self {
+            Self::Own(callers) => callers.handler(),
+            Self::Outside(exchange) => exchange.handler(),
+        }
+    }
+
+    fn in_flight(&self) -> u32 {
+        match self {
+            Self::Own(callers) => callers.in_flight(),
+            Self::Outside(exchange) => exchange.in_flight(),
+        }
+    }
+
+    fn register(&self, registry: &mut Registry) {
+        match self {
+            Self::Own(callers) => callers.register(registry),
+            Self::Outside(exchange) => exchange.register(registry),
         }
     }
 }
 
+fn handle(core: &Core, draining: watch::Receiver<bool>) -> Handle {
+    Handle {
+        control: core.control.clone(),
+        follow: core.follow.clone(),
+        gossip: core.gossip.clone(),
+        view: core.follow.view(),
+        members: core.gossip.members(),
+        draining,
+    }
+}
+
+fn exchange(
+    settings: &Settings,
+    core: &Core,
+    draining: watch::Receiver<bool>,
+    outside: &Outside,
+    upstream: &upstream::Metrics,
+) -> Exchange {
+    Exchange::new(exchange::Ports {
+        max_body_bytes: settings.max_body_bytes,
+        view: core.follow.view(),
+        follow: core.follow.clone(),
+        draining,
+        slots: core.slots.clone(),
+        outside: outside.clone(),
+        upstream: upstream.clone(),
+    })
+}
+
+fn serve_desks(outside: &Outside, handle: &Handle, listeners: Vec<TcpListener>) {
+    outside.desk.started(handle.clone());
+    for listener in listeners {
+        let (desk, handle) = (Rc::clone(&outside.desk), handle.clone());
+        let handler: Handler = Rc::new(move |request| desk.answer(handle.clone(), request));
+        serve_http(listener, handler, MAX_DESK_CONNECTIONS);
+    }
+}
+
 fn callers(
     settings: &Settings,
     core: &Core,
@@ -258,9 +386,7 @@
     })
 }
 
-fn admin(core: &Core, tokens: Tokens, mut registry: Registry) -> Admin {
-    let metrics = admin::Metrics::default();
-    metrics.register(&mut registry);
+fn admin(core: &Core, tokens: Tokens, metrics: admin::Metrics, registry: Rc<Registry>) -> Admin {
     Admin::new(admin::Ports {
         tokens,
         log: Rc::new(core.control.clone()),
@@ -269,7 +395,7 @@
         platform: core.platform.list(),
         view: core.follow.view(),
         ring: core.ring.clone(),
-        registry: Rc::new(registry),
+        registry,
         metrics,
     })
 }
--- a/crates/daemon/src/run/core.rs
+++ b/crates/daemon/src/run/core.rs
@@ -1,7 +1,7 @@
 //! The parts that work without callers or operators: peers, membership, the
 //! control log, the feed and the slots.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use actix_rt::net::UdpSocket;
 use citron_policy::{crash, state::Command};
@@ -10,7 +10,8 @@
 
 use super::listeners::Addresses;
 use crate::{
-    control::{Control, Replica},
+    control::{self, Control, Replica},
+    edge::Declarations,
     event::Ring,
     follow::{self, Follow},
     gossip::{self, Gossip},
@@ -41,21 +42,24 @@
         settings: &Settings,
         addresses: Addresses,
         socket: UdpSocket,
-        platform: SocketAddr,
+        platform: platform::Settings,
         replica: Option<Replica>,
+        reader: Option<Rc<dyn Declarations>>,
     ) -> (Self, oneshot::Receiver<String>) {
         let hub = Hub::new(&settings.instance, &settings.cluster);
-        let platform = Platform::start(platform::Settings {
-            address: platform,
-            ..platform::Settings::default()
-        });
+        let foreign = reader.is_some();
+        let platform = Platform::start(platform);
         let membership = membership(settings, addresses, replica.as_ref());
         let gossip = Gossip::start(membership, socket, hub.clone(), platform.list());
         let replicated = replica.is_some();
+        let own = replica.as_ref().map(Replica::id);
         let started = Control::start(&hub, gossip.members(), replica);
         let local = replicated.then_some(started.feed);
         let follow = Follow::start(
-            follow::Settings::default(),
+            follow::Settings {
+                reader,
+                ..follow::Settings::default()
+            },
             hub.clone(),
             gossip.members(),
             local,
@@ -67,7 +71,18 @@
             view: follow.view(),
         };
         let control = started.control;
-        let slots = Slots::new(hub.clone(), inputs, propose(&control), ring.clone());
+        if let Some(own) = own.filter(|_| settings.form > 0) {
+            let members = gossip.members();
+            actix_rt::spawn(control::form(control.clone(), members, own, settings.form));
+        }
+        let options = slots::Settings { poll: !foreign };
+        let slots = Slots::new(
+            options,
+            hub.clone(),
+            inputs,
+            propose(&control),
+            ring.clone(),
+        );
         let task = slots.clone();
         actix_rt::spawn(async move { task.run().await });
         let core = Self {
@@ -104,6 +119,7 @@
         peer: addresses.peer,
         callers: addresses.callers,
         replica: replica.map(Replica::id),
+        seeds: settings.seeds.clone(),
     }
 }
 
--- a/crates/daemon/src/run/leave.rs
+++ b/crates/daemon/src/run/leave.rs
@@ -88,7 +88,7 @@
         let Some(since) = since else { return Ok(false) };
         let waited = now.saturating_duration_since(since);
         let steady = self.told.is_some() || waited >= LIST_STEADY;
-        if waited >= LINGER && steady && self.parts.callers.in_flight() == 0 {
+        if waited >= LINGER && steady && self.parts.front.in_flight() == 0 {
             return Ok(true);
         }
         if waited >= self.drain_timeout {
--- a/crates/daemon/src/run/listeners.rs
+++ b/crates/daemon/src/run/listeners.rs
@@ -17,6 +17,9 @@
     pub(super) peer: TcpListener,
     pub(super) gossip: UdpSocket,
     pub(super) admin: TcpListener,
+    pub(super) metrics: Option<TcpListener>,
+    /// An adapter's desks.
+    pub(super) desks: Vec<TcpListener>,
     pub(super) addresses: Addresses,
 }
 
@@ -30,7 +33,7 @@
 
 impl Listeners {
     /// Binds all of them; an error names the setting.
-    pub(super) async fn bind(settings: &Settings) -> Result<Self, Failure> {
+    pub(super) async fn bind(settings: &Settings, desks: &[SocketAddr]) -> Result<Self, Failure> {
         let failed = |flag, address| {
             move |source| Failure::Bind {
                 flag,
@@ -45,6 +48,18 @@
         let (peer, gossip, peer_at) = bind_peer(settings.peer)
             .await
             .map_err(failed("--peer", settings.peer))?;
+        let metrics = match settings.metrics {
+            Some(address) => {
+                let bound = http::bind(address).await;
+                Some(bound.map_err(failed("--metrics", address))?.0)
+            }
+            None => None,
+        };
+        let mut bound_desks = Vec::with_capacity(desks.len());
+        for address in desks {
+            let bound = http::bind(*address).await;
+            bound_desks.push(bound.map_err(failed("desk", *address))?.0);
+        }
         let addresses = Addresses {
             callers: callers_at,
             peer: peer_at,
@@ -55,6 +70,8 @@
             peer,
             gossip,
             admin,
+            metrics,
+            desks: bound_desks,
             addresses,
         })
     }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -46,6 +46,12 @@
     pub trace_file: Option<PathBuf>,
     /// Longest time that a leaving daemon waits for requests in flight.
     pub drain_timeout: Duration,
+    /// Addresses for peers of daemons that may be there.
+    pub seeds: Vec<SocketAddr>,
+    /// Replicas of which the cluster forms itself at its first start; zero if an operator does it.
+    pub form: usize,
+    /// Address at which metrics are served without a token.
+    pub metrics: Option<SocketAddr>,
     /// Most caller connections.
     pub max_connections: usize,
     /// Largest request body in bytes.
@@ -68,6 +74,9 @@
             operator_tokens: None,
             trace_file: None,
             drain_timeout: Duration::from_mins(10),
+            seeds: Vec::new(),
+            form: 0,
+            metrics: None,
             max_connections: 4_096,
             max_body_bytes: 1 << 20,
         }
--- a/crates/daemon/src/settings/flag.rs
+++ b/crates/daemon/src/settings/flag.rs
@@ -2,6 +2,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use citron_policy::raft::formation::MAX_VOTERS;
+
 use super::{ENVIRONMENT_PREFIX, Settings};
 
 /// Longest name of an instance, failure domain or cluster, in bytes.
@@ -154,6 +156,34 @@
         required: false,
         set: |settings, value| time(value).map(|time| settings.drain_timeout = time),
     },
+    Flag {
+        name: "seeds",
+        value: "ADDRESS[,ADDRESS…]",
+        help: "Addresses for peers of daemons that may be there",
+        default: None,
+        required: false,
+        set: |settings, value| addresses(value).map(|seeds| settings.seeds = seeds),
+    },
+    Flag {
+        name: "form",
+        value: "NUMBER",
+        help: "Replicas of which the cluster forms itself, once, on empty data folders",
+        default: None,
+        required: false,
+        set: |settings, value| {
+            number(value, 1, MAX_VOTERS)
+                .map(|number| settings.form = number)
+                .ok_or("write a number from 1 to 7")
+        },
+    },
+    Flag {
+        name: "metrics",
+        value: "ADDRESS",
+        help: "Address at which metrics are served without a token",
+        default: None,
+        required: false,
+        set: |settings, value| address(value).map(|address| settings.metrics = Some(address)),
+    },
     Flag {
         name: "max-connections",
         value: "NUMBER",
@@ -196,6 +226,10 @@
         .map_err(|_error| "write an IP address and port, such as 127.0.0.1:8080")
 }
 
+fn addresses(value: &str) -> Result<Vec<SocketAddr>, &'static str> {
+    value.split(',').map(|it| address(it.trim())).collect()
+}
+
 fn url(value: &str) -> Result<String, &'static str> {
     let base = value.trim_end_matches('/');
     match base.strip_prefix("http://") {
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -37,7 +37,7 @@
 use indexmap::IndexMap;
 use tokio::sync::{oneshot, watch};
 
-pub use citron_policy::arbiter::{End, Refusal, Sample};
+pub use citron_policy::arbiter::{End, Part, Refusal, Sample};
 pub use metrics::Metrics;
 
 use crate::{event::Ring, peers::Hub};
@@ -74,6 +74,25 @@
     pub avoid: Vec<RunnerId>,
     /// Whether it goes on where an earlier slot left off.
     pub resume: bool,
+    /// Tier in place of the class's.
+    pub tier: Option<u8>,
+    /// Parts of the prompt, in order; empty where there is none.
+    pub prompt: Vec<Part>,
+    /// Most tokens that the answer may have.
+    pub output: u32,
+}
+
+/// How the slots of this daemon work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Whether runners are asked for their load; otherwise their answers tell.
+    pub poll: bool,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self { poll: true }
+    }
 }
 
 /// What the slots of this daemon work on.
@@ -97,6 +116,7 @@
 }
 
 struct Inner {
+    settings: Settings,
     hub: Hub,
     inputs: Inputs,
     propose: Propose,
@@ -120,6 +140,8 @@
 struct Grant {
     runner: RunnerId,
     alone: bool,
+    /// Where the arbiter knows the runner to be.
+    address: Option<SocketAddr>,
     waited: Duration,
 }
 
@@ -134,12 +156,13 @@
 impl Slots {
     /// Slots over `inputs`; [`Slots::run`] must be spawned beside them.
     #[must_use]
-    pub fn new(hub: Hub, inputs: Inputs, propose: Propose, ring: Ring) -> Self {
+    pub fn new(settings: Settings, hub: Hub, inputs: Inputs, propose: Propose, ring: Ring) -> Self {
         let since_epoch = SystemTime::now()
             .duration_since(SystemTime::UNIX_EPOCH)
             .unwrap_or_default();
         let first = u64::try_from(since_epoch.as_millis()).unwrap_or(0) * TICKETS_PER_MS;
         let inner = Inner {
+            settings,
             host: RefCell::new(Host::new(hub.me().clone())),
             hub,
             inputs,
@@ -164,7 +187,9 @@
 
     /// Follows the inputs and does what is due by time, for ever.
     pub async fn run(&self) {
-        actix_rt::spawn(poll::run(self.clone()));
+        if self.inner.settings.poll {
+            actix_rt::spawn(poll::run(self.clone()));
+        }
         let mut inputs = self.inner.inputs.clone();
         let mut ticks = actix_rt::time::interval(TICK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -184,6 +209,12 @@
         }
     }
 
+    /// Whether an arbiter is here, which depends on the list of runners.
+    #[must_use]
+    pub fn hosts(&self) -> bool {
+        !self.inner.host.borrow().arbiters.is_empty()
+    }
+
     /// Waits for a slot; dropping the future withdraws the request.
     ///
     /// # Errors
@@ -214,7 +245,8 @@
                 return Err(refusal);
             }
         };
-        let Some(address) = self.inner.address(&grant.runner) else {
+        let address = grant.address.or_else(|| self.inner.address(&grant.runner));
+        let Some(address) = address else {
             return Err(Refusal::NoRunner {
                 retry_after: TICK * 10,
             });
@@ -295,6 +327,9 @@
             remaining: want.deadline.saturating_duration_since(now),
             avoid: want.avoid,
             resume: want.resume,
+            tier: want.tier,
+            prompt: want.prompt,
+            output: want.output,
             ..Ask::default()
         };
         let take = desk::Event::Take {
--- a/crates/daemon/src/slots/host.rs
+++ b/crates/daemon/src/slots/host.rs
@@ -130,11 +130,13 @@
                     ticket,
                     runner,
                     alone,
+                    address,
                     waited,
                 } => {
                     let grant = Grant {
                         runner,
                         alone,
+                        address,
                         waited,
                     };
                     self.on_granted(service, ticket, grant);
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -1,5 +1,8 @@
 //! Exchanges with upstream runners that know whole from cut and written from not.
 //!
+//! The answer is awaited while the request is still being written, since a
+//! runner may answer before it has read a long body.
+//!
 //! Each exchange has a connection of its own, so nothing is ever written to a
 //! connection that the other side may have closed, and an answer that comes too
 //! late finds nobody to be mistaken for. Nothing is retried and no redirect is
@@ -19,7 +22,7 @@
 use actix_codec::Framed;
 use actix_http::{
     Method, StatusCode,
-    header::{HeaderMap, HeaderName},
+    header::{HeaderMap, HeaderName, HeaderValue},
 };
 use actix_rt::net::TcpStream;
 use bytes::Bytes;
@@ -42,6 +45,8 @@
     pub idle: Duration,
     /// Longest time of the whole exchange.
     pub whole: Duration,
+    /// Whether an answer without a stated length is taken, up to the orderly end of its connection.
+    pub unframed: bool,
     /// Largest head of an answer, in bytes.
     pub max_head_bytes: usize,
     /// Largest body of an answer, in bytes.
@@ -55,6 +60,7 @@
             head: Duration::from_mins(1),
             idle: Duration::from_secs(30),
             whole: Duration::from_mins(10),
+            unframed: false,
             max_head_bytes: 32 << 10,
             max_body_bytes: 64 << 20,
         }
@@ -64,8 +70,12 @@
 /// What is sent upstream.
 #[derive(Clone, Debug)]
 pub struct Request {
-    /// Identity, sent as `X-Request-Id`; the answer must bring it back.
+    /// Identity; the answer must bring it back.
     pub id: String,
+    /// Header that carries the identity.
+    pub id_header: HeaderName,
+    /// Value of the `Host` header; the runner's address if none.
+    pub host: Option<HeaderValue>,
     /// HTTP method.
     pub method: Method,
     /// Path and query.
@@ -80,6 +90,8 @@
     fn default() -> Self {
         Self {
             id: String::new(),
+            id_header: REQUEST_ID,
+            host: None,
             method: Method::GET,
             path: "/".to_owned(),
             headers: HeaderMap::new(),
@@ -113,16 +125,13 @@
     let stream = connect(target, limits).await?;
     let mut framed = Framed::new(Socket::new(stream), Codec::new());
     let head_end = end.min(Instant::now() + limits.head);
-    let exchanged = async {
-        head::send(&mut framed, request_head, request.body).await?;
-        head::receive(&mut framed).await
-    };
+    let exchanged = head::exchange(&mut framed, request_head, request.body.clone());
     let answer = match timeout_at(head_end, exchanged).await {
         Ok(outcome) => outcome?,
         Err(_) if framed.io_ref().wrote() => return Err(Failure::Late),
         Err(_) => return Err(Failure::Unwritten),
     };
-    head::check(&answer, &request.id, &request.method, limits)?;
+    head::check(&answer, &request, limits)?;
     Ok(head::response(
         &answer,
         framed,
--- a/crates/daemon/src/upstream/body.rs
+++ b/crates/daemon/src/upstream/body.rs
@@ -2,7 +2,7 @@
 
 use std::io::ErrorKind;
 
-use actix_codec::Framed;
+use actix_codec::{BytesCodec, Framed};
 use actix_http::error::PayloadError;
 use bytes::Bytes;
 use futures_util::StreamExt;
@@ -25,6 +25,8 @@
 #[derive(Debug)]
 enum State {
     Open(Box<Framed<Socket, PayloadCodec>>),
+    /// Without a stated length: it ends where the connection is closed in order.
+    Unframed(Box<Framed<Socket, BytesCodec>>),
     Whole,
     Failed(Failure),
 }
@@ -39,6 +41,17 @@
         }
     }
 
+    /// A body that ends with its connection.
+    pub(super) fn unframed(framed: Framed<Socket, Codec>, end: Instant, limits: &Limits) -> Self {
+        let framed = framed.into_map_codec(|_| BytesCodec);
+        Self {
+            state: State::Unframed(Box::new(framed)),
+            end,
+            limits: *limits,
+            received_bytes: 0,
+        }
+    }
+
     pub(super) fn empty() -> Self {
         Self {
             state: State::Whole,
@@ -52,20 +65,20 @@
     ///
     /// A failure closes the connection and is repeated by later calls.
     pub async fn next(&mut self) -> Option<Result<Bytes, Failure>> {
-        let framed = match &mut self.state {
-            State::Open(framed) => framed,
+        let silent = self.end.min(Instant::now() + self.limits.idle);
+        let next = match &mut self.state {
+            State::Open(framed) => timeout_at(silent, framed_part(framed)).await,
+            State::Unframed(framed) => timeout_at(silent, unframed_part(framed)).await,
             State::Whole => return None,
             State::Failed(failure) => return Some(Err(failure.clone())),
         };
-        let silent = self.end.min(Instant::now() + self.limits.idle);
-        let part = match timeout_at(silent, framed.next()).await {
-            Ok(Some(Ok(Some(part)))) => part,
-            Ok(Some(Ok(None))) => {
+        let part = match next {
+            Ok(Ok(Some(part))) => part,
+            Ok(Ok(None)) => {
                 self.state = State::Whole;
                 return None;
             }
-            Ok(None) => return Some(self.fail(Failure::Cut)),
-            Ok(Some(Err(error))) => return Some(self.fail(failure_of(&error))),
+            Ok(Err(failure)) => return Some(self.fail(failure)),
             Err(_) => return Some(self.fail(Failure::Late)),
         };
         self.received_bytes += part.len() as u64;
@@ -100,6 +113,22 @@
     }
 }
 
+async fn framed_part(framed: &mut Framed<Socket, PayloadCodec>) -> Result<Option<Bytes>, Failure> {
+    match framed.next().await {
+        Some(Ok(part)) => Ok(part),
+        Some(Err(error)) => Err(failure_of(&error)),
+        None => Err(Failure::Cut),
+    }
+}
+
+async fn unframed_part(framed: &mut Framed<Socket, BytesCodec>) -> Result<Option<Bytes>, Failure> {
+    match framed.next().await {
+        Some(Ok(part)) => Ok(Some(part.freeze())),
+        Some(Err(_)) => Err(Failure::Cut),
+        None => Ok(None),
+    }
+}
+
 /// Tells a chunk that makes no sense from a lost connection.
 fn failure_of(error: &PayloadError) -> Failure {
     let cause = match error {
--- a/crates/daemon/src/upstream/head.rs
+++ b/crates/daemon/src/upstream/head.rs
@@ -1,6 +1,6 @@
 //! Heads of requests and answers.
 
-use std::net::SocketAddr;
+use std::{io, net::SocketAddr};
 
 use actix_codec::{Decoder, Encoder, Framed};
 use actix_http::{
@@ -12,10 +12,10 @@
     header::{self, HeaderMap, HeaderName, HeaderValue},
 };
 use bytes::{Bytes, BytesMut};
-use futures_util::{SinkExt, StreamExt};
+use futures_util::{Sink, SinkExt, Stream, StreamExt};
 use tokio::time::Instant;
 
-use super::{Body, Failure, Limits, REQUEST_ID, Request, Response, Socket};
+use super::{Body, Failure, Limits, Request, Response, Socket};
 
 /// Most interim answers (status 1xx) before the real one.
 const MAX_INTERIM: usize = 8;
@@ -101,46 +101,71 @@
         .map_err(|error| Failure::Invalid(format!("path: {error}")))?;
     let id = HeaderValue::from_str(&request.id)
         .map_err(|error| Failure::Invalid(format!("request id: {error}")))?;
-    let host = HeaderValue::from_str(&target.to_string())
-        .map_err(|error| Failure::Invalid(format!("target: {error}")))?;
+    let host = match &request.host {
+        Some(host) => host.clone(),
+        None => HeaderValue::from_str(&target.to_string())
+            .map_err(|error| Failure::Invalid(format!("target: {error}")))?,
+    };
     let mut head = RequestHead::default();
     head.method = request.method.clone();
     head.uri = uri;
     head.headers = end_to_end(&request.headers);
     head.headers.insert(header::HOST, host);
-    head.headers.insert(REQUEST_ID, id);
+    head.headers.insert(request.id_header.clone(), id);
     head.set_connection_type(ConnectionType::Close);
     Ok(head)
 }
 
-/// Writes the request; an error tells whether any of it was handed over.
-pub(super) async fn send(
+/// Writes the request and waits for the head of its answer, which may come first.
+///
+/// An error tells whether any of the request was handed over.
+pub(super) async fn exchange(
     framed: &mut Framed<Socket, Codec>,
     head: RequestHead,
     body: Bytes,
-) -> Result<(), Failure> {
+) -> Result<ResponseHead, Failure> {
+    let unsent = {
+        let (sink, stream) = (&mut *framed).split();
+        let (send, receive) = (send(sink, head, body), receive(stream));
+        tokio::pin!(send, receive);
+        tokio::select! {
+            answer = &mut receive => return answer,
+            outcome = &mut send => match outcome {
+                Ok(()) => return receive.await,
+                Err(error) => error,
+            },
+        }
+    };
+    log::debug!("CP0601 request not written: {unsent}");
+    if framed.io_ref().wrote() {
+        Err(Failure::PartlyWritten)
+    } else {
+        Err(Failure::Unwritten)
+    }
+}
+
+async fn send<S>(mut sink: S, head: RequestHead, body: Bytes) -> io::Result<()>
+where
+    S: Sink<Message<(RequestHeadType, BodySize)>, Error = io::Error> + Unpin,
+{
     let size = match (body.len(), &head.method) {
         (0, &Method::GET | &Method::HEAD) => BodySize::None,
         (length, _) => BodySize::Sized(length as u64),
     };
-    let written = async {
-        framed.feed(Message::Item((head.into(), size))).await?;
-        if !body.is_empty() {
-            framed.feed(Message::Chunk(Some(body))).await?;
-        }
-        SinkExt::<Message<(RequestHeadType, BodySize)>>::flush(framed).await
-    };
-    match written.await {
-        Ok(()) => Ok(()),
-        Err(_) if framed.io_ref().wrote() => Err(Failure::PartlyWritten),
-        Err(_) => Err(Failure::Unwritten),
+    sink.feed(Message::Item((head.into(), size))).await?;
+    if !body.is_empty() {
+        sink.feed(Message::Chunk(Some(body))).await?;
     }
+    sink.flush().await
 }
 
 /// Waits for the head of the answer, past interim ones.
-pub(super) async fn receive(framed: &mut Framed<Socket, Codec>) -> Result<ResponseHead, Failure> {
+async fn receive<S>(mut answers: S) -> Result<ResponseHead, Failure>
+where
+    S: Stream<Item = Result<ResponseHead, ParseError>> + Unpin,
+{
     for _ in 0..=MAX_INTERIM {
-        match framed.next().await {
+        match answers.next().await {
             Some(Ok(head)) if !head.status.is_informational() => return Ok(head),
             Some(Ok(head)) if head.status == StatusCode::SWITCHING_PROTOCOLS => {
                 return Err(Failure::Garbled("it switches protocols unasked".to_owned()));
@@ -153,15 +178,15 @@
     Err(Failure::Garbled("too many interim answers".to_owned()))
 }
 
-/// Checks that the answer is ours, within bounds and of a stated length.
+/// Checks that the answer is ours and within bounds.
 pub(super) fn check(
     head: &ResponseHead,
-    id: &str,
-    method: &Method,
+    request: &Request,
     limits: &Limits,
 ) -> Result<(), Failure> {
-    let mut ids = head.headers.get_all(REQUEST_ID);
-    if ids.next().is_none_or(|it| it.as_bytes() != id.as_bytes()) || ids.next().is_some() {
+    let mut ids = head.headers.get_all(&request.id_header);
+    let own = |it: &HeaderValue| it.as_bytes() == request.id.as_bytes();
+    if !ids.next().is_some_and(own) || ids.next().is_some() {
         return Err(Failure::Crossed);
     }
     if size(&head.headers) > limits.max_head_bytes {
@@ -173,9 +198,7 @@
     if chunked && sized {
         return Err(Failure::Garbled("it states two lengths".to_owned()));
     }
-    // The codec takes such an answer for an empty one, and its true end cannot
-    // be told from a lost connection.
-    if !chunked && !sized && has_body(head.status, method) {
+    if !chunked && !sized && !limits.unframed && has_body(head.status, &request.method) {
         return Err(Failure::Garbled("it states no length".to_owned()));
     }
     Ok(())
@@ -189,12 +212,13 @@
     end: Instant,
     limits: &Limits,
 ) -> Response {
-    let empty = head
-        .headers
-        .get(header::CONTENT_LENGTH)
-        .is_some_and(|length| length.as_bytes().iter().all(|digit| *digit == b'0'));
+    let length = head.headers.get(header::CONTENT_LENGTH);
+    let empty = length.is_some_and(|it| it.as_bytes().iter().all(|digit| *digit == b'0'));
+    let chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
     let body = if empty || !has_body(head.status, method) {
         Body::empty()
+    } else if length.is_none() && !chunked {
+        Body::unframed(framed, end, limits)
     } else {
         Body::new(framed, end, limits)
     };
--- a/crates/daemon/tests/events.rs
+++ b/crates/daemon/tests/events.rs
@@ -45,8 +45,11 @@
 #[gtest]
 fn the_code_and_the_catalogue_have_the_same_numbers() {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
-    let sources = ["daemon", "ctl", "journal", "wire", "policy"]
-        .map(|it| root.join("crates").join(it).join("src"));
+    let crates = ["daemon", "ctl", "journal", "wire", "policy"];
+    let mut sources: Vec<PathBuf> = crates
+        .map(|it| root.join("crates").join(it).join("src"))
+        .to_vec();
+    sources.push(root.join("platform/src"));
     let code: BTreeSet<String> = sources
         .iter()
         .flat_map(|folder| collect(folder, "rs", "\"CP"))
--- a/crates/daemon/tests/follow.rs
+++ b/crates/daemon/tests/follow.rs
@@ -141,6 +141,7 @@
         classes: Vec::new(),
         max_running: 4,
         max_queued: 8,
+        ..Account::default()
     }))
 }
 
@@ -225,6 +226,7 @@
         let catalogue = Arc::new(Catalogue::from_entries(9, entries));
         let local = a.local.clone().expect("a replica");
         let snapshot = Local::Snapshot {
+            declaration: None,
             index: 50,
             catalogue: Arc::clone(&catalogue),
             marks: Arc::default(),
--- a/crates/daemon/tests/gossip.rs
+++ b/crates/daemon/tests/gossip.rs
@@ -71,6 +71,7 @@
             peer: entry.peer,
             callers: entry.peer,
             replica: None,
+            seeds: Vec::new(),
         };
         let hub = Hub::new(&entry.id, "test");
         let gossip = Gossip::start(settings, socket, hub, sender.subscribe());
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -70,6 +70,7 @@
             address,
             interval: Duration::from_millis(20),
             timeout: Duration::from_millis(300),
+            ..Settings::default()
         });
         until("a list", || platform.list().borrow().entries.len() == 1).await;
         let good = Arc::clone(&platform.list().borrow());
--- a/crates/policy/benches/control.rs
+++ b/crates/policy/benches/control.rs
@@ -280,5 +280,6 @@
         classes: Vec::new(),
         max_running: 8,
         max_queued: 64,
+        ..Account::default()
     }))
 }
--- a/crates/policy/benches/slot_slopes.rs
+++ b/crates/policy/benches/slot_slopes.rs
@@ -159,6 +159,7 @@
         domain: "d".to_owned(),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         standing: Standing::Live,
+        slots: 0,
     });
     black_box(arbiter.on_event(now, Event::Runners(listed.collect())));
     black_box(arbiter.on_event(now, Event::Tick));
@@ -188,6 +189,7 @@
             classes: Vec::new(),
             max_running: 1_000,
             max_queued: 100_000,
+            ..Account::default()
         }))
     });
     let service = Entry::Service(Arc::new(Service {
--- a/crates/policy/benches/slots/arrivals.rs
+++ b/crates/policy/benches/slots/arrivals.rs
@@ -168,5 +168,6 @@
         classes: vec!["repair".to_owned(), "proof".to_owned()],
         max_running: 1_000,
         max_queued: 1_000,
+        ..Account::default()
     }
 }
--- a/crates/policy/benches/slots/model.rs
+++ b/crates/policy/benches/slots/model.rs
@@ -579,6 +579,7 @@
             domain: "d".to_owned(),
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
             standing: Standing::Live,
+            slots: 0,
         });
         let runners = arbiter::Event::Runners(runners.collect());
         self.arbiter(host, arbiter::Event::Catalogue(Arc::clone(&self.catalogue)));
--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -34,7 +34,7 @@
 
 pub use estimate::Lengths;
 pub use message::{
-    Ask, Asked, Beat, End, Hold, Progress, Recital, Refusal, Reply, Request, Sample, Ticket,
+    Ask, Asked, Beat, End, Hold, Part, Progress, Recital, Refusal, Reply, Request, Sample, Ticket,
 };
 pub use pool::{MAX_RUNNERS, Turn};
 pub use rank::order;
--- a/crates/policy/src/arbiter/admit.rs
+++ b/crates/policy/src/arbiter/admit.rs
@@ -16,7 +16,7 @@
     queue::{Item, TIERS},
 };
 use crate::{
-    catalogue::{Account, Class},
+    catalogue::{Account, Class, MAX_TIER},
     crash::Mark,
 };
 
@@ -44,7 +44,7 @@
         if self.is_known(key, effects) {
             return;
         }
-        let class = self.catalogue.classes.get(&ask.class).cloned();
+        let class = self.class_of(ask);
         let account = self.catalogue.accounts.get(&ask.account).cloned();
         let (Some(class), Some(account)) = (class, account) else {
             let retry_after = LAGGING_RETRY;
@@ -76,6 +76,18 @@
         }
     }
 
+    /// The class of an ask, in the tier of its account if that has one.
+    pub(super) fn class_of(&self, ask: &Ask) -> Option<Arc<Class>> {
+        let class = self.catalogue.classes.get(&ask.class)?;
+        Some(match ask.tier {
+            Some(tier) if tier != class.tier => Arc::new(Class {
+                tier: tier.min(MAX_TIER),
+                ..class.as_ref().clone()
+            }),
+            _ => Arc::clone(class),
+        })
+    }
+
     /// Answers an ask that came before.
     fn is_known(&self, key: Key, effects: &mut Vec<Effect>) -> bool {
         if let Some(running) = self.running.get(&key) {
--- a/crates/policy/src/arbiter/grant.rs
+++ b/crates/policy/src/arbiter/grant.rs
@@ -96,7 +96,11 @@
         if let Some(runner) = self.pool.get_mut(&runner) {
             runner.on_grant(now);
         }
-        let running = Running::new(now, item, runner, way);
+        let address = self.pool.get(&runner).and_then(|it| it.address);
+        let running = Running {
+            address,
+            ..Running::new(now, item, runner, way)
+        };
         effects.push(Effect::Note(Note::Granted {
             tier: item.class.tier,
             floor: way == Way::Floor,
--- a/crates/policy/src/arbiter/hold.rs
+++ b/crates/policy/src/arbiter/hold.rs
@@ -1,6 +1,7 @@
 //! Slots in use, their askers and their ends.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -51,6 +52,7 @@
     pub(super) account: Arc<str>,
     pub(super) fingerprint: Fingerprint,
     pub(super) runner: RunnerId,
+    pub(super) address: Option<SocketAddr>,
     pub(super) since: Instant,
     pub(super) way: Way,
     pub(super) preempting: bool,
@@ -61,6 +63,7 @@
 impl Running {
     pub(super) fn new(now: Instant, item: &Item, runner: RunnerId, way: Way) -> Self {
         Self {
+            address: None,
             class: Arc::clone(&item.class),
             account: Arc::clone(&item.account),
             fingerprint: item.fingerprint,
@@ -81,6 +84,7 @@
             ticket: key.ticket,
             runner: self.runner.clone(),
             alone: self.is_alone(),
+            address: self.address,
         }
     }
 }
@@ -384,7 +388,7 @@
             asker,
             ticket: hold.ask.ticket,
         };
-        let class = self.catalogue.classes.get(&hold.ask.class).cloned();
+        let class = self.class_of(&hold.ask);
         let Some(class) = class.filter(|_| !self.running.contains_key(&key)) else {
             return;
         };
@@ -395,6 +399,7 @@
             class,
             account: self.account(&hold.ask.account),
             fingerprint: hold.ask.fingerprint,
+            address: self.pool.get(&hold.runner).and_then(|it| it.address),
             runner: hold.runner,
             since: now.checked_sub(hold.age).unwrap_or(now),
             way: if hold.alone { Way::Alone } else { Way::Turn },
--- a/crates/policy/src/arbiter/message.rs
+++ b/crates/policy/src/arbiter/message.rs
@@ -4,7 +4,7 @@
 //! or come late. Whatever gets lost is mended by the heartbeat: it carries a
 //! digest of all tickets, and a mismatch makes the arbiter ask for the list.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use derive_more::{Display, Error};
 
@@ -39,6 +39,21 @@
     pub resume: bool,
     /// Whether its asker suspects it of crashing runners.
     pub suspected: bool,
+    /// Tier in place of the class's.
+    pub tier: Option<u8>,
+    /// Parts of the prompt, in order; empty where there is none.
+    pub prompt: Vec<Part>,
+    /// Most tokens that the answer may have.
+    pub output: u32,
+}
+
+/// One part of a prompt, which other requests may share.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Part {
+    /// Identity of its content.
+    pub id: u64,
+    /// Its length.
+    pub tokens: u32,
 }
 
 /// A slot in use.
@@ -198,6 +213,8 @@
         runner: RunnerId,
         /// Whether it must be the only one there.
         alone: bool,
+        /// Address of the runner, as the arbiter knows it.
+        address: Option<SocketAddr>,
     },
     /// The ask is given up.
     Refused(Ticket, Refusal),
--- a/crates/policy/src/arbiter/pool.rs
+++ b/crates/policy/src/arbiter/pool.rs
@@ -73,7 +73,11 @@
                 .runners
                 .entry(it.id.clone())
                 .or_insert_with(|| Runner::new(max));
+            runner.address = Some(it.address);
             runner.leaving = it.standing == Standing::Leaving;
+            if it.slots > 0 {
+                runner.set_slots(it.slots);
+            }
             runner.set_max(max);
         }
     }
--- a/crates/policy/src/arbiter/runner.rs
+++ b/crates/policy/src/arbiter/runner.rs
@@ -1,6 +1,9 @@
 //! One runner as its arbiter sees it: load, concurrency limit and speed.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use super::message::Sample;
 use crate::catalogue::Class;
@@ -87,6 +90,8 @@
 #[derive(Debug)]
 pub(super) struct Runner {
     pub(super) leaving: bool,
+    /// Address on the platform's list.
+    pub(super) address: Option<SocketAddr>,
     /// Kept free of others for a request that must run alone.
     pub(super) reserved: bool,
     pub(super) held: u32,
@@ -113,6 +118,7 @@
     pub(super) fn new(max: u32) -> Self {
         Self {
             leaving: false,
+            address: None,
             reserved: false,
             held: 0,
             health: Health::Good,
@@ -141,6 +147,11 @@
     }
 
     /// Most requests that it is given at once.
+    /// Takes over how many requests it runs at once.
+    pub(super) fn set_slots(&mut self, slots: u32) {
+        self.slots = slots;
+    }
+
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
--- a/crates/policy/src/catalogue.rs
+++ b/crates/policy/src/catalogue.rs
@@ -1,10 +1,10 @@
-//! The declarations that operators apply: accounts, classes and services.
+//! The declarations that operators apply: accounts, classes, services and routes.
 //!
 //! A catalogue is immutable; applying a change yields the next one or a typed
 //! fault that names the entry and the remedy. Entries are shared by reference
 //! count, so that a change to one of many thousands stays cheap.
 
-mod millis;
+pub(crate) mod millis;
 
 use std::{sync::Arc, time::Duration};
 
@@ -12,7 +12,10 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::id::{AccountId, ChangeId, ClassId, OperatorId, Revision, ServiceId};
+use crate::{
+    id::{AccountId, ChangeId, ClassId, OperatorId, Revision, RouteId, ServiceId},
+    route,
+};
 
 /// Lowest tier that a class may name; zero is the highest.
 pub const MAX_TIER: u8 = 7;
@@ -27,7 +30,7 @@
 const KEY_DIGEST_DIGITS: usize = 64;
 
 /// A client account.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Account {
     /// Unique name.
@@ -36,6 +39,12 @@
     pub owner: String,
     /// SHA-256 of the account's API key, in lower-case hex.
     pub key_sha256: String,
+    /// SHA-256 of further API keys of the account.
+    #[serde(default)]
+    pub further_keys_sha256: Vec<String>,
+    /// Tier of the account's requests in place of their class's.
+    #[serde(default)]
+    pub tier: Option<u8>,
     /// Class of requests that name none, where the service's own is not open to it.
     pub class: ClassId,
     /// Further classes that the account may ask for.
@@ -47,6 +56,15 @@
     pub max_queued: u32,
 }
 
+impl Account {
+    /// Digests of all its API keys.
+    pub fn digests(&self) -> impl Iterator<Item = &String> {
+        [&self.key_sha256]
+            .into_iter()
+            .chain(&self.further_keys_sha256)
+    }
+}
+
 /// A class of requests with its targets.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -86,10 +104,10 @@
     Plain,
 }
 
-/// A route whose calls must not be repeated.
+/// Calls that must not be repeated.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Route {
+pub struct Call {
     /// Upper-case HTTP method.
     pub method: String,
     /// Path prefix below the service, with a leading slash.
@@ -110,7 +128,7 @@
     pub class: ClassId,
     /// Routes that must run at most once.
     #[serde(default)]
-    pub once: Vec<Route>,
+    pub once: Vec<Call>,
     /// Most requests that one runner is given at once.
     pub max_running_per_runner: u32,
     /// Retries allowed, in percent of requests.
@@ -161,6 +179,9 @@
     /// Service.
     #[display("service")]
     Service,
+    /// Route.
+    #[display("route")]
+    Route,
 }
 
 /// Name of one entry.
@@ -183,6 +204,8 @@
     Class(Arc<Class>),
     /// Service.
     Service(Arc<Service>),
+    /// Route.
+    Route(Arc<route::Route>),
 }
 
 impl Entry {
@@ -193,6 +216,7 @@
             Self::Account(account) => (Kind::Account, &account.name),
             Self::Class(class) => (Kind::Class, &class.name),
             Self::Service(service) => (Kind::Service, &service.name),
+            Self::Route(route) => (Kind::Route, &route.name),
         };
         Key {
             kind,
@@ -207,6 +231,7 @@
             Self::Account(account) => &account.owner,
             Self::Class(class) => &class.owner,
             Self::Service(service) => &service.owner,
+            Self::Route(route) => &route.owner,
         }
     }
 }
@@ -260,6 +285,14 @@
         /// Allowed values.
         range: String,
     },
+    /// Two routes have one host and prefix.
+    #[display("{key} has the host and prefix of {other}: change one of them")]
+    SamePlace {
+        /// Entry at fault.
+        key: Key,
+        /// The route that has the place already.
+        other: Key,
+    },
     /// Two accounts share one API key.
     #[display("{key} has the API key of {other}: give each account a key of its own")]
     SameKey {
@@ -295,9 +328,15 @@
     pub classes: IndexMap<ClassId, Arc<Class>>,
     /// Services by name.
     pub services: IndexMap<ServiceId, Arc<Service>>,
+    /// Routes by name.
+    #[serde(default)]
+    pub routes: IndexMap<RouteId, Arc<route::Route>>,
     /// Accounts by the digest of their API key.
     #[serde(skip)]
     keys: IndexMap<String, AccountId>,
+    /// Routes by host, longest prefix first.
+    #[serde(skip)]
+    hosts: IndexMap<String, Vec<Arc<route::Route>>>,
 }
 
 impl Catalogue {
@@ -307,6 +346,19 @@
         self.accounts.get(self.keys.get(key_sha256)?)
     }
 
+    /// Whether any account has an API key.
+    #[must_use]
+    pub fn has_keys(&self) -> bool {
+        !self.keys.is_empty()
+    }
+
+    /// The route of a request, by the longest prefix that begins its path.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<route::Route>> {
+        let routes = self.hosts.get(host)?;
+        routes.iter().find(|route| route.covers(path))
+    }
+
     /// One entry by kind and name.
     #[must_use]
     pub fn entry(&self, key: &Key) -> Option<Entry> {
@@ -323,10 +375,14 @@
                 .services
                 .get(&key.name)
                 .map(|it| Entry::Service(Arc::clone(it))),
+            Kind::Route => self
+                .routes
+                .get(&key.name)
+                .map(|it| Entry::Route(Arc::clone(it))),
         }
     }
 
-    /// Every entry: classes, then services, then accounts.
+    /// Every entry: classes, then services, routes and accounts.
     pub fn entries(&self) -> impl Iterator<Item = Entry> + '_ {
         let classes = self.classes.values().map(|it| Entry::Class(Arc::clone(it)));
         let services = self
@@ -337,7 +393,8 @@
             .accounts
             .values()
             .map(|it| Entry::Account(Arc::clone(it)));
-        classes.chain(services).chain(accounts)
+        let routes = self.routes.values().map(|it| Entry::Route(Arc::clone(it)));
+        classes.chain(services).chain(routes).chain(accounts)
     }
 
     /// Rebuilds a catalogue from its entries, as read from a snapshot.
@@ -383,11 +440,12 @@
     fn put(&mut self, entry: Entry) {
         match entry {
             Entry::Account(account) => {
-                if let Some(old) = self.accounts.get(&account.name) {
-                    self.keys.swap_remove(&old.key_sha256);
+                if let Some(old) = self.accounts.get(&account.name).cloned() {
+                    self.forget_keys(&old);
+                }
+                for digest in account.digests().filter(|it| !it.is_empty()) {
+                    self.keys.insert(digest.clone(), account.name.clone());
                 }
-                self.keys
-                    .insert(account.key_sha256.clone(), account.name.clone());
                 self.accounts.insert(account.name.clone(), account);
             }
             Entry::Class(class) => {
@@ -396,13 +454,43 @@
             Entry::Service(service) => {
                 self.services.insert(service.name.clone(), service);
             }
+            Entry::Route(route) => {
+                if let Some(old) = self.routes.insert(route.name.clone(), Arc::clone(&route)) {
+                    self.leave_host(&old);
+                }
+                let routes = self.hosts.entry(route.host.clone()).or_default();
+                let place = routes.partition_point(|it| it.prefix.len() >= route.prefix.len());
+                routes.insert(place, route);
+            }
+        }
+    }
+
+    fn forget_keys(&mut self, account: &Account) {
+        for digest in account.digests() {
+            self.keys.swap_remove(digest);
+        }
+    }
+
+    fn leave_host(&mut self, route: &route::Route) {
+        if let Some(routes) = self.hosts.get_mut(&route.host) {
+            routes.retain(|it| it.name != route.name);
         }
     }
 
     fn remove(&mut self, key: &Key) -> Result<(), Fault> {
         let found = match key.kind {
             Kind::Account => match self.accounts.shift_remove(&key.name) {
-                Some(old) => self.keys.swap_remove(&old.key_sha256).is_some(),
+                Some(old) => {
+                    self.forget_keys(&old);
+                    true
+                }
+                None => false,
+            },
+            Kind::Route => match self.routes.shift_remove(&key.name) {
+                Some(old) => {
+                    self.leave_host(&old);
+                    true
+                }
                 None => false,
             },
             Kind::Class => self.classes.shift_remove(&key.name).is_some(),
@@ -416,28 +504,44 @@
     }
 
     fn check_key(&self, entry: &Entry) -> Result<(), Fault> {
-        let Entry::Account(account) = entry else {
-            return Ok(());
-        };
-        match self.keys.get(&account.key_sha256) {
-            Some(other) if *other != account.name => Err(Fault::SameKey {
-                key: entry.key(),
-                other: Key {
-                    kind: Kind::Account,
-                    name: other.clone(),
-                },
-            }),
-            _ => Ok(()),
+        match entry {
+            Entry::Account(account) => {
+                let mut taken = account.digests().filter_map(|it| self.keys.get(it));
+                taken.find(|it| **it != account.name).map_or(Ok(()), |it| {
+                    Err(Fault::SameKey {
+                        key: entry.key(),
+                        other: Key {
+                            kind: Kind::Account,
+                            name: it.clone(),
+                        },
+                    })
+                })
+            }
+            Entry::Route(route) => {
+                let placed = self.hosts.get(&route.host).into_iter().flatten();
+                let mut same = placed.filter(|it| it.prefix == route.prefix);
+                same.find(|it| it.name != route.name).map_or(Ok(()), |it| {
+                    Err(Fault::SamePlace {
+                        key: entry.key(),
+                        other: Key {
+                            kind: Kind::Route,
+                            name: it.name.clone(),
+                        },
+                    })
+                })
+            }
+            Entry::Class(_) | Entry::Service(_) => Ok(()),
         }
     }
 
     /// Checks what a change may have broken: its own entries, and references
-    /// to the classes that it removed.
+    /// to the classes and services that it removed.
     fn check(&self, change: &Change) -> Result<(), Fault> {
         for entry in &change.puts {
             self.check_entry(entry)?;
         }
-        if change.removes.iter().any(|key| key.kind == Kind::Class) {
+        let referred = |key: &Key| matches!(key.kind, Kind::Class | Kind::Service);
+        if change.removes.iter().any(referred) {
             for entry in self.entries() {
                 self.check_references(&entry)?;
             }
@@ -454,6 +558,21 @@
             Entry::Account(account) => check_account(&key, account),
             Entry::Class(class) => check_class(&key, class),
             Entry::Service(service) => check_service(&key, service),
+            Entry::Route(route) => check_route(&key, route),
+        }
+    }
+
+    fn check_backends(&self, key: &Key, route: &route::Route) -> Result<(), Fault> {
+        let mut named = route.backends.iter().map(|it| &it.service);
+        match named.find(|service| !self.services.contains_key(*service)) {
+            None => Ok(()),
+            Some(service) => Err(Fault::Missing {
+                key: key.clone(),
+                missing: Key {
+                    kind: Kind::Service,
+                    name: service.clone(),
+                },
+            }),
         }
     }
 
@@ -463,6 +582,10 @@
             Entry::Account(account) => account.classes.iter().chain([&account.class]).collect(),
             Entry::Class(_) => Vec::new(),
             Entry::Service(service) => vec![&service.class],
+            Entry::Route(route) => {
+                self.check_backends(&key, route)?;
+                vec![&route.class]
+            }
         };
         match named
             .into_iter()
@@ -480,6 +603,16 @@
     }
 }
 
+fn check_route(key: &Key, route: &route::Route) -> Result<(), Fault> {
+    let slashes = route.prefix.starts_with('/') && route.prefix.ends_with('/');
+    check_range(key, "prefix", slashes, "a path with a slash at both ends")?;
+    check_range(key, "host", !route.host.is_empty(), "a host name")?;
+    let weight: u64 = route.backends.iter().map(|it| u64::from(it.weight)).sum();
+    check_range(key, "backends", weight > 0, "services with a weight over 0")?;
+    check_range(key, "attempts", route.attempts > 0, "at least 1")?;
+    check_range(key, "timeout_ms", !route.timeout.is_zero(), "at least 1")
+}
+
 fn check_name(key: &Key, field: &str, value: &str) -> Result<(), Fault> {
     let fits = (1..=MAX_NAME_BYTES).contains(&value.len());
     let plain = value
@@ -507,9 +640,11 @@
 
 fn check_account(key: &Key, account: &Account) -> Result<(), Fault> {
     let hex = |c: char| c.is_ascii_digit() || ('a'..='f').contains(&c);
-    let digest =
-        account.key_sha256.len() == KEY_DIGEST_DIGITS && account.key_sha256.chars().all(hex);
-    check_range(key, "key_sha256", digest, "64 lower-case hex digits")?;
+    let is_digest = |it: &String| it.len() == KEY_DIGEST_DIGITS && it.chars().all(hex);
+    let digests = account.digests().all(is_digest);
+    check_range(key, "key_sha256", digests, "64 lower-case hex digits")?;
+    let tier = account.tier.is_none_or(|tier| tier <= MAX_TIER);
+    check_range(key, "tier", tier, "0 to 7")?;
     check_range(key, "max_running", account.max_running > 0, "at least 1")
 }
 
--- a/crates/policy/src/catalogue/millis.rs
+++ b/crates/policy/src/catalogue/millis.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Deserializer, Serializer};
 
 /// Writes a duration as milliseconds.
-pub(super) fn serialize<S>(value: &Duration, serializer: S) -> Result<S::Ok, S::Error>
+pub(crate) fn serialize<S>(value: &Duration, serializer: S) -> Result<S::Ok, S::Error>
 where
     S: Serializer,
 {
@@ -13,7 +13,7 @@
 }
 
 /// Reads a duration from milliseconds.
-pub(super) fn deserialize<'de, D>(deserializer: D) -> Result<Duration, D::Error>
+pub(crate) fn deserialize<'de, D>(deserializer: D) -> Result<Duration, D::Error>
 where
     D: Deserializer<'de>,
 {
--- a/crates/policy/src/desk.rs
+++ b/crates/policy/src/desk.rs
@@ -8,6 +8,7 @@
 //! refusal when its deadline passes or no arbiter can be reached.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -96,6 +97,8 @@
         runner: RunnerId,
         /// Whether it must be the only one there.
         alone: bool,
+        /// Address of the runner, as the arbiter knows it.
+        address: Option<SocketAddr>,
         /// Time that it waited.
         waited: Duration,
     },
@@ -116,6 +119,13 @@
     acknowledged: bool,
 }
 
+/// What a grant says beside its ticket.
+struct Granted {
+    runner: RunnerId,
+    alone: bool,
+    address: Option<SocketAddr>,
+}
+
 #[derive(Debug)]
 struct Held {
     ask: Ask,
@@ -344,7 +354,15 @@
                 ticket,
                 runner,
                 alone,
-            } => self.on_grant(now, from, ticket, runner, alone, effects),
+                address,
+            } => {
+                let granted = Granted {
+                    runner,
+                    alone,
+                    address,
+                };
+                self.on_grant(now, from, ticket, granted, effects);
+            }
             Reply::Refused(ticket, refusal) => {
                 if self.waiting.swap_remove(&ticket).is_some() {
                     self.digest ^= mix(ticket);
@@ -413,8 +431,7 @@
         now: Instant,
         from: &InstanceId,
         ticket: Ticket,
-        runner: RunnerId,
-        alone: bool,
+        granted: Granted,
         effects: &mut Vec<Effect>,
     ) {
         let Some(waiting) = self.waiting.swap_remove(&ticket) else {
@@ -423,6 +440,11 @@
             }
             return;
         };
+        let Granted {
+            runner,
+            alone,
+            address,
+        } = granted;
         let held = Held {
             ask: waiting.ask,
             runner: runner.clone(),
@@ -434,6 +456,7 @@
             ticket,
             runner,
             alone,
+            address,
             waited: now.saturating_duration_since(waiting.since),
         });
     }
--- a/crates/policy/src/feed.rs
+++ b/crates/policy/src/feed.rs
@@ -12,6 +12,7 @@
 use crate::{
     catalogue::{Catalogue, Change},
     crash,
+    declaration::Declaration,
     id::Index,
 };
 
@@ -22,6 +23,8 @@
 pub enum Step {
     /// An accepted catalogue change.
     Change(Arc<Change>),
+    /// A whole declaration of a newer version.
+    Declare(Arc<Declaration>),
     /// A crash mark set, raised or cleared.
     Crash(crash::Step),
 }
@@ -42,6 +45,8 @@
     pub index: Index,
     /// Catalogue in force.
     pub catalogue: Arc<Catalogue>,
+    /// Declaration in force, if the catalogue is declared as a whole.
+    pub declaration: Option<Arc<Declaration>>,
     /// Requests known or suspected to crash runners.
     pub marks: Arc<crash::Table>,
     /// When the catalogue was last known to be current.
@@ -59,6 +64,8 @@
         index: Index,
         /// Catalogue at that index.
         catalogue: Arc<Catalogue>,
+        /// Declaration at that index.
+        declaration: Option<Arc<Declaration>>,
         /// Crash marks at that index.
         marks: Arc<crash::Table>,
     },
--- a/crates/policy/src/feed/follower.rs
+++ b/crates/policy/src/feed/follower.rs
@@ -15,7 +15,7 @@
     time::{Duration, Instant},
 };
 
-use crate::{catalogue::Catalogue, crash, id::Index};
+use crate::{catalogue::Catalogue, crash, declaration::Declaration, id::Index};
 
 use super::{Local, Step, Update, View, ring::Ring};
 
@@ -69,6 +69,8 @@
     pub index: Index,
     /// Catalogue at that index.
     pub catalogue: Arc<Catalogue>,
+    /// Declaration at that index.
+    pub declaration: Option<Arc<Declaration>>,
     /// Crash marks at that index.
     pub marks: Arc<crash::Table>,
 }
@@ -161,10 +163,12 @@
             Local::Snapshot {
                 index,
                 catalogue,
+                declaration,
                 marks,
             } => self.take_snapshot(Snapshot {
                 index,
                 catalogue,
+                declaration,
                 marks,
             }),
             Local::Proved { index, at } => {
@@ -200,7 +204,9 @@
         } else {
             snapshot.index > self.wanted()
         };
-        let reverts = snapshot.catalogue.revision < self.view.catalogue.revision;
+        let version = |it: &Option<Arc<Declaration>>| it.as_ref().map(|it| it.version);
+        let reverts = snapshot.catalogue.revision < self.view.catalogue.revision
+            || version(&snapshot.declaration) < version(&self.view.declaration);
         if !newer || reverts {
             return false;
         }
@@ -210,6 +216,7 @@
         self.view = View {
             index: snapshot.index,
             catalogue: snapshot.catalogue,
+            declaration: snapshot.declaration,
             marks: snapshot.marks,
             proved: self.view.proved,
         };
@@ -235,6 +242,11 @@
                 };
                 self.view.catalogue = Arc::new(next);
             }
+            Step::Declare(declaration) => {
+                if declaration.supersedes(self.view.declaration.as_deref()) {
+                    self.view.declaration = Some(Arc::clone(declaration));
+                }
+            }
             Step::Crash(step) => Arc::make_mut(&mut self.view.marks).apply(step),
         }
         self.view.index = update.index;
@@ -306,6 +318,7 @@
         Snapshot {
             index: self.view.index,
             catalogue: Arc::clone(&self.view.catalogue),
+            declaration: self.view.declaration.clone(),
             marks: Arc::clone(&self.view.marks),
         }
     }
--- a/crates/policy/src/feed/ring.rs
+++ b/crates/policy/src/feed/ring.rs
@@ -77,6 +77,7 @@
 fn weight(update: &Update) -> usize {
     let content = match &update.step {
         Step::Change(change) => (change.puts.len() + change.removes.len()) * ENTRY_BYTES,
+        Step::Declare(declaration) => declaration.source.len(),
         Step::Crash(crate::crash::Step::Suspected(marks)) => marks.len() * MARK_BYTES,
         Step::Crash(_) => MARK_BYTES,
     };
--- a/crates/policy/src/id.rs
+++ b/crates/policy/src/id.rs
@@ -23,6 +23,12 @@
 /// Name of a service.
 pub type ServiceId = String;
 
+/// Name of a route.
+pub type RouteId = String;
+
+/// Number that an operator gives a whole declaration.
+pub type Version = u64;
+
 /// Caller's operator name, as authenticated at the admin listener.
 pub type OperatorId = String;
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod arbiter;
 pub mod catalogue;
 pub mod crash;
+pub mod declaration;
 pub mod desk;
 pub mod entry;
 pub mod feed;
@@ -20,5 +21,6 @@
 pub mod raft;
 pub mod relay;
 pub mod retry;
+pub mod route;
 pub mod state;
 pub mod swim;
--- a/crates/policy/src/platform.rs
+++ b/crates/policy/src/platform.rs
@@ -45,6 +45,9 @@
     /// How it stands.
     #[serde(default)]
     pub standing: Standing,
+    /// Requests that it runs at once; zero if the list does not say.
+    #[serde(default)]
+    pub slots: u32,
 }
 
 /// One reading of the platform's list.
--- a/crates/policy/src/raft.rs
+++ b/crates/policy/src/raft.rs
@@ -28,6 +28,7 @@
 mod progress;
 pub mod replace;
 mod replicate;
+pub mod seats;
 mod voters;
 
 use std::{
--- a/crates/policy/src/raft/leader.rs
+++ b/crates/policy/src/raft/leader.rs
@@ -27,6 +27,8 @@
 /// What only a leader holds.
 #[derive(Debug)]
 pub(super) struct Leader {
+    /// When it began to lead.
+    pub(super) since: Instant,
     pub(super) progress: IndexMap<ReplicaId, Progress>,
     /// Rounds that no quorum has confirmed yet.
     rounds: VecDeque<Round>,
@@ -56,6 +58,7 @@
     pub(super) fn lead(&mut self, now: Instant) {
         let last = self.log.last();
         self.seat = Seat::Leader(Box::new(Leader {
+            since: now,
             progress: IndexMap::new(),
             rounds: VecDeque::new(),
             round: 0,
--- a/crates/policy/src/raft/replace.rs
+++ b/crates/policy/src/raft/replace.rs
@@ -73,7 +73,7 @@
     }
 
     /// Whether the latest voters, and an entry of this term, are committed.
-    fn voters_settled(&self, leader: &Leader) -> bool {
+    pub(super) fn voters_settled(&self, leader: &Leader) -> bool {
         self.commit >= leader.first && self.commit >= self.log.voters_since()
     }
 
@@ -128,6 +128,11 @@
             || active.is_some_and(|at| now.saturating_duration_since(at) < self.settings.election)
     }
 
+    /// Whether a replica answers and has synced everything committed.
+    pub(super) fn is_caught_up(&self, now: Instant, leader: &Leader, id: ReplicaId) -> bool {
+        self.answers(now, leader, id) && self.missing(leader, id) == 0
+    }
+
     fn finish_replacement(&mut self, token: Token) {
         if let Seat::Leader(leader) = &mut self.seat {
             leader.replacement = None;
--- /dev/null
+++ b/crates/policy/src/raft/seats.rs
@@ -0,0 +1,82 @@
+//! Seats of lost voters, taken by learners without an operator.
+//!
+//! An emptied disk comes back as a learner, and a replica that is gone for good
+//! never answers again. Until another one counts in its place the next loss
+//! would stop the log, so the leader proposes the change by itself as soon as a
+//! learner holds everything committed. A voter that was only frozen or cut off
+//! finds itself a learner when it is back, with nothing lost.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+
+use super::{Node, Seat};
+use crate::{
+    id::{DomainId, InstanceId, ReplicaId},
+    member::{Members, State},
+};
+
+/// Silence after which a voter's seat is given to a learner; two election
+/// timeouts, so that a lost heartbeat or a short pause costs no change.
+pub const SEAT_PATIENCE: Duration = Duration::from_millis(1_500);
+
+/// The replicas that count first, spread over the failure domains; the one that
+/// asks the others comes first.
+#[must_use]
+pub fn founders(members: &Members, wanted: usize) -> Vec<ReplicaId> {
+    let alive = members.values().filter(|it| it.state == State::Alive);
+    let mut domains: IndexMap<&DomainId, Vec<(&InstanceId, ReplicaId)>> = IndexMap::new();
+    for member in alive {
+        if let Some(replica) = member.replica {
+            let domain = domains.entry(&member.domain).or_default();
+            domain.push((&member.id, replica));
+        }
+    }
+    domains.sort_unstable_keys();
+    domains.values_mut().for_each(|it| it.sort_unstable());
+    let longest = domains.values().map(Vec::len).max().unwrap_or(0);
+    let turns = (0..longest).flat_map(|turn| {
+        let domains = domains.values();
+        domains.filter_map(move |it| it.get(turn).copied())
+    });
+    let mut chosen: Vec<_> = turns.take(wanted).collect();
+    chosen.sort_unstable();
+    chosen.into_iter().map(|(_, replica)| replica).collect()
+}
+
+/// A voter to be replaced, and by whom.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Vacancy {
+    /// Voter that is silent or was removed.
+    pub old: ReplicaId,
+    /// Learner that holds everything committed.
+    pub new: ReplicaId,
+}
+
+impl Node {
+    /// A seat that should change hands now; only a leader knows one.
+    #[must_use]
+    pub fn vacancy(&self, now: Instant) -> Option<Vacancy> {
+        let Seat::Leader(leader) = &self.seat else {
+            return None;
+        };
+        if leader.replacement.is_some() || !self.voters_settled(leader) {
+            return None;
+        }
+        let heard = |id: ReplicaId| {
+            let active = leader.progress.get(&id).and_then(|it| it.active);
+            active.unwrap_or(leader.since)
+        };
+        let silence = |id: ReplicaId| now.saturating_duration_since(heard(id));
+        let voters = self.log.voters();
+        let silent = voters.ids().iter().copied().filter(|id| *id != self.id);
+        let silent = silent.filter(|id| silence(*id) >= SEAT_PATIENCE);
+        let old = voters
+            .removed()
+            .or_else(|| silent.max_by_key(|id| silence(*id)))?;
+        let mut learners = leader.progress.keys().copied().filter(|id| {
+            !voters.contains(*id) && *id != old && self.is_caught_up(now, leader, *id)
+        });
+        learners.next().map(|new| Vacancy { old, new })
+    }
+}
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -158,6 +158,12 @@
         }
     }
 
+    /// The budget with another bound on what it keeps.
+    #[must_use]
+    pub fn with_burst(self, burst: u32) -> Self {
+        Self { burst, ..self }
+    }
+
     /// Takes over a changed percentage; what was earned stays.
     pub fn set_percent(&mut self, percent: u32) {
         self.percent = percent;
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -12,7 +12,8 @@
 use crate::{
     catalogue::{Change, Fault, Key},
     crash,
-    id::{OperatorId, Revision},
+    declaration::Declaration,
+    id::{OperatorId, Revision, Version},
     ledger::{Claim, MAX_ATTEMPT, Settle, Verdict},
 };
 
@@ -33,6 +34,8 @@
         /// When the leader took it in.
         at: SystemTime,
     },
+    /// A whole declaration, which takes the place of older versions.
+    Declare(Arc<Declaration>),
     /// A claim of an idempotency key.
     Claim(Claim),
     /// The end of a claimed attempt.
@@ -49,7 +52,7 @@
     #[must_use]
     pub fn stamped(self, now: SystemTime) -> Self {
         match self {
-            Self::Nothing | Self::Crash(_) => self,
+            Self::Nothing | Self::Crash(_) | Self::Declare(_) => self,
             Self::Change { change, .. } => Self::Change { change, at: now },
             Self::Claim(claim) => {
                 let length = claim.deadline.duration_since(claim.at).unwrap_or_default();
@@ -79,6 +82,8 @@
     Change(Result<Revision, Refusal>),
     /// What the claimant may do.
     Claim(Verdict),
+    /// Version of the declaration that is in force.
+    Declared(Version),
 }
 
 /// Who changed an entry, and when.
--- a/crates/policy/src/state/digest.rs
+++ b/crates/policy/src/state/digest.rs
@@ -7,7 +7,10 @@
 
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::catalogue::{Backend, Change, Entry, Key, Kind, Service};
+use crate::{
+    catalogue::{Backend, Change, Entry, Key, Kind, Service},
+    route::{Repeat, Route},
+};
 
 /// Digest of everything that a change says, its id left out.
 pub(super) fn of_change(change: &Change) -> u128 {
@@ -46,6 +49,7 @@
             Kind::Account => 1,
             Kind::Class => 2,
             Kind::Service => 3,
+            Kind::Route => 4,
         };
         self.number(kind);
         self.text(&key.name);
@@ -60,7 +64,11 @@
         self.text(entry.owner());
         match entry {
             Entry::Account(it) => {
-                self.text(&it.key_sha256);
+                self.count(it.digests().count());
+                for digest in it.digests() {
+                    self.text(digest);
+                }
+                self.number(it.tier.map_or(u64::MAX, u64::from));
                 self.text(&it.class);
                 self.count(it.classes.len());
                 for class in &it.classes {
@@ -79,9 +87,30 @@
                 self.number(it.preemptible.into());
             }
             Entry::Service(it) => self.service(it),
+            Entry::Route(it) => self.route(it),
         }
     }
 
+    fn route(&mut self, route: &Route) {
+        self.text(&route.host);
+        self.text(&route.prefix);
+        self.text(&route.class);
+        self.count(route.backends.len());
+        for backend in &route.backends {
+            self.text(&backend.service);
+            self.number(backend.weight.into());
+        }
+        self.number(match route.repeat {
+            Repeat::Never => 1,
+            Repeat::Always => 2,
+            Repeat::Resume => 3,
+        });
+        self.number(route.stream.into());
+        self.number(route.attempts.into());
+        self.time(route.timeout);
+        self.number(route.public.into());
+    }
+
     fn service(&mut self, service: &Service) {
         self.number(match service.backend {
             Backend::Model => 1,
--- a/crates/policy/src/state/machine.rs
+++ b/crates/policy/src/state/machine.rs
@@ -8,6 +8,7 @@
 use crate::{
     catalogue::{Catalogue, Change},
     crash,
+    declaration::Declaration,
     feed::{Step, Update},
     id::{ChangeId, Index, Revision},
     ledger::{self, Ledger},
@@ -82,6 +83,7 @@
     limits: Limits,
     index: Index,
     catalogue: Arc<Catalogue>,
+    declaration: Option<Arc<Declaration>>,
     marks: Arc<crash::Table>,
     answers: VecDeque<ChangeId>,
     kept: IndexMap<ChangeId, Kept>,
@@ -107,6 +109,7 @@
         let mut machine = Self {
             index: snapshot.index,
             catalogue: snapshot.catalogue,
+            declaration: snapshot.declaration,
             marks: snapshot.marks,
             authors: snapshot.authors.into(),
             ledger: snapshot.ledger,
@@ -130,6 +133,12 @@
         &self.catalogue
     }
 
+    /// The declaration in force, if the catalogue is declared as a whole.
+    #[must_use]
+    pub fn declaration(&self) -> Option<&Arc<Declaration>> {
+        self.declaration.as_ref()
+    }
+
     /// Requests known or suspected to crash runners.
     #[must_use]
     pub fn marks(&self) -> &Arc<crash::Table> {
@@ -175,6 +184,7 @@
                 self.ledger.advance(*at);
                 return self.change(index, change);
             }
+            Command::Declare(declaration) => return self.declare(index, declaration),
             Command::Claim(claim) => {
                 return Applied {
                     answer: Answer::Claim(self.ledger.claim(claim)),
@@ -196,6 +206,21 @@
         }
     }
 
+    fn declare(&mut self, index: Index, declaration: &Arc<Declaration>) -> Applied {
+        let newer = declaration.supersedes(self.declaration.as_deref());
+        if newer {
+            self.declaration = Some(Arc::clone(declaration));
+        }
+        let version = self.declaration.as_ref().map_or(0, |it| it.version);
+        Applied {
+            answer: Answer::Declared(version),
+            update: newer.then(|| Update {
+                index,
+                step: Step::Declare(Arc::clone(declaration)),
+            }),
+        }
+    }
+
     fn change(&mut self, index: Index, change: &Arc<Change>) -> Applied {
         let digest = digest::of_change(change);
         if let Some(kept) = self.kept.get(&change.id) {
@@ -289,6 +314,8 @@
     pub index: Index,
     /// The catalogue.
     pub catalogue: Arc<Catalogue>,
+    /// The declaration in force.
+    pub declaration: Option<Arc<Declaration>>,
     /// Requests known or suspected to crash runners.
     pub marks: Arc<crash::Table>,
     /// Answers to change ids, oldest first.
--- a/crates/policy/src/state/size.rs
+++ b/crates/policy/src/state/size.rs
@@ -6,6 +6,7 @@
 use crate::{
     catalogue::{Change, Entry},
     crash,
+    declaration::Declaration,
     ledger::{Claim, Key, Outcome, Settle},
 };
 
@@ -17,6 +18,7 @@
     match command {
         Command::Nothing => 0,
         Command::Change { change, .. } => of_change(change),
+        Command::Declare(it) => mem::size_of::<Declaration>() + it.source.len(),
         Command::Claim(claim) => mem::size_of::<Claim>() + of_key(&claim.key) + claim.daemon.len(),
         Command::Settle(settle) => {
             let answer = match &settle.outcome {
@@ -44,7 +46,8 @@
     let texts = match entry {
         Entry::Account(it) => {
             let classes: usize = it.classes.iter().map(|class| class.len() + 2).sum();
-            it.name.len() + it.owner.len() + it.key_sha256.len() + it.class.len() + classes
+            let keys: usize = it.digests().map(String::len).sum();
+            it.name.len() + it.owner.len() + keys + it.class.len() + classes
         }
         Entry::Class(it) => it.name.len() + it.owner.len(),
         Entry::Service(it) => {
@@ -56,6 +59,10 @@
             let statuses = it.refusal_statuses.len() * 3;
             it.name.len() + it.owner.len() + it.class.len() + routes + statuses
         }
+        Entry::Route(it) => {
+            let backends: usize = it.backends.iter().map(|it| it.service.len() + 8).sum();
+            it.name.len() + it.owner.len() + it.host.len() + it.prefix.len() + backends
+        }
     };
     FIXED_BYTES + texts
 }
--- a/crates/policy/src/swim.rs
+++ b/crates/policy/src/swim.rs
@@ -128,6 +128,8 @@
     peers: IndexMap<InstanceId, Peer>,
     hashes: IndexMap<u64, InstanceId>,
     listing: Listing,
+    /// Addresses that may be tried while they are not known under a name.
+    seeds: Vec<SocketAddr>,
     rumors: Rumors,
     probes: IndexMap<u32, Probe>,
     errands: IndexMap<u32, Errand>,
@@ -175,6 +177,7 @@
             peers: IndexMap::new(),
             hashes: IndexMap::new(),
             listing: Listing::default(),
+            seeds: Vec::new(),
             rumors: Rumors::default(),
             probes: IndexMap::new(),
             errands: IndexMap::new(),
@@ -311,6 +314,11 @@
         self.settle_state(now, rng)
     }
 
+    /// Replaces the addresses at which other daemons may be found.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+    }
+
     /// Whether this daemon takes no new work, by its own word or the list's.
     #[must_use]
     pub fn leaving(&self) -> bool {
--- a/crates/policy/src/swim/probe.rs
+++ b/crates/policy/src/swim/probe.rs
@@ -286,7 +286,14 @@
             .present()
             .filter(|(id, _)| **id != self.me.id && !self.peers.contains_key(*id))
             .map(|(_, address)| (address, None));
-        dead.chain(unknown).collect()
+        let known = |address: SocketAddr| {
+            let mut peers = self.peers.values();
+            address == self.me.peer || peers.any(|peer| peer.member.peer == address)
+        };
+        let seeds = self.seeds.iter().filter(|it| !known(**it));
+        dead.chain(unknown)
+            .chain(seeds.map(|address| (*address, None)))
+            .collect()
     }
 
     /// Whether any other instance is held alive.
--- a/crates/policy/tests/catalogue.rs
+++ b/crates/policy/tests/catalogue.rs
@@ -23,6 +23,7 @@
         classes: Vec::new(),
         max_running: 4,
         max_queued: 8,
+        ..Account::default()
     };
     Entry::Account(Arc::new(account))
 }
--- a/crates/policy/tests/desk_asks.rs
+++ b/crates/policy/tests/desk_asks.rs
@@ -34,6 +34,7 @@
         ticket,
         runner: "r0".to_owned(),
         alone: false,
+        address: None,
     }
 }
 
--- a/crates/policy/tests/slots/mod.rs
+++ b/crates/policy/tests/slots/mod.rs
@@ -47,6 +47,7 @@
         classes: vec!["c1".to_owned(), "c2".to_owned()],
         max_running,
         max_queued,
+        ..Account::default()
     }
 }
 
@@ -91,6 +92,7 @@
             domain: "d".to_owned(),
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
             standing: Standing::Live,
+            slots: 0,
         })
         .collect()
 }
--- a/crates/policy/tests/state_changes.rs
+++ b/crates/policy/tests/state_changes.rs
@@ -27,6 +27,7 @@
         classes: Vec::new(),
         max_running: 4,
         max_queued: 8,
+        ..Account::default()
     }))
 }
 
--- a/crates/wire/benches/members.rs
+++ b/crates/wire/benches/members.rs
@@ -380,6 +380,7 @@
         classes: Vec::new(),
         max_running: 4,
         max_queued: 8,
+        ..Account::default()
     }))
 }
 
@@ -402,6 +403,7 @@
     parent.take_local(Local::Snapshot {
         index: 50,
         catalogue,
+        declaration: None,
         marks: Arc::default(),
     });
     let change = |index| Update {
--- a/crates/wire/benches/slots.rs
+++ b/crates/wire/benches/slots.rs
@@ -97,6 +97,7 @@
         ticket: TICKET,
         runner: "runner-0001".to_owned(),
         alone: false,
+        address: None,
     };
     let messages = [
         ("ask", asked(ask())),
--- a/crates/wire/src/control/catalogue.rs
+++ b/crates/wire/src/control/catalogue.rs
@@ -2,7 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use citron_policy::catalogue::{Account, Backend, Change, Class, Entry, Key, Kind, Route, Service};
+use citron_policy::{
+    catalogue::{Account, Backend, Call, Change, Class, Entry, Key, Kind, Service},
+    route::{self, Repeat, Route},
+};
 
 use super::{Error, convert, nanos_of, need, proto};
 
@@ -12,6 +15,7 @@
             Kind::Account => 1,
             Kind::Class => 2,
             Kind::Service => 3,
+            Kind::Route => 4,
         };
         Self {
             kind,
@@ -28,6 +32,7 @@
             1 => Kind::Account,
             2 => Kind::Class,
             3 => Kind::Service,
+            4 => Kind::Route,
             _ => return Err(Error::Range { field: "key.kind" }),
         };
         Ok(Self {
@@ -44,6 +49,7 @@
             Entry::Account(it) => Wire::Account(it.as_ref().into()),
             Entry::Class(it) => Wire::Class(it.as_ref().into()),
             Entry::Service(it) => Wire::Service(it.as_ref().into()),
+            Entry::Route(it) => Wire::Route(it.as_ref().into()),
         };
         Self { entry: Some(entry) }
     }
@@ -55,9 +61,10 @@
     fn try_from(entry: proto::CatalogueEntry) -> Result<Self, Error> {
         use proto::catalogue_entry::Entry as Wire;
         Ok(match need(entry.entry, "entry")? {
-            Wire::Account(it) => Self::Account(Arc::new(it.into())),
+            Wire::Account(it) => Self::Account(Arc::new(it.try_into()?)),
             Wire::Class(it) => Self::Class(Arc::new(it.try_into()?)),
             Wire::Service(it) => Self::Service(Arc::new(it.try_into()?)),
+            Wire::Route(it) => Self::Route(Arc::new(it.try_into()?)),
         })
     }
 }
@@ -72,13 +79,19 @@
             classes: it.classes.clone(),
             max_running: it.max_running,
             max_queued: it.max_queued,
+            further_keys_sha256: it.further_keys_sha256.clone(),
+            tier: it.tier.map(u32::from),
         }
     }
 }
 
-impl From<proto::Account> for Account {
-    fn from(it: proto::Account) -> Self {
-        Self {
+impl TryFrom<proto::Account> for Account {
+    type Error = Error;
+
+    fn try_from(it: proto::Account) -> Result<Self, Error> {
+        let tier = it.tier.map(u8::try_from).transpose();
+        let field = "account.tier";
+        Ok(Self {
             name: it.name,
             owner: it.owner,
             key_sha256: it.key_sha256,
@@ -86,7 +99,9 @@
             classes: it.classes,
             max_running: it.max_running,
             max_queued: it.max_queued,
-        }
+            further_keys_sha256: it.further_keys_sha256,
+            tier: tier.ok().ok_or(Error::Range { field })?,
+        })
     }
 }
 
@@ -125,8 +140,8 @@
     }
 }
 
-impl From<&Route> for proto::Route {
-    fn from(it: &Route) -> Self {
+impl From<&Call> for proto::Call {
+    fn from(it: &Call) -> Self {
         Self {
             method: it.method.clone(),
             path: it.path.clone(),
@@ -134,8 +149,8 @@
     }
 }
 
-impl From<proto::Route> for Route {
-    fn from(it: proto::Route) -> Self {
+impl From<proto::Call> for Call {
+    fn from(it: proto::Call) -> Self {
         Self {
             method: it.method,
             path: it.path,
@@ -154,7 +169,7 @@
             owner: it.owner.clone(),
             backend,
             class: it.class.clone(),
-            once: it.once.iter().map(proto::Route::from).collect(),
+            once: it.once.iter().map(proto::Call::from).collect(),
             max_running_per_runner: it.max_running_per_runner,
             retry_percent: it.retry_percent,
             refusal_statuses: it
@@ -187,7 +202,7 @@
             owner: it.owner,
             backend,
             class: it.class,
-            once: it.once.into_iter().map(Route::from).collect(),
+            once: it.once.into_iter().map(Call::from).collect(),
             max_running_per_runner: it.max_running_per_runner,
             retry_percent: it.retry_percent,
             refusal_statuses: statuses
@@ -200,6 +215,64 @@
     }
 }
 
+impl From<&Route> for proto::Route {
+    fn from(it: &Route) -> Self {
+        let backends = it.backends.iter().map(|it| proto::Backend {
+            service: it.service.clone(),
+            weight: it.weight,
+        });
+        Self {
+            name: it.name.clone(),
+            owner: it.owner.clone(),
+            host: it.host.clone(),
+            prefix: it.prefix.clone(),
+            class: it.class.clone(),
+            backends: backends.collect(),
+            repeat: match it.repeat {
+                Repeat::Never => 1,
+                Repeat::Always => 2,
+                Repeat::Resume => 3,
+            },
+            stream: it.stream,
+            attempts: it.attempts,
+            timeout: nanos_of(it.timeout),
+            public: it.public,
+        }
+    }
+}
+
+impl TryFrom<proto::Route> for Route {
+    type Error = Error;
+
+    fn try_from(it: proto::Route) -> Result<Self, Error> {
+        let backends = it.backends.into_iter().map(|it| route::Backend {
+            service: it.service,
+            weight: it.weight,
+        });
+        Ok(Self {
+            name: it.name,
+            owner: it.owner,
+            host: it.host,
+            prefix: it.prefix,
+            class: it.class,
+            backends: backends.collect(),
+            repeat: match it.repeat {
+                1 => Repeat::Never,
+                2 => Repeat::Always,
+                3 => Repeat::Resume,
+                _ => {
+                    let field = "route.repeat";
+                    return Err(Error::Range { field });
+                }
+            },
+            stream: it.stream,
+            attempts: it.attempts,
+            timeout: Duration::from_nanos(it.timeout),
+            public: it.public,
+        })
+    }
+}
+
 impl From<&Change> for proto::Change {
     fn from(it: &Change) -> Self {
         Self {
--- a/crates/wire/src/control/machine.rs
+++ b/crates/wire/src/control/machine.rs
@@ -40,6 +40,7 @@
         authors: machine.authors().map(proto::Author::from).collect(),
         clock: ledger.clock().map(nanos_since),
         records: ledger.records().map(proto::Record::from).collect(),
+        declaration: machine.declaration().map(|it| it.as_ref().into()),
     };
     message.encode_to_vec()
 }
@@ -65,6 +66,7 @@
     let snapshot = Snapshot {
         index: message.index,
         catalogue: Arc::new(catalogue),
+        declaration: message.declaration.map(|it| Arc::new(it.into())),
         marks: Arc::new(Table {
             marks: marks.collect(),
         }),
--- a/crates/wire/src/control/state.rs
+++ b/crates/wire/src/control/state.rs
@@ -2,8 +2,10 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use citron_policy::{
     crash::Step,
+    declaration::Declaration,
     state::{Answer, Author, Command, Refusal},
 };
 
@@ -21,6 +23,7 @@
             Command::Claim(claim) => Wire::Claim(claim.into()),
             Command::Settle(settle) => Wire::Settle(settle.into()),
             Command::Crash(step) => Wire::Crash(step.into()),
+            Command::Declare(it) => Wire::Declare(it.as_ref().into()),
         };
         Self {
             command: Some(command),
@@ -42,10 +45,29 @@
             Wire::Claim(claim) => Self::Claim(claim.try_into()?),
             Wire::Settle(settle) => Self::Settle(settle.try_into()?),
             Wire::Crash(step) => Self::Crash(step.try_into()?),
+            Wire::Declare(it) => Self::Declare(Arc::new(it.into())),
         })
     }
 }
 
+impl From<&Declaration> for proto::Declaration {
+    fn from(it: &Declaration) -> Self {
+        Self {
+            version: it.version,
+            source: Bytes::copy_from_slice(&it.source),
+        }
+    }
+}
+
+impl From<proto::Declaration> for Declaration {
+    fn from(it: proto::Declaration) -> Self {
+        Self {
+            version: it.version,
+            source: it.source.as_ref().into(),
+        }
+    }
+}
+
 impl From<&Step> for proto::CrashStep {
     fn from(it: &Step) -> Self {
         use proto::crash_step::Step as Wire;
@@ -148,6 +170,7 @@
             Answer::Done => Wire::Nothing(nothing()),
             Answer::Change(change) => Wire::Change(change.into()),
             Answer::Claim(verdict) => Wire::Claim(verdict.into()),
+            Answer::Declared(version) => Wire::Declared(*version),
         };
         Self {
             answer: Some(answer),
@@ -164,6 +187,7 @@
             Wire::Nothing(_) => Self::Done,
             Wire::Change(change) => Self::Change(change.try_into()?),
             Wire::Claim(verdict) => Self::Claim(verdict.try_into()?),
+            Wire::Declared(version) => Self::Declared(version),
         })
     }
 }
--- a/crates/wire/src/feed.rs
+++ b/crates/wire/src/feed.rs
@@ -6,6 +6,7 @@
 use citron_policy::{
     catalogue::{Catalogue, Change, Entry},
     crash::{self, Mark},
+    declaration::Declaration,
     feed::{News, Snapshot, Step, Update},
 };
 use derive_more::{Display, Error, From};
@@ -73,6 +74,7 @@
     use proto::update::Step as Wire;
     let step = match &update.step {
         Step::Change(change) => Wire::Change(serde_json::to_vec(&**change)?.into()),
+        Step::Declare(it) => Wire::Declare(declaration_of(it)),
         Step::Crash(crash::Step::Suspected(marks)) => Wire::Suspected(proto::Marks {
             fingerprints: marks.clone(),
         }),
@@ -89,6 +91,7 @@
     use proto::update::Step as Wire;
     let step = match update.step.ok_or(Error::Field { field: "step" })? {
         Wire::Change(bytes) => Step::Change(Arc::new(serde_json::from_slice::<Change>(&bytes)?)),
+        Wire::Declare(it) => Step::Declare(Arc::new(declaration_from(&it))),
         Wire::Suspected(marks) => Step::Crash(crash::Step::Suspected(marks.fingerprints)),
         Wire::Quarantined(mark) => Step::Crash(crash::Step::Quarantined(mark)),
         Wire::Cleared(mark) => Step::Crash(crash::Step::Cleared(mark)),
@@ -99,6 +102,20 @@
     })
 }
 
+fn declaration_of(it: &Declaration) -> proto::Declaration {
+    proto::Declaration {
+        version: it.version,
+        source: Bytes::copy_from_slice(&it.source),
+    }
+}
+
+fn declaration_from(it: &proto::Declaration) -> Declaration {
+    Declaration {
+        version: it.version,
+        source: it.source.as_ref().into(),
+    }
+}
+
 /// A snapshot as bytes.
 ///
 /// # Errors
@@ -117,6 +134,7 @@
         entries: entries.collect::<Result<_, _>>()?,
         suspected: marked(Mark::Suspected),
         quarantined: marked(Mark::Quarantined),
+        declaration: snapshot.declaration.as_deref().map(declaration_of),
     };
     Ok(snapshot.encode_to_vec().into())
 }
@@ -134,8 +152,10 @@
     for fingerprint in snapshot.quarantined {
         marks.apply(&crash::Step::Quarantined(fingerprint));
     }
+    let declaration = snapshot.declaration.as_ref().map(declaration_from);
     Ok(Snapshot {
         index: snapshot.index,
+        declaration: declaration.map(Arc::new),
         catalogue: Arc::new(Catalogue::from_entries(snapshot.revision, entries)),
         marks: Arc::new(marks),
     })
--- a/crates/wire/src/slot.rs
+++ b/crates/wire/src/slot.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use citron_policy::{
-    arbiter::{Ask, Asked, Beat, End, Hold, Progress, Recital, Refusal, Reply, Request, Sample},
+    arbiter::{
+        Ask, Asked, Beat, End, Hold, Part, Progress, Recital, Refusal, Reply, Request, Sample,
+    },
     crash::Step,
     id::{Epoch, ServiceId},
 };
@@ -133,11 +135,15 @@
         avoid: ask.avoid,
         resume: ask.resume,
         suspected: ask.suspected,
+        tier: ask.tier.map(u32::from),
+        prompt: ask.prompt.iter().map(from_part).collect(),
+        output: ask.output,
     }
 }
 
 fn to_ask(ask: proto::Ask) -> Result<Ask, Error> {
     check(ask.avoid.len(), "list of runners to avoid")?;
+    check(ask.prompt.len(), "prompt")?;
     let avoid = ask.avoid.into_iter().map(|it| name(it, "runner"));
     Ok(Ask {
         ticket: ask.ticket,
@@ -150,9 +156,26 @@
         avoid: avoid.collect::<Result<_, _>>()?,
         resume: ask.resume,
         suspected: ask.suspected,
+        tier: ask.tier.and_then(|tier| u8::try_from(tier).ok()),
+        prompt: ask.prompt.iter().map(to_part).collect(),
+        output: ask.output,
     })
 }
 
+fn from_part(part: &Part) -> proto::Part {
+    proto::Part {
+        id: part.id,
+        tokens: part.tokens,
+    }
+}
+
+fn to_part(part: &proto::Part) -> Part {
+    Part {
+        id: part.id,
+        tokens: part.tokens,
+    }
+}
+
 fn from_sample(ticket: u64, sample: Sample) -> proto::Release {
     let end = match sample.end {
         End::Done => proto::End::Done,
@@ -266,10 +289,12 @@
             ticket,
             runner,
             alone,
+            address,
         } => Out::Grant(proto::Grant {
             ticket,
             runner,
             alone,
+            address: address.map_or_else(String::new, |it| it.to_string()),
         }),
         Reply::Refused(ticket, refusal) => Out::Refused(from_refusal(ticket, &refusal)),
         Reply::Preempt(ticket) => Out::Preempt(ticket),
@@ -292,6 +317,7 @@
             ticket: grant.ticket,
             runner: name(grant.runner, "runner")?,
             alone: grant.alone,
+            address: grant.address.parse().ok(),
         },
         In::Refused(refused) => Reply::Refused(refused.ticket, to_refusal(&refused)?),
         In::Preempt(ticket) => Reply::Preempt(ticket),
--- a/crates/wire/src/status.rs
+++ b/crates/wire/src/status.rs
@@ -114,6 +114,7 @@
             Kind::Account => proto::Kind::Account,
             Kind::Class => proto::Kind::Class,
             Kind::Service => proto::Kind::Service,
+            Kind::Route => proto::Kind::Route,
         };
         Self {
             kind: kind.into(),
@@ -130,6 +131,7 @@
             proto::Kind::Account => Kind::Account,
             proto::Kind::Class => Kind::Class,
             proto::Kind::Service => Kind::Service,
+            proto::Kind::Route => Kind::Route,
             proto::Kind::Unspecified => return Err(Error::Kind { kind: entry.kind }),
         };
         Ok(Self {
--- a/crates/wire/tests/control.rs
+++ b/crates/wire/tests/control.rs
@@ -6,7 +6,7 @@
 };
 
 use citron_policy::{
-    catalogue::{Account, Backend, Change, Class, Entry, Route, Service},
+    catalogue::{Account, Backend, Call, Change, Class, Entry, Service},
     crash,
     ledger::{Claim, Key, Outcome, Settle, Stored},
     raft::{
@@ -54,13 +54,14 @@
         classes: vec!["class-0".to_owned()],
         max_running: 4,
         max_queued: 8,
+        ..Account::default()
     };
     let service = Service {
         name: format!("service-{number}"),
         owner: "desk".to_owned(),
         backend: Backend::Plain,
         class: class.name.clone(),
-        once: vec![Route {
+        once: vec![Call {
             method: "POST".to_owned(),
             path: "/bookings".to_owned(),
         }],
--- a/crates/wire/tests/feed_bytes.rs
+++ b/crates/wire/tests/feed_bytes.rs
@@ -7,6 +7,7 @@
 use citron_policy::{
     catalogue::{Account, Catalogue, Change, Class, Entry},
     crash,
+    declaration::Declaration,
     feed::{News, Snapshot, Step, Update},
 };
 use citron_wire::{
@@ -45,6 +46,7 @@
         classes: Vec::new(),
         max_running: 4,
         max_queued: 8,
+        ..Account::default()
     }))
 }
 
@@ -54,6 +56,10 @@
     marks.apply(&crash::Step::Suspected(vec![1, 2]));
     marks.apply(&crash::Step::Quarantined(3));
     Snapshot {
+        declaration: Some(Arc::new(Declaration {
+            version: 9,
+            source: Arc::from(&b"{}"[..]),
+        })),
         index: 77,
         catalogue: Arc::new(Catalogue::from_entries(9, entries)),
         marks: Arc::new(marks),
--- a/crates/wire/tests/slot.rs
+++ b/crates/wire/tests/slot.rs
@@ -1,7 +1,7 @@
 //! Slot messages: there and back, and generated garbage.
 
 use citron_policy::arbiter::{
-    Ask, Asked, Beat, End, Hold, Progress, Recital, Refusal, Reply, Request, Sample,
+    Ask, Asked, Beat, End, Hold, Part, Progress, Recital, Refusal, Reply, Request, Sample,
 };
 use citron_policy::crash::Step;
 use citron_wire::{
@@ -32,6 +32,9 @@
         avoid: vec!["r1".to_owned()],
         resume: true,
         suspected: true,
+        tier: Some(3),
+        prompt: vec![Part { id: 7, tokens: 800 }],
+        output: 40,
     }
 }
 
@@ -80,6 +83,7 @@
             ticket: 1,
             runner: "r1".to_owned(),
             alone: true,
+            address: "10.0.0.3:80".parse().ok(),
         },
         Reply::Refused(1, Refusal::Shed { retry_after }),
         Reply::Refused(1, Refusal::NoRunner { retry_after }),
--- a/crates/wire/tests/status_bytes.rs
+++ b/crates/wire/tests/status_bytes.rs
@@ -27,7 +27,7 @@
 }
 
 fn key() -> impl Strategy<Value = Key> {
-    let kind = prop::sample::select(vec![Kind::Account, Kind::Class, Kind::Service]);
+    let kind = prop::sample::select(vec![Kind::Account, Kind::Class, Kind::Service, Kind::Route]);
     (kind, ".{0,20}").prop_map(|(kind, name)| Key { kind, name })
 }
 
