--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -58,6 +58,17 @@
 }
 
 impl Problem {
+    /// This instance ends and takes nothing in any more.
+    #[must_use]
+    pub fn leaving() -> Self {
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            kind: "leaving",
+            detail: "this instance ends: use another address".to_owned(),
+            retry_after: Some(Duration::ZERO),
+        }
+    }
+
     /// The caller has left; nobody reads this.
     #[must_use]
     pub fn gone() -> Self {
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -12,7 +12,12 @@
 mod relay;
 mod run;
 
-use std::{cell::Cell, rc::Rc, sync::Arc, time::Instant};
+use std::{
+    cell::Cell,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use actix_http::{ConnectionType, Request, Response, body::BoxBody};
 use citron_policy::feed::View;
@@ -30,6 +35,16 @@
 use admit::Admitted;
 use run::{Run, Step};
 
+/// Longest wait of a request for this daemon to learn what is in force; a
+/// control log whose replicas have all restarted leads again within it.
+const CURRENT_WAIT: Duration = Duration::from_millis(800);
+
+/// Part of the caller's time that such a wait may take.
+const CURRENT_SHARE: u32 = 3;
+
+/// Time between two looks.
+const CURRENT_PAUSE: Duration = Duration::from_millis(20);
+
 /// Retries that a daemon saves up for each service; a dozen daemons together
 /// stay within the slack that a service bears.
 const RETRY_BURST: u32 = 5;
@@ -45,6 +60,8 @@
     pub follow: Follow,
     /// Becomes true when the daemon takes no new callers.
     pub draining: watch::Receiver<bool>,
+    /// Becomes true right before the end, when nothing more is taken in.
+    pub closing: watch::Receiver<bool>,
     /// Slots on runners.
     pub slots: Slots,
     /// The adapter.
@@ -116,6 +133,9 @@
     async fn answer(&self, mut request: Request) -> Response<BoxBody> {
         let arrived = Instant::now();
         let guard = InFlight::begin(&self.inner.in_flight);
+        if *self.ports().closing.borrow() {
+            return self.refuse("", &Problem::leaving());
+        }
         let ask = match self.ports().outside.callers.read(request.head()) {
             Ok(ask) => ask,
             Err(problem) => return self.refuse("", &problem),
@@ -141,9 +161,23 @@
             retry_after: None,
         })?;
         let watch = request.conn_data::<Watch>().cloned();
+        self.wait_until_current(&ask, arrived, watch.as_ref()).await;
         admit::admit(self.ports(), request, ask, body, watch, arrived)
     }
 
+    /// Waits a moment for a daemon that has just started, or lost touch, to learn
+    /// what is in force; the caller could only come back to another one like it.
+    async fn wait_until_current(&self, ask: &Ask, arrived: Instant, watch: Option<&Watch>) {
+        let share = ask.patience.unwrap_or(CURRENT_WAIT) / CURRENT_SHARE;
+        let end = arrived + CURRENT_WAIT.min(share);
+        while !admit::is_current(self.ports()) && Instant::now() < end {
+            tokio::select! {
+                () = actix_rt::time::sleep(CURRENT_PAUSE) => {}
+                () = gone(watch) => return,
+            }
+        }
+    }
+
     async fn serve(&self, admitted: Admitted, guard: InFlight) -> Response<BoxBody> {
         let id = admitted.ask.id.clone();
         let watch = admitted.watch.clone();
--- a/crates/daemon/src/exchange/admit.rs
+++ b/crates/daemon/src/exchange/admit.rs
@@ -23,9 +23,9 @@
     http::Watch,
 };
 
-/// Time to come back to a daemon that does not know what is in force: the
-/// longest that a daemon usually takes to hear of it after a start.
-const UNKNOWN_RETRY: Duration = Duration::from_millis(250);
+/// Time to come back after a daemon that does not know what is in force: an
+/// election of the control log and a round of its feed.
+const UNKNOWN_RETRY: Duration = Duration::from_millis(500);
 
 /// A request that was taken.
 #[derive(Clone, Debug)]
@@ -95,10 +95,14 @@
     })
 }
 
+/// Whether the catalogue is known to be current.
+pub(super) fn is_current(ports: &Ports) -> bool {
+    ports.follow.may_take_work(clock::now()) && ports.view.borrow().declaration.is_some()
+}
+
 /// The catalogue, if it is known to be current.
 pub(super) fn current(ports: &Ports) -> Result<Arc<Catalogue>, Problem> {
-    let view = ports.view.borrow();
-    if !ports.follow.may_take_work(clock::now()) || view.declaration.is_none() {
+    if !is_current(ports) {
         return Err(Problem {
             status: StatusCode::SERVICE_UNAVAILABLE,
             kind: "cut-off",
@@ -107,7 +111,7 @@
             retry_after: Some(UNKNOWN_RETRY),
         });
     }
-    Ok(Arc::clone(&view.catalogue))
+    Ok(Arc::clone(&ports.view.borrow().catalogue))
 }
 
 /// The route and account of a request.
--- a/crates/daemon/src/follow.rs
+++ b/crates/daemon/src/follow.rs
@@ -159,8 +159,15 @@
     }
 
     async fn take_local(self, mut local: mpsc::Receiver<Local>) {
-        while let Some(step) = local.recv().await {
-            self.change(|feed| feed.take_local(step));
+        while let Some(first) = local.recv().await {
+            // Steps that wait together, as after a restart, are shown as one.
+            self.change(|feed| {
+                let mut changed = feed.take_local(first);
+                while let Ok(next) = local.try_recv() {
+                    changed |= feed.take_local(next);
+                }
+                changed
+            });
         }
     }
 
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -12,6 +12,7 @@
 use actix_rt::net::{TcpListener, TcpStream};
 use actix_service::{Service, ServiceFactory, fn_service};
 use futures_util::future::LocalBoxFuture;
+use tokio::sync::watch::Receiver;
 
 pub use watch::Watch;
 
@@ -40,11 +41,13 @@
     pub handler: Handler,
     /// Most connections at once; more are closed at once.
     pub max_connections: usize,
+    /// Becomes true when no more connections are accepted.
+    pub closing: Receiver<bool>,
 }
 
 impl Server {
-    /// Serves until the process ends.
-    pub async fn run(self) {
+    /// Serves until the process ends; accepts until it is told to close.
+    pub async fn run(mut self) {
         let handler = Rc::clone(&self.handler);
         let factory = HttpService::<TcpStream, _, _>::build()
             .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
@@ -66,7 +69,11 @@
         };
         let open = Rc::new(Cell::new(0));
         loop {
-            let stream = match self.listener.accept().await {
+            let accepted = tokio::select! {
+                accepted = self.listener.accept() => accepted,
+                Ok(_) = self.closing.wait_for(|closing| *closing) => return,
+            };
+            let stream = match accepted {
                 Ok((stream, _)) => stream,
                 Err(error) => {
                     log::warn!("CP0110 connection not accepted: {error}");
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -39,6 +39,12 @@
 use listeners::Listeners;
 use router::Router;
 
+/// Longest wait for the last requests, once nothing more is taken in.
+const FINISH_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time between two looks at them, and for the last answer to leave the socket.
+const FINISH_PAUSE: Duration = Duration::from_millis(20);
+
 /// Time between two readings of the daemon's own state.
 const TICK: Duration = Duration::from_millis(200);
 
@@ -146,7 +152,9 @@
         settings.instance
     );
     let left = Leave::new(&parts, &settings).watch(failed).await;
+    parts.closing.send_replace(true);
     parts.core.gossip.depart().await;
+    parts.finish().await;
     parts.tracer.flush();
     log::info!("CP0103 instance {} has left", settings.instance);
     left
@@ -192,6 +200,8 @@
     tracer: Tracer,
     metrics: RefCell<Metrics>,
     draining: watch::Sender<bool>,
+    /// Becomes true right before the end, when nothing more is taken in.
+    closing: watch::Sender<bool>,
     /// Whether a signal told the daemon to leave. What the platform's list says
     /// reaches membership by itself, and can be taken back there.
     told: Cell<bool>,
@@ -223,10 +233,17 @@
         let reader = outside.as_ref().map(|it| Rc::clone(&it.declarations));
         let (core, failed) = Core::start(settings, addresses, gossip, platform, replica, reader);
         let (draining, drained) = watch::channel(false);
+        let (closing, closed) = watch::channel(false);
         let upstream = upstream::Metrics::default();
         let handle = handle(&core, drained.clone());
         let front = match &outside {
-            Some(outside) => Front::Outside(exchange(settings, &core, drained, outside, &upstream)),
+            Some(outside) => {
+                let ends = Ends {
+                    draining: drained,
+                    closing: closed.clone(),
+                };
+                Front::Outside(exchange(settings, &core, ends, outside, &upstream))
+            }
             None => Front::Own(callers(settings, &core, drained, &tracer, &upstream)),
         };
         let metrics = Metrics::default();
@@ -240,14 +257,15 @@
         let registry = Rc::new(registry);
         let admin = admin(&core, tokens, asked, Rc::clone(&registry));
         serve_peers(&core, &admin, peer_in);
-        serve_http(callers_in, front.handler(), settings.max_connections);
+        serve_http(callers_in, front.handler(), settings.max_connections, &closed);
         if let Some(listener) = metrics_in {
-            serve_http(listener, metrics::handler(registry), MAX_ADMIN_CONNECTIONS);
+            let handler = metrics::handler(registry);
+            serve_http(listener, handler, MAX_ADMIN_CONNECTIONS, &closed);
         }
         if let Some(outside) = outside {
-            serve_desks(&outside, &handle, desks);
+            serve_desks(&outside, &handle, desks, &closed);
         }
-        serve_http(admin_in, admin.handler(), MAX_ADMIN_CONNECTIONS);
+        serve_http(admin_in, admin.handler(), MAX_ADMIN_CONNECTIONS, &closed);
         let metrics = RefCell::new(metrics);
         let told = Cell::new(false);
         let parts = Rc::new(Self {
@@ -256,12 +274,22 @@
             tracer,
             metrics,
             draining,
+            closing,
             told,
         });
         actix_rt::spawn(Rc::clone(&parts).tick());
         (parts, failed)
     }
 
+    /// Waits a moment for what came in while the daemon said that it ends.
+    async fn finish(&self) {
+        let end = Instant::now() + FINISH_TIMEOUT;
+        while self.front.in_flight() > 0 && Instant::now() < end {
+            actix_rt::time::sleep(FINISH_PAUSE).await;
+        }
+        actix_rt::time::sleep(FINISH_PAUSE).await;
+    }
+
     /// Tells the others and the metrics how this daemon stands, for ever.
     async fn tick(self: Rc<Self>) {
         loop {
@@ -337,10 +365,16 @@
     }
 }
 
+/// How the daemon tells its parts that it ends.
+struct Ends {
+    draining: watch::Receiver<bool>,
+    closing: watch::Receiver<bool>,
+}
+
 fn exchange(
     settings: &Settings,
     core: &Core,
-    draining: watch::Receiver<bool>,
+    ends: Ends,
     outside: &Outside,
     upstream: &upstream::Metrics,
 ) -> Exchange {
@@ -348,19 +382,25 @@
         max_body_bytes: settings.max_body_bytes,
         view: core.follow.view(),
         follow: core.follow.clone(),
-        draining,
+        draining: ends.draining,
+        closing: ends.closing,
         slots: core.slots.clone(),
         outside: outside.clone(),
         upstream: upstream.clone(),
     })
 }
 
-fn serve_desks(outside: &Outside, handle: &Handle, listeners: Vec<TcpListener>) {
+fn serve_desks(
+    outside: &Outside,
+    handle: &Handle,
+    listeners: Vec<TcpListener>,
+    closing: &watch::Receiver<bool>,
+) {
     outside.desk.started(handle.clone());
     for listener in listeners {
         let (desk, handle) = (Rc::clone(&outside.desk), handle.clone());
         let handler: Handler = Rc::new(move |request| desk.answer(handle.clone(), request));
-        serve_http(listener, handler, MAX_DESK_CONNECTIONS);
+        serve_http(listener, handler, MAX_DESK_CONNECTIONS, closing);
     }
 }
 
@@ -410,12 +450,18 @@
     actix_rt::spawn(peers::listen(core.hub.clone(), listener, Rc::new(router)));
 }
 
-fn serve_http(listener: TcpListener, handler: Handler, max_connections: usize) {
+fn serve_http(
+    listener: TcpListener,
+    handler: Handler,
+    max_connections: usize,
+    closing: &watch::Receiver<bool>,
+) {
     actix_rt::spawn(
         Server {
             listener,
             handler,
             max_connections,
+            closing: closing.clone(),
         }
         .run(),
     );
--- a/crates/policy/src/raft.rs
+++ b/crates/policy/src/raft.rs
@@ -64,6 +64,8 @@
     pub heartbeat: Duration,
     /// Shortest election timeout, and longest time that a leader goes on without a quorum.
     pub election: Duration,
+    /// Shortest wait for a leader right after a start, when all may have started.
+    pub first_election: Duration,
     /// Most bytes of entries in one message.
     pub max_batch_bytes: usize,
     /// Most messages with entries that wait for one replica's answer.
@@ -83,6 +85,7 @@
         Self {
             heartbeat: Duration::from_millis(150),
             election: Duration::from_millis(750),
+            first_election: Duration::from_millis(200),
             max_batch_bytes: 256 << 10,
             max_inflight: 16,
             max_waiting_bytes: 8 << 20,
@@ -394,7 +397,7 @@
             chance: rng.next_u64(),
             effects: Vec::new(),
         };
-        node.reset_deadline(now);
+        node.deadline = now + node.first_wait();
         node.standing = node.standing();
         node
     }
@@ -568,6 +571,14 @@
         self.deadline = now + self.settings.election + extra;
     }
 
+    /// Wait of a replica that has just started; if the others lead or follow
+    /// already, they refuse its trial vote.
+    fn first_wait(&self) -> Duration {
+        let least = self.settings.first_election;
+        let spread = u64::try_from(least.as_micros()).unwrap_or(u64::MAX);
+        least + Duration::from_micros(self.chance % spread.max(1))
+    }
+
     /// Applies what is newly committed.
     fn commit_to(&mut self, index: Index) {
         if index <= self.commit {
