arbiter: prompts go where their parts are kept and whom they delay least

False stragglers made it worse: a runner with long prompts is slower at its tokens than one without. One lost answer took a runner out.

Ruled out: the batch size (62 of 96 at most), the daemons' processor (0.014 cores), the path (first events in time).

Change: an ask names the parts of its prompt; the arbiter keeps for each runner what it keeps (least recently used yields), what it has still to read, and how much of what runs there a pause hurts, and adds them up in tokens. A daemon tells when an answer has begun. Runners are compared by the time to read a length, not by tokens; a runner is dead after three connections in a row broke; a share of failed requests above the pool's least counts against a runner.

--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -388,7 +388,10 @@
             match live.body.next().await {
                 Some(Ok(part)) => match live.events.push(&part) {
                     Ok((events, count)) if count > 0 => {
-                        live.first.get_or_insert_with(Instant::now);
+                        if live.first.is_none() {
+                            live.first = Some(Instant::now());
+                            live.slot.begun();
+                        }
                         live.count += count;
                         live.slot.note(live.count);
                         self.last = live.events.last();
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -257,7 +257,12 @@
         let registry = Rc::new(registry);
         let admin = admin(&core, tokens, asked, Rc::clone(&registry));
         serve_peers(&core, &admin, peer_in);
-        serve_http(callers_in, front.handler(), settings.max_connections, &closed);
+        serve_http(
+            callers_in,
+            front.handler(),
+            settings.max_connections,
+            &closed,
+        );
         if let Some(listener) = metrics_in {
             let handler = metrics::handler(registry);
             serve_http(listener, handler, MAX_ADMIN_CONNECTIONS, &closed);
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -221,6 +221,8 @@
     /// [`Refusal`], at once when the request is given up.
     pub async fn take(&self, want: Want) -> Result<Slot, Refusal> {
         let now = Instant::now();
+        // Times of those that read prompts are compared by the arbiter.
+        let judged = self.inner.streams_tokens(&want.service) && want.prompt.is_empty();
         let ticket = self.inner.next.get();
         self.inner.next.set(ticket + 1);
         let (tell, told) = oneshot::channel();
@@ -256,7 +258,7 @@
             Instant::now(),
             claim.service.clone(),
             grant.runner.clone(),
-            self.inner.streams_tokens(&claim.service),
+            judged,
         ));
         self.inner
             .streams
@@ -435,6 +437,13 @@
         self.stream.note(Instant::now(), tokens);
     }
 
+    /// Tells that the answer has begun, so that the prompt was read.
+    pub fn begun(&self) {
+        let begun = desk::Event::Begun(self.claim.ticket);
+        let work = Work::Desk(self.claim.service.clone(), begun);
+        self.claim.inner.drive(vec![work]);
+    }
+
     /// Gives the slot back with what was seen.
     pub fn release(mut self, sample: Sample) {
         self.claim.inner.metrics.on_sample(&sample);
--- a/crates/policy/benches/slot_slopes.rs
+++ b/crates/policy/benches/slot_slopes.rs
@@ -203,6 +203,7 @@
         refusal_statuses: Vec::new(),
         timeout: Duration::from_mins(1),
         max_body_bytes: 1 << 20,
+        memory_tokens: 0,
     }));
     let change = Change {
         id: "bench".to_owned(),
--- a/crates/policy/benches/slots/arrivals.rs
+++ b/crates/policy/benches/slots/arrivals.rs
@@ -149,6 +149,7 @@
         refusal_statuses: Vec::new(),
         timeout: TIMEOUT,
         max_body_bytes: 1 << 20,
+        memory_tokens: 0,
     })));
     let change = Change {
         id: "bench".to_owned(),
--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -20,6 +20,7 @@
 mod hold;
 pub mod message;
 mod pool;
+mod prompt;
 mod queue;
 mod rank;
 mod runner;
@@ -335,6 +336,7 @@
         };
         match request {
             Request::Ask(ask) => self.on_ask(now, asker, &ask, effects),
+            Request::Begun(ticket) => self.on_begun(now, Key { asker, ticket }),
             Request::Withdraw(ticket) => self.withdraw(now, Key { asker, ticket }, effects),
             Request::Release(ticket, sample) => {
                 self.release(now, Key { asker, ticket }, &sample, effects);
@@ -348,6 +350,7 @@
         if let Some(service) = catalogue.services.get(&self.service) {
             self.backend = service.backend;
             self.pool.set_max(service.max_running_per_runner);
+            self.pool.set_memory(service.memory_tokens);
         }
         self.catalogue = catalogue;
         let accounts: Vec<Arc<str>> = self.accounts.keys().cloned().collect();
@@ -361,6 +364,8 @@
             .declared()
             .map_or(1, |service| service.max_running_per_runner);
         self.pool.set(listed, max);
+        let memory = self.declared().map_or(0, |service| service.memory_tokens);
+        self.pool.set_memory(memory);
         self.refuse_without_runner(now, effects);
     }
 
--- a/crates/policy/src/arbiter/admit.rs
+++ b/crates/policy/src/arbiter/admit.rs
@@ -115,6 +115,8 @@
             taken: now,
             avoid: ask.avoid.clone(),
             resume: ask.resume,
+            prompt: ask.prompt.as_slice().into(),
+            output: ask.output,
             class,
         }
     }
--- a/crates/policy/src/arbiter/grant.rs
+++ b/crates/policy/src/arbiter/grant.rs
@@ -64,8 +64,13 @@
         let Some(item) = self.queue.get(key) else {
             return false;
         };
-        let warm = self.affinity.get(item.prefix);
-        let Some(runner) = self.pool.pick(now, &item.avoid, warm) else {
+        let picked = if item.prompt.is_empty() {
+            let warm = self.affinity.get(item.prefix);
+            self.pool.pick(now, &item.avoid, warm)
+        } else {
+            self.pool.pick_reader(now, &item.avoid, &item.work())
+        };
+        let Some(runner) = picked else {
             return false;
         };
         let Some(item) = self.queue.grant(key) else {
@@ -93,12 +98,17 @@
         self.floor.on_grant(now, class, more);
         self.estimate.on_grant(item.tier());
         self.affinity.put(item.prefix, &runner);
+        let (mut address, mut share) = (None, None);
         if let Some(runner) = self.pool.get_mut(&runner) {
             runner.on_grant(now);
+            address = runner.address;
+            if !item.prompt.is_empty() {
+                share = Some(runner.prompts.begin(now, &item.work()));
+            }
         }
-        let address = self.pool.get(&runner).and_then(|it| it.address);
         let running = Running {
             address,
+            share,
             ..Running::new(now, item, runner, way)
         };
         effects.push(Effect::Note(Note::Granted {
--- a/crates/policy/src/arbiter/hold.rs
+++ b/crates/policy/src/arbiter/hold.rs
@@ -10,7 +10,11 @@
 
 use super::{
     Arbiter, Beat, Effect, End, Hold, Key, NO_FINGERPRINT, Note, Recital, Refusal, Reply, Sample,
-    Ticket, Turn, message::mix, queue::Item, suspect::Alone,
+    Ticket, Turn,
+    message::mix,
+    prompt::{self, Share, Work},
+    queue::Item,
+    suspect::Alone,
 };
 use crate::{
     catalogue::Class,
@@ -56,6 +60,8 @@
     pub(super) since: Instant,
     pub(super) way: Way,
     pub(super) preempting: bool,
+    /// What it takes of a runner that reads prompts.
+    pub(super) share: Option<Share>,
     /// Whether it went on from an earlier slot; such work is not asked back again.
     pub(super) resumed: bool,
 }
@@ -71,6 +77,7 @@
             since: now,
             way,
             preempting: false,
+            share: None,
             resumed: item.resume,
         }
     }
@@ -146,6 +153,9 @@
         self.part(key);
         if let Some(runner) = self.pool.get_mut(&running.runner) {
             runner.on_free(now);
+            if let Some(share) = running.share {
+                runner.prompts.end(share);
+            }
         }
         if let Some(count) = self.accounts.get_mut(&running.account) {
             *count -= 1;
@@ -166,6 +176,20 @@
         }
     }
 
+    /// Notes that an answer has begun, so that its prompt was read.
+    pub(super) fn on_begun(&mut self, now: Instant, key: Key) {
+        let Some(running) = self.running.get_mut(&key) else {
+            return;
+        };
+        let Some(runner) = self.pool.get_mut(&running.runner) else {
+            return;
+        };
+        if let Some(share) = &mut running.share {
+            runner.prompts.begun(share);
+            runner.on_read(now.saturating_duration_since(running.since), share.ahead);
+        }
+    }
+
     /// Takes a slot back.
     pub(super) fn release(
         &mut self,
@@ -177,9 +201,10 @@
         let Some(running) = self.remove_running(now, key) else {
             return;
         };
+        let read = running.share.is_some();
         let turn = self
             .pool
-            .on_end(now, &running.runner, &running.class, sample);
+            .on_end(now, &running.runner, &running.class, sample, read);
         if running.is_alone() {
             self.end_alone();
         }
@@ -395,7 +420,15 @@
         if self.take_waiting(key).is_none() {
             self.join(key);
         }
+        let work = Work {
+            prompt: &hold.ask.prompt,
+            output: hold.ask.output,
+            steadiness: prompt::steadiness(&class),
+        };
+        let runner = self.pool.get_mut(&hold.runner);
+        let share = runner.map(|it| it.prompts.begin(now, &work));
         let running = Running {
+            share: share.filter(|_| !hold.ask.prompt.is_empty()),
             class,
             account: self.account(&hold.ask.account),
             fingerprint: hold.ask.fingerprint,
--- a/crates/policy/src/arbiter/message.rs
+++ b/crates/policy/src/arbiter/message.rs
@@ -157,6 +157,8 @@
     Ask(Ask),
     /// Needs it no more.
     Withdraw(Ticket),
+    /// Tells that the answer has begun, so that the prompt was read.
+    Begun(Ticket),
     /// Gives a slot back.
     Release(Ticket, Sample),
     /// Is alive.
--- a/crates/policy/src/arbiter/pool.rs
+++ b/crates/policy/src/arbiter/pool.rs
@@ -11,6 +11,7 @@
 
 use super::{
     message::{End, Sample},
+    prompt::Work,
     runner::{Cause, Health, Runner},
 };
 use crate::{
@@ -34,6 +35,15 @@
 /// Share of utilisation that a prefix held in memory is worth.
 const AFFINITY: f64 = 0.25;
 
+/// Utilisation that a runner on which every request fails seems to have on top.
+const FAULT_SCORE: f64 = 4.0;
+
+/// Tokens that such a runner seems to have to read on top.
+const FAULT_TOKENS: f64 = 60_000.0;
+
+/// Most that a slow runner's cost is multiplied by.
+const MAX_PACE: f64 = 8.0;
+
 /// Pause before asking again when no runner is known at all.
 const EMPTY_RETRY: Duration = Duration::from_secs(1);
 
@@ -125,6 +135,50 @@
         self.runners.values().filter(slow).count()
     }
 
+    /// Takes over the declared memory of each runner.
+    pub(super) fn set_memory(&mut self, tokens: u32) {
+        for runner in self.runners.values_mut() {
+            runner.prompts.set_memory(tokens);
+        }
+    }
+
+    /// The runner that reads a prompt at the least cost, if one has room.
+    pub(super) fn pick_reader(
+        &self,
+        now: Instant,
+        avoid: &[RunnerId],
+        work: &Work<'_>,
+    ) -> Option<RunnerId> {
+        let others = self
+            .runners
+            .iter()
+            .any(|(id, it)| it.is_usable() && !avoid.contains(id));
+        let pace = self.median(|it| it.first.get(LEAST_SAMPLES));
+        let least_faults = self.least_faults(now);
+        let fit = self.runners.iter().filter(|(id, it)| {
+            it.free(now) > 0 && !(others && avoid.contains(*id)) && it.prompts.has_room(work)
+        });
+        let cost = |runner: &Runner| {
+            let crowd = f64::from(runner.load(now)) / f64::from(runner.limit());
+            let slow = match (runner.first.get(LEAST_SAMPLES), pace) {
+                (Some(own), Some(median)) if median > 0.0 => (own / median).clamp(1.0, MAX_PACE),
+                _ => 1.0,
+            };
+            let faults = (runner.fault_rate(now) - least_faults) * FAULT_TOKENS;
+            runner.prompts.cost(now, work, crowd) * slow + faults
+        };
+        fit.map(|(id, runner)| (cost(runner), id))
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, id)| id.clone())
+    }
+
+    /// The lowest share of failed requests; what all runners share is no fault of one.
+    fn least_faults(&self, now: Instant) -> f64 {
+        let usable = self.runners.values().filter(|it| it.is_usable());
+        let rates = usable.map(|it| it.fault_rate(now));
+        rates.reduce(f64::min).unwrap_or(0.0)
+    }
+
     /// The best runner with a free slot; avoided ones only if no other is in use.
     pub(super) fn pick(
         &self,
@@ -137,13 +191,15 @@
             .iter()
             .any(|(id, it)| it.is_usable() && !avoid.contains(id));
         let median = self.median(|it| it.between.get(LEAST_SAMPLES));
+        let least_faults = self.least_faults(now);
         let mut best: Option<(f64, &RunnerId)> = None;
         let mut warm_score = None;
         for (id, runner) in &self.runners {
             if runner.free(now) == 0 || (others && avoid.contains(id)) {
                 continue;
             }
-            let score = score(now, runner, median);
+            let faults = (runner.fault_rate(now) - least_faults) * FAULT_SCORE;
+            let score = score(now, runner, median) + faults;
             if warm == Some(id) {
                 warm_score = Some((score, id));
             }
@@ -188,6 +244,7 @@
         id: &RunnerId,
         class: &Class,
         sample: &Sample,
+        read: bool,
     ) -> Option<Turn> {
         let runner = self.runners.get_mut(id)?;
         let was_down = matches!(
@@ -199,10 +256,16 @@
         );
         match sample.end {
             End::Broken => {
+                runner.note_fault(now, true);
+                if !runner.on_broken() && !was_down {
+                    return None;
+                }
                 runner.put_out(now, Cause::Down);
+                runner.prompts.forget();
                 (!was_down).then(|| Turn::Down(id.clone()))
             }
             End::Refused => {
+                runner.note_fault(now, true);
                 let down = runner.on_refused(now) || was_down;
                 if down {
                     runner.put_out(now, Cause::Down);
@@ -211,8 +274,11 @@
             }
             End::Done | End::Cancelled | End::Late | End::Preempted => {
                 let told = sample.end == End::Done || sample.first_token.is_some();
+                if told || sample.end == End::Late {
+                    runner.note_fault(now, !told);
+                }
                 if told {
-                    runner.on_sample(now, class, sample);
+                    runner.on_sample(now, class, sample, read);
                 }
                 if was_down && told {
                     runner.put_back();
--- a/crates/policy/src/arbiter/queue.rs
+++ b/crates/policy/src/arbiter/queue.rs
@@ -9,7 +9,11 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::Key;
+use super::{
+    Key,
+    message::Part,
+    prompt::{self, Work},
+};
 use crate::{
     catalogue::{Class, MAX_TIER},
     id::{ClassId, Fingerprint, RunnerId},
@@ -35,6 +39,10 @@
     pub(super) taken: Instant,
     pub(super) avoid: Vec<RunnerId>,
     pub(super) resume: bool,
+    /// Parts of the prompt, in order.
+    pub(super) prompt: Arc<[Part]>,
+    /// Most tokens of the answer.
+    pub(super) output: u32,
 }
 
 impl Item {
@@ -42,6 +50,15 @@
         usize::from(self.class.tier).min(TIERS - 1)
     }
 
+    /// What it asks of the runner that reads its prompt.
+    pub(super) fn work(&self) -> Work<'_> {
+        Work {
+            prompt: &self.prompt,
+            output: self.output,
+            steadiness: prompt::steadiness(&self.class),
+        }
+    }
+
     fn place(&self) -> Place {
         (!self.resume, self.due, self.key)
     }
--- a/crates/policy/src/arbiter/runner.rs
+++ b/crates/policy/src/arbiter/runner.rs
@@ -5,12 +5,25 @@
     time::{Duration, Instant},
 };
 
-use super::message::Sample;
+use super::{message::Sample, prompt::Load};
 use crate::catalogue::Class;
 
 /// Weight of a new sample in a runner's means.
 const GAIN: f64 = 0.2;
 
+/// Weight of the newest outcome in the share of failed requests.
+const FAULT_GAIN: f64 = 0.1;
+
+/// Time over which failures are forgotten, so that a runner is tried again.
+const FAULT_MEMORY: Duration = Duration::from_secs(4);
+
+/// Connections in a row that break before a runner is taken for dead.
+const MAX_BREAKS: u32 = 3;
+
+/// Tokens that times of reading are scaled to; a part of it stands for what a
+/// first token takes besides.
+const READ_UNIT: f64 = 2_000.0;
+
 /// Share of the limit that is kept when targets are missed.
 const CUT: f64 = 0.85;
 
@@ -86,6 +99,28 @@
     }
 }
 
+/// Share of failed requests, fading while nothing is tried.
+#[derive(Clone, Copy, Debug, Default)]
+struct Faults {
+    rate: f64,
+    noted: Option<Instant>,
+}
+
+impl Faults {
+    fn note(&mut self, now: Instant, failed: bool) {
+        let seen = if failed { 1.0 } else { 0.0 };
+        self.rate = self.rate(now) + FAULT_GAIN * (seen - self.rate(now));
+        self.noted = Some(now);
+    }
+
+    fn rate(&self, now: Instant) -> f64 {
+        let age = self
+            .noted
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        self.rate * (-age.as_secs_f64() / FAULT_MEMORY.as_secs_f64()).exp()
+    }
+}
+
 /// State of one runner.
 #[derive(Debug)]
 pub(super) struct Runner {
@@ -95,6 +130,12 @@
     /// Kept free of others for a request that must run alone.
     pub(super) reserved: bool,
     pub(super) held: u32,
+    /// What it keeps of prompts, and reads.
+    pub(super) prompts: Load,
+    /// Share of requests that failed of late.
+    faults: Faults,
+    /// Connections that broke since the last answer.
+    breaks: u32,
     pub(super) health: Health,
     pub(super) between: Mean,
     pub(super) first: Mean,
@@ -121,6 +162,9 @@
             address: None,
             reserved: false,
             held: 0,
+            prompts: Load::default(),
+            faults: Faults::default(),
+            breaks: 0,
             health: Health::Good,
             between: Mean::default(),
             first: Mean::default(),
@@ -226,8 +270,14 @@
     }
 
     /// Takes in what a finished request saw.
-    pub(super) fn on_sample(&mut self, now: Instant, class: &Class, sample: &Sample) {
+    ///
+    /// What read a prompt is not compared here: its times depend on the prompt.
+    pub(super) fn on_sample(&mut self, now: Instant, class: &Class, sample: &Sample, read: bool) {
         self.refusals = 0;
+        self.breaks = 0;
+        if read {
+            return;
+        }
         if let Some(first) = sample.first_token {
             self.first.add(first);
         }
@@ -244,6 +294,15 @@
         }
     }
 
+    /// Takes in how long a prompt took to be read, with what stood before it.
+    ///
+    /// The time is scaled to one length, so that runners compare whatever they read.
+    pub(super) fn on_read(&mut self, took: Duration, tokens: u64) {
+        let tokens = f64::from(u32::try_from(tokens).unwrap_or(u32::MAX));
+        self.first
+            .add(took.mul_f64(READ_UNIT / (tokens + READ_UNIT)));
+    }
+
     /// Takes in what running streams see.
     pub(super) fn on_progress(&mut self, silent: Duration, between: Option<Duration>) {
         if self
@@ -274,6 +333,24 @@
         }
     }
 
+    /// Notes that a connection broke; true if the runner must be taken for dead.
+    ///
+    /// One lost answer is no death: a runner that dies breaks all it has at once.
+    pub(super) fn on_broken(&mut self) -> bool {
+        self.breaks += 1;
+        self.breaks >= MAX_BREAKS
+    }
+
+    /// Notes whether a request failed on the runner.
+    pub(super) fn note_fault(&mut self, now: Instant, failed: bool) {
+        self.faults.note(now, failed);
+    }
+
+    /// Share of requests that failed of late, from zero to one.
+    pub(super) fn fault_rate(&self, now: Instant) -> f64 {
+        self.faults.rate(now)
+    }
+
     /// Takes in a refusal before running; true when the runner counts as down.
     pub(super) fn on_refused(&mut self, now: Instant) -> bool {
         self.refusals += 1;
--- a/crates/policy/src/catalogue.rs
+++ b/crates/policy/src/catalogue.rs
@@ -143,6 +143,9 @@
     /// Largest request body in bytes.
     #[serde(default = "default_max_body_bytes")]
     pub max_body_bytes: u64,
+    /// Memory of one model runner for prompts and answers, in tokens; zero if not known.
+    #[serde(default)]
+    pub memory_tokens: u32,
 }
 
 impl Service {
--- a/crates/policy/src/desk.rs
+++ b/crates/policy/src/desk.rs
@@ -63,6 +63,8 @@
     },
     /// A request needs its slot no more.
     Cancel(Ticket),
+    /// The answer on a slot has begun.
+    Begun(Ticket),
     /// A slot is given back.
     Release(Ticket, Sample),
     /// What the running streams see, for the next heartbeat.
@@ -213,6 +215,11 @@
         match event {
             Event::Take { ask, deadline } => self.on_take(now, ask, deadline, &mut effects),
             Event::Cancel(ticket) => self.on_cancel(ticket, &mut effects),
+            Event::Begun(ticket) => {
+                if self.held.contains_key(&ticket) {
+                    self.send(Request::Begun(ticket), &mut effects);
+                }
+            }
             Event::Release(ticket, sample) => self.on_release(ticket, sample, &mut effects),
             Event::Progress(progress) => self.progress = progress,
             Event::Reply { from, epoch, reply } => {
--- a/crates/policy/src/state/digest.rs
+++ b/crates/policy/src/state/digest.rs
@@ -130,5 +130,6 @@
         }
         self.time(service.timeout);
         self.number(service.max_body_bytes);
+        self.number(service.memory_tokens.into());
     }
 }
--- a/crates/policy/tests/slots/mod.rs
+++ b/crates/policy/tests/slots/mod.rs
@@ -63,6 +63,7 @@
         refusal_statuses: Vec::new(),
         timeout: Duration::from_mins(1),
         max_body_bytes: 1 << 20,
+        memory_tokens: 0,
     }
 }
 
--- a/crates/wire/src/control/catalogue.rs
+++ b/crates/wire/src/control/catalogue.rs
@@ -179,6 +179,7 @@
                 .collect(),
             timeout: nanos_of(it.timeout),
             max_body_bytes: it.max_body_bytes,
+            memory_tokens: it.memory_tokens,
         }
     }
 }
@@ -211,6 +212,7 @@
                 .ok_or(Error::Range { field })?,
             timeout: Duration::from_nanos(it.timeout),
             max_body_bytes: it.max_body_bytes,
+            memory_tokens: it.memory_tokens,
         })
     }
 }
--- a/crates/wire/src/slot.rs
+++ b/crates/wire/src/slot.rs
@@ -96,6 +96,7 @@
     let request = match asked.request {
         Request::Ask(ask) => Out::Ask(from_ask(ask)),
         Request::Withdraw(ticket) => Out::Withdraw(ticket),
+        Request::Begun(ticket) => Out::Begun(ticket),
         Request::Release(ticket, sample) => Out::Release(from_sample(ticket, sample)),
         Request::Beat(beat) => Out::Beat(from_beat(beat)),
         Request::Recital(recital) => Out::Recital(from_recital(recital)),
@@ -112,6 +113,7 @@
     let request = match asked.request.ok_or(Error::Missing { part: "request" })? {
         In::Ask(ask) => Request::Ask(to_ask(ask)?),
         In::Withdraw(ticket) => Request::Withdraw(ticket),
+        In::Begun(ticket) => Request::Begun(ticket),
         In::Release(release) => Request::Release(release.ticket, to_sample(&release)?),
         In::Beat(beat) => Request::Beat(to_beat(beat)?),
         In::Recital(recital) => Request::Recital(to_recital(recital)?),
--- a/crates/wire/tests/control.rs
+++ b/crates/wire/tests/control.rs
@@ -70,6 +70,7 @@
         refusal_statuses: vec![429, 503],
         timeout: Duration::from_mins(1),
         max_body_bytes: 1 << 20,
+        memory_tokens: 0,
     };
     Change {
         id: format!("change-{number}"),
