arbiter: a prompt waits for its runner instead of delaying chats on another

Change: the cheapest runner decides; if it has no room the prompt waits at the arbiter, where tier and target order it.

--- a/crates/policy/src/arbiter/pool.rs
+++ b/crates/policy/src/arbiter/pool.rs
@@ -142,7 +142,10 @@
         }
     }
 
-    /// The runner that reads a prompt at the least cost, if one has room.
+    /// The runner that reads a prompt at the least cost, if it has room.
+    ///
+    /// Otherwise the prompt waits: on a runner that has room but costs more, it
+    /// would delay those for whom that runner was left free.
     pub(super) fn pick_reader(
         &self,
         now: Instant,
@@ -155,9 +158,10 @@
             .any(|(id, it)| it.is_usable() && !avoid.contains(id));
         let pace = self.median(|it| it.first.get(LEAST_SAMPLES));
         let least_faults = self.least_faults(now);
-        let fit = self.runners.iter().filter(|(id, it)| {
-            it.free(now) > 0 && !(others && avoid.contains(*id)) && it.prompts.has_room(work)
-        });
+        let fit = self
+            .runners
+            .iter()
+            .filter(|(id, it)| it.free(now) > 0 && !(others && avoid.contains(*id)));
         let cost = |runner: &Runner| {
             let crowd = f64::from(runner.load(now)) / f64::from(runner.limit());
             let slow = match (runner.first.get(LEAST_SAMPLES), pace) {
@@ -167,9 +171,10 @@
             let faults = (runner.fault_rate(now) - least_faults) * FAULT_TOKENS;
             runner.prompts.cost(now, work, crowd) * slow + faults
         };
-        fit.map(|(id, runner)| (cost(runner), id))
-            .min_by(|a, b| a.0.total_cmp(&b.0))
-            .map(|(_, id)| id.clone())
+        let (_, id, runner) = fit
+            .map(|(id, runner)| (cost(runner), id, runner))
+            .min_by(|a, b| a.0.total_cmp(&b.0))?;
+        runner.prompts.has_room(work).then(|| id.clone())
     }
 
     /// The lowest share of failed requests; what all runners share is no fault of one.
--- a/crates/policy/src/arbiter/prompt.rs
+++ b/crates/policy/src/arbiter/prompt.rs
@@ -43,8 +43,9 @@
 const MEMORY: Duration = Duration::from_millis(1_500);
 
 /// Reading that stands before a runner's requests, in tokens, over which it is
-/// given no more; about 0.8 s.
-const MAX_UNREAD_TOKENS: u64 = 32_768;
+/// given no more; 1.2 s at 40 tokens a millisecond, the aim of long prompts less
+/// what a first token takes.
+const MAX_UNREAD_TOKENS: u64 = 49_152;
 
 /// Cost of a runner at its limit of requests, in tokens: its steps take longer.
 const CROWD_TOKENS: f64 = 3_000.0;
