run: a leaving process takes nothing in once it could not finish it

Change: 2.8 s after the signal, a little over the time for which an entry list may be kept, it accepts no connection and refuses what comes on kept ones, as not run; what it has is finished.

--- a/crates/daemon/src/run/leave.rs
+++ b/crates/daemon/src/run/leave.rs
@@ -17,8 +17,9 @@
 use crate::settings::Settings;
 
 /// Time for which a leaving daemon still answers with other addresses, so that
-/// callers who kept its address are told where to go.
-const LINGER: Duration = Duration::from_secs(3);
+/// callers who kept its address are told where to go, and new work is still
+/// taken; a little over the time that an entry list may be kept.
+const LINGER: Duration = Duration::from_millis(2_800);
 
 /// Time for which the platform's list must say that this instance leaves
 /// before the process ends.
@@ -88,8 +89,12 @@
         let Some(since) = since else { return Ok(false) };
         let waited = now.saturating_duration_since(since);
         let steady = self.told.is_some() || waited >= LIST_STEADY;
-        if waited >= LINGER && steady && self.parts.front.in_flight() == 0 {
-            return Ok(true);
+        if waited >= LINGER && steady {
+            // What came later could not end before this process must.
+            self.parts.closing.send_if_modified(|it| !std::mem::replace(it, true));
+            if self.parts.front.in_flight() == 0 {
+                return Ok(true);
+            }
         }
         if waited >= self.drain_timeout {
             Err(Failure::CutShort)
