--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -49,7 +49,7 @@
 const TICK: Duration = Duration::from_millis(200);
 
 /// Time between two readings of a priced list on a daemon that hosts no arbiter.
-const IDLE_LIST_INTERVAL: Duration = Duration::from_secs(10);
+const IDLE_LIST_INTERVAL: Duration = Duration::from_secs(30);
 
 /// Most connections to an adapter's desk.
 const MAX_DESK_CONNECTIONS: usize = 256;
--- a/crates/policy/src/raft/election.rs
+++ b/crates/policy/src/raft/election.rs
@@ -23,7 +23,12 @@
 impl Node {
     /// Sounds out the voters, and asks for their votes if a majority would give them.
     pub(super) fn campaign(&mut self, now: Instant) {
-        self.reset_deadline(now);
+        if self.heard.is_none() {
+            // The others may have started later, and answer the next try.
+            self.deadline = now + self.first_wait();
+        } else {
+            self.reset_deadline(now);
+        }
         if !self.is_voter() || !self.formed() {
             return;
         }
