--- a/crates/daemon/src/run/leave.rs
+++ b/crates/daemon/src/run/leave.rs
@@ -91,7 +91,9 @@
         let steady = self.told.is_some() || waited >= LIST_STEADY;
         if waited >= LINGER && steady {
             // What came later could not end before this process must.
-            self.parts.closing.send_if_modified(|it| !std::mem::replace(it, true));
+            self.parts
+                .closing
+                .send_if_modified(|it| !std::mem::replace(it, true));
             if self.parts.front.in_flight() == 0 {
                 return Ok(true);
             }
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -45,7 +45,7 @@
 use progress::Stream;
 
 /// Time between two ticks of desks and arbiters.
-const TICK: Duration = Duration::from_millis(50);
+const TICK: Duration = Duration::from_millis(100);
 
 /// Time between two proposals of marks that are not confirmed.
 const PROPOSE_AGAIN: Duration = Duration::from_secs(5);
--- a/crates/policy/src/arbiter/hold.rs
+++ b/crates/policy/src/arbiter/hold.rs
@@ -184,7 +184,7 @@
         let Some(runner) = self.pool.get_mut(&running.runner) else {
             return;
         };
-        if let Some(share) = &mut running.share {
+        if let Some(share) = running.share.as_mut().filter(|it| !it.begun) {
             runner.prompts.begun(share);
             runner.on_read(now.saturating_duration_since(running.since), share.ahead);
         }
--- a/crates/policy/src/arbiter/prompt.rs
+++ b/crates/policy/src/arbiter/prompt.rs
@@ -86,6 +86,8 @@
     unread: u64,
     /// Tokens that stood before it at its grant, its own included.
     pub(super) ahead: u64,
+    /// Whether its answer has begun.
+    pub(super) begun: bool,
     /// Tokens of memory.
     size: u64,
     steadiness: f64,
@@ -166,6 +168,7 @@
         Share {
             unread,
             ahead: self.unread,
+            begun: false,
             size,
             steadiness: work.steadiness,
         }
@@ -173,6 +176,7 @@
 
     /// Notes that the answer has begun, so that the prompt was read.
     pub(super) fn begun(&mut self, share: &mut Share) {
+        share.begun = true;
         self.unread = self
             .unread
             .saturating_sub(std::mem::take(&mut share.unread));
--- a/crates/policy/src/arbiter/runner.rs
+++ b/crates/policy/src/arbiter/runner.rs
@@ -335,10 +335,11 @@
 
     /// Notes that a connection broke; true if the runner must be taken for dead.
     ///
-    /// One lost answer is no death: a runner that dies breaks all it has at once.
+    /// One lost answer among others is no death: a runner that dies breaks all it
+    /// has at once.
     pub(super) fn on_broken(&mut self) -> bool {
         self.breaks += 1;
-        self.breaks >= MAX_BREAKS
+        self.breaks >= MAX_BREAKS || self.held == 0
     }
 
     /// Notes whether a request failed on the runner.
--- a/crates/policy/src/swim/settings.rs
+++ b/crates/policy/src/swim/settings.rs
@@ -64,7 +64,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            tick: Duration::from_millis(50),
+            tick: Duration::from_millis(100),
             probe_fast: Duration::from_millis(250),
             probe_slow: Duration::from_millis(300),
             probe_timeout: Duration::from_millis(150),
--- /dev/null
+++ b/crates/policy/tests/prompt_placement.rs
@@ -0,0 +1,301 @@
+//! Where prompts are read: kept parts, steady streams, bursts, slow and failing runners.
+
+mod slots;
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use citron_policy::{
+    arbiter::{Ask, End, Note, Part, Turn},
+    catalogue::{Account, Catalogue, Class, Entry, Service},
+    desk,
+};
+use googletest::prelude::*;
+use slots::{Daemons, SERVICE, Told, ask, runners, sample};
+
+/// Parts that all long prompts begin with, and those of one subject.
+const BASE_TOKENS: u32 = 2_500;
+const SUBJECT_TOKENS: u32 = 3_800;
+
+/// Tokens of a long request's own part.
+const OWN_TOKENS: u32 = 2_900;
+
+/// Tokens of a chat's prompt.
+const CHAT_TOKENS: u32 = 550;
+
+fn class(name: &str, tier: u8, first_ms: u64, pause_ms: u64) -> Entry {
+    let class = Class {
+        name: name.to_owned(),
+        owner: "desk".to_owned(),
+        tier,
+        first_token: Duration::from_millis(first_ms),
+        between_tokens: Duration::from_millis(pause_ms),
+        whole: Duration::from_secs(15),
+        wait_bound: Duration::from_secs(5),
+        queue_limit: 1_000,
+        preemptible: false,
+    };
+    Entry::Class(Arc::new(class))
+}
+
+/// Chats whose pauses must be short, and drafts with long prompts.
+fn catalogue() -> Arc<Catalogue> {
+    let service = Service {
+        memory_tokens: 220_000,
+        ..slots::service(96)
+    };
+    let account = Account {
+        class: "chat".to_owned(),
+        ..slots::account("a", 'a', 10_000, 10_000)
+    };
+    let entries = vec![
+        class("chat", 0, 800, 150),
+        class("draft", 2, 1_500, 600),
+        Entry::Service(Arc::new(service)),
+        Entry::Account(Arc::new(account)),
+    ];
+    Arc::new(Catalogue::from_entries(1, entries))
+}
+
+struct Pool {
+    daemons: Daemons,
+    next: u64,
+}
+
+impl Pool {
+    fn new(count: usize) -> Self {
+        let mut daemons = Daemons::new(1, catalogue(), runners(count));
+        daemons.settings.collect = Duration::ZERO;
+        Self { daemons, next: 1 }
+    }
+
+    fn offer(&mut self, class: &str, prompt: Vec<Part>) -> u64 {
+        let ticket = self.next;
+        self.next += 1;
+        let ask = Ask {
+            fingerprint: 0,
+            prompt,
+            output: 60,
+            remaining: Duration::from_secs(6),
+            ..ask(ticket, class, "a")
+        };
+        self.daemons.take(0, ask);
+        self.daemons.settle();
+        ticket
+    }
+
+    fn chat(&mut self) -> u64 {
+        let own = part(1 << 40 | self.next, CHAT_TOKENS);
+        self.offer("chat", vec![own])
+    }
+
+    fn draft(&mut self, subject: u64) -> u64 {
+        let prompt = vec![
+            part(1, BASE_TOKENS),
+            part(1_000 + subject, SUBJECT_TOKENS),
+            part(1 << 41 | self.next, OWN_TOKENS),
+        ];
+        self.offer("draft", prompt)
+    }
+
+    /// A long prompt that shares nothing.
+    fn whole_draft(&mut self) -> u64 {
+        let own = part(
+            1 << 42 | self.next,
+            BASE_TOKENS + SUBJECT_TOKENS + OWN_TOKENS,
+        );
+        self.offer("draft", vec![own])
+    }
+
+    /// Two drafts that are being read, then chats; gives the runners of the chats.
+    fn mix(&mut self, chats: usize) -> Vec<String> {
+        for subject in 0..2 {
+            self.draft(subject);
+        }
+        self.granted();
+        let mut with_chats = Vec::new();
+        for _ in 0..chats {
+            let chat = self.chat();
+            with_chats.push(self.granted()[&chat].clone());
+            self.begin(chat);
+        }
+        with_chats.sort();
+        with_chats.dedup();
+        with_chats
+    }
+
+    fn granted(&mut self) -> BTreeMap<u64, String> {
+        let told = self.daemons.drain().into_iter();
+        let granted = told.filter_map(|it| match it {
+            Told::Granted { ticket, runner, .. } => Some((ticket, runner)),
+            _ => None,
+        });
+        granted.collect()
+    }
+
+    fn begin(&mut self, ticket: u64) {
+        self.daemons.desk(0, desk::Event::Begun(ticket));
+        self.daemons.settle();
+    }
+
+    fn end(&mut self, ticket: u64, end: End) {
+        let sample = sample(end, Duration::from_millis(500));
+        self.daemons.release(0, ticket, sample);
+        self.daemons.settle();
+    }
+}
+
+fn part(id: u64, tokens: u32) -> Part {
+    Part { id, tokens }
+}
+
+#[gtest]
+fn a_subject_is_read_where_it_is_kept() {
+    let mut pool = Pool::new(4);
+    let first = pool.draft(7);
+    let home = pool.granted()[&first].clone();
+    pool.begin(first);
+    for _ in 0..5 {
+        let next = pool.draft(7);
+        expect_that!(pool.granted()[&next], eq(&home));
+        pool.begin(next);
+    }
+}
+
+#[gtest]
+fn long_prompts_are_read_where_no_chat_runs() {
+    let mut pool = Pool::new(4);
+    let with_chats = pool.mix(20);
+    for subject in 10..16 {
+        let draft = pool.draft(subject);
+        let runner = pool.granted()[&draft].clone();
+        expect_that!(
+            with_chats.contains(&runner),
+            eq(false),
+            "{runner} has chats"
+        );
+        pool.begin(draft);
+    }
+}
+
+/// A burst of long prompts with one tenant at seven times its usual: every
+/// runner that reads has enough to do, and the rest must not go to the chats.
+#[gtest]
+fn a_burst_of_long_prompts_waits_instead_of_delaying_chats() {
+    let mut pool = Pool::new(4);
+    let with_chats = pool.mix(30);
+    let burst: Vec<u64> = (0..60).map(|subject| pool.draft(subject)).collect();
+    let placed = pool.granted();
+    expect_that!(placed.len(), lt(burst.len()), "some must wait");
+    for runner in placed.values() {
+        expect_that!(with_chats.contains(runner), eq(false), "{runner} has chats");
+    }
+    // What was read makes room for what waits.
+    let waiting = burst.iter().filter(|it| !placed.contains_key(it)).count();
+    for ticket in placed.keys() {
+        pool.begin(*ticket);
+        pool.end(*ticket, End::Done);
+    }
+    expect_that!(pool.granted().len(), gt(0), "{waiting} waited");
+}
+
+#[gtest]
+fn a_chat_goes_past_the_runners_that_read() {
+    let mut pool = Pool::new(3);
+    let drafts: Vec<u64> = (0..2).map(|subject| pool.draft(subject)).collect();
+    let reading = pool.granted();
+    expect_that!(reading.len(), eq(drafts.len()));
+    let chat = pool.chat();
+    let runner = pool.granted()[&chat].clone();
+    let reads = reading.values().any(|it| *it == runner);
+    expect_that!(reads, eq(false));
+}
+
+#[gtest]
+fn a_runner_that_reads_slowly_is_set_aside() {
+    let mut pool = Pool::new(4);
+    for _ in 0..10 {
+        let tickets: Vec<u64> = (0..4).map(|_| pool.whole_draft()).collect();
+        let placed = pool.granted();
+        let slow = |it: &&u64| placed.get(*it).is_some_and(|runner| runner == "r1");
+        pool.daemons.now += Duration::from_millis(150);
+        for ticket in tickets.iter().filter(|it| !slow(it)) {
+            pool.begin(*ticket);
+        }
+        pool.daemons.now += Duration::from_millis(850);
+        for ticket in tickets.iter().filter(slow) {
+            pool.begin(*ticket);
+        }
+        for ticket in &tickets {
+            pool.end(*ticket, End::Done);
+        }
+        pool.daemons.tick();
+        pool.daemons.settle();
+    }
+    let aside = pool
+        .daemons
+        .notes
+        .iter()
+        .any(|(_, note)| matches!(note, Note::Turned(Turn::Aside(runner)) if runner == "r1"));
+    expect_that!(aside, eq(true));
+}
+
+fn down(pool: &Pool) -> bool {
+    let mut notes = pool.daemons.notes.iter();
+    notes.any(|(_, note)| matches!(note, Note::Turned(Turn::Down(_))))
+}
+
+/// Runners that run requests and lose some of the answers are not dead.
+#[gtest]
+fn one_lost_answer_does_not_take_a_runner_out() {
+    let mut pool = Pool::new(1);
+    for _ in 0..10 {
+        let (lost, good) = (pool.chat(), pool.chat());
+        pool.end(lost, End::Broken);
+        pool.begin(good);
+        pool.end(good, End::Done);
+    }
+    expect_that!(down(&pool), eq(false));
+}
+
+#[gtest]
+fn a_runner_that_breaks_all_it_has_is_dead() {
+    let mut pool = Pool::new(2);
+    let chats: Vec<u64> = (0..12).map(|_| pool.chat()).collect();
+    for (ticket, runner) in pool.granted() {
+        if runner == "r0" {
+            pool.end(ticket, End::Broken);
+        }
+    }
+    expect_that!(chats.len(), eq(12));
+    expect_that!(down(&pool), eq(true));
+}
+
+/// A runner whose health check is good fails part of its requests.
+#[gtest]
+fn a_runner_that_fails_more_than_the_others_gets_little() {
+    let mut pool = Pool::new(3);
+    let mut shares: BTreeMap<String, u32> = BTreeMap::new();
+    for round in 0..300_u64 {
+        let chat = pool.chat();
+        let runner = pool.granted()[&chat].clone();
+        pool.daemons.now += Duration::from_millis(20);
+        let fails = runner == "r0" && round % 5 < 2;
+        if fails {
+            let failed = citron_policy::arbiter::Sample {
+                first_token: None,
+                ..sample(End::Late, Duration::from_millis(30))
+            };
+            pool.daemons.release(0, chat, failed);
+            pool.daemons.settle();
+        } else {
+            pool.begin(chat);
+            pool.end(chat, End::Done);
+        }
+        if round >= 100 {
+            *shares.entry(runner).or_default() += 1;
+        }
+    }
+    expect_that!(SERVICE.is_empty(), eq(false));
+    let grey = shares.get("r0").copied().unwrap_or(0);
+    expect_that!(grey, lt(40), "of 200: {shares:?}");
+}
--- /dev/null
+++ b/crates/policy/tests/raft_seats.rs
@@ -0,0 +1,168 @@
+//! Formation by setting, and seats of lost voters without an operator.
+
+mod cluster;
+
+use std::time::Duration;
+
+use citron_policy::{
+    id::ReplicaId,
+    member::{Member, Members, State},
+    raft::{
+        Event, Role,
+        seats::{SEAT_PATIENCE, founders},
+    },
+    state::Command,
+};
+use googletest::prelude::*;
+
+use cluster::{Cluster, claim};
+
+const IDS: [ReplicaId; 3] = [11, 12, 13];
+
+/// The id of an emptied folder.
+const FRESH: ReplicaId = 22;
+
+/// Time in which a system must bear the next loss.
+const CATCH_UP: Duration = Duration::from_secs(4);
+
+fn member(name: &str, domain: &str, replica: Option<ReplicaId>) -> (String, Member) {
+    let address = "127.0.0.1:1".parse().expect("an address");
+    let member = Member {
+        id: name.to_owned(),
+        domain: domain.to_owned(),
+        peer: address,
+        callers: address,
+        replica,
+        incarnation: 1,
+        state: State::Alive,
+        revision: 0,
+        load: 0,
+        current: true,
+    };
+    (name.to_owned(), member)
+}
+
+/// Fills vacancies as the driver does.
+fn fill(cluster: &mut Cluster) {
+    let now = cluster.now;
+    let ids: Vec<ReplicaId> = cluster.replicas.keys().copied().collect();
+    for id in ids {
+        let vacancy = cluster.replicas[&id].node.vacancy(now);
+        if let Some(vacancy) = vacancy.filter(|_| cluster.replicas[&id].up) {
+            let (old, new) = (vacancy.old, vacancy.new);
+            cluster.event(id, Event::Replace { token: 0, old, new });
+        }
+    }
+}
+
+/// Runs until a replica counts, and gives the time that it took.
+fn until_counts(cluster: &mut Cluster, id: ReplicaId) -> Duration {
+    let begun = cluster.now;
+    while cluster.now - begun < CATCH_UP {
+        cluster.step();
+        fill(cluster);
+        let leader = cluster.leader().and_then(|it| cluster.replicas.get(&it));
+        let counts = leader.is_some_and(|it| it.node.voters().contains(id));
+        let settled = leader.is_some_and(|it| it.node.voters().ids().len() == IDS.len());
+        if counts && settled {
+            break;
+        }
+    }
+    cluster.now - begun
+}
+
+#[gtest]
+fn founders_are_spread_over_the_domains_and_the_same_everywhere() {
+    let members: Members = [
+        member("a1", "a", Some(1)),
+        member("a2", "a", Some(2)),
+        member("a3", "a", None),
+        member("b1", "b", Some(3)),
+        member("c1", "c", Some(4)),
+    ]
+    .into_iter()
+    .collect();
+    expect_that!(founders(&members, 3), eq(&vec![1, 3, 4]));
+    let reversed: Members = members.into_iter().rev().collect();
+    expect_that!(founders(&reversed, 3), eq(&vec![1, 3, 4]));
+    expect_that!(founders(&reversed, 5).len(), eq(4));
+}
+
+#[gtest]
+fn an_emptied_replica_counts_again_in_time_for_the_next_loss() {
+    for seed in 0..10 {
+        let mut cluster = Cluster::formed(seed, &IDS);
+        for number in 0..30 {
+            cluster.submit(&Command::Claim(claim(&format!("k{number}"), number, 1_000)));
+        }
+        let leader = cluster.leader().expect("a leader");
+        // Followers and leaders are lost alike.
+        let lost = if seed % 2 == 0 {
+            leader
+        } else {
+            cluster.others(leader)[0]
+        };
+        cluster.forget(lost);
+        cluster.add(FRESH);
+        let took = until_counts(&mut cluster, FRESH);
+        expect_that!(took, lt(CATCH_UP), "seed {seed}");
+        // Another old one goes: the fresh one must now make the majority.
+        let second = *IDS.iter().find(|it| **it != lost).expect("another one");
+        cluster.forget(second);
+        cluster.submit(&Command::Claim(claim("after", 99, 1_000)));
+        expect_that!(cluster.replicas[&FRESH].machine.index(), gt(30));
+    }
+}
+
+#[gtest]
+fn a_voter_that_is_silent_for_a_moment_keeps_its_seat() {
+    let mut cluster = Cluster::formed(3, &IDS);
+    cluster.add(FRESH);
+    let leader = cluster.leader().expect("a leader");
+    let silent = cluster.others(leader)[0];
+    cluster.run(SEAT_PATIENCE * 2);
+    cluster.isolate(silent);
+    let begun = cluster.now;
+    while cluster.now - begun < SEAT_PATIENCE / 2 {
+        cluster.step();
+        fill(&mut cluster);
+    }
+    cluster.heal();
+    cluster.run(Duration::from_secs(1));
+    let voters = cluster.replicas[&leader].node.voters();
+    expect_that!(voters.contains(silent), eq(true));
+}
+
+#[gtest]
+fn only_a_leader_knows_a_vacancy() {
+    let mut cluster = Cluster::formed(4, &IDS);
+    cluster.add(FRESH);
+    cluster.run(Duration::from_secs(1));
+    let now = cluster.now;
+    for replica in cluster.replicas.values() {
+        if replica.node.standing().role != Role::Leader {
+            expect_that!(replica.node.vacancy(now), none());
+        }
+    }
+}
+
+/// All replicas lose power and come back one after the other.
+#[gtest]
+fn replicas_that_start_apart_elect_a_leader_soon() {
+    for seed in 0..10 {
+        let mut cluster = Cluster::formed(seed, &IDS);
+        cluster.run(Duration::from_secs(2));
+        for id in IDS {
+            cluster.kill(id);
+        }
+        cluster.run(Duration::from_secs(1));
+        for id in IDS {
+            cluster.restart(id);
+            cluster.run(Duration::from_millis(200));
+        }
+        let begun = cluster.now;
+        cluster.until("a leader", |it| it.leader().is_some());
+        let took = cluster.now - begun;
+        expect_that!(took, lt(Duration::from_millis(600)), "seed {seed}");
+    }
+}
