--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -127,14 +127,28 @@
     }
 }
 
+/// Whether something here depends on the list; clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct Need {
+    needed: Rc<Cell<bool>>,
+    wake: Rc<Notify>,
+}
+
+impl Need {
+    /// Says whether the list is needed; if it is anew, it is read at once.
+    pub fn set(&self, needed: bool) {
+        if !self.needed.replace(needed) && needed {
+            self.wake.notify_one();
+        }
+    }
+}
+
 /// Reads the platform's list for ever; clones share it.
 #[derive(Clone, Debug)]
 pub struct Platform {
     list: watch::Receiver<Arc<List>>,
     read: Rc<Cell<Option<Instant>>>,
-    /// Whether something here depends on the list.
-    needed: Rc<Cell<bool>>,
-    wake: Rc<Notify>,
+    need: Need,
     metrics: Metrics,
 }
 
@@ -146,8 +160,7 @@
         let platform = Self {
             list,
             read: Rc::default(),
-            needed: Rc::default(),
-            wake: Rc::default(),
+            need: Need::default(),
             metrics: Metrics::default(),
         };
         actix_rt::spawn(platform.clone().run(settings, sender));
@@ -160,11 +173,10 @@
         self.list.clone()
     }
 
-    /// Says whether something here depends on the list; if so, it is read at once.
-    pub fn set_needed(&self, needed: bool) {
-        if !self.needed.replace(needed) && needed {
-            self.wake.notify_one();
-        }
+    /// By which the parts here say whether they depend on the list.
+    #[must_use]
+    pub fn need(&self) -> Need {
+        self.need.clone()
     }
 
     /// When the last good list was read, if any was.
@@ -214,14 +226,14 @@
             if let Some(read) = self.read.get() {
                 self.metrics.age.set(read.elapsed().as_secs_f64());
             }
-            let interval = if self.needed.get() {
+            let interval = if self.need.needed.get() {
                 settings.interval
             } else {
                 settings.idle_interval
             };
             tokio::select! {
                 () = actix_rt::time::sleep(pause(interval, &mut rand::rng())) => {}
-                () = self.wake.notified() => {}
+                () = self.need.wake.notified() => {}
             }
         }
     }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -299,7 +299,7 @@
     async fn tick(self: Rc<Self>) {
         loop {
             let reading = self.reading(clock::now());
-            self.core.platform.set_needed(self.core.slots.hosts());
+            self.core.platform.need().set(self.core.slots.hosts());
             self.core.gossip.set_self(Own {
                 leaving: self.told.get(),
                 revision: reading.revision,
--- a/crates/daemon/src/run/core.rs
+++ b/crates/daemon/src/run/core.rs
@@ -68,6 +68,7 @@
         let inputs = slots::Inputs {
             members: gossip.members(),
             platform: platform.list(),
+            need: platform.need(),
             view: follow.view(),
         };
         let control = started.control;
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -40,7 +40,7 @@
 pub use citron_policy::arbiter::{End, Part, Refusal, Sample};
 pub use metrics::Metrics;
 
-use crate::{event::Ring, peers::Hub};
+use crate::{event::Ring, peers::Hub, platform::Need};
 use host::{Host, Work};
 use progress::Stream;
 
@@ -102,6 +102,8 @@
     pub members: watch::Receiver<Arc<Members>>,
     /// The platform's list.
     pub platform: watch::Receiver<Arc<List>>,
+    /// Whether an arbiter here depends on that list.
+    pub need: Need,
     /// Catalogue and crash marks.
     pub view: watch::Receiver<Arc<View>>,
 }
--- a/crates/daemon/src/slots/host.rs
+++ b/crates/daemon/src/slots/host.rs
@@ -3,7 +3,11 @@
 //! Effects for this same daemon are carried out in turn, without the network;
 //! those for others leave as one message per receiver and shard.
 
-use std::{collections::VecDeque, sync::Arc, time::Instant};
+use std::{
+    collections::VecDeque,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use citron_policy::{
     arbiter::{self, Arbiter, Asked, Note, Reply, Request, Ticket, Turn, order},
@@ -18,6 +22,10 @@
 
 use super::{Grant, Inner, Waiter, metrics, progress};
 
+/// Longest wait of a new arbiter for the list of runners, which is read once
+/// more as it starts.
+const LIST_PATIENCE: Duration = Duration::from_millis(300);
+
 /// Ranks that may host an arbiter when those before do not answer.
 const MAX_RANKS: usize = 3;
 
@@ -249,8 +257,13 @@
     }
 
     fn start_arbiter(&self, now: Instant, service: &ServiceId, fallback: bool) {
+        // It is read while the askers are still listened to.
+        self.inputs.need.set(true);
         let live = self.live();
-        let settings = arbiter::Settings::default();
+        let settings = arbiter::Settings {
+            list_patience: LIST_PATIENCE,
+            ..arbiter::Settings::default()
+        };
         let (mut arbiter, mut effects) = Arbiter::new(now, service.clone(), 1, live, settings);
         let view = self.inputs.view.borrow().clone();
         for event in [
--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -65,6 +65,8 @@
     pub lease: Duration,
     /// Longest wait of a new arbiter for what the daemons hold.
     pub collect: Duration,
+    /// Longest wait of a new arbiter for a list with a runner in use.
+    pub list_patience: Duration,
     /// Share of grants that goes to classes past their wait bound.
     pub floor: f64,
     /// Share of the latency target that a request may wait before it is given up.
@@ -84,6 +86,7 @@
             max_askers: 1_024,
             lease: Duration::from_secs(2),
             collect: Duration::from_millis(120),
+            list_patience: Duration::ZERO,
             floor: 0.05,
             patience: 0.8,
             reserve: 4,
@@ -211,6 +214,8 @@
 struct Collecting {
     missing: IndexSet<InstanceId>,
     until: Instant,
+    /// Until when it waits for a runner.
+    list_until: Instant,
 }
 
 impl Arbiter {
@@ -230,6 +235,7 @@
         let collecting = Collecting {
             missing: live,
             until: now + settings.collect,
+            list_until: now + settings.list_patience,
         };
         let arbiter = Self {
             service,
@@ -389,7 +395,11 @@
             .collecting
             .as_ref()
             .is_some_and(|it| it.missing.is_empty() || now >= it.until);
-        if ended {
+        let awaits_list = self
+            .collecting
+            .as_ref()
+            .is_some_and(|it| now < it.list_until && self.pool.usable() == 0);
+        if ended && !awaits_list {
             self.collecting = None;
             self.refuse_without_runner(now, effects);
         }
--- a/crates/policy/src/arbiter/rank.rs
+++ b/crates/policy/src/arbiter/rank.rs
@@ -13,9 +13,16 @@
 /// Daemons that take work, the arbiter of the shard first.
 #[must_use]
 pub fn order(service: &str, shard: u32, members: &Members) -> Vec<InstanceId> {
+    let some_live = members.values().any(|it| it.state == State::Alive);
+    // Where all leave, they still serve each other to the end.
+    let wanted = if some_live {
+        State::Alive
+    } else {
+        State::Leaving
+    };
     let mut ranked: Vec<(u64, &InstanceId)> = members
         .values()
-        .filter(|member| member.state == State::Alive)
+        .filter(|member| member.state == wanted)
         .map(|member| (weight(service, shard, &member.id), &member.id))
         .collect();
     ranked.sort_unstable_by(|a, b| b.cmp(a));
--- a/crates/policy/tests/routes.rs
+++ b/crates/policy/tests/routes.rs
@@ -176,7 +176,7 @@
     let mut declare = |index, version, text| {
         let command = Command::Declare(declaration(version, text));
         let applied = machine.apply(index, &command);
-        let held = machine.declaration().expect("a declaration").clone();
+        let held = Arc::clone(machine.declaration().expect("a declaration"));
         (applied, held)
     };
     let (applied, _) = declare(1, 7, "seven");
