control, peers: a full disk ends no process, silent connections end

Change: behind an adapter the replica suspends itself, answers nobody, and opens its folder again once a full disk has room; after any other failure it stays out and the daemon goes on. At the start a disk that cannot be used yet is waited for. Peer and runner sockets have a user timeout of 1.5 s and keep-alive probes.

Ruled out: taking a failed sync for a full disk; what it covered may be lost.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -51,6 +51,9 @@
     pub snapshot_entries: u64,
     /// Bytes of entries after which the state is kept as a snapshot.
     pub snapshot_bytes: usize,
+    /// Whether the daemon goes on without its replica when the disk fails; the
+    /// replica takes part again once a full disk has room.
+    pub outlive_disk: bool,
 }
 
 impl Default for Settings {
@@ -61,6 +64,7 @@
             limits: state::Limits::default(),
             snapshot_entries: 8_192,
             snapshot_bytes: 16 << 20,
+            outlive_disk: false,
         }
     }
 }
--- a/crates/daemon/src/control/driver.rs
+++ b/crates/daemon/src/control/driver.rs
@@ -18,8 +18,8 @@
     id::{Index, ReplicaId, Term},
     ledger,
     raft::{
-        Effect, Entry, Event, Node, Payload, Proposal, Role as Part, Snapshot, Standing, Token,
-        message::Message, seats::Vacancy,
+        Effect, Entry, Event, Node, Payload, Proposal, Role as Part, Snapshot, Standing, Stored,
+        Token, message::Message, seats::Vacancy,
     },
     state::{Answer, Command, Machine},
 };
@@ -108,13 +108,16 @@
 {
     settings: Settings,
     node: Node,
-    store: Store<F>,
+    /// None while the disk is not to be used.
+    store: Option<Store<F>>,
     machine: Machine,
     inputs: Receiver<Input>,
     outgoing: mpsc::Sender<Outgoing>,
     feeder: Feeder,
     metrics: Metrics,
     next_token: Token,
+    /// Replicas that are known.
+    peers: Vec<ReplicaId>,
     questions: IndexMap<Token, Question>,
     /// Proposals that have their place, by index.
     accepted: IndexMap<Index, (Term, Reply)>,
@@ -141,12 +144,13 @@
             snapshot_index: machine.index(),
             feeder: Feeder::new(links.feed, links.metrics.clone()),
             node,
-            store,
+            store: Some(store),
             machine,
             inputs: links.inputs,
             outgoing: links.outgoing,
             metrics: links.metrics,
             next_token: 1,
+            peers: Vec::new(),
             questions: IndexMap::new(),
             accepted: IndexMap::new(),
             since_snapshot: 0,
@@ -155,7 +159,7 @@
     }
 
     /// Serves until the daemon's ends are gone or the journal fails.
-    pub(super) fn run(mut self) -> Result<(), Fault> {
+    pub(super) fn run(&mut self) -> Result<(), Fault> {
         loop {
             let wait = self.node.next_wake();
             let wait = wait.saturating_duration_since(clock::now());
@@ -171,6 +175,46 @@
         }
     }
 
+    /// Stops taking part: nothing more is written, voted or acknowledged.
+    pub(super) fn suspend(&mut self) {
+        self.store = None;
+        for (_, (_, reply)) in self.accepted.drain(..) {
+            answer(reply, outcome::unsure());
+        }
+        for (_, question) in self.questions.drain(..) {
+            answer(question.reply(), outcome::unsure());
+        }
+        self.metrics.leads.set(0);
+    }
+
+    /// Refuses what comes for a while; false when the daemon's ends are gone.
+    pub(super) fn refuse(&self, within: Duration) -> bool {
+        let end = Instant::now() + within;
+        loop {
+            let left = end.saturating_duration_since(Instant::now());
+            match self.inputs.recv_timeout(left) {
+                Ok(Input::Ask(_, reply)) => answer(reply, outcome::not_leader(None)),
+                Ok(Input::Raft(_) | Input::Peers(_)) => {}
+                Err(RecvTimeoutError::Timeout) => return true,
+                Err(RecvTimeoutError::Disconnected) => return false,
+            }
+        }
+    }
+
+    /// Takes part again, with what the folder holds.
+    pub(super) fn resume(&mut self, store: Store<F>, stored: Stored, machine: Machine) {
+        let raft = self.settings.raft.clone();
+        self.node = Node::new(clock::now(), raft, stored, &mut rand::rng());
+        self.store = Some(store);
+        self.snapshot_index = machine.index();
+        self.since_snapshot = 0;
+        self.machine = machine;
+        self.feeder.lag();
+        let peers = self.peers.clone();
+        // A node without entries to send has nothing to persist yet.
+        drop(self.step(Event::Peers(peers)));
+    }
+
     fn serve(&mut self, batch: Vec<Input>) -> Result<(), Fault> {
         let mut effects = self.step(Event::Tick);
         let mut proposals = Vec::new();
@@ -180,7 +224,10 @@
                     Ok(message) => effects.extend(self.step(Event::Receive(message))),
                     Err(error) => log::warn!("CP0408 message refused: {error}"),
                 },
-                Input::Peers(peers) => effects.extend(self.step(Event::Peers(peers))),
+                Input::Peers(peers) => {
+                    self.peers.clone_from(&peers);
+                    effects.extend(self.step(Event::Peers(peers)));
+                }
                 Input::Ask(question, reply) => {
                     effects.extend(self.ask(question, reply, &mut proposals));
                 }
@@ -255,7 +302,10 @@
     }
 
     fn persist(&mut self, effects: &[Effect]) -> Result<(), Fault> {
-        if self.store.persist(effects)? {
+        let Some(store) = &mut self.store else {
+            return Err(Fault::Stopped);
+        };
+        if store.persist(effects)? {
             self.metrics.syncs.inc();
         }
         Ok(())
--- a/crates/daemon/src/control/replica.rs
+++ b/crates/daemon/src/control/replica.rs
@@ -1,8 +1,8 @@
 //! Opening a data folder, and starting the thread that serves it.
 
-use std::{fmt, sync::mpsc::sync_channel, thread};
+use std::{fmt, sync::mpsc::sync_channel, thread, time::Duration};
 
-use citron_journal::Disk;
+use citron_journal::{Disk, Error as Fault};
 use citron_policy::{
     feed,
     id::ReplicaId,
@@ -20,6 +20,9 @@
     store::Store,
 };
 
+/// Time between two tries to open the folder of a full disk.
+const REOPEN_PAUSE: Duration = Duration::from_millis(500);
+
 /// An opened data folder, not yet taking part.
 pub struct Replica {
     settings: Settings,
@@ -86,11 +89,12 @@
             feed,
             metrics,
         };
+        let settings = self.settings.clone();
         let driver = Driver::new(self.settings, node, self.store, self.machine, links);
         let alarm = Alarm(Some(alarm));
         let spawned = thread::Builder::new()
             .name("control".to_owned())
-            .spawn(move || serve(driver, alarm));
+            .spawn(move || serve(&settings, driver, alarm));
         if let Err(error) = spawned {
             // The alarm went with the closure: the caller sees no replica answer.
             log::error!("CP0407 control replica not started: {error}: check the thread limit");
@@ -99,10 +103,39 @@
     }
 }
 
-fn serve(driver: Driver<Disk>, mut alarm: Alarm) {
-    if let Err(error) = driver.run() {
-        alarm.ring(error.to_string());
+fn serve(settings: &Settings, mut driver: Driver<Disk>, mut alarm: Alarm) {
+    while let Err(error) = driver.run() {
+        if !settings.outlive_disk {
+            alarm.ring(error.to_string());
+            return;
+        }
+        log::error!(event = "CP0413"; "control replica takes no part any more: {error}");
+        driver.suspend();
+        if !wait_for_disk(settings, &mut driver, &error) {
+            return;
+        }
+        log::info!(event = "CP0414"; "control replica takes part again");
+    }
+}
+
+/// Opens the folder of a full disk again once it has room; false at the end.
+///
+/// After any other failure what the disk holds is in doubt, so the replica stays
+/// out until the process is started anew.
+fn wait_for_disk(settings: &Settings, driver: &mut Driver<Disk>, error: &Fault) -> bool {
+    while driver.refuse(REOPEN_PAUSE) {
+        if !error.is_full() {
+            continue;
+        }
+        match Replica::open(settings) {
+            Ok(replica) => {
+                driver.resume(replica.store, replica.stored, replica.machine);
+                return true;
+            }
+            Err(error) => log::debug!(event = "CP0413"; "data folder not opened yet: {error}"),
+        }
     }
+    false
 }
 
 /// Tells the daemon that the thread ended for a fault.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -24,5 +24,6 @@
 pub mod run;
 pub mod settings;
 pub mod slots;
+pub mod socket;
 pub mod trace;
 pub mod upstream;
--- a/crates/daemon/src/peers/link.rs
+++ b/crates/daemon/src/peers/link.rs
@@ -10,6 +10,7 @@
 use tokio::sync::mpsc;
 
 use super::Hub;
+use crate::socket::guard;
 
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -44,7 +45,7 @@
 }
 
 async fn serve(hub: &Hub, peer: &InstanceId, stream: TcpStream, queue: &mut mpsc::Receiver<Frame>) {
-    if let Err(error) = stream.set_nodelay(true) {
+    if let Err(error) = stream.set_nodelay(true).and_then(|()| guard(&stream)) {
         log::debug!("CP0903 connection to {peer}: {error}");
     }
     let mut framed = Framed::new(stream, Codec::new(&hub.inner.cluster));
--- a/crates/daemon/src/peers/listen.rs
+++ b/crates/daemon/src/peers/listen.rs
@@ -9,6 +9,7 @@
 use tokio::sync::mpsc;
 
 use super::{Handler, Hub, link::count};
+use crate::socket::guard;
 
 /// Most answers that wait for one connection.
 const ANSWER_QUEUE: usize = 1_024;
@@ -38,7 +39,7 @@
 }
 
 async fn serve(hub: Hub, stream: TcpStream, address: SocketAddr, handler: Rc<dyn Handler>) {
-    if let Err(error) = stream.set_nodelay(true) {
+    if let Err(error) = stream.set_nodelay(true).and_then(|()| guard(&stream)) {
         log::debug!("CP0903 connection from {address}: {error}");
     }
     let (sender, mut answers) = mpsc::channel::<Frame>(ANSWER_QUEUE);
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -48,6 +48,12 @@
 /// Time between two readings of the daemon's own state.
 const TICK: Duration = Duration::from_millis(200);
 
+/// Longest wait at the start for a disk that cannot be used yet.
+const DISK_PATIENCE: Duration = Duration::from_secs(6);
+
+/// Time between two tries to use it.
+const DISK_PAUSE: Duration = Duration::from_millis(300);
+
 /// Time between two readings of a priced list on a daemon that hosts no arbiter.
 const IDLE_LIST_INTERVAL: Duration = Duration::from_secs(30);
 
@@ -130,13 +136,7 @@
     };
     let desks = outside.as_ref().map_or(&[][..], |it| &it.desks);
     let listeners = Listeners::bind(&settings, desks).await?;
-    let replica = settings.data.as_ref().map(|folder| {
-        Replica::open(&control::Settings {
-            folder: folder.clone(),
-            ..control::Settings::default()
-        })
-    });
-    let replica = replica.transpose()?;
+    let replica = open_replica(&settings, outside.is_some()).await?;
     let announcement = listeners.announcement();
     let resources = Resources {
         platform,
@@ -160,6 +160,36 @@
     left
 }
 
+/// Opens the data folder, if there is one.
+///
+/// A daemon that outlives its disk waits a while for one that cannot be used yet,
+/// and then goes on without.
+async fn open_replica(
+    settings: &Settings,
+    outlive_disk: bool,
+) -> Result<Option<Replica>, control::Error> {
+    let Some(folder) = &settings.data else {
+        return Ok(None);
+    };
+    let settings = control::Settings {
+        folder: folder.clone(),
+        outlive_disk,
+        ..control::Settings::default()
+    };
+    let end = Instant::now() + DISK_PATIENCE;
+    loop {
+        match Replica::open(&settings) {
+            Ok(replica) => return Ok(Some(replica)),
+            Err(error) if !outlive_disk => return Err(error),
+            Err(error) if Instant::now() >= end => {
+                log::error!(event = "CP0413"; "started without a control replica: {error}");
+                return Ok(None);
+            }
+            Err(_) => actix_rt::time::sleep(DISK_PAUSE).await,
+        }
+    }
+}
+
 /// How the list of runners is read.
 fn platform(settings: &Settings, outside: Option<&Outside>) -> Result<platform::Settings, Failure> {
     let Some(outside) = outside else {
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -28,6 +28,8 @@
 use bytes::Bytes;
 use tokio::time::{Instant, timeout, timeout_at};
 
+use crate::socket::guard;
+
 pub use self::{body::Body, failure::Failure, metrics::Metrics};
 use self::{head::Codec, socket::Socket};
 
@@ -149,7 +151,7 @@
         Err(_) => return Err(Failure::Unreachable),
     };
     // Without it small writes wait for acknowledgements; failing only costs time.
-    if let Err(error) = stream.set_nodelay(true) {
+    if let Err(error) = stream.set_nodelay(true).and_then(|()| guard(&stream)) {
         log::debug!("CP0601 connection to {target}: {error}");
     }
     Ok(stream)
--- a/crates/journal/src/error.rs
+++ b/crates/journal/src/error.rs
@@ -6,6 +6,9 @@
 
 use crate::{Index, ReplicaId};
 
+/// Beginning of the names of the steps that make something durable.
+const SYNC: &str = "sync";
+
 /// Why the journal refused.
 #[derive(Debug, Display, Error)]
 pub enum Error {
@@ -105,3 +108,20 @@
         limit: usize,
     },
 }
+
+impl Error {
+    /// Whether the disk was full and nothing else is in doubt, so that the folder
+    /// can be opened again once there is room.
+    ///
+    /// A failed sync is no such case: what it covered may be lost unseen.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        match self {
+            Self::Io { step, source, .. } => {
+                let full = [io::ErrorKind::StorageFull, io::ErrorKind::QuotaExceeded];
+                !step.starts_with(SYNC) && full.contains(&source.kind())
+            }
+            _ => false,
+        }
+    }
+}
