exchange: a line for each decision that touches a request, latencies on the metrics address

Cause: on-call engineers have only logs and metrics; a request that was answered left nothing, a refusal did not say by what it was decided.

Change: one line where a request is sent (runner, arbiter, tier, account, version in force and the age of its proof), refused, failed, cut, left or answered; calm requests up to 100 lines a second with a count of what was left out; runners that come, drain and go. Histograms of the whole time, the first event and the wait for a slot by class; refusals by kind; dropped lines.

--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -9,11 +9,13 @@
 mod admit;
 mod attempt;
 mod events;
+mod metrics;
 mod relay;
 mod run;
+mod sample;
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -26,6 +28,7 @@
 
 use crate::{
     callers::{InFlight, Retries, payload},
+    clock,
     edge::{Ask, Outside, Problem},
     follow::Follow,
     http::{Handler, Watch},
@@ -33,7 +36,9 @@
     upstream,
 };
 use admit::Admitted;
+use metrics::Metrics;
 use run::{Run, Step};
+use sample::Sample;
 
 /// Longest wait of a request for this daemon to learn what is in force; a
 /// control log whose replicas have all restarted leads again within it.
@@ -81,6 +86,8 @@
     ports: Ports,
     in_flight: Rc<Cell<u32>>,
     retries: Retries,
+    metrics: Metrics,
+    sample: RefCell<Sample>,
 }
 
 impl Exchange {
@@ -91,6 +98,8 @@
             ports,
             in_flight: Rc::default(),
             retries: Retries::new(RETRY_BURST),
+            metrics: Metrics::default(),
+            sample: RefCell::new(Sample::new(Instant::now())),
         };
         Self {
             inner: Rc::new(inner),
@@ -100,6 +109,7 @@
     /// Adds the metrics to a registry.
     pub fn register(&self, registry: &mut Registry) {
         self.inner.retries.register(registry);
+        self.inner.metrics.register(registry);
     }
 
     /// Requests in hand.
@@ -193,22 +203,59 @@
         };
         match first {
             Step::Whole(answer) => answer.response(),
-            Step::Failed(problem) => self.refuse(&id, &problem),
+            Step::Failed(problem) => {
+                run.fail(&problem);
+                self.refuse(&id, &problem)
+            }
             Step::Events(events) => relay::answer(run, events, guard),
             Step::Done => relay::answer(run, bytes::Bytes::new(), guard),
         }
     }
 
+    /// What is in force here, and how sure that is.
+    fn known(&self) -> Known {
+        let view = self.ports().view.borrow();
+        let proved = view.proved;
+        Known {
+            version: view.declaration.as_ref().map_or(0, |it| it.version),
+            proof_age: proved.map(|at| clock::now().saturating_duration_since(at)),
+        }
+    }
+
+    /// Whether a request that goes as it should is told; if so, how many were not.
+    fn sampled(&self) -> Option<u64> {
+        self.inner.sample.borrow_mut().take(Instant::now())
+    }
+
     fn refuse(&self, id: &str, problem: &Problem) -> Response<BoxBody> {
+        let known = self.known();
+        self.inner
+            .metrics
+            .refused(problem.kind, problem.status.as_u16());
         log::info!(
             event = "CP1002", request = id, status = problem.status.as_u16(), kind = problem.kind,
-            retry_after_ms = problem.retry_after.map(|it| it.as_millis());
+            retry_after_ms = problem.retry_after.map(millis), version = known.version,
+            proof_age_ms = known.proof_age.map(millis);
             "{}", problem.detail
         );
         self.ports().outside.callers.refuse(id, problem)
     }
 }
 
+/// What a decision was taken by.
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    /// Version of the declaration in force.
+    version: u64,
+    /// Age of the proof that it is current.
+    proof_age: Option<Duration>,
+}
+
+/// Whole milliseconds, for the log.
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Resolves when the caller has left.
 async fn gone(watch: Option<&Watch>) {
     match watch {
--- a/crates/daemon/src/exchange/relay.rs
+++ b/crates/daemon/src/exchange/relay.rs
@@ -17,7 +17,7 @@
 use tokio::sync::mpsc;
 
 use super::{
-    attempt, gone,
+    attempt, gone, millis,
     run::{Run, Step},
 };
 use crate::callers::InFlight;
@@ -78,8 +78,11 @@
             Step::Events(next) => events = next,
             Step::Done | Step::Whole(_) => break,
             Step::Failed(problem) => {
+                run.fail(&problem);
                 log::info!(
-                    event = "CP1006", request = run.admitted.ask.id.as_str();
+                    event = "CP1006", request = run.admitted.ask.id.as_str(),
+                    after_ms = millis(run.admitted.arrived.elapsed()),
+                    last_event = run.last().unwrap_or(0);
                     "stream cut: {}", problem.detail
                 );
                 // The caller may have left, which ends the stream as well.
--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -19,6 +19,7 @@
     admit::{self, Admitted},
     attempt::{self, Answer},
     events::Events,
+    millis,
 };
 use crate::{
     edge::{Problem, Word},
@@ -99,9 +100,20 @@
         }
     }
 
+    /// Number of the last event that the caller got.
+    pub(super) fn last(&self) -> Option<u64> {
+        self.last
+    }
+
     /// Ends the work upstream, since the caller has left.
     pub(super) fn abandon(&mut self) {
-        log::info!(event = "CP1003", request = self.admitted.ask.id.as_str(); "the caller left");
+        log::info!(
+            event = "CP1003", request = self.admitted.ask.id.as_str(), sent = self.sent,
+            after_ms = millis(self.admitted.arrived.elapsed()),
+            last_event = self.last.unwrap_or(0);
+            "the caller left"
+        );
+        self.fail(&Problem::gone());
         self.end(End::Cancelled);
     }
 
@@ -159,17 +171,36 @@
         let taken = self.exchange.ports().slots.take(want).await;
         match taken {
             Ok(slot) => {
-                log::debug!(
-                    event = "CP1001", request = admitted.ask.id.as_str(), runner = slot.runner.as_str(),
-                    waited_ms = waiting.elapsed().as_millis();
-                    "sent to a runner"
-                );
+                self.tell_sent(&slot, waiting.elapsed());
                 Ok(slot)
             }
             Err(refusal) => Err(self.unslotted(&refusal)),
         }
     }
 
+    /// Tells where the request goes, and what decided it.
+    fn tell_sent(&self, slot: &Slot, waited: Duration) {
+        let admitted = &self.admitted;
+        let exchange = &self.exchange;
+        exchange.inner.metrics.waited(&admitted.class.name, waited);
+        // A request that was sent before has failed, and is always told.
+        let skipped = match exchange.sampled() {
+            Some(skipped) => skipped,
+            None if self.sent > 0 => 0,
+            None => return,
+        };
+        let known = exchange.known();
+        log::info!(
+            event = "CP1001", request = admitted.ask.id.as_str(), runner = slot.runner.as_str(),
+            address:% = slot.address, service = admitted.service.name.as_str(),
+            class = admitted.class.name.as_str(), tier = admitted.tier(),
+            account = admitted.account.as_ref().map_or("", |it| it.name.as_str()),
+            arbiter = slot.arbiter.as_str(), waited_ms = millis(waited), sent = self.sent,
+            version = known.version, proof_age_ms = known.proof_age.map(millis), skipped;
+            "sent to a runner"
+        );
+    }
+
     /// Checks again what may have changed while the request waited.
     fn recheck(&mut self) -> Result<(), Problem> {
         let ports = self.exchange.ports();
@@ -390,6 +421,9 @@
                     Ok((events, count)) if count > 0 => {
                         if live.first.is_none() {
                             live.first = Some(Instant::now());
+                            let took = self.admitted.arrived.elapsed();
+                            let metrics = &self.exchange.inner.metrics;
+                            metrics.first(&self.admitted.class.name, took);
                             live.slot.begun();
                         }
                         live.count += count;
@@ -442,13 +476,35 @@
         }
     }
 
+    /// Tells that the request was answered in full.
     fn settle(&self) {
-        log::debug!(
-            event = "CP1005", request = self.admitted.ask.id.as_str(),
-            took_ms = self.admitted.arrived.elapsed().as_millis();
+        let admitted = &self.admitted;
+        let took = admitted.arrived.elapsed();
+        let exchange = &self.exchange;
+        exchange
+            .inner
+            .metrics
+            .ended(&admitted.class.name, "done", took);
+        let skipped = match exchange.sampled() {
+            Some(skipped) => skipped,
+            None if self.sent > 1 => 0,
+            None => return,
+        };
+        log::info!(
+            event = "CP1005", request = admitted.ask.id.as_str(),
+            runner = self.avoid.last().map_or("", String::as_str), took_ms = millis(took),
+            sent = self.sent, ran = self.ran, skipped;
             "answered"
         );
     }
+
+    /// Tells that the request ended without a whole answer.
+    pub(super) fn fail(&self, problem: &Problem) {
+        let admitted = &self.admitted;
+        let took = admitted.arrived.elapsed();
+        let metrics = &self.exchange.inner.metrics;
+        metrics.ended(&admitted.class.name, problem.kind, took);
+    }
 }
 
 /// Why an answer cannot be passed on: a success of unknown origin, or a promise
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     http::Handler,
+    output,
     peers::{Counts, Hub},
 };
 
@@ -47,6 +48,7 @@
 pub struct Metrics {
     cpu_seconds: Gauge<f64, AtomicU64>,
     resident_bytes: Gauge,
+    log_dropped: Gauge,
     in_flight: Gauge,
     revision: Gauge,
     current: Gauge,
@@ -84,6 +86,11 @@
             "Memory of the process",
             self.resident_bytes.clone(),
         );
+        registry.register(
+            "citron_log_dropped",
+            "Log lines dropped since the start, for want of a reader",
+            self.log_dropped.clone(),
+        );
         registry.register(
             "citron_in_flight",
             "Requests in hand",
@@ -138,6 +145,8 @@
 
     /// Brings everything up to date.
     pub fn update(&mut self, reading: &Reading, hub: &Hub) {
+        let dropped = i64::try_from(output::dropped()).unwrap_or(i64::MAX);
+        self.log_dropped.set(dropped);
         self.in_flight.set(i64::from(reading.in_flight));
         self.revision
             .set(i64::try_from(reading.revision).unwrap_or(i64::MAX));
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -14,7 +14,7 @@
 };
 
 use awc::Client;
-use citron_policy::platform::List;
+use citron_policy::platform::{List, Runner};
 use derive_more::{Display, Error};
 use futures_util::future::LocalBoxFuture;
 use prometheus_client::{
@@ -246,6 +246,7 @@
         sender.send_if_modified(|old| {
             let changed = **old != list;
             if changed {
+                tell_changes(old, &list);
                 *old = Arc::new(list);
             }
             changed
@@ -253,6 +254,27 @@
     }
 }
 
+/// Tells what a new list says that the one before did not.
+fn tell_changes(old: &List, new: &List) {
+    for runner in &new.runners {
+        let before = old.runners.iter().find(|it| it.id == runner.id);
+        if before.is_none_or(|it| it.standing != runner.standing || it.address != runner.address) {
+            log::info!(
+                event = "CP0552", runner = runner.id.as_str(), service = runner.service.as_str(),
+                address:% = runner.address, standing:? = runner.standing;
+                "runner listed"
+            );
+        }
+    }
+    let gone = |it: &&Runner| !new.runners.iter().any(|new| new.id == it.id);
+    for runner in old.runners.iter().filter(gone) {
+        log::info!(
+            event = "CP0553", runner = runner.id.as_str(), service = runner.service.as_str();
+            "runner no longer listed"
+        );
+    }
+}
+
 /// The list in citronpond's own format.
 struct Own {
     client: Client,
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -271,6 +271,7 @@
             address,
             alone: grant.alone,
             waited: grant.waited,
+            arbiter: self.inner.arbiter_of(&claim.service),
             claim: Claim {
                 inner: Rc::clone(&self.inner),
                 service: claim.service.clone(),
@@ -373,6 +374,14 @@
         declared.is_some_and(|it| it.backend == Backend::Model)
     }
 
+    /// The daemon that is asked for slots of a service.
+    fn arbiter_of(&self, service: &ServiceId) -> InstanceId {
+        let host = self.host.borrow();
+        let desk = host.desks.get(service);
+        desk.and_then(|it| it.arbiter().cloned())
+            .unwrap_or_default()
+    }
+
     fn address(&self, runner: &RunnerId) -> Option<SocketAddr> {
         let list = self.inputs.platform.borrow();
         let listed = list.runners.iter().find(|it| it.id == *runner);
@@ -416,6 +425,8 @@
     pub alone: bool,
     /// Time that the request waited.
     pub waited: Duration,
+    /// Daemon whose arbiter granted it.
+    pub arbiter: InstanceId,
     claim: Claim,
     stream: Rc<Stream>,
 }
