feed: a parent that brings neither news nor a newer proof is left at once

Ruled out: membership (no event on that daemon), its links (the next parent answered at once).

Change: a daemon holds no question once its own proof is 900 ms old, holds others 400 to 800 ms, and a follower leaves a parent whose answer has neither updates nor a newer proof.

--- a/crates/daemon/src/follow.rs
+++ b/crates/daemon/src/follow.rs
@@ -43,7 +43,7 @@
 const FRESH: Duration = Duration::from_millis(500);
 
 /// Age of the own proof over which a question is not held.
-const STALE: Duration = Duration::from_secs(2);
+const STALE: Duration = Duration::from_millis(1_200);
 
 /// Pause after a parent that gave no fresh proof.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
@@ -202,6 +202,7 @@
     /// Asks a parent once; false if another one should be asked next.
     async fn ask(&self, parent: &InstanceId) -> bool {
         let sent = clock::now();
+        let before = self.standing();
         let (question, hold) = self.question(sent);
         let answer = self.call(parent, question, hold + GRACE).await;
         let now = clock::now();
@@ -210,8 +211,14 @@
             Some(proto::message::Body::Part(part)) => self.take_parts(parent, part).await,
             Some(proto::message::Body::Pull(_)) | None => return false,
         }
-        let age = self.inner.feed.borrow().proof_age(clock::now());
-        age.is_some_and(|age| age < STALE)
+        // A parent that brings neither news nor a newer proof is cut off itself.
+        self.standing() != before
+    }
+
+    /// Index and proof of what is in force here.
+    fn standing(&self) -> (Index, Option<Instant>) {
+        let feed = self.inner.feed.borrow();
+        (feed.wanted(), feed.view().proved)
     }
 
     fn question(&self, now: Instant) -> (proto::Pull, Duration) {
--- a/crates/daemon/src/follow/serve.rs
+++ b/crates/daemon/src/follow/serve.rs
@@ -16,6 +16,9 @@
 use super::Follow;
 use crate::clock;
 
+/// Least wait before a held question is looked at again.
+const LEAST_WAIT: Duration = Duration::from_millis(5);
+
 /// Most questions held at once.
 const MAX_HELD: usize = 64;
 
@@ -74,21 +77,22 @@
 async fn hold(follow: &Follow, arrived: Instant, pull: &proto::Pull) {
     let most = Duration::from_millis(pull.hold_ms.into());
     let mut view = follow.view();
-    let limit = most.min(follow.inner.feed.borrow().settings().max_hold);
-    let timeout = actix_rt::time::sleep(limit);
-    tokio::pin!(timeout);
     loop {
         view.mark_unchanged();
-        let due = follow
-            .inner
-            .feed
-            .borrow()
-            .is_due(clock::now(), arrived, pull.index, most);
+        let now = clock::now();
+        let (due, wait) = {
+            let feed = follow.inner.feed.borrow();
+            let left = most.saturating_sub(now.saturating_duration_since(arrived));
+            (
+                feed.is_due(now, arrived, pull.index, most),
+                feed.until_due(now, left),
+            )
+        };
         if due {
             return;
         }
         tokio::select! {
-            () = &mut timeout => return,
+            () = actix_rt::time::sleep(wait.max(LEAST_WAIT)) => {}
             changed = view.changed() => if changed.is_err() { return },
         }
     }
--- a/crates/daemon/tests/follow.rs
+++ b/crates/daemon/tests/follow.rs
@@ -80,6 +80,13 @@
 
 /// Makes the nodes known to one another, all alive.
 fn introduce(nodes: &[&Node]) {
+    for node in nodes {
+        know(node, nodes);
+    }
+}
+
+/// Makes these nodes, and no others, known to one.
+fn know(node: &Node, nodes: &[&Node]) {
     let member = |node: &Node| Member {
         id: node.hub.me().clone(),
         domain: "fd-1".to_owned(),
@@ -96,14 +103,12 @@
         .iter()
         .map(|it| (it.hub.me().clone(), member(it)))
         .collect();
-    for node in nodes {
-        let book = members
-            .iter()
-            .map(|(id, it)| (id.clone(), it.peer))
-            .collect();
-        node.hub.set_book(book);
-        node.members.send_replace(Arc::new(members.clone()));
-    }
+    let book = members
+        .iter()
+        .map(|(id, it)| (id.clone(), it.peer))
+        .collect();
+    node.hub.set_book(book);
+    node.members.send_replace(Arc::new(members));
 }
 
 /// Proves an index on a node as a leader would, for as long as the handle lives.
@@ -269,3 +274,43 @@
         expect_that!(lapses, eq(0));
     });
 }
+
+/// Time in which an accepted change must be in force on whoever reaches a replica.
+const IN_FORCE: Duration = Duration::from_millis(1_500);
+
+/// The leader is cut off from the other replicas, but not from those that follow
+/// it: they must turn to a replica that still gets proofs.
+#[gtest]
+fn a_parent_without_news_of_its_own_is_left_in_time() {
+    actix_rt::System::new().block_on(async {
+        let (a, b, c) = (
+            node("a", true).await,
+            node("b", true).await,
+            node("c", false).await,
+        );
+        know(&a, &[&a, &c]);
+        know(&b, &[&b, &c]);
+        know(&c, &[&a, &b, &c]);
+        let (first, second) = (watch::Sender::new(0), watch::Sender::new(0));
+        // Whichever of the two is followed first, it is the one that is cut off.
+        for (cut, other) in [(&a, &b), (&b, &a)] {
+            let leads = lead(cut, first.subscribe());
+            let also = lead(other, second.subscribe());
+            until("proof", || c.follow.may_take_work(Instant::now())).await;
+            sleep(Duration::from_millis(500)).await;
+            leads.abort();
+            sleep(Duration::from_millis(300)).await;
+            let local = other.local.clone().expect("a replica");
+            let number = c.follow.index() + 3;
+            local
+                .send(update(number, vec![class(&format!("k{number}"))]))
+                .await
+                .expect("room");
+            second.send_replace(number);
+            let accepted = Instant::now();
+            until("the change", || c.follow.index() >= number).await;
+            expect_that!(accepted.elapsed(), lt(IN_FORCE), "cut {}", cut.hub.me());
+            also.abort();
+        }
+    });
+}
--- a/crates/policy/src/feed/follower.rs
+++ b/crates/policy/src/feed/follower.rs
@@ -46,6 +46,9 @@
     pub min_hold: Duration,
     /// Longest hold of a question.
     pub max_hold: Duration,
+    /// Age of the own proof from which no question is held: who asks should turn
+    /// to another daemon, since changes may not reach this one.
+    pub max_age: Duration,
 }
 
 impl Default for Settings {
@@ -56,8 +59,9 @@
             ring_updates: 64,
             ring_bytes: 8 << 20,
             answer_bytes: 1 << 20,
-            min_hold: Duration::from_millis(800),
-            max_hold: Duration::from_millis(1_600),
+            min_hold: Duration::from_millis(400),
+            max_hold: Duration::from_millis(800),
+            max_age: Duration::from_millis(900),
         }
     }
 }
@@ -279,9 +283,11 @@
         if held >= most.min(self.settings.max_hold) || self.has_news(index) {
             return true;
         }
-        let refreshed = self
-            .proof_age(now)
-            .is_some_and(|age| age < self.settings.min_hold / 4);
+        let age = self.proof_age(now);
+        if age.is_none_or(|age| age >= self.settings.max_age) {
+            return true;
+        }
+        let refreshed = age.is_some_and(|age| age < self.settings.min_hold / 2);
         held >= self.settings.min_hold && refreshed
     }
 
@@ -291,6 +297,16 @@
             .map_or(self.view.index > index, |newest| newest > index)
     }
 
+    /// Longest wait until [`Self::is_due`] must be asked again.
+    #[must_use]
+    pub fn until_due(&self, now: Instant, most: Duration) -> Duration {
+        let limit = most.min(self.settings.max_hold);
+        let left = self.proof_age(now).map_or(Duration::ZERO, |age| {
+            self.settings.max_age.saturating_sub(age)
+        });
+        limit.min(left)
+    }
+
     /// Answers a question for updates above `index` that arrived at `arrived`.
     #[must_use]
     pub fn answer(&self, arrived: Instant, index: Index) -> Answer {
