arbiter: what is newer than the arbiter's catalogue is served

Change: behind an adapter it serves them without limits; the asker has checked them, and each ask carries its tier.

--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -163,7 +163,7 @@
             deadline: admitted.deadline,
             avoid: self.avoid.clone(),
             resume: self.head.is_some(),
-            tier: account.and_then(|it| it.tier),
+            tier: Some(admitted.tier()),
             prompt: admitted.ask.prompt.clone(),
             output: admitted.ask.output,
         };
--- a/crates/daemon/src/run/core.rs
+++ b/crates/daemon/src/run/core.rs
@@ -76,7 +76,10 @@
             let members = gossip.members();
             actix_rt::spawn(control::form(control.clone(), members, own, settings.form));
         }
-        let options = slots::Settings { poll: !foreign };
+        let options = slots::Settings {
+            poll: !foreign,
+            admit_unknown: foreign,
+        };
         let slots = Slots::new(
             options,
             hub.clone(),
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -87,11 +87,16 @@
 pub struct Settings {
     /// Whether runners are asked for their load; otherwise their answers tell.
     pub poll: bool,
+    /// Whether arbiters here serve classes and accounts that they do not know yet.
+    pub admit_unknown: bool,
 }
 
 impl Default for Settings {
     fn default() -> Self {
-        Self { poll: true }
+        Self {
+            poll: true,
+            admit_unknown: false,
+        }
     }
 }
 
--- a/crates/daemon/src/slots/host.rs
+++ b/crates/daemon/src/slots/host.rs
@@ -262,6 +262,7 @@
         let live = self.live();
         let settings = arbiter::Settings {
             list_patience: LIST_PATIENCE,
+            admit_unknown: self.settings.admit_unknown,
             ..arbiter::Settings::default()
         };
         let (mut arbiter, mut effects) = Arbiter::new(now, service.clone(), 1, live, settings);
--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -67,6 +67,9 @@
     pub collect: Duration,
     /// Longest wait of a new arbiter for a list with a runner in use.
     pub list_patience: Duration,
+    /// Whether asks of classes and accounts that are not known here are served,
+    /// without limits. The asker has checked them against a newer catalogue.
+    pub admit_unknown: bool,
     /// Share of grants that goes to classes past their wait bound.
     pub floor: f64,
     /// Share of the latency target that a request may wait before it is given up.
@@ -87,6 +90,7 @@
             lease: Duration::from_secs(2),
             collect: Duration::from_millis(120),
             list_patience: Duration::ZERO,
+            admit_unknown: false,
             floor: 0.05,
             patience: 0.8,
             reserve: 4,
--- a/crates/policy/src/arbiter/admit.rs
+++ b/crates/policy/src/arbiter/admit.rs
@@ -44,8 +44,9 @@
         if self.is_known(key, effects) {
             return;
         }
-        let class = self.class_of(ask);
+        let class = self.class_of(ask).or_else(|| self.stand_in_class(ask));
         let account = self.catalogue.accounts.get(&ask.account).cloned();
+        let account = account.or_else(|| self.stand_in_account(ask));
         let (Some(class), Some(account)) = (class, account) else {
             let retry_after = LAGGING_RETRY;
             self.tell(
@@ -76,6 +77,35 @@
         }
     }
 
+    /// What stands for a class that came with a newer catalogue.
+    fn stand_in_class(&self, ask: &Ask) -> Option<Arc<Class>> {
+        self.settings.admit_unknown.then(|| {
+            Arc::new(Class {
+                name: ask.class.clone(),
+                owner: String::new(),
+                tier: ask.tier.unwrap_or(MAX_TIER).min(MAX_TIER),
+                first_token: ask.remaining,
+                between_tokens: ask.remaining,
+                whole: ask.remaining,
+                wait_bound: ask.remaining,
+                queue_limit: u32::MAX,
+                preemptible: false,
+            })
+        })
+    }
+
+    /// What stands for an account that came with a newer catalogue.
+    fn stand_in_account(&self, ask: &Ask) -> Option<Arc<Account>> {
+        self.settings.admit_unknown.then(|| {
+            Arc::new(Account {
+                name: ask.account.clone(),
+                max_running: u32::MAX,
+                max_queued: u32::MAX,
+                ..Account::default()
+            })
+        })
+    }
+
     /// The class of an ask, in the tier of its account if that has one.
     pub(super) fn class_of(&self, ask: &Ask) -> Option<Arc<Class>> {
         let class = self.catalogue.classes.get(&ask.class)?;
--- a/crates/policy/tests/prompt_placement.rs
+++ b/crates/policy/tests/prompt_placement.rs
@@ -299,3 +299,14 @@
     let grey = shares.get("r0").copied().unwrap_or(0);
     expect_that!(grey, lt(40), "of 200: {shares:?}");
 }
+
+/// The arbiter's daemon hears of a change after the asker's.
+#[gtest]
+fn a_class_that_is_newer_than_the_arbiter_is_served_where_allowed() {
+    for (allowed, granted) in [(false, 0), (true, 1)] {
+        let mut pool = Pool::new(1);
+        pool.daemons.settings.admit_unknown = allowed;
+        pool.offer("new", vec![part(1, 10)]);
+        expect_that!(pool.granted().len(), eq(granted));
+    }
+}
