--- a/crates/daemon/src/callers/problem.rs
+++ b/crates/daemon/src/callers/problem.rs
@@ -70,7 +70,7 @@
     }
 
     /// The problem behind a slot that was not given.
-    pub(super) fn refused(refusal: &Refusal) -> Self {
+    pub(crate) fn refused(refusal: &Refusal) -> Self {
         let detail = refusal.to_string();
         let (status, kind, retry_after) = match refusal {
             Refusal::Shed { retry_after } => {
--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -19,7 +19,7 @@
 use derive_more::{Display, Error};
 use futures_util::future::LocalBoxFuture;
 
-use crate::handle::Handle;
+use crate::{callers::problem, handle::Handle};
 
 pub use citron_policy::arbiter::Part;
 
@@ -57,6 +57,17 @@
     pub retry_after: Option<Duration>,
 }
 
+impl From<problem::Problem> for Problem {
+    fn from(it: problem::Problem) -> Self {
+        Self {
+            status: it.status,
+            kind: it.kind,
+            detail: it.detail,
+            retry_after: it.retry_after,
+        }
+    }
+}
+
 impl Problem {
     /// This instance ends and takes nothing in any more.
     #[must_use]
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -163,13 +163,7 @@
         ask: Ask,
         arrived: Instant,
     ) -> Result<Admitted, Problem> {
-        let body = payload::read(request, self.ports().max_body_bytes).await;
-        let body = body.map_err(|problem| Problem {
-            status: problem.status,
-            kind: problem.kind,
-            detail: problem.detail,
-            retry_after: None,
-        })?;
+        let body = payload::read(request, self.ports().max_body_bytes).await?;
         let watch = request.conn_data::<Watch>().cloned();
         self.wait_until_current(&ask, arrived, watch.as_ref()).await;
         admit::admit(self.ports(), request, ask, body, watch, arrived)
--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -22,6 +22,7 @@
     millis,
 };
 use crate::{
+    callers::problem,
     edge::{Problem, Word},
     slots::{End, Refusal, Sample, Slot, Want},
     upstream::{self, Failure},
@@ -308,39 +309,15 @@
     }
 
     fn unslotted(&self, refusal: &Refusal) -> Problem {
-        let (status, kind, retry_after) = match refusal {
-            Refusal::Shed { retry_after } => {
-                (StatusCode::SERVICE_UNAVAILABLE, "shed", Some(*retry_after))
-            }
-            Refusal::NoRunner { retry_after } => (
-                StatusCode::SERVICE_UNAVAILABLE,
-                "no-runner",
-                Some(*retry_after),
-            ),
-            Refusal::Account { retry_after } => (
-                StatusCode::TOO_MANY_REQUESTS,
-                "account-limit",
-                Some(*retry_after),
-            ),
-            Refusal::Unreachable { retry_after } => (
-                StatusCode::SERVICE_UNAVAILABLE,
-                "unreachable",
-                Some(*retry_after),
-            ),
-            Refusal::Quarantined => (StatusCode::BAD_GATEWAY, "quarantined", None),
-            Refusal::Late => (StatusCode::GATEWAY_TIMEOUT, "late", None),
-        };
-        let problem = Problem {
-            status,
-            kind,
-            detail: refusal.to_string(),
-            retry_after,
-        };
-        // A quarantined request has run, on the runners that it crashed.
-        if matches!(refusal, Refusal::Quarantined) {
-            return problem;
+        let problem = Problem::from(problem::Problem::refused(refusal));
+        match refusal {
+            // It has run, on the runners that it crashed.
+            Refusal::Quarantined => Problem {
+                status: StatusCode::BAD_GATEWAY,
+                ..problem
+            },
+            _ => self.unless_ran(problem),
         }
-        self.unless_ran(problem)
     }
 
     /// Reads a whole answer; one that failed may be tried again.
--- a/crates/policy/src/arbiter/pool.rs
+++ b/crates/policy/src/arbiter/pool.rs
@@ -152,10 +152,7 @@
         avoid: &[RunnerId],
         work: &Work<'_>,
     ) -> Option<RunnerId> {
-        let others = self
-            .runners
-            .iter()
-            .any(|(id, it)| it.is_usable() && !avoid.contains(id));
+        let others = self.has_others(avoid);
         let pace = self.median(|it| it.first.get(LEAST_SAMPLES));
         let least_faults = self.least_faults(now);
         let fit = self
@@ -177,6 +174,12 @@
         runner.prompts.has_room(work).then(|| id.clone())
     }
 
+    /// Whether a runner in use is none of those to avoid.
+    fn has_others(&self, avoid: &[RunnerId]) -> bool {
+        let mut runners = self.runners.iter();
+        runners.any(|(id, it)| it.is_usable() && !avoid.contains(id))
+    }
+
     /// The lowest share of failed requests; what all runners share is no fault of one.
     fn least_faults(&self, now: Instant) -> f64 {
         let usable = self.runners.values().filter(|it| it.is_usable());
@@ -191,10 +194,7 @@
         avoid: &[RunnerId],
         warm: Option<&RunnerId>,
     ) -> Option<RunnerId> {
-        let others = self
-            .runners
-            .iter()
-            .any(|(id, it)| it.is_usable() && !avoid.contains(id));
+        let others = self.has_others(avoid);
         let median = self.median(|it| it.between.get(LEAST_SAMPLES));
         let least_faults = self.least_faults(now);
         let mut best: Option<(f64, &RunnerId)> = None;
