--- a/crates/policy/src/arbiter/pool.rs
+++ b/crates/policy/src/arbiter/pool.rs
@@ -21,7 +21,7 @@
 };
 
 /// Most runners in one shard.
-pub const MAX_RUNNERS: usize = 64;
+pub const MAX_RUNNERS: usize = 256;
 
 /// Times the median at which a runner counts as slow.
 const SLOW: f64 = 3.0;
