exchange: a request whose route moved while it waited goes to the new service

Cause: read off the code: it was refused with 503 and no wait, a refusal while places are free. Change: the service is drawn anew and the request waits there.

--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -122,7 +122,9 @@
     /// stream's events follow.
     async fn attempt(&mut self) -> Result<Option<Step>, Problem> {
         let slot = self.take().await?;
-        self.recheck()?;
+        if !self.recheck()? {
+            return Ok(None);
+        }
         self.sent += 1;
         self.avoid.push(slot.runner.clone());
         let begun = Instant::now();
@@ -202,24 +204,23 @@
         );
     }
 
-    /// Checks again what may have changed while the request waited.
-    fn recheck(&mut self) -> Result<(), Problem> {
+    /// Checks again what may have changed while the request waited; false if its
+    /// route leads to another service now.
+    fn recheck(&mut self) -> Result<bool, Problem> {
         let ports = self.exchange.ports();
         let catalogue = admit::current(ports).map_err(|it| self.unless_ran(it))?;
         let path = self.admitted.path.split('?').next().unwrap_or_default();
         let allowed =
             admit::allow(&catalogue, &self.admitted.ask, path).map_err(|it| self.unless_ran(it))?;
-        if !allowed.route.allows(&self.admitted.service.name) {
-            let problem = Problem {
-                status: StatusCode::SERVICE_UNAVAILABLE,
-                kind: "moved",
-                detail: "the route moved to another service meanwhile: try again".to_owned(),
-                retry_after: Some(Duration::ZERO),
-            };
-            return Err(self.unless_ran(problem));
+        let stays = allowed.route.allows(&self.admitted.service.name);
+        if !stays {
+            let service = admit::service(&catalogue, &allowed.route);
+            self.admitted.service = service.map_err(|it| self.unless_ran(it))?;
         }
+        self.admitted.route = allowed.route;
+        self.admitted.class = allowed.class;
         self.admitted.account = allowed.account;
-        Ok(())
+        Ok(stays)
     }
 
     /// What follows an attempt that ended without an answer.
