arbiter: times of reading take no runner out

The new arbiter had taken over holds whose prompts stood behind others it never saw, timed them as if alone, and shrank the pool while the burst lasted, which kept the burst waiting.

Change: times of reading go into a mean of their own, which multiplies the cost of a runner and takes none out. Holds taken over are not timed.

--- a/crates/policy/src/arbiter/hold.rs
+++ b/crates/policy/src/arbiter/hold.rs
@@ -186,7 +186,9 @@
         };
         if let Some(share) = running.share.as_mut().filter(|it| !it.begun) {
             runner.prompts.begun(share);
-            runner.on_read(now.saturating_duration_since(running.since), share.ahead);
+            if share.timed {
+                runner.on_read(now.saturating_duration_since(running.since), share.ahead);
+            }
         }
     }
 
@@ -426,7 +428,11 @@
             steadiness: prompt::steadiness(&class),
         };
         let runner = self.pool.get_mut(&hold.runner);
-        let share = runner.map(|it| it.prompts.begin(now, &work));
+        let mut share = runner.map(|it| it.prompts.begin(now, &work));
+        if let Some(share) = share.as_mut() {
+            // What stood before it was another arbiter's to know.
+            share.timed = false;
+        }
         let running = Running {
             share: share.filter(|_| !hold.ask.prompt.is_empty()),
             class,
--- a/crates/policy/src/arbiter/pool.rs
+++ b/crates/policy/src/arbiter/pool.rs
@@ -153,7 +153,7 @@
         work: &Work<'_>,
     ) -> Option<RunnerId> {
         let others = self.has_others(avoid);
-        let pace = self.median(|it| it.first.get(LEAST_SAMPLES));
+        let pace = self.median(|it| it.pace.get(LEAST_SAMPLES));
         let least_faults = self.least_faults(now);
         let fit = self
             .runners
@@ -161,7 +161,7 @@
             .filter(|(id, it)| it.free(now) > 0 && !(others && avoid.contains(*id)));
         let cost = |runner: &Runner| {
             let crowd = f64::from(runner.load(now)) / f64::from(runner.limit());
-            let slow = match (runner.first.get(LEAST_SAMPLES), pace) {
+            let slow = match (runner.pace.get(LEAST_SAMPLES), pace) {
                 (Some(own), Some(median)) if median > 0.0 => (own / median).clamp(1.0, MAX_PACE),
                 _ => 1.0,
             };
--- a/crates/policy/src/arbiter/prompt.rs
+++ b/crates/policy/src/arbiter/prompt.rs
@@ -88,6 +88,8 @@
     pub(super) ahead: u64,
     /// Whether its answer has begun.
     pub(super) begun: bool,
+    /// Whether the time to its beginning tells of the runner.
+    pub(super) timed: bool,
     /// Tokens of memory.
     size: u64,
     steadiness: f64,
@@ -169,6 +171,7 @@
             unread,
             ahead: self.unread,
             begun: false,
+            timed: true,
             size,
             steadiness: work.steadiness,
         }
--- a/crates/policy/src/arbiter/runner.rs
+++ b/crates/policy/src/arbiter/runner.rs
@@ -140,6 +140,8 @@
     pub(super) between: Mean,
     pub(super) first: Mean,
     pub(super) whole: Mean,
+    /// Time to read a prompt of one length.
+    pub(super) pace: Mean,
     limit: f64,
     max: u32,
     /// Batch size that the runner reports.
@@ -169,6 +171,7 @@
             between: Mean::default(),
             first: Mean::default(),
             whole: Mean::default(),
+            pace: Mean::default(),
             limit: f64::from(max),
             max,
             slots: 0,
@@ -297,9 +300,11 @@
     /// Takes in how long a prompt took to be read, with what stood before it.
     ///
     /// The time is scaled to one length, so that runners compare whatever they read.
+    /// It makes a slow runner cost more, and takes none out: under a burst the
+    /// times of sound runners differ as much, and the pool must not shrink then.
     pub(super) fn on_read(&mut self, took: Duration, tokens: u64) {
         let tokens = f64::from(u32::try_from(tokens).unwrap_or(u32::MAX));
-        self.first
+        self.pace
             .add(took.mul_f64(READ_UNIT / (tokens + READ_UNIT)));
     }
 
