logs: the last lines of a process are written before it ends

Ruled out: the process stays (it was started again 0.7 s after it took leave of its peers), lines dropped for want of room (no CP0113). Conclusion: a stop is told by a line, as far as the reader reads within 250 ms.

--- a/crates/daemon/src/output.rs
+++ b/crates/daemon/src/output.rs
@@ -2,16 +2,17 @@
 //!
 //! Lines go through a queue of fixed size to a thread that writes them, so that
 //! a reader who stalls never holds up a request. What finds no room is dropped
-//! and counted, and the next line that is written says how many were.
+//! and counted, and the next line that is written says how many were. A process
+//! that ends waits a moment for the lines that still wait.
 
 use std::{
     io::{self, Write},
     sync::{
         atomic::{AtomicU64, Ordering},
-        mpsc::{Receiver, SyncSender, sync_channel},
+        mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
     },
     thread,
-    time::SystemTime,
+    time::{Duration, Instant, SystemTime},
 };
 
 use log::{
@@ -23,6 +24,13 @@
 /// Lines that wait for the writer.
 const QUEUE_LINES: usize = 2_048;
 
+/// Longest wait of a process that ends for its last lines; far below the least
+/// time that a service manager leaves between its two signals.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Pause before a full queue is tried again by a process that ends.
+const FLUSH_PAUSE: Duration = Duration::from_millis(5);
+
 /// Length of an event number at the start of a message, such as `CP0101`.
 const CODE_BYTES: usize = 6;
 
@@ -43,23 +51,36 @@
 /// # Errors
 /// When logs go elsewhere already.
 pub fn start(level: LevelFilter) -> Result<(), SetLoggerError> {
-    let (queue, lines) = sync_channel(QUEUE_LINES);
-    let spawned = thread::Builder::new()
-        .name(THREAD.to_owned())
-        .spawn(move || write(&lines));
-    if let Err(error) = spawned {
-        eprintln!("no thread for the logs: {error}: check the thread limit");
-    }
-    log::set_boxed_logger(Box::new(Output { queue, level }))?;
+    log::set_boxed_logger(Box::new(Output::new(level, io::stdout())))?;
     log::set_max_level(level);
     Ok(())
 }
 
-struct Output {
-    queue: SyncSender<String>,
+/// A logger that never blocks.
+#[derive(Debug)]
+pub struct Output {
+    queue: SyncSender<Entry>,
     level: LevelFilter,
 }
 
+impl Output {
+    /// A logger whose lines go to a sink, written by a thread of its own.
+    #[must_use]
+    pub fn new<W>(level: LevelFilter, sink: W) -> Self
+    where
+        W: Write + Send + 'static,
+    {
+        let (queue, entries) = sync_channel(QUEUE_LINES);
+        let spawned = thread::Builder::new()
+            .name(THREAD.to_owned())
+            .spawn(move || write(&entries, sink));
+        if let Err(error) = spawned {
+            eprintln!("no thread for the logs: {error}: check the thread limit");
+        }
+        Self { queue, level }
+    }
+}
+
 impl Log for Output {
     fn enabled(&self, metadata: &Metadata<'_>) -> bool {
         let own = metadata.target().starts_with("citron");
@@ -67,29 +88,66 @@
     }
 
     fn log(&self, record: &Record<'_>) {
-        if self.enabled(record.metadata()) && self.queue.try_send(line(record)).is_err() {
+        if self.enabled(record.metadata())
+            && self.queue.try_send(Entry::Line(line(record))).is_err()
+        {
             DROPPED.fetch_add(1, Ordering::Relaxed);
         }
     }
 
-    fn flush(&self) {}
+    /// Waits a bounded time until the lines so far are written.
+    fn flush(&self) {
+        let deadline = Instant::now() + FLUSH_TIMEOUT;
+        let (written, waiting) = sync_channel(1);
+        let mut entry = Entry::Mark(written);
+        loop {
+            match self.queue.try_send(entry) {
+                Ok(()) => break,
+                Err(TrySendError::Full(back)) if Instant::now() < deadline => {
+                    entry = back;
+                    thread::sleep(FLUSH_PAUSE);
+                }
+                Err(_) => return,
+            }
+        }
+        // A reader that stalls for longer loses the last lines.
+        let _ = waiting.recv_timeout(deadline.saturating_duration_since(Instant::now()));
+    }
+}
+
+/// What goes through the queue.
+#[derive(Debug)]
+enum Entry {
+    Line(String),
+    /// Tells a waiting thread that everything before it is written.
+    Mark(SyncSender<()>),
 }
 
 /// Writes lines until the process ends.
-fn write(lines: &Receiver<String>) {
+fn write<W>(entries: &Receiver<Entry>, mut sink: W)
+where
+    W: Write,
+{
     let mut told = 0;
-    while let Ok(line) = lines.recv() {
-        let mut out = io::stdout().lock();
+    while let Ok(entry) = entries.recv() {
+        let line = match entry {
+            Entry::Line(line) => line,
+            Entry::Mark(written) => {
+                // Whoever waited too long is gone.
+                let _ = written.try_send(());
+                continue;
+            }
+        };
         let lost = dropped();
         if lost > told {
             let note = json!({"level": "WARN", "event": "CP0113", "dropped": lost - told,
                 "message": "log lines dropped: the reader of standard output is too slow"});
             told = lost;
-            if writeln!(out, "{note}").is_err() {
+            if writeln!(sink, "{note}").is_err() {
                 return;
             }
         }
-        if out.write_all(line.as_bytes()).is_err() {
+        if sink.write_all(line.as_bytes()).is_err() {
             return;
         }
     }
--- /dev/null
+++ b/crates/daemon/tests/output.rs
@@ -0,0 +1,87 @@
+//! The logs of a process: bounded, never blocking, and whole at its end.
+
+use std::{
+    io::{self, Write},
+    sync::{Arc, Mutex, MutexGuard},
+    thread,
+    time::{Duration, Instant},
+};
+
+use citron_daemon::output::Output;
+use googletest::prelude::*;
+use log::{Level, LevelFilter, Log, Record};
+
+/// Pause of a reader that is late, well within the wait of a process that ends.
+const LATE: Duration = Duration::from_millis(60);
+
+/// Longest wait of a process that ends, with room for a busy machine.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// A sink that takes nothing while the test holds its lock.
+#[derive(Clone, Default)]
+struct Sink(Arc<Mutex<Vec<u8>>>);
+
+impl Sink {
+    fn hold(&self) -> MutexGuard<'_, Vec<u8>> {
+        self.0.lock().expect("a lock")
+    }
+
+    fn text(&self) -> String {
+        String::from_utf8(self.hold().clone()).expect("text")
+    }
+}
+
+impl Write for Sink {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.hold().write(bytes)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[gtest]
+fn the_last_line_is_written_though_the_reader_is_late() {
+    let sink = Sink::default();
+    let output = Output::new(LevelFilter::Info, sink.clone());
+    thread::scope(|scope| {
+        let held = sink.hold();
+        let ending = scope.spawn(|| {
+            say(&output, "CP0103 left");
+            output.flush();
+            sink.text()
+        });
+        thread::sleep(LATE);
+        drop(held);
+        let seen = ending.join().expect("a thread");
+        expect_that!(seen, contains_substring("\"event\":\"CP0103\""));
+    });
+}
+
+#[gtest]
+fn a_reader_that_stalls_holds_up_neither_a_line_nor_the_end() {
+    let sink = Sink::default();
+    let output = Output::new(LevelFilter::Info, sink.clone());
+    let held = sink.hold();
+    let begun = Instant::now();
+    for _ in 0..10_000 {
+        say(&output, "CP1005 answered");
+    }
+    output.flush();
+    expect_that!(begun.elapsed(), lt(PATIENCE));
+    drop(held);
+    output.flush();
+    say(&output, "CP0103 left");
+    output.flush();
+    let seen = sink.text();
+    expect_that!(seen, contains_substring("\"event\":\"CP0113\""));
+    expect_that!(seen.lines().count(), lt(10_000));
+}
+
+fn say(output: &Output, text: &str) {
+    let message = format_args!("{text}");
+    let mut record = Record::builder();
+    record.level(Level::Info).target("citron_daemon");
+    output.log(&record.args(message).build());
+}
