logs: a failed attempt tells what decided it, and the catalogue its fields

Cause: ten failed requests drawn at random could not all be explained. A route whose attempts were used up was told as MayHaveRun; CP1004 said neither the time nor the retries that were left; an absent value was written as the text None; fields missed in the catalogue. Ruled out: another decision. What is sent again stays the same; the new test of retry::next covers each order. Change: retry::Rerun tells forbidden from spent, time is looked at before the number of attempts; CP1004 has left_ms and retries_left; values go through serde; a test compares every structured field with docs/events. Conclusion: the decision can be read off one line.

--- a/crates/daemon/src/callers/chat/generation.rs
+++ b/crates/daemon/src/callers/chat/generation.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use citron_policy::{
     id::RunnerId,
-    retry::{Attempt, Decision, Ending, Fate, Reason},
+    retry::{Attempt, Decision, Ending, Fate, Reason, Rerun},
 };
 
 use super::{Callers, Chat, Mark, Problem, Ticket};
@@ -364,7 +364,7 @@
         let attempt = Attempt {
             fate,
             made: self.attempts,
-            repeatable: true,
+            rerun: Rerun::Allowed,
             deadline: ticket.deadline,
         };
         let decision = self
--- a/crates/daemon/src/callers/once.rs
+++ b/crates/daemon/src/callers/once.rs
@@ -16,7 +16,7 @@
 use citron_policy::{
     id::{AttemptId, RunnerId},
     ledger::{self, Claim, MAX_STORED_BYTES, Outcome as Ended, Settle, Stored, Verdict},
-    retry::{Attempt, Decision, Fate},
+    retry::{Attempt, Decision, Fate, Rerun},
     state::{self, Command},
 };
 
@@ -197,7 +197,7 @@
             let next = Attempt {
                 fate,
                 made,
-                repeatable: false,
+                rerun: Rerun::Forbidden,
                 deadline: self.call.ticket.deadline,
             };
             if self
--- a/crates/daemon/src/callers/plain.rs
+++ b/crates/daemon/src/callers/plain.rs
@@ -18,7 +18,7 @@
 use citron_policy::{
     catalogue::Backend,
     id::{RequestId, RunnerId},
-    retry::{Attempt, Decision, Ending, Fate},
+    retry::{Attempt, Decision, Ending, Fate, Rerun},
 };
 
 use super::{
@@ -207,7 +207,7 @@
         let next = Attempt {
             fate,
             made,
-            repeatable: true,
+            rerun: Rerun::Allowed,
             deadline: call.ticket.deadline,
         };
         if callers
--- a/crates/daemon/src/callers/retries.rs
+++ b/crates/daemon/src/callers/retries.rs
@@ -56,6 +56,11 @@
         self.with(service, Budget::earn);
     }
 
+    /// Whole retries that a service has left.
+    pub(crate) fn left(&self, service: &Service) -> u64 {
+        self.with(service, |budget| budget.left())
+    }
+
     /// Decides what follows a failed attempt.
     pub(crate) fn next(&self, now: Instant, service: &Service, attempt: &Attempt) -> Decision {
         let decision = self.with(service, |budget| retry::next(now, attempt, budget));
--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use citron_policy::{
     id::RunnerId,
-    retry::{Attempt, Decision, Fate},
+    retry::{Attempt, Decision, Fate, Rerun},
     route::Repeat,
 };
 
@@ -262,22 +262,26 @@
     /// Decides whether another attempt follows; otherwise gives the problem.
     fn again(&mut self, fate: Fate, problem: Problem) -> Result<(), Problem> {
         let route = &self.admitted.route;
-        let repeatable = match route.repeat {
-            Repeat::Never => false,
-            Repeat::Always => true,
-            Repeat::Resume => route.stream,
+        let rerun = match route.repeat {
+            Repeat::Never => Rerun::Forbidden,
+            Repeat::Resume if !route.stream => Rerun::Forbidden,
+            Repeat::Always | Repeat::Resume if self.ran < route.attempts => Rerun::Allowed,
+            Repeat::Always | Repeat::Resume => Rerun::Spent,
         };
         let attempt = Attempt {
             fate,
             made: self.sent,
-            repeatable: repeatable && self.ran < route.attempts,
+            rerun,
             deadline: self.admitted.deadline,
         };
         let retries = &self.exchange.inner.retries;
-        let decision = retries.next(Instant::now(), &self.admitted.service, &attempt);
+        let now = Instant::now();
+        let retries_left = retries.left(&self.admitted.service);
+        let decision = retries.next(now, &self.admitted.service, &attempt);
         log::info!(
             event = "CP1004", request = self.admitted.ask.id.as_str(),
             runner = self.avoid.last().map_or("", String::as_str), sent = self.sent, ran = self.ran,
+            left_ms = millis(self.admitted.deadline.saturating_duration_since(now)), retries_left,
             decision:? = decision;
             "attempt failed: {}", problem.detail
         );
--- a/crates/daemon/src/output.rs
+++ b/crates/daemon/src/output.rs
@@ -190,13 +190,10 @@
 
 impl<'kvs> VisitSource<'kvs> for Fields {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), kv::Error> {
-        let shown = match (value.to_u64(), value.to_f64(), value.to_bool()) {
-            (Some(number), ..) => json!(number),
-            (_, Some(number), _) => json!(number),
-            (.., Some(flag)) => json!(flag),
-            _ => json!(value.to_string()),
-        };
-        self.0.insert(key.to_string(), shown);
+        let shown = serde_json::to_value(&value).map_err(kv::Error::boxed)?;
+        if !shown.is_null() {
+            self.0.insert(key.to_string(), shown);
+        }
         Ok(())
     }
 }
--- a/crates/daemon/src/upstream/failure.rs
+++ b/crates/daemon/src/upstream/failure.rs
@@ -27,7 +27,7 @@
     #[display("the runner closed the connection without an answer: see its log")]
     Unanswered,
     /// The answer, or more of it, did not come in time.
-    #[display("the runner did not answer in time: see its load")]
+    #[display("the runner did not answer in the time that was left: see its load")]
     Late,
     /// The answer ended before it was whole.
     #[display("the answer ended before it was whole: see the runner's log")]
--- a/crates/daemon/tests/events.rs
+++ b/crates/daemon/tests/events.rs
@@ -1,7 +1,7 @@
 //! The event numbers in the code and in the catalogue are the same.
 
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     fs,
     path::{Path, PathBuf},
 };
@@ -42,6 +42,85 @@
     texts.flat_map(|text| numbers(&text, mark)).collect()
 }
 
+/// Fields of each structured line in a source text, by event number.
+fn fields(text: &str, found: &mut BTreeMap<String, BTreeSet<String>>) {
+    let mark = "event = \"";
+    for (place, _) in text.match_indices(mark) {
+        let rest = &text[place + mark.len()..];
+        let Some(end) = rest.find(';') else { continue };
+        let mut words = rest[..end].splitn(2, '"');
+        let number = words.next().unwrap_or_default().to_owned();
+        let names = split(words.next().unwrap_or_default());
+        found.entry(number).or_default().extend(names);
+    }
+}
+
+/// Names of the fields in `, a = x, b:% = f(y, z), c`.
+fn split(list: &str) -> BTreeSet<String> {
+    let mut depth = 0_i32;
+    let parts = list.split(|letter: char| {
+        match letter {
+            '(' | '[' | '{' => depth += 1,
+            ')' | ']' | '}' => depth -= 1,
+            _ => {}
+        }
+        letter == ',' && depth == 0
+    });
+    let names = parts.map(|part| part.split([':', '=']).next().unwrap_or_default().trim());
+    names
+        .filter(|it| !it.is_empty())
+        .map(str::to_owned)
+        .collect()
+}
+
+/// Texts of the catalogue by event number, each with the head of its page; one
+/// that refers to another with `as for` has that one's too.
+fn sections(folder: &Path) -> BTreeMap<String, String> {
+    let mut found = Vec::new();
+    files(folder, "md", &mut found);
+    let mut texts = BTreeMap::new();
+    for path in found {
+        let page = fs::read_to_string(path).expect("a text");
+        let mut parts = page.split("\n### ");
+        let head = parts.next().unwrap_or_default();
+        for section in parts {
+            let (number, text) = section.split_at(NUMBER_LEN);
+            texts.insert(number.to_owned(), format!("{head}{text}"));
+        }
+    }
+    let whole = texts.clone();
+    for text in texts.values_mut() {
+        let others = numbers(text, "as for CP");
+        let others: Vec<&String> = others.iter().filter_map(|it| whole.get(it)).collect();
+        for other in others {
+            text.push_str(other);
+        }
+    }
+    texts
+}
+
+#[gtest]
+fn the_catalogue_names_every_field_of_a_structured_line() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let mut sources = Vec::new();
+    for folder in ["crates/daemon/src", "platform/src"] {
+        files(&root.join(folder), "rs", &mut sources);
+    }
+    let mut code = BTreeMap::new();
+    for path in sources {
+        fields(&fs::read_to_string(path).expect("a text"), &mut code);
+    }
+    assert!(code.len() > 10, "structured lines are found");
+    let catalogue = sections(&root.join("docs/events"));
+    for (number, names) in code {
+        let text = catalogue.get(&number).map_or("", String::as_str);
+        for name in names {
+            let word = format!("`{name}`");
+            expect_that!(text, contains_substring(word.as_str()), "{number}");
+        }
+    }
+}
+
 #[gtest]
 fn the_code_and_the_catalogue_have_the_same_numbers() {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
--- a/crates/daemon/tests/output.rs
+++ b/crates/daemon/tests/output.rs
@@ -9,7 +9,7 @@
 
 use citron_daemon::output::Output;
 use googletest::prelude::*;
-use log::{Level, LevelFilter, Log, Record};
+use log::{Level, LevelFilter, Log, Record, kv::ToValue};
 
 /// Pause of a reader that is late, well within the wait of a process that ends.
 const LATE: Duration = Duration::from_millis(60);
@@ -85,3 +85,28 @@
     record.level(Level::Info).target("citron_daemon");
     output.log(&record.args(message).build());
 }
+
+#[gtest]
+fn fields_keep_their_kind_and_are_left_out_without_a_value() {
+    let sink = Sink::default();
+    let output = Output::new(LevelFilter::Info, sink.clone());
+    let missing: Option<u64> = None;
+    let fields = [
+        ("none", missing.to_value()),
+        ("count", log::kv::Value::from(7_u64)),
+        ("ratio", log::kv::Value::from(0.5)),
+        ("flag", log::kv::Value::from(true)),
+        ("text", log::kv::Value::from("7")),
+    ];
+    let mut record = Record::builder();
+    record.level(Level::Info).target("citron_daemon");
+    let record = record.key_values(&fields);
+    output.log(&record.args(format_args!("CP0101 up")).build());
+    output.flush();
+    let line: serde_json::Value = serde_json::from_str(&sink.text()).expect("a line");
+    expect_that!(line.get("none"), none());
+    expect_that!(line["count"], eq(&serde_json::json!(7)));
+    expect_that!(line["ratio"], eq(&serde_json::json!(0.5)));
+    expect_that!(line["flag"], eq(&serde_json::json!(true)));
+    expect_that!(line["text"], eq(&serde_json::json!("7")));
+}
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -90,12 +90,23 @@
     pub fate: Fate,
     /// Attempts made so far, this one included.
     pub made: u32,
-    /// Whether the call may run more than once.
-    pub repeatable: bool,
+    /// Whether the call may run once more.
+    pub rerun: Rerun,
     /// When the caller's time is over.
     pub deadline: Instant,
 }
 
+/// Whether a call that may have run may be sent again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rerun {
+    /// It must run at most once.
+    Forbidden,
+    /// It may run again.
+    Allowed,
+    /// It might, but has had all the runs that it may have.
+    Spent,
+}
+
 /// What to do after a failed attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
@@ -122,17 +133,18 @@
 
 /// Decides what follows a failed attempt, and charges the budget for another.
 pub fn next(now: Instant, attempt: &Attempt, budget: &mut Budget) -> Decision {
-    match attempt.fate {
-        Fate::Ran => return Decision::GiveUp(Reason::Ran),
-        Fate::Unknown if !attempt.repeatable => return Decision::GiveUp(Reason::MayHaveRun),
-        Fate::Unknown | Fate::NotRun => {}
-    }
-    if attempt.made >= MAX_ATTEMPTS {
-        return Decision::GiveUp(Reason::Attempts);
+    match (attempt.fate, attempt.rerun) {
+        (Fate::Ran, _) => return Decision::GiveUp(Reason::Ran),
+        (Fate::Unknown, Rerun::Forbidden) => return Decision::GiveUp(Reason::MayHaveRun),
+        _ => {}
     }
     if attempt.deadline.saturating_duration_since(now) < MIN_REMAINING {
         return Decision::GiveUp(Reason::Late);
     }
+    let spent = attempt.fate == Fate::Unknown && attempt.rerun == Rerun::Spent;
+    if spent || attempt.made >= MAX_ATTEMPTS {
+        return Decision::GiveUp(Reason::Attempts);
+    }
     if !budget.take() {
         return Decision::GiveUp(Reason::Budget);
     }
--- a/crates/policy/tests/retry.rs
+++ b/crates/policy/tests/retry.rs
@@ -4,7 +4,7 @@
 
 use citron_policy::retry::{
     Attempt, Budget, DEFAULT_BURST, Decision, Ending, Fate, MAX_ATTEMPTS, MIN_REMAINING, Reason,
-    next,
+    Rerun, next,
 };
 use googletest::prelude::*;
 use proptest::{
@@ -16,7 +16,7 @@
     Attempt {
         fate: Fate::NotRun,
         made: 1,
-        repeatable: true,
+        rerun: Rerun::Allowed,
         deadline: now + Duration::from_secs(10),
     }
 }
@@ -38,6 +38,27 @@
     TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
 }
 
+#[gtest]
+fn a_call_whose_runs_are_spent_says_so_and_is_still_sent_if_it_did_not_run() {
+    let now = Instant::now();
+    let spent = |fate| Attempt {
+        fate,
+        rerun: Rerun::Spent,
+        ..attempt(now)
+    };
+    let mut budget = rich();
+    let unknown = next(now, &spent(Fate::Unknown), &mut budget);
+    expect_that!(unknown, eq(Decision::GiveUp(Reason::Attempts)));
+    let late = next(
+        now + Duration::from_secs(10),
+        &spent(Fate::Unknown),
+        &mut budget,
+    );
+    expect_that!(late, eq(Decision::GiveUp(Reason::Late)));
+    let not_run = next(now, &spent(Fate::NotRun), &mut budget);
+    expect_that!(not_run, eq(Decision::Again));
+}
+
 #[gtest]
 fn only_what_never_reached_a_runner_is_certainly_not_run() {
     let table = [
@@ -84,7 +105,7 @@
 fn a_call_that_must_run_once_is_repeated_only_when_it_did_not_run() {
     let now = Instant::now();
     let once = Attempt {
-        repeatable: false,
+        rerun: Rerun::Forbidden,
         ..attempt(now)
     };
     let unknown = Attempt {
@@ -177,7 +198,11 @@
             attempts += 1;
             let failed = |made| Attempt {
                 made,
-                repeatable,
+                rerun: if repeatable {
+                    Rerun::Allowed
+                } else {
+                    Rerun::Forbidden
+                },
                 ..attempt(now)
             };
             while next(now, &failed(made), &mut budget) == Decision::Again {
