--- a/crates/ctl/src/command/arguments.rs
+++ b/crates/ctl/src/command/arguments.rs
@@ -41,6 +41,18 @@
     Key(Key),
 }
 
+impl Command {
+    /// Whether it needs a daemon, and so a token.
+    #[must_use]
+    pub fn asks_daemons(&self) -> bool {
+        match self {
+            Self::Key(_) => false,
+            Self::Explain(explain) => explain.log.is_empty(),
+            _ => true,
+        }
+    }
+}
+
 /// Arguments of `init`.
 #[derive(Debug, Options)]
 pub struct Init {
@@ -115,6 +127,9 @@
     /// Request in hex, or entry as KIND/NAME.
     #[options(free, required)]
     pub subject: String,
+    /// File of logs to read instead of asking the daemons; may be repeated.
+    #[options(no_short, meta = "FILE")]
+    pub log: Vec<PathBuf>,
 }
 
 /// Arguments of `wait`.
--- a/crates/ctl/src/command/render.rs
+++ b/crates/ctl/src/command/render.rs
@@ -5,7 +5,10 @@
 use citron_policy::member::State;
 use citron_wire::admin::{Explanation, Force, Involved, Kind, Status};
 
-use crate::client::Error;
+use crate::{
+    client::Error,
+    trail::{Line, Trail},
+};
 
 /// An error with everything that came with it.
 pub(super) fn refusal(error: &Error) -> String {
@@ -117,6 +120,37 @@
     text.trim_end().to_owned()
 }
 
+/// The cause of a failed request, its lines, and what changed around it.
+pub(super) fn trail(trail: &Trail, cause: &str) -> String {
+    let mut text = format!("Cause: {cause}\n\nRequest:\n");
+    for it in &trail.lines {
+        line(&mut text, &logged(it));
+    }
+    if !trail.around.is_empty() {
+        text.push_str("\nAround it:\n");
+        for it in &trail.around {
+            line(&mut text, &logged(it));
+        }
+    }
+    text.trim_end().to_owned()
+}
+
+fn logged(line: &Line) -> String {
+    let at = humantime::format_rfc3339_millis(UNIX_EPOCH + Duration::from_millis(line.at_ms));
+    let told = ["at_ms", "event", "level", "message", "request"];
+    let rest = line
+        .fields
+        .iter()
+        .filter(|(name, _)| !told.contains(&name.as_str()));
+    let rest: Vec<String> = rest
+        .map(|(name, value)| format!("{name}={value}"))
+        .collect();
+    let (origin, event, message) = (&line.origin, &line.event, line.text("message"));
+    format!("{at} {origin} {event} {message} {}", rest.join(" "))
+        .trim_end()
+        .to_owned()
+}
+
 fn section(text: &mut String, title: &str, entries: &[Involved]) {
     if entries.is_empty() {
         return;
--- a/crates/ctl/src/command/show.rs
+++ b/crates/ctl/src/command/show.rs
@@ -1,15 +1,20 @@
 //! Commands that show the cluster, and those that form and repair it.
 
+use std::path::PathBuf;
+
 use citron_policy::catalogue::Entry;
 use citron_wire::admin::{self, Done, Explanation, Init, Replace, Status};
-use serde_json::json;
+use serde_json::{Value, json};
 
 use super::{
     Outcome,
     arguments::{self, Explain, Get, ReplaceReplica},
     render,
 };
-use crate::client::Client;
+use crate::{
+    client::Client,
+    trail::{self, Line, Trail},
+};
 
 /// Prints the catalogue or one entry as declarations.
 pub(super) async fn get(client: &Client, arguments: Get) -> Result<Outcome, Outcome> {
@@ -67,6 +72,9 @@
              or KIND/NAME"
         )));
     }
+    if !arguments.log.is_empty() {
+        return from_logs(&arguments.log, subject);
+    }
     let kind = if subject.contains('/') {
         "entry"
     } else {
@@ -76,6 +84,25 @@
     Ok(Outcome::done(render::explanation(&answer), json!(answer)))
 }
 
+/// Shows what logs tell about a request.
+fn from_logs(files: &[PathBuf], request: &str) -> Result<Outcome, Outcome> {
+    let trail = Trail::read(files, request).map_err(|it| Outcome::failed(it.to_string()))?;
+    let cause = trail::cause(&trail);
+    if trail.lines.is_empty() {
+        return Err(Outcome::failed(cause));
+    }
+    let fields = |lines: &[Line]| -> Vec<Value> {
+        let objects = lines
+            .iter()
+            .map(|it| json!({"origin": it.origin, "fields": it.fields}));
+        objects.collect()
+    };
+    let body = json!({
+        "cause": cause, "lines": fields(&trail.lines), "around": fields(&trail.around),
+    });
+    Ok(Outcome::done(render::trail(&trail, &cause), body))
+}
+
 /// Forms the cluster.
 pub(super) async fn init(client: &Client, arguments: arguments::Init) -> Result<Outcome, Outcome> {
     let init = Init {
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod exit;
 pub mod plan;
 pub mod settings;
+pub mod trail;
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -36,7 +36,7 @@
     let Some(command) = arguments.command else {
         return usage("no command: see `citronctl --help`");
     };
-    if !matches!(command, Command::Key(_))
+    if command.asks_daemons()
         && let Err(fault) = settings.check_token()
     {
         return usage(&fault.to_string());
