--- a/crates/daemon/src/callers/retries.rs
+++ b/crates/daemon/src/callers/retries.rs
@@ -8,7 +8,11 @@
     retry::{self, Attempt, Budget, DEFAULT_BURST, Decision},
 };
 use indexmap::IndexMap;
-use prometheus_client::{metrics::counter::Counter, registry::Registry};
+use prometheus_client::{
+    encoding::EncodeLabelSet,
+    metrics::{counter::Counter, family::Family, gauge::Gauge},
+    registry::Registry,
+};
 
 /// Budgets by service.
 #[derive(Debug)]
@@ -18,6 +22,14 @@
     budgets: RefCell<IndexMap<ServiceId, Budget>>,
     made: Counter,
     refused: Counter,
+    /// Whole retries left, by service.
+    left: Family<Labels, Gauge>,
+}
+
+/// Labels of a budget.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct Labels {
+    service: ServiceId,
 }
 
 impl Default for Retries {
@@ -34,6 +46,7 @@
             budgets: RefCell::default(),
             made: Counter::default(),
             refused: Counter::default(),
+            left: Family::default(),
         }
     }
 
@@ -49,6 +62,11 @@
             "Failed attempts that were not made again",
             self.refused.clone(),
         );
+        registry.register(
+            "citron_retries_left",
+            "Retries that a service has earned and not used",
+            self.left.clone(),
+        );
     }
 
     /// Counts a request of the service.
@@ -80,6 +98,12 @@
             .entry(service.name.clone())
             .or_insert_with(|| Budget::new(service.retry_percent).with_burst(self.burst));
         budget.set_percent(service.retry_percent);
-        act(budget)
+        let outcome = act(budget);
+        let labels = Labels {
+            service: service.name.clone(),
+        };
+        let left = i64::try_from(budget.left()).unwrap_or(i64::MAX);
+        self.left.get_or_create(&labels).set(left);
+        outcome
     }
 }
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -59,6 +59,8 @@
 pub struct Ports {
     /// Largest request body in bytes.
     pub max_body_bytes: usize,
+    /// Log lines a second for requests that go as they should.
+    pub log_rate: usize,
     /// Catalogue in force.
     pub view: watch::Receiver<Arc<View>>,
     /// Proof that the catalogue is current.
@@ -95,11 +97,11 @@
     #[must_use]
     pub fn new(ports: Ports) -> Self {
         let inner = Inner {
-            ports,
             in_flight: Rc::default(),
             retries: Retries::new(RETRY_BURST),
             metrics: Metrics::default(),
-            sample: RefCell::new(Sample::new(Instant::now())),
+            sample: RefCell::new(Sample::new(Instant::now(), ports.log_rate)),
+            ports,
         };
         Self {
             inner: Rc::new(inner),
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -415,6 +415,7 @@
 ) -> Exchange {
     Exchange::new(exchange::Ports {
         max_body_bytes: settings.max_body_bytes,
+        log_rate: settings.log_rate,
         view: core.follow.view(),
         follow: core.follow.clone(),
         draining: ends.draining,
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -56,6 +56,8 @@
     pub max_connections: usize,
     /// Largest request body in bytes.
     pub max_body_bytes: usize,
+    /// Log lines a second for requests that go as they should.
+    pub log_rate: usize,
 }
 
 impl Default for Settings {
@@ -79,6 +81,30 @@
             metrics: None,
             max_connections: 4_096,
             max_body_bytes: 1 << 20,
+            log_rate: 100,
+        }
+    }
+}
+
+impl Settings {
+    /// The settings with one flag taken from its environment variable, if set.
+    ///
+    /// # Errors
+    /// The fault of a value that cannot be used, or of a flag that does not exist.
+    pub fn with_variable<E>(mut self, flag: &str, environment: E) -> Result<Self, Fault>
+    where
+        E: Fn(&str) -> Option<String>,
+    {
+        let Some(flag) = Flag::named(flag) else {
+            let flag = format!("--{flag}");
+            return Err(Fault::UnknownFlag { flag });
+        };
+        match environment(&flag.variable()).map(|value| (flag.set)(&mut self, &value)) {
+            Some(Err(remedy)) => Err(Fault::Value {
+                flag: flag.name,
+                remedy: remedy.to_owned(),
+            }),
+            Some(Ok(())) | None => Ok(self),
         }
     }
 }
--- a/crates/daemon/src/settings/flag.rs
+++ b/crates/daemon/src/settings/flag.rs
@@ -208,6 +208,18 @@
                 .ok_or("write a number of bytes from 1 to 8388608")
         },
     },
+    Flag {
+        name: "log-rate",
+        value: "NUMBER",
+        help: "Log lines a second for requests that go as they should; failures are always told",
+        default: Some("100"),
+        required: false,
+        set: |settings, value| {
+            number(value, 0, 100_000)
+                .map(|number| settings.log_rate = number)
+                .ok_or("write a number from 0 to 100000")
+        },
+    },
 ];
 
 fn name(value: &str) -> Result<String, &'static str> {
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -45,6 +45,21 @@
     expect_that!(settings.platform, eq("http://127.0.0.1:7400"));
 }
 
+#[gtest]
+fn a_single_flag_can_come_from_its_variable() {
+    let set = |value: &str| {
+        let value = value.to_owned();
+        Settings::default().with_variable("log-rate", |name| {
+            (name == "CITRON_LOG_RATE").then(|| value.clone())
+        })
+    };
+    expect_that!(set("7").expect("settings").log_rate, eq(7));
+    let fault = set("many").expect_err("a fault").to_string();
+    expect_that!(fault, contains_substring("--log-rate"));
+    let untouched = Settings::default().with_variable("log-rate", |_| None);
+    expect_that!(untouched.expect("settings").log_rate, eq(100));
+}
+
 #[gtest]
 fn every_fault_is_told_at_once() {
     let faults = read(
