--- a/crates/policy/tests/zones.rs
+++ b/crates/policy/tests/zones.rs
@@ -158,6 +158,22 @@
     }
 }
 
+/// A burst of long prompts in one domain: what counts is who reads them first.
+#[gtest]
+fn a_burst_of_long_prompts_is_read_in_all_domains() {
+    let mut site = Site::new();
+    site.granted();
+    for _ in 0..RUNNERS * 4 {
+        let id = 1 << 41 | site.next;
+        let long = Part { id, tokens: 9_000 };
+        site.offer(0, vec![long]);
+    }
+    let placed = site.granted();
+    let most = placed.values().max().copied().unwrap_or(0);
+    let least = (0..DOMAINS).map(|it| placed.get(&domain(it)).copied().unwrap_or(0));
+    expect_that!(least.min(), some(ge(most.saturating_sub(1))), "{placed:?}");
+}
+
 /// A part that is kept elsewhere is worth more than a near runner.
 #[gtest]
 fn a_kept_part_is_read_across_domains() {
