exchange: a silent runner gives way while there is time for another

Ruled out: a timeout of the attempt alone, which ends requests that cannot be sent again; a bound below twice the target, which takes late prompts from the runner that reads them in a burst. Change: policy::silence says after how long another runner is worth a try: twice the target, half a second at least, only where the request may run again, time for it is left and the retry budget pays. The attempt is ended and told as CP1004; what may run once waits as before.

--- a/crates/daemon/src/callers/chat/generation.rs
+++ b/crates/daemon/src/callers/chat/generation.rs
@@ -474,7 +474,7 @@
 
 fn end_of(failure: &Failure) -> End {
     match failure {
-        Failure::Late => End::Late,
+        Failure::Late | Failure::Silent => End::Late,
         failure if failure.broke() => End::Broken,
         _ => End::Refused,
     }
@@ -482,7 +482,7 @@
 
 fn status_of(failure: &Failure) -> StatusCode {
     match failure {
-        Failure::Late => StatusCode::GATEWAY_TIMEOUT,
+        Failure::Late | Failure::Silent => StatusCode::GATEWAY_TIMEOUT,
         _ => StatusCode::BAD_GATEWAY,
     }
 }
--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -12,6 +12,7 @@
     id::RunnerId,
     retry::{Attempt, Decision, Fate, Rerun},
     route::Repeat,
+    silence::{self, Wait},
 };
 
 use super::{
@@ -128,7 +129,7 @@
         self.sent += 1;
         self.avoid.push(slot.runner.clone());
         let begun = Instant::now();
-        let answer = attempt::begin(&self.exchange, &self.admitted, &slot, self.last).await;
+        let answer = self.begin(&slot).await;
         let answer = match answer {
             Ok(answer) => answer,
             Err(failure) => {
@@ -152,6 +153,47 @@
         self.whole(slot, answer, begun).await
     }
 
+    /// Sends the request to the runner of a slot and waits for the head of its
+    /// answer, or until its silence makes another runner worth a try.
+    async fn begin(&self, slot: &Slot) -> Result<attempt::Begun, Failure> {
+        tokio::select! {
+            biased;
+            answer = attempt::begin(&self.exchange, &self.admitted, slot, self.last) => answer,
+            () = self.silence() => Err(Failure::Silent),
+        }
+    }
+
+    /// Resolves when a runner that was just asked has been silent for too long;
+    /// never if it is to be waited for.
+    async fn silence(&self) {
+        let admitted = &self.admitted;
+        let wait = Wait {
+            target: admitted.class.first_token,
+            left: admitted.deadline.saturating_duration_since(Instant::now()),
+            rerun: self.rerun(self.ran + 1),
+            made: self.sent,
+        };
+        if let Some(bound) = silence::bound(&wait) {
+            actix_rt::time::sleep(bound).await;
+            // A request that cannot be sent again stays where it is.
+            if self.exchange.inner.retries.left(&admitted.service) > 0 {
+                return;
+            }
+        }
+        std::future::pending::<()>().await;
+    }
+
+    /// Whether the request may run once more after `ran` attempts that may have run.
+    fn rerun(&self, ran: u32) -> Rerun {
+        let route = &self.admitted.route;
+        match route.repeat {
+            Repeat::Never => Rerun::Forbidden,
+            Repeat::Resume if !route.stream => Rerun::Forbidden,
+            Repeat::Always | Repeat::Resume if ran < route.attempts => Rerun::Allowed,
+            Repeat::Always | Repeat::Resume => Rerun::Spent,
+        }
+    }
+
     /// Waits for a slot on a runner.
     async fn take(&self) -> Result<Slot, Problem> {
         let admitted = &self.admitted;
@@ -231,7 +273,7 @@
             self.ran += 1;
         }
         let status = match failure {
-            Failure::Late => StatusCode::GATEWAY_TIMEOUT,
+            Failure::Late | Failure::Silent => StatusCode::GATEWAY_TIMEOUT,
             _ => StatusCode::BAD_GATEWAY,
         };
         let problem = Problem {
@@ -261,17 +303,10 @@
 
     /// Decides whether another attempt follows; otherwise gives the problem.
     fn again(&mut self, fate: Fate, problem: Problem) -> Result<(), Problem> {
-        let route = &self.admitted.route;
-        let rerun = match route.repeat {
-            Repeat::Never => Rerun::Forbidden,
-            Repeat::Resume if !route.stream => Rerun::Forbidden,
-            Repeat::Always | Repeat::Resume if self.ran < route.attempts => Rerun::Allowed,
-            Repeat::Always | Repeat::Resume => Rerun::Spent,
-        };
         let attempt = Attempt {
             fate,
             made: self.sent,
-            rerun,
+            rerun: self.rerun(self.ran),
             deadline: self.admitted.deadline,
         };
         let retries = &self.exchange.inner.retries;
@@ -525,7 +560,7 @@
 
 fn end_of(failure: &Failure) -> End {
     match failure {
-        Failure::Late => End::Late,
+        Failure::Late | Failure::Silent => End::Late,
         failure if failure.broke() => End::Broken,
         _ => End::Refused,
     }
--- a/crates/daemon/src/upstream/failure.rs
+++ b/crates/daemon/src/upstream/failure.rs
@@ -29,6 +29,9 @@
     /// The answer, or more of it, did not come in time.
     #[display("the runner did not answer in the time that was left: see its load")]
     Late,
+    /// Nothing of an answer came for so long that another runner is tried.
+    #[display("the runner said nothing for too long, with time left for another: see its load")]
+    Silent,
     /// The answer ended before it was whole.
     #[display("the answer ended before it was whole: see the runner's log")]
     Cut,
@@ -55,7 +58,7 @@
             Self::Unwritten => Ending::Unwritten,
             Self::PartlyWritten => Ending::PartlyWritten,
             Self::Unanswered => Ending::Unanswered,
-            Self::Late => Ending::Late,
+            Self::Late | Self::Silent => Ending::Late,
             Self::Cut => Ending::Cut,
             Self::Garbled(_) => Ending::Garbled,
             Self::Crossed => Ending::Crossed,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,5 +22,6 @@
 pub mod relay;
 pub mod retry;
 pub mod route;
+pub mod silence;
 pub mod state;
 pub mod swim;
