slots: a new arbiter waits for a list of runners that is not old

The arbiter moved from front-nam-central-b-2, told to end, to a-5 at 32.39 s; a-5 hosted none before, had read the list 3 s to 30 s ago, and granted from it 10 ms later; the reading that its start asked for came at 32.411 s. Ruled out: a list read too late by the old arbiter (it had it at 29.57 s); a platform that was slow (no CP0550). Change: an arbiter that starts with a list older than 1 s gets its runners with the next reading, whether that changed anything or not, and after 150 ms by the old list if none comes; grants wait meanwhile as for an empty list.

--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -127,11 +127,19 @@
     }
 }
 
+/// Age up to which a list is as good as a new one; the interval of readings where
+/// the list is needed.
+const FRESH: Duration = Duration::from_secs(1);
+
 /// Whether something here depends on the list; clones share it.
 #[derive(Clone, Debug, Default)]
 pub struct Need {
     needed: Rc<Cell<bool>>,
     wake: Rc<Notify>,
+    /// Whether the end of the next reading is told though nothing has changed.
+    awaited: Rc<Cell<bool>>,
+    /// When the last good list was read.
+    read: Rc<Cell<Option<Instant>>>,
 }
 
 impl Need {
@@ -141,13 +149,26 @@
             self.wake.notify_one();
         }
     }
+
+    /// Whether the list is as good as a new one.
+    #[must_use]
+    pub fn is_fresh(&self, now: Instant) -> bool {
+        let read = self.read.get();
+        read.is_some_and(|at| now.saturating_duration_since(at) <= FRESH)
+    }
+
+    /// Asks for a reading at once; its end is told also if nothing has changed.
+    pub fn refresh(&self) {
+        self.needed.set(true);
+        self.awaited.set(true);
+        self.wake.notify_one();
+    }
 }
 
 /// Reads the platform's list for ever; clones share it.
 #[derive(Clone, Debug)]
 pub struct Platform {
     list: watch::Receiver<Arc<List>>,
-    read: Rc<Cell<Option<Instant>>>,
     need: Need,
     metrics: Metrics,
 }
@@ -159,7 +180,6 @@
         let (sender, list) = watch::channel(Arc::new(List::default()));
         let platform = Self {
             list,
-            read: Rc::default(),
             need: Need::default(),
             metrics: Metrics::default(),
         };
@@ -182,7 +202,7 @@
     /// When the last good list was read, if any was.
     #[must_use]
     pub fn read_at(&self) -> Option<Instant> {
-        self.read.get()
+        self.need.read.get()
     }
 
     /// Readings that failed so far.
@@ -221,9 +241,12 @@
                         );
                     }
                     failing = true;
+                    if self.need.awaited.take() {
+                        sender.send_modify(|_| ());
+                    }
                 }
             }
-            if let Some(read) = self.read.get() {
+            if let Some(read) = self.need.read.get() {
                 self.metrics.age.set(read.elapsed().as_secs_f64());
             }
             let interval = if self.need.needed.get() {
@@ -239,7 +262,7 @@
     }
 
     fn take(&self, list: List, sender: &watch::Sender<Arc<List>>) {
-        self.read.set(Some(Instant::now()));
+        self.need.read.set(Some(Instant::now()));
         let count = |len: usize| i64::try_from(len).unwrap_or(i64::MAX);
         self.metrics.entries.set(count(list.entries.len()));
         self.metrics.runners.set(count(list.runners.len()));
@@ -249,7 +272,7 @@
                 tell_changes(old, &list);
                 *old = Arc::new(list);
             }
-            changed
+            self.need.awaited.take() || changed
         });
     }
 }
--- a/crates/daemon/src/slots/host.rs
+++ b/crates/daemon/src/slots/host.rs
@@ -26,6 +26,10 @@
 /// more as it starts.
 const LIST_PATIENCE: Duration = Duration::from_millis(300);
 
+/// Time after which an arbiter goes by an old list that is not read again: a few
+/// round trips to the platform, and before the longest wait ends.
+const OLD_LIST_AFTER: Duration = Duration::from_millis(150);
+
 /// Ranks that may host an arbiter when those before do not answer.
 const MAX_RANKS: usize = 3;
 
@@ -70,6 +74,8 @@
     pub(super) arbiter: Arbiter,
     /// Whether it stands in for one that askers did not reach.
     fallback: bool,
+    /// Since when it waits for the list of runners to be read again.
+    unlisted: Option<Instant>,
 }
 
 impl Host {
@@ -258,7 +264,12 @@
 
     fn start_arbiter(&self, now: Instant, service: &ServiceId, fallback: bool) {
         // It is read while the askers are still listened to.
-        self.inputs.need.set(true);
+        let is_fresh = self.inputs.need.is_fresh(now);
+        if is_fresh {
+            self.inputs.need.set(true);
+        } else {
+            self.inputs.need.refresh();
+        }
         let live = self.live();
         let settings = arbiter::Settings {
             list_patience: LIST_PATIENCE,
@@ -270,11 +281,14 @@
         for event in [
             arbiter::Event::Catalogue(Arc::clone(&view.catalogue)),
             arbiter::Event::Marks(Arc::clone(&view.marks)),
-            arbiter::Event::Runners(self.runners(service)),
             arbiter::Event::Domains(self.domains()),
         ] {
             effects.extend(arbiter.on_event(now, event));
         }
+        if is_fresh {
+            let runners = arbiter::Event::Runners(self.runners(service));
+            effects.extend(arbiter.on_event(now, runners));
+        }
         let epoch = arbiter.epoch();
         self.ring.record(
             "CP0303",
@@ -284,7 +298,11 @@
         );
         let count = {
             let mut host = self.host.borrow_mut();
-            let hosted = Hosted { arbiter, fallback };
+            let hosted = Hosted {
+                arbiter,
+                fallback,
+                unlisted: (!is_fresh).then_some(now),
+            };
             host.arbiters.insert(service.clone(), hosted);
             host.arbiters.len()
         };
@@ -401,13 +419,26 @@
 
     pub(super) fn follow_platform(&self) {
         let hosted = self.hosted_services().into_iter();
-        let works = hosted.map(|(service, _)| {
-            let runners = self.runners(&service);
-            Work::Arbiter(service, arbiter::Event::Runners(runners))
-        });
+        let works = hosted.map(|(service, _)| self.list(service));
         self.drive(works.collect());
     }
 
+    /// Shows the list of runners to an arbiter here.
+    fn list(&self, service: ServiceId) -> Work {
+        if let Some(hosted) = self.host.borrow_mut().arbiters.get_mut(&service) {
+            hosted.unlisted = None;
+        }
+        let runners = self.runners(&service);
+        Work::Arbiter(service, arbiter::Event::Runners(runners))
+    }
+
+    /// Whether an arbiter has waited long enough for a new list.
+    fn takes_old_list(&self, now: Instant, service: &ServiceId) -> bool {
+        let host = self.host.borrow();
+        let since = host.arbiters.get(service).and_then(|it| it.unlisted);
+        since.is_some_and(|at| now.saturating_duration_since(at) >= OLD_LIST_AFTER)
+    }
+
     pub(super) fn follow_view(&self) {
         let view = self.inputs.view.borrow().clone();
         let mut works = Vec::new();
@@ -442,6 +473,9 @@
             works.push(Work::Desk(service, desk::Event::Tick));
         }
         for (service, _) in self.hosted_services() {
+            if self.takes_old_list(now, &service) {
+                works.push(self.list(service.clone()));
+            }
             works.push(Work::Arbiter(service, arbiter::Event::Tick));
         }
         self.drive(works);
