slots: an arbiter that stood still for longer than its leases starts anew

Ruled out: the loss of the host itself (seconds 2 to 10 are good). Change: a process without any work for 2 s, the leases of slots, drops its arbiters (CP0309); the next ask starts one that asks everybody what they hold.

--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -135,6 +135,8 @@
     next: Cell<Ticket>,
     /// Whether an event is being carried out, which takes in those it leads to.
     busy: Cell<bool>,
+    /// When work was last carried out here.
+    driven: Cell<Instant>,
 }
 
 /// A request that waits for its slot.
@@ -180,6 +182,7 @@
             streams: RefCell::default(),
             next: Cell::new(first),
             busy: Cell::new(false),
+            driven: Cell::new(Instant::now()),
         };
         Self {
             inner: Rc::new(inner),
--- a/crates/daemon/src/slots/host.rs
+++ b/crates/daemon/src/slots/host.rs
@@ -30,6 +30,10 @@
 /// round trips to the platform, and before the longest wait ends.
 const OLD_LIST_AFTER: Duration = Duration::from_millis(150);
 
+/// Time without any work here after which the arbiters are given up: the leases of
+/// slots, so that others have granted meanwhile what they still count as held.
+const STOOD_STILL: Duration = Duration::from_secs(2);
+
 /// Ranks that may host an arbiter when those before do not answer.
 const MAX_RANKS: usize = 3;
 
@@ -99,6 +103,7 @@
             return;
         }
         let now = Instant::now();
+        self.drop_outdated(now);
         loop {
             let work = self.host.borrow_mut().queue.pop_front();
             match work {
@@ -111,6 +116,26 @@
         self.send_all();
     }
 
+    /// Drops the arbiters of a process that stood still; the next ask starts new
+    /// ones, which ask everybody what they hold.
+    fn drop_outdated(&self, now: Instant) {
+        let pause = now.saturating_duration_since(self.driven.replace(now));
+        if pause < STOOD_STILL {
+            return;
+        }
+        let dropped = std::mem::take(&mut self.host.borrow_mut().arbiters);
+        for service in dropped.keys() {
+            self.metrics.on_retired(service);
+            self.ring.record(
+                "CP0309",
+                None,
+                &[service_key(service)],
+                format!("arbiter of service {service} is given up: this process stood still for {pause:?}"),
+            );
+        }
+        self.metrics.set_arbiters(0);
+    }
+
     fn send_all(&self) {
         let (asks, replies) = {
             let mut host = self.host.borrow_mut();
