arbiter: waits from before it began take no runner out

Heartbeats tell how long streams have waited since their grant, by whatever arbiter that was. Change: a wait that is longer than the arbiter's age is not counted. Test: silence_from_before_the_arbiter_takes_no_runner_out.

--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -214,6 +214,7 @@
     estimate: estimate::Estimate,
     affinity: affinity::Affinity,
     suspects: suspect::Suspects,
+    started: Instant,
     ticked: Instant,
 }
 
@@ -263,6 +264,7 @@
             estimate: estimate::Estimate::default(),
             affinity: affinity::Affinity::default(),
             suspects: suspect::Suspects::default(),
+            started: now,
             ticked: now,
             settings,
         };
@@ -356,7 +358,7 @@
             Request::Release(ticket, sample) => {
                 self.release(now, Key { asker, ticket }, &sample, effects);
             }
-            Request::Beat(beat) => self.on_beat(from, asker, &beat, effects),
+            Request::Beat(beat) => self.on_beat(now, from, asker, &beat, effects),
             Request::Recital(recital) => self.on_recital(now, from, asker, recital, effects),
         }
     }
--- a/crates/policy/src/arbiter/hold.rs
+++ b/crates/policy/src/arbiter/hold.rs
@@ -316,14 +316,22 @@
 
     pub(super) fn on_beat(
         &mut self,
+        now: Instant,
         from: &InstanceId,
         asker: u32,
         beat: &Beat,
         effects: &mut Vec<Effect>,
     ) {
+        let age = now.saturating_duration_since(self.started);
         for progress in &beat.progress {
+            // A wait that began under another arbiter also tells of that one's grants.
+            let silent = if progress.silent <= age {
+                progress.silent
+            } else {
+                Duration::ZERO
+            };
             self.pool
-                .on_progress(&progress.runner, progress.silent, progress.between_tokens);
+                .on_progress(&progress.runner, silent, progress.between_tokens);
         }
         debug_assert!(self.names.contains_key(&asker), "a known asker");
         let Some(known) = self.askers.get_mut(from) else {
--- a/crates/policy/tests/prompt_placement.rs
+++ b/crates/policy/tests/prompt_placement.rs
@@ -5,7 +5,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use citron_policy::{
-    arbiter::{Ask, End, Note, Part, Turn},
+    arbiter::{Ask, Asked, Beat, End, Event, Note, Part, Progress, Request, Turn},
     catalogue::{Account, Catalogue, Class, Entry, Service},
     desk,
 };
@@ -255,6 +255,52 @@
     expect_that!(aside, eq(false));
 }
 
+/// Beats that tell three times of a stream on `r0` that has waited for a while, and
+/// of others that wait for 300 ms; true if the runner is set aside for it.
+fn set_aside_for(silent: Duration) -> bool {
+    let mut pool = Pool::new(4);
+    for _ in 0..6 {
+        read_unevenly(&mut pool);
+    }
+    for beat in 1..=3 {
+        let passed = Duration::from_millis(100) * beat;
+        let progress = |number: usize| Progress {
+            runner: format!("r{number}"),
+            silent: match number {
+                0 => silent + passed,
+                _ => passed,
+            },
+            between_tokens: None,
+        };
+        let beat = Beat {
+            progress: (0..4).map(progress).collect(),
+            ..Beat::default()
+        };
+        for host in pool.daemons.hosts() {
+            let asked = Asked {
+                least: 0,
+                fallback: false,
+                request: Request::Beat(beat.clone()),
+            };
+            let from = slots::name(0);
+            pool.daemons.arbiter(host, Event::Asked { from, asked });
+        }
+        pool.daemons.tick();
+    }
+    let mut notes = pool.daemons.notes.iter();
+    notes.any(|(_, note)| matches!(note, Note::Turned(Turn::Aside(it)) if it == "r0"))
+}
+
+/// A burst in which the arbiter moves: streams have waited at other arbiters'
+/// grants, for which a runner of this one is not to blame.
+#[gtest]
+fn silence_from_before_the_arbiter_takes_no_runner_out() {
+    let young = Duration::from_secs(5);
+    let older_than_the_arbiter = Duration::from_secs(30);
+    expect_that!(set_aside_for(young), eq(true));
+    expect_that!(set_aside_for(older_than_the_arbiter), eq(false));
+}
+
 fn down(pool: &Pool) -> bool {
     let mut notes = pool.daemons.notes.iter();
     notes.any(|(_, note)| matches!(note, Note::Turned(Turn::Down(_))))
