--- a/crates/daemon/src/slots/host.rs
+++ b/crates/daemon/src/slots/host.rs
@@ -444,12 +444,12 @@
 
     pub(super) fn follow_platform(&self) {
         let hosted = self.hosted_services().into_iter();
-        let works = hosted.map(|(service, _)| self.list(service));
+        let works = hosted.map(|(service, _)| self.show_list(service));
         self.drive(works.collect());
     }
 
     /// Shows the list of runners to an arbiter here.
-    fn list(&self, service: ServiceId) -> Work {
+    fn show_list(&self, service: ServiceId) -> Work {
         if let Some(hosted) = self.host.borrow_mut().arbiters.get_mut(&service) {
             hosted.unlisted = None;
         }
@@ -499,7 +499,7 @@
         }
         for (service, _) in self.hosted_services() {
             if self.takes_old_list(now, &service) {
-                works.push(self.list(service.clone()));
+                works.push(self.show_list(service.clone()));
             }
             works.push(Work::Arbiter(service, arbiter::Event::Tick));
         }
--- a/crates/policy/src/arbiter/pool.rs
+++ b/crates/policy/src/arbiter/pool.rs
@@ -153,8 +153,9 @@
 
     /// The runner that reads a prompt at the least cost, if it has room.
     ///
-    /// One that is near the daemon that asks is preferred. Otherwise the prompt waits: on a runner that has room but costs more, it
-    /// would delay those for whom that runner was left free.
+    /// One that is near the daemon that asks is preferred. Otherwise the prompt
+    /// waits: on a runner that has room but costs more, it would delay those for
+    /// whom that runner was left free.
     pub(super) fn pick_reader(
         &self,
         now: Instant,
