logs: late turns, the work of arbiters and waits for a peer are told

New, each with its metric:

- CP0114, citron_turn_late_seconds: the daemon's thread got to what was due a quarter of a second late or more, with the processor time used meanwhile, which tells computing from standing still.
- CP0310, citron_slot_arbiter_events_total and _busy_seconds_total: a line a second on a host of arbiters.
- CP0904, citron_peer_wait_seconds: time that a message waited for its connection, and how much of it the socket took.

--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -25,6 +25,12 @@
     start + booted.saturating_sub(at_start)
 }
 
+/// Processor time that the process has used; zero where the system does not tell.
+#[must_use]
+pub fn process_time() -> Duration {
+    clock_gettime(ClockId::CLOCK_PROCESS_CPUTIME_ID).map_or(Duration::ZERO, Duration::from)
+}
+
 fn since_boot() -> Option<Duration> {
     clock_gettime(ClockId::CLOCK_BOOTTIME)
         .ok()
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -26,4 +26,5 @@
 pub mod slots;
 pub mod socket;
 pub mod trace;
+pub mod turn;
 pub mod upstream;
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -12,7 +12,7 @@
     cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use citron_policy::id::InstanceId;
@@ -20,6 +20,10 @@
 use derive_more::{Display, Error};
 use futures_util::future::LocalBoxFuture;
 use indexmap::IndexMap;
+use prometheus_client::{
+    metrics::histogram::{Histogram, exponential_buckets},
+    registry::Registry,
+};
 use tokio::sync::{mpsc, oneshot};
 
 pub use listen::listen;
@@ -107,10 +111,18 @@
     me: InstanceId,
     cluster: String,
     book: RefCell<IndexMap<InstanceId, SocketAddr>>,
-    links: RefCell<IndexMap<InstanceId, mpsc::Sender<Frame>>>,
+    links: RefCell<IndexMap<InstanceId, mpsc::Sender<Queued>>>,
     calls: RefCell<IndexMap<u64, Call>>,
     next_call: Cell<u64>,
     counts: Cell<Counts>,
+    /// Time from the order to send a message until its connection has it.
+    waits: Histogram,
+}
+
+/// A message that waits for its connection.
+struct Queued {
+    frame: Frame,
+    since: Instant,
 }
 
 struct Call {
@@ -138,12 +150,22 @@
             calls: RefCell::default(),
             next_call: Cell::new(1),
             counts: Cell::default(),
+            waits: Histogram::new(exponential_buckets(0.000_25, 2.0, 16)),
         };
         Self {
             inner: Rc::new(inner),
         }
     }
 
+    /// Adds the metrics that it keeps itself to a registry.
+    pub fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "citron_peer_wait_seconds",
+            "Time that messages wait for their connection to a peer",
+            self.inner.waits.clone(),
+        );
+    }
+
     /// This instance.
     #[must_use]
     pub fn me(&self) -> &InstanceId {
@@ -192,7 +214,7 @@
     /// [`Error::Full`].
     pub async fn call(&self, to: &InstanceId, body: Body, within: Duration) -> Result<Body, Error> {
         let (reply, answer) = oneshot::channel();
-        let call = self.register(to, reply)?;
+        let call = self.enter(to, reply)?;
         let _guard = Pending { hub: self, call };
         self.send(to, self.frame(call, false, body))?;
         match actix_rt::time::timeout(within, answer).await {
@@ -202,7 +224,7 @@
         }
     }
 
-    fn register(
+    fn enter(
         &self,
         to: &InstanceId,
         reply: oneshot::Sender<Result<Body, Error>>,
@@ -236,14 +258,16 @@
 
     fn send(&self, to: &InstanceId, frame: Frame) -> Result<(), Error> {
         let link = self.link(to)?;
-        link.try_send(frame).map_err(|error| match error {
-            mpsc::error::TrySendError::Full(_) => Error::Full { peer: to.clone() },
-            mpsc::error::TrySendError::Closed(_) => Error::Lost { peer: to.clone() },
-        })
+        let since = Instant::now();
+        link.try_send(Queued { frame, since })
+            .map_err(|error| match error {
+                mpsc::error::TrySendError::Full(_) => Error::Full { peer: to.clone() },
+                mpsc::error::TrySendError::Closed(_) => Error::Lost { peer: to.clone() },
+            })
     }
 
     /// The queue of the connection to `to`, opened on first use.
-    fn link(&self, to: &InstanceId) -> Result<mpsc::Sender<Frame>, Error> {
+    fn link(&self, to: &InstanceId) -> Result<mpsc::Sender<Queued>, Error> {
         let mut links = self.inner.links.borrow_mut();
         if let Some(link) = links.get(to)
             && !link.is_closed()
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -32,7 +32,7 @@
     operators, peers, platform,
     settings::Settings,
     trace::Tracer,
-    upstream,
+    turn, upstream,
 };
 use core::Core;
 use leave::Leave;
@@ -279,6 +279,9 @@
         let metrics = Metrics::default();
         let mut registry = Registry::default();
         metrics.register(&mut registry);
+        let turns = turn::Metrics::default();
+        turns.register(&mut registry);
+        actix_rt::spawn(turn::watch(turns));
         front.register(&mut registry);
         upstream.register(&mut registry);
         core.register(&mut registry);
--- a/crates/daemon/src/run/core.rs
+++ b/crates/daemon/src/run/core.rs
@@ -103,6 +103,7 @@
 
     /// Adds the metrics of all parts to a registry.
     pub(super) fn register(&self, registry: &mut Registry) {
+        self.hub.register(registry);
         self.control.register(registry);
         self.gossip.metrics().register(registry);
         self.platform.metrics().register(registry);
--- a/crates/daemon/src/slots/host.rs
+++ b/crates/daemon/src/slots/host.rs
@@ -34,6 +34,9 @@
 /// slots, so that others have granted meanwhile what they still count as held.
 const STOOD_STILL: Duration = Duration::from_secs(2);
 
+/// Time between two lines about the work of arbiters.
+const EFFORT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Ranks that may host an arbiter when those before do not answer.
 const MAX_RANKS: usize = 3;
 
@@ -61,6 +64,32 @@
     }
 }
 
+/// What the arbiters here have cost since the last line about it.
+#[derive(Debug)]
+struct Effort {
+    since: Instant,
+    events: u64,
+    busy: Duration,
+    longest: Duration,
+}
+
+impl Effort {
+    fn new(now: Instant) -> Self {
+        Self {
+            since: now,
+            events: 0,
+            busy: Duration::ZERO,
+            longest: Duration::ZERO,
+        }
+    }
+
+    fn add(&mut self, events: u64, took: Duration) {
+        self.events += events;
+        self.busy += took;
+        self.longest = self.longest.max(took);
+    }
+}
+
 /// The state machines of this daemon.
 #[derive(Debug)]
 pub(super) struct Host {
@@ -70,6 +99,7 @@
     queue: VecDeque<Work>,
     asks: IndexMap<(InstanceId, ServiceId), Vec<Asked>>,
     replies: IndexMap<(InstanceId, ServiceId), (Epoch, Vec<Reply>)>,
+    effort: Effort,
 }
 
 /// An arbiter hosted here.
@@ -91,6 +121,7 @@
             queue: VecDeque::new(),
             asks: IndexMap::new(),
             replies: IndexMap::new(),
+            effort: Effort::new(Instant::now()),
         }
     }
 }
@@ -104,18 +135,49 @@
         }
         let now = Instant::now();
         self.drop_outdated(now);
+        let mut events = 0;
         loop {
             let work = self.host.borrow_mut().queue.pop_front();
             match work {
                 Some(Work::Desk(service, event)) => self.on_desk(now, &service, event),
-                Some(Work::Arbiter(service, event)) => self.on_arbiter(now, &service, event),
+                Some(Work::Arbiter(service, event)) => {
+                    events += 1;
+                    self.on_arbiter(now, &service, event);
+                }
                 None => break,
             }
         }
+        if events > 0 {
+            self.host.borrow_mut().effort.add(events, now.elapsed());
+        }
         self.busy.set(false);
         self.send_all();
     }
 
+    /// Tells from time to time what the arbiters here cost.
+    fn tell_effort(&self, now: Instant) {
+        let mut host = self.host.borrow_mut();
+        if now.saturating_duration_since(host.effort.since) < EFFORT_INTERVAL {
+            return;
+        }
+        let effort = std::mem::replace(&mut host.effort, Effort::new(now));
+        let stats: Vec<_> = host
+            .arbiters
+            .values()
+            .map(|it| it.arbiter.stats())
+            .collect();
+        let sum = |count: fn(&arbiter::Stats) -> usize| stats.iter().map(count).sum::<usize>();
+        self.metrics.on_effort(effort.events, effort.busy);
+        if !stats.is_empty() {
+            log::info!(
+                event = "CP0310", events = effort.events, busy_ms = effort.busy.as_millis(),
+                longest_ms = effort.longest.as_millis(), queued = sum(|it| it.queued.iter().sum()),
+                running = sum(|it| it.running), askers = sum(|it| it.askers);
+                "work of the arbiters here"
+            );
+        }
+    }
+
     /// Drops the arbiters of a process that stood still; the next ask starts new
     /// ones, which ask everybody what they hold.
     fn drop_outdated(&self, now: Instant) {
@@ -508,6 +570,8 @@
         for (service, hosted) in &host.arbiters {
             self.metrics.on_stats(service, &hosted.arbiter.stats());
         }
+        drop(host);
+        self.tell_effort(now);
     }
 
     pub(super) fn propose_again(&self) {
--- a/crates/daemon/src/slots/metrics.rs
+++ b/crates/daemon/src/slots/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics of slots: grants, refusals, waits and wasted work.
 
+use std::{sync::atomic::AtomicU64, time::Duration};
+
 use citron_policy::arbiter::{End, Refusal, Sample, Stats, Turn};
 use prometheus_client::{
     encoding::EncodeLabelSet,
@@ -64,6 +66,8 @@
     running: Family<Of, Gauge>,
     aside: Family<Of, Gauge>,
     arbiters: Gauge,
+    events: Counter,
+    busy: Counter<f64, AtomicU64>,
     tokens: Family<Why, Counter>,
 }
 
@@ -83,6 +87,8 @@
             running: Family::default(),
             aside: Family::default(),
             arbiters: Gauge::default(),
+            events: Counter::default(),
+            busy: Counter::default(),
             tokens: Family::default(),
         }
     }
@@ -112,6 +118,16 @@
         add.add("running", "Slots in use by arbiters here", &self.running);
         add.add("aside_runners", "Runners set aside as slow", &self.aside);
         add.add("arbiters", "Arbiters hosted here", &self.arbiters);
+        add.add(
+            "arbiter_events",
+            "Events taken in by arbiters here",
+            &self.events,
+        );
+        add.add(
+            "arbiter_busy_seconds",
+            "Time spent on the events of arbiters here",
+            &self.busy,
+        );
         add.add(
             "tokens",
             "Tokens received, by how the slot ended",
@@ -176,6 +192,11 @@
         );
     }
 
+    pub(super) fn on_effort(&self, events: u64, busy: Duration) {
+        self.events.inc_by(events);
+        self.busy.inc_by(busy.as_secs_f64());
+    }
+
     pub(super) fn set_arbiters(&self, count: usize) {
         self.arbiters.set(signed(count));
     }
