--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -189,6 +189,8 @@
     pub usable: usize,
     /// Slots of the runners in use.
     pub slots: u32,
+    /// Times that a runner was weighed for a request, since the start.
+    pub weighed: u64,
 }
 
 /// The arbiter of one shard.
@@ -289,6 +291,7 @@
             aside: self.pool.aside(),
             usable: self.pool.usable(),
             slots: self.pool.slots(),
+            weighed: self.pool.weighed(),
         }
     }
 
--- a/crates/policy/src/arbiter/pool.rs
+++ b/crates/policy/src/arbiter/pool.rs
@@ -5,7 +5,10 @@
 //! probed with one request at a time and comes back when a probe is as fast as
 //! the others.
 
-use std::time::{Duration, Instant};
+use std::{
+    cell::Cell,
+    time::{Duration, Instant},
+};
 
 use indexmap::IndexMap;
 
@@ -73,6 +76,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Pool {
     runners: IndexMap<RunnerId, Runner>,
+    /// Times that a runner was weighed for a request.
+    weighed: Cell<u64>,
 }
 
 impl Pool {
@@ -115,6 +120,10 @@
         self.runners.get_mut(id)
     }
 
+    pub(super) fn weighed(&self) -> u64 {
+        self.weighed.get()
+    }
+
     /// Slots that can be granted now.
     pub(super) fn free(&self, now: Instant) -> u32 {
         self.runners.values().map(|runner| runner.free(now)).sum()
@@ -171,6 +180,7 @@
             .iter()
             .filter(|(id, it)| it.free(now) > 0 && !(others && avoid.contains(*id)));
         let cost = |runner: &Runner| {
+            self.weighed.set(self.weighed.get() + 1);
             let crowd = f64::from(runner.load(now)) / f64::from(runner.limit());
             let slow = match (runner.pace.get(LEAST_SAMPLES), pace) {
                 (Some(own), Some(median)) if median > 0.0 => (own / median).clamp(1.0, MAX_PACE),
@@ -224,6 +234,7 @@
             if runner.free(now) == 0 || (others && avoid.contains(id)) {
                 continue;
             }
+            self.weighed.set(self.weighed.get() + 1);
             let faults = (runner.fault_rate(now) - least_faults) * FAULT_SCORE;
             let far = if is_far(runner, near) { FAR_SCORE } else { 0.0 };
             let score = score(now, runner, median) + faults + far;
--- /dev/null
+++ b/crates/policy/tests/arbiter_burst.rs
@@ -0,0 +1,271 @@
+//! A burst at one arbiter of many runners: what its decisions cost.
+//!
+//! Load pattern: the longest prompts come at six times their usual rate, more
+//! than the runners can read, so that hundreds of requests wait.
+
+mod slots;
+
+use std::{
+    collections::{BTreeSet, HashMap, HashSet},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use citron_policy::{
+    arbiter::{Arbiter, Ask, Asked, Effect, End, Event, Part, Reply, Request, Settings},
+    catalogue::{Catalogue, Entry, Service},
+};
+use googletest::prelude::*;
+use slots::{SERVICE, account, ask, class, runners, sample};
+
+/// Runners of the largest service of the users' milestone.
+const RUNNERS: usize = 90;
+
+/// Requests that one of them runs at once.
+const SLOTS: u32 = 32;
+
+/// Daemons before them.
+const DAEMONS: u64 = 91;
+
+/// Accounts that share them.
+const ACCOUNTS: u64 = 24;
+
+/// Prompt tokens that a runner reads in a second.
+const READ_RATE: f64 = 41_400.0;
+
+/// Time from the first event of an answer to its end.
+const RUN: Duration = Duration::from_millis(350);
+
+/// What comes in.
+struct Kind {
+    class: &'static str,
+    per_second: f64,
+    subjects: u64,
+    /// Tokens of what all prompts share, of a subject's part and of the own part.
+    tokens: [u32; 3],
+    patience: Duration,
+}
+
+const KINDS: [Kind; 3] = [
+    Kind {
+        class: "layout",
+        per_second: 301.0 * 6.0,
+        subjects: 1_064,
+        tokens: [800, 5_500, 2_890],
+        patience: Duration::from_secs(6),
+    },
+    Kind {
+        class: "proof",
+        per_second: 229.0,
+        subjects: 866,
+        tokens: [300, 268, 1_800],
+        patience: Duration::from_secs(3),
+    },
+    Kind {
+        class: "chat",
+        per_second: 137.0,
+        subjects: 1_167,
+        tokens: [100, 72, 543],
+        patience: Duration::from_secs(15),
+    },
+];
+
+fn catalogue() -> Arc<Catalogue> {
+    let aims = [
+        ("chat", 0, 800, 150),
+        ("proof", 1, 800, 250),
+        ("layout", 2, 1_500, 600),
+    ];
+    let classes = aims.map(|(name, tier, first, pause)| {
+        Entry::Class(Arc::new(class(name, tier, |it| {
+            it.first_token = Duration::from_millis(first);
+            it.between_tokens = Duration::from_millis(pause);
+            it.queue_limit = 100_000;
+        })))
+    });
+    let service = Entry::Service(Arc::new(Service {
+        memory_tokens: 300_086,
+        ..slots::service(SLOTS)
+    }));
+    let accounts = (0..ACCOUNTS).map(|number| {
+        let key = char::from(b'a' + u8::try_from(number).expect("a letter"));
+        Entry::Account(Arc::new(account(&tenant(number), key, 100_000, 100_000)))
+    });
+    let entries: Vec<Entry> = classes
+        .into_iter()
+        .chain([service])
+        .chain(accounts)
+        .collect();
+    Arc::new(Catalogue::from_entries(1, entries))
+}
+
+/// Runners that read one prompt after the other and keep what they have read.
+#[derive(Default)]
+struct Model {
+    free_at: HashMap<String, Instant>,
+    kept: HashSet<(String, u64)>,
+}
+
+impl Model {
+    /// When the answer to a prompt begins.
+    fn read(&mut self, now: Instant, runner: &str, prompt: &[Part]) -> Instant {
+        let mut tokens = 0;
+        for part in prompt {
+            if self.kept.insert((runner.to_owned(), part.id)) {
+                tokens += part.tokens;
+            }
+        }
+        let free_at = self.free_at.entry(runner.to_owned()).or_insert(now);
+        *free_at = (*free_at).max(now) + Duration::from_secs_f64(f64::from(tokens) / READ_RATE);
+        *free_at
+    }
+}
+
+/// One arbiter, its runners and its askers.
+struct Burst {
+    now: Instant,
+    arbiter: Arbiter,
+    model: Model,
+    prompts: HashMap<u64, Vec<Part>>,
+    /// Answers that begin (false) and end (true).
+    due: BTreeSet<(Instant, u64, bool)>,
+    events: u64,
+}
+
+impl Burst {
+    fn new() -> Self {
+        let now = Instant::now();
+        let settings = Settings {
+            collect: Duration::ZERO,
+            ..Settings::default()
+        };
+        let live = (0..DAEMONS).map(name).collect();
+        let (arbiter, _) = Arbiter::new(now, SERVICE.to_owned(), 1, live, settings);
+        let mut burst = Self {
+            now,
+            arbiter,
+            model: Model::default(),
+            prompts: HashMap::new(),
+            due: BTreeSet::new(),
+            events: 0,
+        };
+        let mut listed = runners(RUNNERS);
+        for (number, runner) in listed.iter_mut().enumerate() {
+            runner.domain = format!("zone-{}", number % 5);
+        }
+        burst.take(Event::Catalogue(catalogue()));
+        burst.take(Event::Runners(listed));
+        burst.take(Event::Tick);
+        burst
+    }
+
+    fn take(&mut self, event: Event) {
+        let effects = self.arbiter.on_event(self.now, event);
+        self.events += 1;
+        for effect in effects {
+            if let Effect::Tell(_, Reply::Grant { ticket, runner, .. }) = effect {
+                let begun = self.model.read(self.now, &runner, &self.prompts[&ticket]);
+                self.due.insert((begun, ticket, false));
+            }
+        }
+    }
+
+    fn say(&mut self, ticket: u64, request: Request) {
+        let asked = Asked {
+            least: 0,
+            fallback: false,
+            request,
+        };
+        let from = name(ticket % DAEMONS);
+        self.take(Event::Asked { from, asked });
+    }
+
+    fn offer(&mut self, kind: usize, number: u64) {
+        let Kind {
+            class,
+            subjects,
+            tokens,
+            patience,
+            ..
+        } = KINDS[kind];
+        let ticket = number * KINDS.len() as u64 + kind as u64;
+        // A multiplier without pattern spreads the subjects.
+        let subject = number.wrapping_mul(0x9E37_79B9_7F4A_7C15) % subjects;
+        let ids = [
+            kind as u64,
+            1_000 * (1 + kind as u64) * subjects + subject,
+            1 << 40 | ticket,
+        ];
+        let prompt: Vec<Part> = ids
+            .into_iter()
+            .zip(tokens)
+            .map(|(id, tokens)| Part { id, tokens })
+            .collect();
+        self.prompts.insert(ticket, prompt.clone());
+        let ask = Ask {
+            fingerprint: 0,
+            prompt,
+            output: 60,
+            remaining: patience,
+            ..ask(ticket, class, &tenant(number % ACCOUNTS))
+        };
+        self.say(ticket, Request::Ask(ask));
+    }
+
+    /// Plays for so long.
+    fn play(&mut self, time: Duration) {
+        let end = self.now + time;
+        let mut next: Vec<(Instant, usize, u64)> =
+            (0..KINDS.len()).map(|kind| (self.now, kind, 0)).collect();
+        let mut tick = self.now;
+        while self.now < end {
+            let arrival = next.iter_mut().min_by_key(|it| it.0).expect("kinds");
+            let due = self.due.first().copied();
+            if let Some((at, ticket, ends)) = due.filter(|it| it.0 <= arrival.0.min(tick)) {
+                self.due.pop_first();
+                self.now = self.now.max(at);
+                if ends {
+                    let release = sample(End::Done, RUN);
+                    self.say(ticket, Request::Release(ticket, release));
+                } else {
+                    self.due.insert((at + RUN, ticket, true));
+                    self.say(ticket, Request::Begun(ticket));
+                }
+            } else if tick <= arrival.0 {
+                self.now = self.now.max(tick);
+                tick += Duration::from_millis(100);
+                self.take(Event::Tick);
+            } else {
+                let (at, kind, number) = *arrival;
+                self.now = self.now.max(at);
+                arrival.0 = at + Duration::from_secs_f64(1.0 / KINDS[kind].per_second);
+                arrival.2 = number + 1;
+                self.offer(kind, number);
+            }
+        }
+    }
+}
+
+fn name(daemon: u64) -> String {
+    format!("front-{daemon}")
+}
+
+fn tenant(number: u64) -> String {
+    format!("account-{number}")
+}
+
+#[gtest]
+fn work_for_one_message_grows_with_what_waits() {
+    // Issue 15, GONE: an arbiter computed for seconds and left everything else of its daemon undone.
+    let mut burst = Burst::new();
+    burst.play(Duration::from_secs(4));
+    let queued: usize = burst.arbiter.stats().queued.iter().sum();
+    expect_that!(queued, gt(100), "a burst that fills the queue");
+    let weighed = burst.arbiter.stats().weighed / burst.events;
+    expect_that!(
+        weighed,
+        le(RUNNERS as u64),
+        "on the mean of {} messages",
+        burst.events
+    );
+}
