control: a silent leader does not use up the patience of who asks

Cause: ask_leader gave one replica up to 1.5 s and asked no other meanwhile. The platform's desk gives the whole call 0.9 s, an operator 1 s. So each daemon lost its first call on the leader it remembered, and where it has no replica itself the next one on the same instance, which comes first in the order of names and is held reachable until it is given up 5 s later.

Fix: policy::search decides whom to ask. After 200 ms of silence all replicas are asked who leads, with a small message however large the change is, and the question also goes to whoever is said to lead in the newest term. Nobody asked before is given up; an outcome that another one may have brought about is told as unsure. A command may reach the log twice, as with retries before; its identity lets it take effect once.

Ruled out: the new leader takes changes from 3.45 s on (its log), and membership suspected the old one at 3.1 s, which the search did not look at; a suspected replica may still lead, so it is not left out now either.

--- a/crates/daemon/src/control/client.rs
+++ b/crates/daemon/src/control/client.rs
@@ -2,19 +2,28 @@
 
 use std::time::{Duration, Instant};
 
-use citron_policy::id::{InstanceId, ReplicaId};
+use citron_policy::{
+    id::{InstanceId, ReplicaId},
+    search::{self, Effect, Event, Search},
+};
 use citron_wire::{Body, generated::control as proto};
+use futures_util::{
+    future::LocalBoxFuture,
+    stream::{FuturesUnordered, StreamExt},
+};
 
 use super::{Control, Error, outcome, wrap};
 use crate::peers;
 
-/// Longest wait for one replica before another is asked.
-const ATTEMPT: Duration = Duration::from_millis(1_500);
-
-/// Pause before the next replica is asked while none leads.
-const PAUSE: Duration = Duration::from_millis(50);
+/// What came of a message to a replica.
+enum Heard {
+    /// Of the question itself.
+    Reply(ReplicaId, Reply),
+    /// Of the question who leads; nothing if it stayed without an answer.
+    Stands(Option<Event>),
+}
 
-/// What one replica said.
+/// What one replica said to the question.
 enum Reply {
     /// It leads, and this is the outcome.
     Final(proto::message::Body),
@@ -33,48 +42,81 @@
         question: proto::message::Body,
         within: Duration,
     ) -> Result<proto::message::Body, Error> {
-        let end = Instant::now() + within;
+        let begun = Instant::now();
+        let end = begun + within;
+        let leader = &self.inner.leader;
+        let mut search = Search::new(begun, search::Settings::default(), leader.get());
+        let mut calls: FuturesUnordered<LocalBoxFuture<'_, Heard>> = FuturesUnordered::new();
         let mut unsure = false;
-        let mut turn = 0;
-        while let Some(left) = remaining(end) {
-            let Some((instance, replica)) = self.candidate(&mut turn) else {
-                actix_rt::time::sleep(PAUSE.min(left)).await;
-                continue;
-            };
-            let asked = self.ask(&instance, replica, question.clone(), left.min(ATTEMPT));
-            match reply_of(asked.await) {
-                Reply::Final(body) => {
-                    self.inner.leader.set(Some(replica));
-                    return outcome::settle(body, unsure);
-                }
-                Reply::NotLeader(Some(leader)) if self.inner.leader.get() != Some(leader) => {
-                    self.inner.leader.set(Some(leader));
-                    continue;
+        let mut event = Some(Event::Due);
+        loop {
+            let now = Instant::now();
+            if now >= end {
+                break;
+            }
+            if let Some(event) = event.take() {
+                let replicas = self.replicas();
+                let known: Vec<ReplicaId> = replicas.iter().map(|it| it.1).collect();
+                for effect in search.on_event(now, &known, event) {
+                    if let Effect::Ask(replica) = effect {
+                        leader.set(Some(replica));
+                    }
+                    calls.extend(self.carry_out(&replicas, effect, &question, end - now));
                 }
-                Reply::Unsure => unsure = true,
-                Reply::NotLeader(_) | Reply::Unreached => {}
             }
-            self.inner.leader.set(None);
-            actix_rt::time::sleep(PAUSE.min(left)).await;
+            let pause = search.due().min(end).saturating_duration_since(now);
+            event = tokio::select! {
+                Some(heard) = calls.next() => match heard {
+                    Heard::Reply(replica, Reply::Final(body)) => {
+                        leader.set(Some(replica));
+                        let unsure = unsure || search.is_open_beside(Some(replica));
+                        return outcome::settle(body, unsure);
+                    }
+                    Heard::Reply(replica, Reply::NotLeader(leader)) => {
+                        Some(Event::Declined { replica, leader })
+                    }
+                    Heard::Reply(replica, Reply::Unsure) => {
+                        unsure = true;
+                        Some(Event::Lost(replica))
+                    }
+                    Heard::Reply(replica, Reply::Unreached) => Some(Event::Lost(replica)),
+                    Heard::Stands(event) => event,
+                },
+                () = actix_rt::time::sleep(pause) => Some(Event::Due),
+            };
         }
-        Err(if unsure {
+        Err(if unsure || search.is_open_beside(None) {
             Error::Unsure
         } else {
             Error::NoLeader
         })
     }
 
-    /// The leader, if known, or else each replica in turn, the own one first.
-    fn candidate(&self, turn: &mut usize) -> Option<(InstanceId, ReplicaId)> {
-        let mut known = self.replicas();
-        let leader = self.inner.leader.get();
-        if let Some(found) = known.iter().find(|it| Some(it.1) == leader) {
-            return Some(found.clone());
-        }
-        known.sort_by_key(|it| it.0 != *self.inner.hub.me());
-        let place = *turn % known.len().max(1);
-        *turn += 1;
-        known.into_iter().nth(place)
+    /// The message that an effect asks for; none to a replica that has gone.
+    fn carry_out<'a>(
+        &'a self,
+        replicas: &[(InstanceId, ReplicaId)],
+        effect: Effect,
+        question: &proto::message::Body,
+        within: Duration,
+    ) -> Option<LocalBoxFuture<'a, Heard>> {
+        let (Effect::Ask(replica) | Effect::Probe(replica)) = effect;
+        let (instance, _) = replicas.iter().find(|it| it.1 == replica)?;
+        let instance = instance.clone();
+        Some(match effect {
+            Effect::Ask(_) => {
+                let question = question.clone();
+                Box::pin(async move {
+                    let asked = self.ask(&instance, replica, question, within);
+                    Heard::Reply(replica, reply_of(asked.await))
+                })
+            }
+            Effect::Probe(_) => Box::pin(async move {
+                let question = proto::message::Body::Status(proto::Ask {});
+                let asked = self.ask(&instance, replica, question, within);
+                Heard::Stands(stands(asked.await.ok()))
+            }),
+        })
     }
 
     /// Asks one replica.
@@ -121,7 +163,14 @@
     }
 }
 
-fn remaining(end: Instant) -> Option<Duration> {
-    end.checked_duration_since(Instant::now())
-        .filter(|left| !left.is_zero())
+/// What a replica's status tells a search.
+fn stands(answer: Option<proto::message::Body>) -> Option<Event> {
+    match answer {
+        Some(proto::message::Body::Standing(status)) => Some(Event::Stands {
+            replica: status.replica,
+            term: status.term,
+            leader: status.leader,
+        }),
+        _ => None,
+    }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod relay;
 pub mod retry;
 pub mod route;
+pub mod search;
 pub mod silence;
 pub mod state;
 pub mod swim;
