arbiter: a waiting request is looked at again only when that may help

The host of the arbiter computed for up to 3.5 s at a stretch.

Cause: each message to an arbiter tried the first eight waiting requests anew on all runners, twice each, with a sort of all runners for every try; with room anywhere and nothing that fits, that was done for each message until the burst was over. Preemption also counted and searched everything that runs. So the time for one message grew with what waits and runs, and an instance of 0.12 cores fell behind once the queue was not empty, which made the queue longer.

Fix: what keeps a request from being granted is kept with it, the runners that cost least for it and have no room. It is weighed again when one of these changed, or another that changed costs less now, and once in each round of 100 ms. Medians and the least share of failures are taken once a round; slots that may be asked back are kept in order.

Ruled out: a faster search alone (the same tries for each message), and fewer tries without a memory of the obstacle (a runner that got room would not be noticed before the next round).

--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -27,6 +27,7 @@
 mod suspect;
 
 use std::{
+    collections::BTreeSet,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -210,6 +211,10 @@
     next_asker: u32,
     queue: queue::Queue,
     running: IndexMap<Key, hold::Running>,
+    /// Running requests that may be asked back, by tier and age.
+    victims: BTreeSet<(u8, Instant, Key)>,
+    /// Running requests that are asked back.
+    preempting: usize,
     accounts: IndexMap<Arc<str>, u32>,
     pool: pool::Pool,
     floor: floor::Floor,
@@ -260,6 +265,8 @@
             next_asker: 0,
             queue: queue::Queue::default(),
             running: IndexMap::new(),
+            victims: BTreeSet::new(),
+            preempting: 0,
             accounts: IndexMap::new(),
             pool: pool::Pool::default(),
             floor: floor::Floor::new(settings.floor),
@@ -322,8 +329,9 @@
                 running,
                 slots,
             } => {
-                if let Some(runner) = self.pool.get_mut(&runner) {
-                    runner.on_load(now, running, slots);
+                if let Some(known) = self.pool.get_mut(&runner) {
+                    known.on_load(now, running, slots);
+                    self.pool.touch(&runner);
                 }
             }
             Event::Tick => self.on_tick(now, &mut effects),
@@ -371,6 +379,7 @@
             self.backend = service.backend;
             self.pool.set_max(service.max_running_per_runner);
             self.pool.set_memory(service.memory_tokens);
+            self.pool.begin_round();
         }
         self.catalogue = catalogue;
         let accounts: Vec<Arc<str>> = self.accounts.keys().cloned().collect();
@@ -412,7 +421,7 @@
         let awaits_list = self
             .collecting
             .as_ref()
-            .is_some_and(|it| now < it.list_until && self.pool.usable() == 0);
+            .is_some_and(|it| now < it.list_until && self.pool.is_unusable());
         if ended && !awaits_list {
             self.collecting = None;
             self.refuse_without_runner(now, effects);
--- a/crates/policy/src/arbiter/admit.rs
+++ b/crates/policy/src/arbiter/admit.rs
@@ -147,6 +147,7 @@
             resume: ask.resume,
             prompt: ask.prompt.as_slice().into(),
             output: ask.output,
+            obstacle: None,
             class,
         }
     }
@@ -166,7 +167,7 @@
         if ask.remaining.is_zero() {
             return Err(Refusal::Late);
         }
-        if self.collecting.is_none() && self.pool.usable() == 0 && self.pool.probe(now).is_none() {
+        if self.collecting.is_none() && self.pool.is_unusable() && self.pool.probe(now).is_none() {
             let retry_after = self.pool.retry_after(now);
             return Err(Refusal::NoRunner { retry_after });
         }
@@ -177,19 +178,18 @@
         if ask.resume {
             return self.make_room(item, effects);
         }
-        let retry_after = self.retry_after(item);
-        if self.waiting_of(&item.account) >= account.max_queued && !self.is_free(now, &item.account)
-        {
+        if self.is_free(now, &item.account) {
+            return self.make_room(item, effects);
+        }
+        if self.waiting_of(&item.account) >= account.max_queued {
+            let retry_after = self.retry_after(item);
             return Err(Refusal::Account { retry_after });
         }
         let queued = self.queue.class_len(&class.name);
-        if queued >= class.queue_limit as usize && !self.is_free(now, &item.account) {
-            return Err(Refusal::Shed { retry_after });
-        }
-        if queued >= self.settings.reserve
-            && !self.is_free(now, &item.account)
-            && self.wait(item) > self.patience(class)
-        {
+        let full = queued >= class.queue_limit as usize;
+        let spared = queued < self.settings.reserve;
+        if full || (!spared && self.wait(item) > self.patience(class)) {
+            let retry_after = self.retry_after(item);
             return Err(Refusal::Shed { retry_after });
         }
         self.make_room(item, effects)
@@ -205,7 +205,7 @@
         self.collecting.is_none()
             && self.queue.len() == 0
             && !self.queue.is_blocked(account)
-            && self.pool.free(now) > 0
+            && self.pool.is_free(now)
     }
 
     /// Sheds the newest of the lowest tier when the queue is full.
@@ -234,16 +234,20 @@
 
     /// How long a new request like this would wait.
     fn wait(&self, item: &Item) -> Duration {
+        self.wait_for(self.pool.slots(), item)
+    }
+
+    /// The same, where so many slots are in use.
+    fn wait_for(&self, slots: u32, item: &Item) -> Duration {
         let tier = item.tier();
         let higher = (0..tier).map(|it| self.queue.tier_len(it)).sum();
         let own = self.queue.ahead_in_tier(tier, &item.account) + 1;
-        let slots = self.pool.slots();
         self.estimate
             .wait(slots, tier, higher, own, self.settings.floor)
     }
 
     pub(super) fn retry_after(&self, item: &Item) -> Duration {
-        self.wait(item).clamp(RETRY[0], RETRY[1])
+        retry_after(self.wait(item))
     }
 
     /// Gives up what has reached its deadline or can't meet its target any more.
@@ -258,16 +262,18 @@
         if self.collecting.is_some() {
             return;
         }
+        let slots = self.pool.slots();
         for tier in (0..TIERS).rev() {
-            self.shed_overdue(now, tier, effects);
+            self.shed_overdue(now, tier, slots, effects);
         }
     }
 
     /// Gives up requests whose target has passed while their tier is overloaded.
-    fn shed_overdue(&mut self, now: Instant, tier: usize, effects: &mut Vec<Effect>) {
+    fn shed_overdue(&mut self, now: Instant, tier: usize, slots: u32, effects: &mut Vec<Effect>) {
         let overdue = self.queue.overdue(tier, now);
         let first = overdue.first().and_then(|key| self.queue.get(*key));
-        let overloaded = first.is_some_and(|it| self.wait(it) > self.patience(&it.class));
+        let overloaded =
+            first.is_some_and(|it| self.wait_for(slots, it) > self.patience(&it.class));
         self.queue.set_overloaded(tier, overloaded);
         if !overloaded {
             return;
@@ -276,7 +282,7 @@
             let Some(item) = self.queue.get(key).filter(|it| !self.is_spared(it)) else {
                 continue;
             };
-            let retry_after = self.retry_after(item);
+            let retry_after = retry_after(self.wait_for(slots, item));
             if let Some(item) = self.take_waiting(key) {
                 self.refuse_item(&item, Refusal::Shed { retry_after }, effects);
             }
@@ -292,7 +298,7 @@
 
     /// Gives up everything that waits once no runner is in use.
     pub(super) fn refuse_without_runner(&mut self, now: Instant, effects: &mut Vec<Effect>) {
-        if self.collecting.is_some() || self.pool.usable() > 0 {
+        if self.collecting.is_some() || !self.pool.is_unusable() {
             return;
         }
         let retry_after = self.pool.retry_after(now);
@@ -332,6 +338,11 @@
     }
 }
 
+/// The time to come back that is told for a wait.
+fn retry_after(wait: Duration) -> Duration {
+    wait.clamp(RETRY[0], RETRY[1])
+}
+
 fn crash_step(item: &Item) -> crate::crash::Step {
     debug_assert!(item.fingerprint != NO_FINGERPRINT, "an identified request");
     crate::crash::Step::Suspected(vec![item.fingerprint])
--- a/crates/policy/src/arbiter/grant.rs
+++ b/crates/policy/src/arbiter/grant.rs
@@ -5,6 +5,7 @@
 use super::{
     Arbiter, Effect, Key, Note, Reply,
     hold::{Running, Way},
+    pool::{Obstacle, Seeker},
     queue::{Item, TIERS},
     suspect::Alone,
 };
@@ -26,7 +27,8 @@
             return;
         }
         self.probe(now, effects);
-        while self.pool.free(now) > 0 && self.grant_next(now, effects) {}
+        while self.pool.is_free(now) && self.grant_next(now, effects) {}
+        self.pool.settle();
         self.run_alone(now, effects);
         self.preempt(now, effects);
     }
@@ -64,15 +66,27 @@
         let Some(item) = self.queue.get(key) else {
             return false;
         };
-        let near = self.domain_of(key);
+        let seeker = Seeker {
+            avoid: &item.avoid,
+            near: self.domain_of(key),
+            work: item.work(),
+        };
+        let stands = |it: &Obstacle| !self.pool.is_outdated(now, &seeker, it);
+        if item.obstacle.as_ref().is_some_and(stands) {
+            return false;
+        }
         let picked = if item.prompt.is_empty() {
             let warm = self.affinity.get(item.prefix);
-            self.pool.pick(now, &item.avoid, warm, near)
+            self.pool.pick(now, &seeker, warm)
         } else {
-            self.pool.pick_reader(now, &item.avoid, &item.work(), near)
+            self.pool.pick_reader(now, &seeker)
         };
-        let Some(runner) = picked else {
-            return false;
+        let runner = match picked {
+            Ok(runner) => runner,
+            Err(obstacle) => {
+                self.queue.set_obstacle(key, obstacle);
+                return false;
+            }
         };
         let Some(item) = self.queue.grant(key) else {
             return false;
@@ -112,6 +126,7 @@
                 share = Some(runner.prompts.begin(now, &item.work()));
             }
         }
+        self.pool.touch(&runner);
         let running = Running {
             address,
             share,
@@ -133,7 +148,7 @@
             let Some(item) = last.and_then(|key| self.queue.get(key)) else {
                 return;
             };
-            let none_usable = self.pool.usable() == 0;
+            let none_usable = self.pool.is_unusable();
             // Without it, a runner would never come back while the lowest
             // class has no requests.
             let overdue = self.pool.get(&runner).is_some_and(|it| it.overdue(now));
@@ -194,6 +209,7 @@
             && let Some(runner) = self.pool.get_mut(&alone.runner)
         {
             runner.reserved = false;
+            self.pool.touch(&alone.runner);
         }
     }
 
@@ -222,12 +238,12 @@
 
     /// Asks slots back from lower tiers for requests that run out of time.
     fn preempt(&mut self, now: Instant, effects: &mut Vec<Effect>) {
-        if self.backend != Backend::Model || self.queue.len() == 0 {
+        let idle = self.victims.is_empty() || self.queue.len() == 0;
+        if self.backend != Backend::Model || idle {
             return;
         }
-        let pending = self.running.values().filter(|it| it.preempting).count();
         let urgent = self.urgent(now);
-        for waiting in urgent.into_iter().skip(pending) {
+        for waiting in urgent.into_iter().skip(self.preempting) {
             let Some(victim) = self.victim(waiting) else {
                 return;
             };
@@ -249,31 +265,33 @@
     /// The running request to give way to one of `tier`: of the lowest tier, the
     /// one with the least work done.
     fn victim(&self, tier: u8) -> Option<Key> {
-        let lower = self.running.iter().filter(|(_, it)| {
-            it.class.preemptible
-                && it.class.tier > tier
-                && !it.preempting
-                && it.way == Way::Turn
-                && !it.resumed
-                && self
-                    .pool
-                    .get(&it.runner)
-                    .is_some_and(super::runner::Runner::is_usable)
-        });
-        lower
-            .max_by_key(|(_, it)| (it.class.tier, it.since))
-            .map(|(key, _)| *key)
+        let lower = self.victims.iter().rev();
+        let mut lower = lower.take_while(|(it, ..)| *it > tier);
+        let usable = |key: &Key| {
+            let runner = self.running.get(key).map(|it| &it.runner);
+            let runner = runner.and_then(|it| self.pool.get(it));
+            runner.is_some_and(super::runner::Runner::is_usable)
+        };
+        lower.find(|(.., key)| usable(key)).map(|(.., key)| *key)
     }
 
     fn ask_back(&mut self, key: Key, waiting: u8, effects: &mut Vec<Effect>) {
-        if let Some(running) = self.running.get_mut(&key) {
-            running.preempting = true;
-            let victim = running.class.tier;
+        if let Some(victim) = self.mark_preempting(key) {
             effects.push(Effect::Note(Note::Preempted { victim, waiting }));
             self.tell(key, Reply::Preempt(key.ticket), effects);
         }
     }
 
+    /// Notes that a slot is asked back; gives the tier that loses it.
+    fn mark_preempting(&mut self, key: Key) -> Option<u8> {
+        let running = self.running.get_mut(&key)?;
+        running.preempting = true;
+        let tier = running.class.tier;
+        self.preempting += 1;
+        self.victims.remove(&(tier, running.since, key));
+        Some(tier)
+    }
+
     /// Asks back the streams on a runner set aside as slow, so that they go on
     /// elsewhere.
     pub(super) fn move_away(&mut self, runner: &RunnerId, effects: &mut Vec<Effect>) {
@@ -285,9 +303,7 @@
         });
         let keys: Vec<Key> = there.map(|(key, _)| *key).collect();
         for key in keys {
-            if let Some(running) = self.running.get_mut(&key) {
-                running.preempting = true;
-            }
+            self.mark_preempting(key);
             self.tell(key, Reply::Preempt(key.ticket), effects);
         }
     }
--- a/crates/policy/src/arbiter/hold.rs
+++ b/crates/policy/src/arbiter/hold.rs
@@ -144,6 +144,10 @@
     pub(super) fn insert_running(&mut self, key: Key, running: Running) {
         let account = Arc::clone(&running.account);
         *self.accounts.entry(Arc::clone(&account)).or_default() += 1;
+        if running.class.preemptible && running.way == Way::Turn && !running.resumed {
+            self.victims
+                .insert((running.class.tier, running.since, key));
+        }
         self.running.insert(key, running);
         self.update_block(&account);
     }
@@ -151,12 +155,16 @@
     fn remove_running(&mut self, now: Instant, key: Key) -> Option<Running> {
         let running = self.running.swap_remove(&key)?;
         self.part(key);
+        self.preempting -= usize::from(running.preempting);
+        self.victims
+            .remove(&(running.class.tier, running.since, key));
         if let Some(runner) = self.pool.get_mut(&running.runner) {
             runner.on_free(now);
             if let Some(share) = running.share {
                 runner.prompts.end(share);
             }
         }
+        self.pool.touch(&running.runner);
         if let Some(count) = self.accounts.get_mut(&running.account) {
             *count -= 1;
             if *count == 0 {
@@ -189,6 +197,7 @@
             if share.timed {
                 runner.on_read(now.saturating_duration_since(running.since), share.ahead);
             }
+            self.pool.touch(&running.runner);
         }
     }
 
@@ -457,6 +466,7 @@
             runner.on_grant(now);
             runner.reserved |= hold.alone;
         }
+        self.pool.touch(&running.runner);
         if hold.alone {
             self.suspects.alone = Some(Alone {
                 key,
--- a/crates/policy/src/arbiter/pool.rs
+++ b/crates/policy/src/arbiter/pool.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use super::{
     message::{End, Sample},
@@ -72,12 +72,52 @@
     Back(RunnerId),
 }
 
+/// A request that looks for a runner.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Seeker<'a> {
+    /// Runners that failed it already.
+    pub(super) avoid: &'a [RunnerId],
+    /// Failure domain of the daemon that asks, if it is known.
+    pub(super) near: Option<&'a DomainId>,
+    pub(super) work: Work<'a>,
+}
+
+/// Why a request found no runner; it is not looked at again before that changes.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Obstacle {
+    round: u64,
+    /// Last change of a runner that is taken into account.
+    seen: u64,
+    /// Places of the runners that cost least but have no room, with their costs:
+    /// with and without regard to the failure domain. None if no runner was free.
+    cheapest: Option<[(usize, f64); 2]>,
+}
+
 /// Runners by name.
 #[derive(Debug, Default)]
 pub(super) struct Pool {
     runners: IndexMap<RunnerId, Runner>,
     /// Times that a runner was weighed for a request.
     weighed: Cell<u64>,
+    /// Number of the present round of looking at everything that waits.
+    round: u64,
+    /// Changes of runners so far.
+    changes: u64,
+    /// Places of the runners that changed since they were last forgotten.
+    changed: IndexSet<usize>,
+    /// What runners are compared with, as of the last round.
+    usual: Usual,
+}
+
+/// What the runners of a pool have in common.
+#[derive(Clone, Copy, Debug, Default)]
+struct Usual {
+    /// Median time to read a prompt of one length.
+    pace: Option<f64>,
+    /// Median time between tokens.
+    between: Option<f64>,
+    /// Lowest share of failed requests; what all share is no fault of one.
+    faults: f64,
 }
 
 impl Pool {
@@ -104,6 +144,7 @@
             }
             runner.set_max(max);
         }
+        self.begin_round();
     }
 
     pub(super) fn set_max(&mut self, max: u32) {
@@ -124,9 +165,29 @@
         self.weighed.get()
     }
 
-    /// Slots that can be granted now.
-    pub(super) fn free(&self, now: Instant) -> u32 {
-        self.runners.values().map(|runner| runner.free(now)).sum()
+    /// Lets everything that waits be looked at again.
+    pub(super) fn begin_round(&mut self) {
+        self.round += 1;
+        self.changed.clear();
+    }
+
+    /// Notes that a runner may have become a better or worse choice.
+    pub(super) fn touch(&mut self, id: &RunnerId) {
+        if let Some((place, _, runner)) = self.runners.get_full_mut(id) {
+            self.changes += 1;
+            runner.changed = self.changes;
+            self.changed.insert(place);
+        }
+    }
+
+    /// Forgets which runners changed, once everything that waits has been looked at.
+    pub(super) fn settle(&mut self) {
+        self.changed.clear();
+    }
+
+    /// Whether a slot can be granted now.
+    pub(super) fn is_free(&self, now: Instant) -> bool {
+        self.runners.values().any(|runner| runner.free(now) > 0)
     }
 
     /// Slots of all runners in use.
@@ -135,6 +196,11 @@
         usable.map(Runner::limit).sum()
     }
 
+    /// Whether no runner is in use.
+    pub(super) fn is_unusable(&self) -> bool {
+        !self.runners.values().any(Runner::is_usable)
+    }
+
     pub(super) fn usable(&self) -> usize {
         self.runners.values().filter(|it| it.is_usable()).count()
     }
@@ -168,76 +234,108 @@
     pub(super) fn pick_reader(
         &self,
         now: Instant,
-        avoid: &[RunnerId],
-        work: &Work<'_>,
-        near: Option<&DomainId>,
-    ) -> Option<RunnerId> {
-        let others = self.has_others(avoid);
-        let pace = self.median(|it| it.pace.get(LEAST_SAMPLES));
-        let least_faults = self.least_faults(now);
-        let fit = self
-            .runners
-            .iter()
-            .filter(|(id, it)| it.free(now) > 0 && !(others && avoid.contains(*id)));
-        let cost = |runner: &Runner| {
-            self.weighed.set(self.weighed.get() + 1);
-            let crowd = f64::from(runner.load(now)) / f64::from(runner.limit());
-            let slow = match (runner.pace.get(LEAST_SAMPLES), pace) {
-                (Some(own), Some(median)) if median > 0.0 => (own / median).clamp(1.0, MAX_PACE),
-                _ => 1.0,
-            };
-            let faults = (runner.fault_rate(now) - least_faults) * FAULT_TOKENS;
-            let far = if is_far(runner, near) {
-                FAR_TOKENS
-            } else {
-                0.0
-            };
-            runner.prompts.cost(now, work, crowd) * slow + faults + far
+        seeker: &Seeker<'_>,
+    ) -> Result<RunnerId, Obstacle> {
+        let others = self.has_others(seeker.avoid);
+        let mut cheapest: Option<[(usize, f64); 2]> = None;
+        for (place, (id, runner)) in self.runners.iter().enumerate() {
+            if runner.free(now) == 0 || (others && seeker.avoid.contains(id)) {
+                continue;
+            }
+            let costs = self.costs(now, runner, seeker);
+            let best = cheapest.get_or_insert([(place, costs[0]), (place, costs[1])]);
+            for (best, cost) in best.iter_mut().zip(costs) {
+                if cost < best.1 {
+                    *best = (place, cost);
+                }
+            }
+        }
+        let chosen = cheapest.iter().flatten().find_map(|(place, _)| {
+            let (id, runner) = self.runners.get_index(*place)?;
+            runner.prompts.has_room(&seeker.work).then(|| id.clone())
+        });
+        chosen.ok_or(self.obstacle(cheapest))
+    }
+
+    /// Cost of a request on a runner, with and without regard to its failure domain.
+    fn costs(&self, now: Instant, runner: &Runner, seeker: &Seeker<'_>) -> [f64; 2] {
+        self.weighed.set(self.weighed.get() + 1);
+        let crowd = f64::from(runner.load(now)) / f64::from(runner.limit());
+        let slow = match (runner.pace.get(LEAST_SAMPLES), self.usual.pace) {
+            (Some(own), Some(median)) if median > 0.0 => (own / median).clamp(1.0, MAX_PACE),
+            _ => 1.0,
         };
-        let (_, id, runner) = fit
-            .map(|(id, runner)| (cost(runner), id, runner))
-            .min_by(|a, b| a.0.total_cmp(&b.0))?;
-        match (runner.prompts.has_room(work), near) {
-            (true, _) => Some(id.clone()),
-            (false, Some(_)) => self.pick_reader(now, avoid, work, None),
-            (false, None) => None,
+        let faults = (runner.fault_rate(now) - self.usual.faults) * FAULT_TOKENS;
+        let cost = runner.prompts.cost(now, &seeker.work, crowd) * slow + faults;
+        let far = if is_far(runner, seeker.near) {
+            FAR_TOKENS
+        } else {
+            0.0
+        };
+        [cost + far, cost]
+    }
+
+    fn obstacle(&self, cheapest: Option<[(usize, f64); 2]>) -> Obstacle {
+        Obstacle {
+            round: self.round,
+            seen: self.changes,
+            cheapest,
+        }
+    }
+
+    /// Whether what kept a request waiting may have changed.
+    pub(super) fn is_outdated(&self, now: Instant, seeker: &Seeker<'_>, found: &Obstacle) -> bool {
+        if found.round != self.round {
+            return true;
         }
+        let changed = self.changed.iter().filter_map(|place| {
+            let (id, runner) = self.runners.get_index(*place)?;
+            (runner.changed > found.seen).then_some((*place, id, runner))
+        });
+        changed.into_iter().any(|(place, id, runner)| {
+            let fits = runner.free(now) > 0 && !seeker.avoid.contains(id);
+            let Some(cheapest) = &found.cheapest else {
+                return fits;
+            };
+            let cheaper = || {
+                let costs = self.costs(now, runner, seeker);
+                cheapest.iter().zip(costs).any(|(best, cost)| cost < best.1)
+            };
+            cheapest.iter().any(|it| it.0 == place) || (fits && cheaper())
+        })
     }
 
     /// Whether a runner in use is none of those to avoid.
     fn has_others(&self, avoid: &[RunnerId]) -> bool {
+        if avoid.is_empty() {
+            return false;
+        }
         let mut runners = self.runners.iter();
         runners.any(|(id, it)| it.is_usable() && !avoid.contains(id))
     }
 
-    /// The lowest share of failed requests; what all runners share is no fault of one.
-    fn least_faults(&self, now: Instant) -> f64 {
-        let usable = self.runners.values().filter(|it| it.is_usable());
-        let rates = usable.map(|it| it.fault_rate(now));
-        rates.reduce(f64::min).unwrap_or(0.0)
-    }
-
     /// The best runner with a free slot; avoided ones only if no other is in use.
     pub(super) fn pick(
         &self,
         now: Instant,
-        avoid: &[RunnerId],
+        seeker: &Seeker<'_>,
         warm: Option<&RunnerId>,
-        near: Option<&DomainId>,
-    ) -> Option<RunnerId> {
-        let others = self.has_others(avoid);
-        let median = self.median(|it| it.between.get(LEAST_SAMPLES));
-        let least_faults = self.least_faults(now);
+    ) -> Result<RunnerId, Obstacle> {
+        let others = self.has_others(seeker.avoid);
         let mut best: Option<(f64, &RunnerId)> = None;
         let mut warm_score = None;
         for (id, runner) in &self.runners {
-            if runner.free(now) == 0 || (others && avoid.contains(id)) {
+            if runner.free(now) == 0 || (others && seeker.avoid.contains(id)) {
                 continue;
             }
             self.weighed.set(self.weighed.get() + 1);
-            let faults = (runner.fault_rate(now) - least_faults) * FAULT_SCORE;
-            let far = if is_far(runner, near) { FAR_SCORE } else { 0.0 };
-            let score = score(now, runner, median) + faults + far;
+            let faults = (runner.fault_rate(now) - self.usual.faults) * FAULT_SCORE;
+            let far = if is_far(runner, seeker.near) {
+                FAR_SCORE
+            } else {
+                0.0
+            };
+            let score = score(now, runner, self.usual.between) + faults + far;
             if warm == Some(id) {
                 warm_score = Some((score, id));
             }
@@ -245,10 +343,10 @@
                 best = Some((score, id));
             }
         }
-        let (least, id) = best?;
+        let (least, id) = best.ok_or(self.obstacle(None))?;
         match warm_score {
-            Some((score, warm)) if score <= least + AFFINITY => Some(warm.clone()),
-            _ => Some(id.clone()),
+            Some((score, warm)) if score <= least + AFFINITY => Ok(warm.clone()),
+            _ => Ok(id.clone()),
         }
     }
 
@@ -342,7 +440,7 @@
         }
     }
 
-    /// Sets slow runners aside and takes recovered ones back.
+    /// Compares the runners anew: sets slow ones aside and takes recovered ones back.
     pub(super) fn judge(&mut self, now: Instant) -> Vec<Turn> {
         let mut turns = Vec::new();
         let medians = [
@@ -350,6 +448,14 @@
             self.median(|it| it.first.get(LEAST_SAMPLES)),
             self.median(|it| it.whole.get(LEAST_SAMPLES)),
         ];
+        let usable = self.runners.values().filter(|it| it.is_usable());
+        let faults = usable.map(|it| it.fault_rate(now)).reduce(f64::min);
+        self.usual = Usual {
+            pace: self.median(|it| it.pace.get(LEAST_SAMPLES)),
+            between: medians[0],
+            faults: faults.unwrap_or(0.0),
+        };
+        self.begin_round();
         for (id, runner) in &mut self.runners {
             let Health::Out {
                 cause: Cause::Slow,
--- a/crates/policy/src/arbiter/prompt.rs
+++ b/crates/policy/src/arbiter/prompt.rs
@@ -201,6 +201,9 @@
     }
 
     fn pressure(&self, now: Instant) -> f64 {
+        if self.pressure <= 0.0 {
+            return 0.0;
+        }
         let age = self
             .faded
             .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
--- a/crates/policy/src/arbiter/queue.rs
+++ b/crates/policy/src/arbiter/queue.rs
@@ -12,6 +12,7 @@
 use super::{
     Key,
     message::Part,
+    pool::Obstacle,
     prompt::{self, Work},
 };
 use crate::{
@@ -43,6 +44,8 @@
     pub(super) prompt: Arc<[Part]>,
     /// Most tokens of the answer.
     pub(super) output: u32,
+    /// What kept it from being granted when it was last looked at.
+    pub(super) obstacle: Option<Obstacle>,
 }
 
 impl Item {
@@ -124,6 +127,13 @@
         self.items.get(&key)
     }
 
+    /// Notes what keeps an item from being granted.
+    pub(super) fn set_obstacle(&mut self, key: Key, obstacle: Obstacle) {
+        if let Some(item) = self.items.get_mut(&key) {
+            item.obstacle = Some(obstacle);
+        }
+    }
+
     pub(super) fn items(&self) -> impl Iterator<Item = &Item> {
         self.items.values()
     }
--- a/crates/policy/src/arbiter/runner.rs
+++ b/crates/policy/src/arbiter/runner.rs
@@ -114,6 +114,9 @@
     }
 
     fn rate(&self, now: Instant) -> f64 {
+        if self.rate <= 0.0 {
+            return 0.0;
+        }
         let age = self
             .noted
             .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
@@ -132,6 +135,8 @@
     /// Kept free of others for a request that must run alone.
     pub(super) reserved: bool,
     pub(super) held: u32,
+    /// Number of its last change that a waiting request should know of.
+    pub(super) changed: u64,
     /// What it keeps of prompts, and reads.
     pub(super) prompts: Load,
     /// Share of requests that failed of late.
@@ -167,6 +172,7 @@
             domain: DomainId::new(),
             reserved: false,
             held: 0,
+            changed: 0,
             prompts: Load::default(),
             faults: Faults::default(),
             breaks: 0,
@@ -196,12 +202,12 @@
         }
     }
 
-    /// Most requests that it is given at once.
     /// Takes over how many requests it runs at once.
     pub(super) fn set_slots(&mut self, slots: u32) {
         self.slots = slots;
     }
 
+    /// Most requests that it is given at once.
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
