slots: daemons are ranked once for each change of the members

Cause: the host of an arbiter computed the rendezvous order of all daemons for each message of a daemon, before it looked whether it hosts the arbiter already: 91 hashes, copies of names and a sort.

--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -20,7 +20,7 @@
 };
 
 use citron_policy::{
-    arbiter::{Ask, Ticket, order},
+    arbiter::{Ask, Ticket},
     catalogue::Backend,
     crash,
     desk::{self, Desk},
@@ -354,16 +354,16 @@
     }
 
     fn open_desk(&self, now: Instant, service: &ServiceId) {
-        let members = self.inputs.members.borrow().clone();
-        let marks = Arc::clone(&self.inputs.view.borrow().marks);
-        let mut host = self.host.borrow_mut();
-        if !host.desks.contains_key(service) {
-            let mut desk = Desk::new(now, desk::Settings::default());
-            // A desk without work has nothing to say about either.
-            drop(desk.on_event(now, desk::Event::Ranks(order(service, 0, &members))));
-            drop(desk.on_event(now, desk::Event::Marks(marks)));
-            host.desks.insert(service.clone(), desk);
+        if self.host.borrow().desks.contains_key(service) {
+            return;
         }
+        let ranks = self.ranks(service).to_vec();
+        let marks = Arc::clone(&self.inputs.view.borrow().marks);
+        let mut desk = Desk::new(now, desk::Settings::default());
+        // A desk without work has nothing to say about either.
+        drop(desk.on_event(now, desk::Event::Ranks(ranks)));
+        drop(desk.on_event(now, desk::Event::Marks(marks)));
+        self.host.borrow_mut().desks.insert(service.clone(), desk);
     }
 
     fn is_declared(&self, service: &ServiceId) -> bool {
--- a/crates/daemon/src/slots/host.rs
+++ b/crates/daemon/src/slots/host.rs
@@ -5,6 +5,7 @@
 
 use std::{
     collections::VecDeque,
+    rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -99,6 +100,8 @@
     queue: VecDeque<Work>,
     asks: IndexMap<(InstanceId, ServiceId), Vec<Asked>>,
     replies: IndexMap<(InstanceId, ServiceId), (Epoch, Vec<Reply>)>,
+    /// Rendezvous orders by the present members.
+    ranks: IndexMap<ServiceId, Rc<[InstanceId]>>,
     effort: Effort,
 }
 
@@ -121,6 +124,7 @@
             queue: VecDeque::new(),
             asks: IndexMap::new(),
             replies: IndexMap::new(),
+            ranks: IndexMap::new(),
             effort: Effort::new(Instant::now()),
         }
     }
@@ -326,10 +330,6 @@
         from: &InstanceId,
         asked: &Asked,
     ) -> bool {
-        let ranks = order(service, 0, &self.inputs.members.borrow());
-        let me = self.hub.me();
-        let first = ranks.first() == Some(me);
-        let near = ranks.iter().take(MAX_RANKS).any(|it| it == me);
         if self.host.borrow().arbiters.contains_key(service) {
             return true;
         }
@@ -340,6 +340,10 @@
         if !wanted {
             return false;
         }
+        let ranks = self.ranks(service);
+        let me = self.hub.me();
+        let first = ranks.first() == Some(me);
+        let near = ranks.iter().take(MAX_RANKS).any(|it| it == me);
         if first || (near && asked.fallback) {
             self.start_arbiter(now, service, !first);
             return true;
@@ -483,16 +487,27 @@
         self.follow_members();
     }
 
+    /// The rendezvous order of a service, ranked once for each change of the members.
+    pub(super) fn ranks(&self, service: &ServiceId) -> Rc<[InstanceId]> {
+        let mut host = self.host.borrow_mut();
+        if let Some(known) = host.ranks.get(service) {
+            return Rc::clone(known);
+        }
+        let ranks: Rc<[InstanceId]> = order(service, 0, &self.inputs.members.borrow()).into();
+        host.ranks.insert(service.clone(), Rc::clone(&ranks));
+        ranks
+    }
+
     pub(super) fn follow_members(&self) {
-        let members = self.inputs.members.borrow().clone();
+        self.host.borrow_mut().ranks.clear();
         let (live, domains) = (self.live(), self.domains());
         let mut works = Vec::new();
         for service in self.desk_services() {
-            let ranks = order(&service, 0, &members);
+            let ranks = self.ranks(&service).to_vec();
             works.push(Work::Desk(service, desk::Event::Ranks(ranks)));
         }
         for (service, fallback) in self.hosted_services() {
-            let first = order(&service, 0, &members).into_iter().next();
+            let first = self.ranks(&service).first().cloned();
             if !fallback && first.as_ref() != Some(self.hub.me()) {
                 self.retire(&service, first.as_ref());
             } else {
@@ -604,9 +619,7 @@
             idle.map(|(service, _)| service.clone()).collect()
         };
         for service in idle {
-            let first = order(&service, 0, &self.inputs.members.borrow())
-                .into_iter()
-                .next();
+            let first = self.ranks(&service).first().cloned();
             if first.as_ref() != Some(self.hub.me()) {
                 self.retire(&service, first.as_ref());
             }
--- a/crates/daemon/tests/regressions.rs
+++ b/crates/daemon/tests/regressions.rs
@@ -2,10 +2,31 @@
 
 mod common;
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
+use citron_daemon::{
+    event::Ring,
+    peers::Hub,
+    platform::Need,
+    slots::{Inputs, Settings, Slots},
+};
+use citron_policy::{
+    arbiter::{Asked, Beat, Request, order},
+    catalogue::{Backend, Catalogue, Entry, Service},
+    feed::View,
+    member::{Member, Members, State},
+    platform::List,
+};
+use citron_wire::slot;
 use googletest::prelude::*;
+use nix::time::{ClockId, clock_gettime};
 use serde_json::{Value, json};
+use tokio::sync::watch;
 
 use common::{
     cluster::{Cluster, Plan, catalogue},
@@ -67,3 +88,100 @@
         base = reply.json()["revision"].as_u64().unwrap_or(base);
     }
 }
+
+/// Messages whose processor time is measured together.
+const MESSAGES: u32 = 1_000;
+
+/// Measurements of which the least counts.
+const ROUNDS: u32 = 5;
+
+fn member(number: usize) -> Member {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    Member {
+        id: format!("front-{number}"),
+        domain: "zone".to_owned(),
+        peer: address,
+        callers: address,
+        replica: None,
+        incarnation: 1,
+        state: State::Alive,
+        revision: 0,
+        load: 0,
+        current: true,
+    }
+}
+
+fn assistant() -> Service {
+    Service {
+        name: "assistant".to_owned(),
+        owner: "tests".to_owned(),
+        backend: Backend::Model,
+        class: String::new(),
+        once: Vec::new(),
+        max_running_per_runner: 8,
+        retry_percent: 10,
+        refusal_statuses: Vec::new(),
+        timeout: Duration::from_mins(1),
+        max_body_bytes: 1 << 20,
+        memory_tokens: 0,
+    }
+}
+
+/// Processor time that one heartbeat costs the host of an arbiter among so many daemons.
+fn cost_of_a_heartbeat(daemons: usize) -> Duration {
+    let members: Members = (0..daemons)
+        .map(|number| (member(number).id, member(number)))
+        .collect();
+    let service = assistant();
+    let me = order(&service.name, 0, &members)[0].clone();
+    let entries = vec![Entry::Service(Arc::new(service.clone()))];
+    let view = View {
+        catalogue: Arc::new(Catalogue::from_entries(1, entries)),
+        ..View::default()
+    };
+    let inputs = Inputs {
+        members: watch::channel(Arc::new(members)).1,
+        platform: watch::channel(Arc::new(List::default())).1,
+        need: Need::default(),
+        view: watch::channel(Arc::new(view)).1,
+    };
+    let hub = Hub::new(&me, "one");
+    let slots = Slots::new(
+        Settings::default(),
+        hub,
+        inputs,
+        Rc::new(|_| {}),
+        Ring::default(),
+    );
+    let beat = || {
+        let asked = Asked {
+            least: 0,
+            fallback: false,
+            request: Request::Beat(Beat::default()),
+        };
+        slot::of_asked(&service.name, 0, vec![asked])
+    };
+    slots.on_tell(&"front-0".to_owned(), beat());
+    assert!(slots.hosts(), "no arbiter started");
+    let used = || {
+        let time = clock_gettime(ClockId::CLOCK_THREAD_CPUTIME_ID).expect("a clock");
+        Duration::from(time)
+    };
+    let round = || {
+        let before = used();
+        for _ in 0..MESSAGES {
+            slots.on_tell(&"front-0".to_owned(), beat());
+        }
+        used().saturating_sub(before) / MESSAGES
+    };
+    (0..ROUNDS).map(|_| round()).min().expect("a round")
+}
+
+#[gtest]
+fn each_slot_message_ranks_all_daemons() {
+    // Issue 15, GONE: the host of an arbiter ranked 91 daemons for each message.
+    actix_rt::System::new().block_on(async {
+        let (few, many) = (cost_of_a_heartbeat(3), cost_of_a_heartbeat(380));
+        expect_that!(many, le(few * 2), "{few:?} with 3 daemons");
+    });
+}
