logs: a refusal tells class, tier and time

CP1002 lacked what decides a refusal: a burst sheds by class and tier, and neither could be counted from the logs. No decision changes; the test of the catalogue's fields covers the new ones.

--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -146,16 +146,16 @@
         let arrived = Instant::now();
         let guard = InFlight::begin(&self.inner.in_flight);
         if *self.ports().closing.borrow() {
-            return self.refuse("", &Problem::leaving());
+            return self.refuse("", &Problem::leaving(), None);
         }
         let ask = match self.ports().outside.callers.read(request.head()) {
             Ok(ask) => ask,
-            Err(problem) => return self.refuse("", &problem),
+            Err(problem) => return self.refuse("", &problem, None),
         };
         let id = ask.id.clone();
         match self.admit(&mut request, ask, arrived).await {
             Ok(admitted) => self.serve(admitted, guard).await,
-            Err(problem) => self.refuse(&id, &problem),
+            Err(problem) => self.refuse(&id, &problem, None),
         }
     }
 
@@ -194,14 +194,14 @@
             () = gone(watch.as_ref()) => {
                 run.abandon();
                 let problem = Problem::gone();
-                return self.refuse(&id, &problem);
+                return self.refuse(&id, &problem, Some(&run.admitted));
             }
         };
         match first {
             Step::Whole(answer) => answer.response(),
             Step::Failed(problem) => {
                 run.fail(&problem);
-                self.refuse(&id, &problem)
+                self.refuse(&id, &problem, Some(&run.admitted))
             }
             Step::Events(events) => relay::answer(run, events, guard),
             Step::Done => relay::answer(run, bytes::Bytes::new(), guard),
@@ -223,14 +223,21 @@
         self.inner.sample.borrow_mut().take(Instant::now())
     }
 
-    fn refuse(&self, id: &str, problem: &Problem) -> Response<BoxBody> {
+    fn refuse(
+        &self,
+        id: &str,
+        problem: &Problem,
+        admitted: Option<&Admitted>,
+    ) -> Response<BoxBody> {
         let known = self.known();
         self.inner
             .metrics
             .refused(problem.kind, problem.status.as_u16());
         log::info!(
             event = "CP1002", request = id, status = problem.status.as_u16(), kind = problem.kind,
-            retry_after_ms = problem.retry_after.map(millis), version = known.version,
+            retry_after_ms = problem.retry_after.map(millis),
+            class = admitted.map(|it| it.class.name.as_str()), tier = admitted.map(Admitted::tier),
+            after_ms = admitted.map(|it| millis(it.arrived.elapsed())), version = known.version,
             proof_age_ms = known.proof_age.map(millis);
             "{}", problem.detail
         );
