arbiter: classes keep their order among accounts of one tier

Cause: an account's tier took the place of its class's. Where all accounts have a tier, as on the users' platform, all classes of it stood in one line at the arbiter and had one priority at the runner. In that line a class with a short target is given up before one with a long target.

Fix: catalogue::Urgency orders requests by tier and then by the class's own tier. The arbiter's queue has a line for each urgency; runners get the urgency's rank among those that the catalogue has. Accounts without a tier of their own keep the order they had.

Ruled out: stale estimates of waits, which shed by class only within one line.

--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -99,8 +99,8 @@
     pub account: Option<&'a str>,
     /// Time that the runner may take.
     pub left: Duration,
-    /// Tier of the request; zero goes first.
-    pub tier: u8,
+    /// Urgencies of the catalogue that are above the request's; zero goes first.
+    pub rank: u8,
     /// Last event that arrived, where a stream is to go on after it.
     pub after: Option<u64>,
 }
--- a/crates/daemon/src/exchange/admit.rs
+++ b/crates/daemon/src/exchange/admit.rs
@@ -39,6 +39,8 @@
     pub(super) route: Arc<Route>,
     pub(super) class: Arc<Class>,
     pub(super) account: Option<Arc<Account>>,
+    /// Urgencies of the catalogue that are above its own.
+    pub(super) rank: u8,
     pub(super) service: Arc<Service>,
     pub(super) arrived: Instant,
     pub(super) deadline: Instant,
@@ -48,8 +50,7 @@
 impl Admitted {
     /// Tier of the request; zero goes first.
     pub(super) fn tier(&self) -> u8 {
-        let own = self.account.as_ref().and_then(|it| it.tier);
-        own.unwrap_or(self.class.tier)
+        tier(self.account.as_deref(), &self.class)
     }
 }
 
@@ -59,6 +60,13 @@
     pub(super) route: Arc<Route>,
     pub(super) class: Arc<Class>,
     pub(super) account: Option<Arc<Account>>,
+    /// Urgencies of the catalogue that are above the request's.
+    pub(super) rank: u8,
+}
+
+fn tier(account: Option<&Account>, class: &Class) -> u8 {
+    let own = account.and_then(|it| it.tier);
+    own.unwrap_or(class.tier)
 }
 
 /// Takes a request, or says why not.
@@ -87,6 +95,7 @@
         route: allowed.route,
         class: allowed.class,
         account: allowed.account,
+        rank: allowed.rank,
         service,
         arrived,
         deadline,
@@ -125,8 +134,10 @@
     let account = account(catalogue, ask, route)?;
     let class = catalogue.classes.get(&route.class).cloned();
     let class = class.ok_or_else(|| missing("class", &route.class))?;
+    let tier = tier(account.as_deref(), &class);
     Ok(Allowed {
         route: Arc::clone(route),
+        rank: catalogue.rank(catalogue.urgency(tier, &class.name)),
         class,
         account,
     })
--- a/crates/daemon/src/exchange/attempt.rs
+++ b/crates/daemon/src/exchange/attempt.rs
@@ -79,7 +79,7 @@
         runner: &slot.runner,
         account: admitted.account.as_ref().map(|it| it.name.as_str()),
         left,
-        tier: admitted.tier(),
+        rank: admitted.rank,
         after: after.or(admitted.ask.after),
     };
     ports.outside.runners.dispatch(&dispatch, &mut headers);
--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -262,6 +262,7 @@
         self.admitted.route = allowed.route;
         self.admitted.class = allowed.class;
         self.admitted.account = allowed.account;
+        self.admitted.rank = allowed.rank;
         Ok(stays)
     }
 
--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -290,9 +290,7 @@
     #[must_use]
     pub fn stats(&self) -> Stats {
         Stats {
-            queued: (0..queue::TIERS)
-                .map(|it| self.queue.tier_len(it))
-                .collect(),
+            queued: self.queue.tier_lens(),
             running: self.running.len(),
             askers: self.askers.len(),
             aside: self.pool.aside(),
--- a/crates/policy/src/arbiter/admit.rs
+++ b/crates/policy/src/arbiter/admit.rs
@@ -11,12 +11,9 @@
     time::{Duration, Instant},
 };
 
-use super::{
-    Arbiter, Ask, Effect, Key, NO_FINGERPRINT, Note, Refusal, Reply,
-    queue::{Item, TIERS},
-};
+use super::{Arbiter, Ask, Effect, Key, NO_FINGERPRINT, Note, Refusal, Reply, queue::Item};
 use crate::{
-    catalogue::{Account, Class, MAX_TIER},
+    catalogue::{Account, Class, MAX_TIER, URGENCIES},
     crash::Mark,
 };
 
@@ -136,6 +133,7 @@
         let target = self.patience(&class);
         Item {
             key,
+            urgency: self.catalogue.urgency(class.tier, &class.name),
             account: self.account(&ask.account),
             fingerprint: ask.fingerprint,
             prefix: ask.prefix,
@@ -221,7 +219,7 @@
         let last = self.queue.last(reserve);
         let lower = last.filter(|key| {
             let last = self.queue.get(*key);
-            last.is_some_and(|last| last.tier() > item.tier())
+            last.is_some_and(|last| last.urgency > item.urgency)
         });
         let Some(victim) = lower.and_then(|key| self.take_waiting(key)) else {
             let retry_after = self.retry_after(item);
@@ -239,11 +237,11 @@
 
     /// The same, where so many slots are in use.
     fn wait_for(&self, slots: u32, item: &Item) -> Duration {
-        let tier = item.tier();
-        let higher = (0..tier).map(|it| self.queue.tier_len(it)).sum();
-        let own = self.queue.ahead_in_tier(tier, &item.account) + 1;
+        let place = item.place_in_order();
+        let higher = (0..place).map(|it| self.queue.len_at(it)).sum();
+        let own = self.queue.ahead_at(place, &item.account) + 1;
         self.estimate
-            .wait(slots, tier, higher, own, self.settings.floor)
+            .wait(slots, place, higher, own, self.settings.floor)
     }
 
     pub(super) fn retry_after(&self, item: &Item) -> Duration {
@@ -263,18 +261,19 @@
             return;
         }
         let slots = self.pool.slots();
-        for tier in (0..TIERS).rev() {
-            self.shed_overdue(now, tier, slots, effects);
+        for place in (0..URGENCIES).rev() {
+            self.shed_overdue(now, place, slots, effects);
         }
     }
 
-    /// Gives up requests whose target has passed while their tier is overloaded.
-    fn shed_overdue(&mut self, now: Instant, tier: usize, slots: u32, effects: &mut Vec<Effect>) {
-        let overdue = self.queue.overdue(tier, now);
+    /// Gives up requests whose target has passed while more of their urgency waits
+    /// than can be served in time.
+    fn shed_overdue(&mut self, now: Instant, place: usize, slots: u32, effects: &mut Vec<Effect>) {
+        let overdue = self.queue.overdue(place, now);
         let first = overdue.first().and_then(|key| self.queue.get(*key));
         let overloaded =
             first.is_some_and(|it| self.wait_for(slots, it) > self.patience(&it.class));
-        self.queue.set_overloaded(tier, overloaded);
+        self.queue.set_overloaded(place, overloaded);
         if !overloaded {
             return;
         }
--- a/crates/policy/src/arbiter/estimate.rs
+++ b/crates/policy/src/arbiter/estimate.rs
@@ -7,8 +7,7 @@
 
 use indexmap::IndexMap;
 
-use super::queue::TIERS;
-use crate::id::ClassId;
+use crate::{catalogue::URGENCIES, id::ClassId};
 
 /// Buckets of output length, each twice as long as the one before.
 const BUCKETS: usize = 18;
@@ -63,12 +62,22 @@
 }
 
 /// Means, histograms and rates of one arbiter.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Estimate {
     lengths: IndexMap<ClassId, Lengths>,
     whole: Option<f64>,
-    /// Grants per second by tier, fading.
-    rates: [f64; TIERS],
+    /// Grants per second by urgency, fading.
+    rates: [f64; URGENCIES],
+}
+
+impl Default for Estimate {
+    fn default() -> Self {
+        Self {
+            lengths: IndexMap::new(),
+            whole: None,
+            rates: [0.0; URGENCIES],
+        }
+    }
 }
 
 impl Estimate {
@@ -81,8 +90,8 @@
         }
     }
 
-    pub(super) fn on_grant(&mut self, tier: usize) {
-        self.rates[tier] += 1.0 / RATE_SECONDS;
+    pub(super) fn on_grant(&mut self, place: usize) {
+        self.rates[place] += 1.0 / RATE_SECONDS;
     }
 
     pub(super) fn fade(&mut self, passed: Duration) {
@@ -99,11 +108,11 @@
         self.whole.map(|mean| f64::from(slots) / mean.max(0.001))
     }
 
-    /// Wait of a request behind `higher` ones of higher tiers and `own` ones of its own.
+    /// Wait of a request behind `higher` more urgent ones and `own` ones of its own urgency.
     pub(super) fn wait(
         &self,
         slots: u32,
-        tier: usize,
+        place: usize,
         higher: usize,
         own: usize,
         floor: f64,
@@ -111,7 +120,7 @@
         let Some(drain) = self.drain(slots.max(1)) else {
             return Duration::ZERO;
         };
-        let taken: f64 = self.rates[..tier].iter().sum();
+        let taken: f64 = self.rates[..place].iter().sum();
         let left = (drain - taken).max(drain * floor);
         let seconds = seconds(higher) / drain + seconds(own) / left;
         Duration::from_secs_f64(seconds.min(3_600.0))
--- a/crates/policy/src/arbiter/grant.rs
+++ b/crates/policy/src/arbiter/grant.rs
@@ -6,11 +6,11 @@
     Arbiter, Effect, Key, Note, Reply,
     hold::{Running, Way},
     pool::{Obstacle, Seeker},
-    queue::{Item, TIERS},
+    queue::Item,
     suspect::Alone,
 };
 use crate::{
-    catalogue::Backend,
+    catalogue::{Backend, URGENCIES},
     id::{ClassId, DomainId, RunnerId},
 };
 
@@ -39,7 +39,7 @@
         {
             return true;
         }
-        let next = self.queue.next(now, TIERS, LOOK_AHEAD);
+        let next = self.queue.next(now, URGENCIES, LOOK_AHEAD);
         next.into_iter()
             .any(|key| self.place(now, key, Way::Turn, effects))
     }
@@ -116,7 +116,7 @@
         let class = &item.class.name;
         let more = self.queue.class_len(class) > 0;
         self.floor.on_grant(now, class, more);
-        self.estimate.on_grant(item.tier());
+        self.estimate.on_grant(item.place_in_order());
         self.affinity.put(item.prefix, &runner);
         let (mut address, mut share) = (None, None);
         if let Some(runner) = self.pool.get_mut(&runner) {
@@ -219,7 +219,7 @@
             return;
         };
         let waited = now.saturating_duration_since(item.taken);
-        let higher = !self.queue.next(now, item.tier(), 1).is_empty();
+        let higher = !self.queue.next(now, item.place_in_order(), 1).is_empty();
         let account_full = self.queue.is_blocked(&item.account);
         if account_full || (higher && waited < item.class.wait_bound) {
             return;
@@ -253,7 +253,7 @@
 
     /// Tiers of the next requests, as far as they have waited long.
     fn urgent(&self, now: Instant) -> Vec<u8> {
-        let next = self.queue.next(now, TIERS, MAX_PREEMPTING);
+        let next = self.queue.next(now, URGENCIES, MAX_PREEMPTING);
         let items = next.into_iter().filter_map(|key| self.queue.get(key));
         let urgent = items.filter(|item| {
             let waited = now.saturating_duration_since(item.taken);
--- a/crates/policy/src/arbiter/queue.rs
+++ b/crates/policy/src/arbiter/queue.rs
@@ -1,6 +1,6 @@
-//! The one queue: strict tiers, fair between accounts, earliest target first.
+//! The one queue: strict urgencies, fair between accounts, earliest target first.
 //!
-//! Inside a tier the account that was served least goes next; of one account,
+//! Of one urgency the account that was served least goes next; of one account,
 //! the request whose target is nearest. While more waits than can be served in
 //! time, requests whose target has passed come last, since serving them first
 //! would make all of them late. An account at its running limit is skipped until it releases.
@@ -16,18 +16,17 @@
     prompt::{self, Work},
 };
 use crate::{
-    catalogue::{Class, MAX_TIER},
+    catalogue::{Class, MAX_TIER, URGENCIES, Urgency},
     id::{ClassId, Fingerprint, RunnerId},
 };
 
-/// Number of tiers.
-pub(super) const TIERS: usize = MAX_TIER as usize + 1;
-
 /// One request that waits.
 #[derive(Clone, Debug)]
 pub(super) struct Item {
     pub(super) key: Key,
+    /// Its class, in the tier of its account if that has one.
     pub(super) class: Arc<Class>,
+    pub(super) urgency: Urgency,
     pub(super) account: Arc<str>,
     pub(super) fingerprint: Fingerprint,
     pub(super) prefix: u64,
@@ -49,8 +48,9 @@
 }
 
 impl Item {
-    pub(super) fn tier(&self) -> usize {
-        usize::from(self.class.tier).min(TIERS - 1)
+    /// Place of its urgency among all.
+    pub(super) fn place_in_order(&self) -> usize {
+        self.urgency.index()
     }
 
     /// What it asks of the runner that reads its prompt.
@@ -77,8 +77,9 @@
     places: BTreeSet<Place>,
 }
 
+/// Requests of one urgency.
 #[derive(Debug, Default)]
-struct Tier {
+struct Rank {
     lines: IndexMap<Arc<str>, Line>,
     /// Accounts that may be granted, least served first.
     ready: BTreeSet<(u64, Arc<str>)>,
@@ -90,7 +91,7 @@
     overloaded: bool,
 }
 
-impl Tier {
+impl Rank {
     /// The next of a line, in the pass for timely or for late ones.
     fn first(&self, places: &BTreeSet<Place>, now: Instant, late: bool) -> Option<Key> {
         let (fresh, due, key) = places.first()?;
@@ -108,16 +109,31 @@
 }
 
 /// Requests that wait.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Queue {
     items: IndexMap<Key, Item>,
-    tiers: [Tier; TIERS],
+    /// By urgency, the first to be served first.
+    ranks: Vec<Rank>,
     classes: IndexMap<ClassId, BTreeSet<Place>>,
     deadlines: BTreeSet<(Instant, Key)>,
     queued: IndexMap<Arc<str>, u32>,
     blocked: IndexSet<Arc<str>>,
 }
 
+impl Default for Queue {
+    fn default() -> Self {
+        let ranks = (0..URGENCIES).map(|_| Rank::default());
+        Self {
+            items: IndexMap::new(),
+            ranks: ranks.collect(),
+            classes: IndexMap::new(),
+            deadlines: BTreeSet::new(),
+            queued: IndexMap::new(),
+            blocked: IndexSet::new(),
+        }
+    }
+}
+
 impl Queue {
     pub(super) fn len(&self) -> usize {
         self.items.len()
@@ -138,8 +154,16 @@
         self.items.values()
     }
 
-    pub(super) fn tier_len(&self, tier: usize) -> usize {
-        self.tiers[tier].ages.len()
+    /// Requests of the urgency at a place.
+    pub(super) fn len_at(&self, place: usize) -> usize {
+        self.ranks[place].ages.len()
+    }
+
+    /// Requests of each tier.
+    pub(super) fn tier_lens(&self) -> Vec<usize> {
+        let tiers = self.ranks.chunks(URGENCIES / (usize::from(MAX_TIER) + 1));
+        let len = |ranks: &[Rank]| ranks.iter().map(|it| it.ages.len()).sum();
+        tiers.map(len).collect()
     }
 
     pub(super) fn class_len(&self, class: &ClassId) -> usize {
@@ -150,12 +174,12 @@
         self.queued.get(account).copied().unwrap_or(0)
     }
 
-    /// Requests of the same tier that go before a new one of `account`.
-    pub(super) fn ahead_in_tier(&self, tier: usize, account: &str) -> usize {
-        let tier = &self.tiers[tier];
-        let own = tier.lines.get(account).map_or(0, |line| line.places.len());
-        let turns = (own + 1).saturating_mul(tier.lines.len().max(1));
-        tier.ages.len().min(turns)
+    /// Requests of the same urgency that go before a new one of `account`.
+    pub(super) fn ahead_at(&self, place: usize, account: &str) -> usize {
+        let rank = &self.ranks[place];
+        let own = rank.lines.get(account).map_or(0, |line| line.places.len());
+        let turns = (own + 1).saturating_mul(rank.lines.len().max(1));
+        rank.ages.len().min(turns)
     }
 
     /// Names of classes with waiting requests.
@@ -164,10 +188,10 @@
         waiting.map(|(class, _)| class)
     }
 
-    /// Tells whether more waits in a tier than can be served in time; then those
+    /// Tells whether more waits of an urgency than can be served in time; then those
     /// whose target has passed come last.
-    pub(super) fn set_overloaded(&mut self, tier: usize, overloaded: bool) {
-        self.tiers[tier].overloaded = overloaded;
+    pub(super) fn set_overloaded(&mut self, place: usize, overloaded: bool) {
+        self.ranks[place].overloaded = overloaded;
     }
 
     /// Whether the item is among the `count` oldest of its class.
@@ -179,17 +203,17 @@
 
     pub(super) fn push(&mut self, item: Item) {
         self.remove(item.key);
-        let tier = &mut self.tiers[item.tier()];
-        let level = tier.level;
-        let line = tier.lines.entry(Arc::clone(&item.account)).or_default();
+        let rank = &mut self.ranks[item.place_in_order()];
+        let level = rank.level;
+        let line = rank.lines.entry(Arc::clone(&item.account)).or_default();
         if line.places.is_empty() {
             line.served = line.served.max(level);
             if !self.blocked.contains(&item.account) {
-                tier.ready.insert((line.served, Arc::clone(&item.account)));
+                rank.ready.insert((line.served, Arc::clone(&item.account)));
             }
         }
         line.places.insert(item.place());
-        tier.ages.insert((item.since, item.key));
+        rank.ages.insert((item.since, item.key));
         let class = self.classes.entry(item.class.name.clone()).or_default();
         class.insert(item.place());
         self.deadlines.insert((item.deadline, item.key));
@@ -199,15 +223,15 @@
 
     pub(super) fn remove(&mut self, key: Key) -> Option<Item> {
         let item = self.items.swap_remove(&key)?;
-        let tier = &mut self.tiers[item.tier()];
-        if let Some(line) = tier.lines.get_mut(&item.account) {
+        let rank = &mut self.ranks[item.place_in_order()];
+        if let Some(line) = rank.lines.get_mut(&item.account) {
             line.places.remove(&item.place());
             if line.places.is_empty() {
-                tier.ready.remove(&(line.served, Arc::clone(&item.account)));
-                tier.lines.swap_remove(&item.account);
+                rank.ready.remove(&(line.served, Arc::clone(&item.account)));
+                rank.lines.swap_remove(&item.account);
             }
         }
-        tier.ages.remove(&(item.since, key));
+        rank.ages.remove(&(item.since, key));
         if let Some(class) = self.classes.get_mut(&item.class.name) {
             class.remove(&item.place());
             if class.is_empty() {
@@ -227,14 +251,14 @@
     /// Takes an item out for a grant and charges its account.
     pub(super) fn grant(&mut self, key: Key) -> Option<Item> {
         let item = self.items.get(&key)?;
-        let (tier, account) = (item.tier(), Arc::clone(&item.account));
-        let tier = &mut self.tiers[tier];
-        if let Some(line) = tier.lines.get_mut(&account) {
-            let was_ready = tier.ready.remove(&(line.served, Arc::clone(&account)));
-            tier.level = tier.level.max(line.served);
+        let (place, account) = (item.place_in_order(), Arc::clone(&item.account));
+        let rank = &mut self.ranks[place];
+        if let Some(line) = rank.lines.get_mut(&account) {
+            let was_ready = rank.ready.remove(&(line.served, Arc::clone(&account)));
+            rank.level = rank.level.max(line.served);
             line.served += 1;
             if was_ready {
-                tier.ready.insert((line.served, account));
+                rank.ready.insert((line.served, account));
             }
         }
         self.remove(key)
@@ -251,15 +275,15 @@
         } else {
             self.blocked.swap_remove(account);
         }
-        for tier in &mut self.tiers {
-            let Some(line) = tier.lines.get(account) else {
+        for rank in &mut self.ranks {
+            let Some(line) = rank.lines.get(account) else {
                 continue;
             };
             let entry = (line.served, Arc::clone(account));
             if blocked {
-                tier.ready.remove(&entry);
+                rank.ready.remove(&entry);
             } else {
-                tier.ready.insert(entry);
+                rank.ready.insert(entry);
             }
         }
     }
@@ -268,17 +292,18 @@
         self.blocked.contains(account)
     }
 
-    /// The next ones to be granted, at most `most`, of tiers before `end`.
+    /// The next ones to be granted, at most `most`, of urgencies before `end`.
     pub(super) fn next(&self, now: Instant, end: usize, most: usize) -> Vec<Key> {
         let mut found = Vec::new();
-        for tier in &self.tiers[..end.min(TIERS)] {
+        let ranks = self.ranks[..end.min(URGENCIES)].iter();
+        for rank in ranks.filter(|it| !it.ready.is_empty()) {
             for late in [false, true] {
-                for (_, account) in &tier.ready {
+                for (_, account) in &rank.ready {
                     if found.len() >= most {
                         return found;
                     }
-                    let line = tier.lines.get(account);
-                    found.extend(line.and_then(|line| tier.first(&line.places, now, late)));
+                    let line = rank.lines.get(account);
+                    found.extend(line.and_then(|line| rank.first(&line.places, now, late)));
                 }
             }
         }
@@ -300,9 +325,9 @@
             .map(|(.., key)| *key)
     }
 
-    /// The newest of the lowest tier whose class has more than `reserve` waiting.
+    /// The newest of the lowest urgency whose class has more than `reserve` waiting.
     pub(super) fn last(&self, reserve: usize) -> Option<Key> {
-        let newest = self.tiers.iter().rev().flat_map(|it| it.ages.iter().rev());
+        let newest = self.ranks.iter().rev().flat_map(|it| it.ages.iter().rev());
         let mut keys = newest.map(|(_, key)| *key);
         keys.find(|key| {
             let item = self.items.get(key);
@@ -322,9 +347,9 @@
         expired.map(|(_, key)| *key).collect()
     }
 
-    /// Those of a tier whose target has passed.
-    pub(super) fn overdue(&self, tier: usize, now: Instant) -> Vec<Key> {
-        let lines = self.tiers[tier].lines.values();
+    /// Those of one urgency whose target has passed.
+    pub(super) fn overdue(&self, place: usize, now: Instant) -> Vec<Key> {
+        let lines = self.ranks[place].lines.values();
         lines
             .flat_map(|line| line.places.iter().take_while(|(_, due, _)| *due <= now))
             .map(|(.., key)| *key)
--- a/crates/policy/src/catalogue.rs
+++ b/crates/policy/src/catalogue.rs
@@ -5,6 +5,7 @@
 //! count, so that a change to one of many thousands stays cheap.
 
 pub(crate) mod millis;
+mod urgency;
 
 use std::{sync::Arc, time::Duration};
 
@@ -12,6 +13,8 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
+pub use urgency::{URGENCIES, Urgency};
+
 use crate::{
     id::{AccountId, ChangeId, ClassId, OperatorId, Revision, RouteId, ServiceId},
     route,
@@ -340,6 +343,42 @@
     /// Routes by host, longest prefix first.
     #[serde(skip)]
     hosts: IndexMap<String, Vec<Arc<route::Route>>>,
+    /// Tiers in use.
+    #[serde(skip)]
+    tiers: Tiers,
+}
+
+/// How many accounts and classes have each tier.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Tiers {
+    accounts: [u32; MAX_TIER as usize + 1],
+    classes: [u32; MAX_TIER as usize + 1],
+}
+
+impl Tiers {
+    fn take_account(&mut self, old: Option<&Account>, new: Option<&Account>) {
+        let tier = |it: Option<&Account>| it.and_then(|it| it.tier);
+        replace(&mut self.accounts, tier(old), tier(new));
+    }
+
+    fn take_class(&mut self, old: Option<&Class>, new: Option<&Class>) {
+        replace(
+            &mut self.classes,
+            old.map(|it| it.tier),
+            new.map(|it| it.tier),
+        );
+    }
+}
+
+/// Moves one from the count of its old tier to that of its new one.
+fn replace(counts: &mut [u32], old: Option<u8>, new: Option<u8>) {
+    let place = |tier: u8| usize::from(tier.min(MAX_TIER));
+    if let Some(old) = old {
+        counts[place(old)] -= 1;
+    }
+    if let Some(new) = new {
+        counts[place(new)] += 1;
+    }
 }
 
 impl Catalogue {
@@ -349,6 +388,19 @@
         self.accounts.get(self.keys.get(key_sha256)?)
     }
 
+    /// Urgency of a request of that tier and class.
+    #[must_use]
+    pub fn urgency(&self, tier: u8, class: &ClassId) -> Urgency {
+        let class = self.classes.get(class);
+        Urgency::new(tier, class.map_or(tier, |it| it.tier))
+    }
+
+    /// How many urgencies that requests may have here are above this one.
+    #[must_use]
+    pub fn rank(&self, urgency: Urgency) -> u8 {
+        urgency.rank(&self.tiers)
+    }
+
     /// Whether any account has an API key.
     #[must_use]
     pub fn has_keys(&self) -> bool {
@@ -449,10 +501,14 @@
                 for digest in account.digests().filter(|it| !it.is_empty()) {
                     self.keys.insert(digest.clone(), account.name.clone());
                 }
-                self.accounts.insert(account.name.clone(), account);
+                let old = self
+                    .accounts
+                    .insert(account.name.clone(), Arc::clone(&account));
+                self.tiers.take_account(old.as_deref(), Some(&account));
             }
             Entry::Class(class) => {
-                self.classes.insert(class.name.clone(), class);
+                let old = self.classes.insert(class.name.clone(), Arc::clone(&class));
+                self.tiers.take_class(old.as_deref(), Some(&class));
             }
             Entry::Service(service) => {
                 self.services.insert(service.name.clone(), service);
@@ -485,6 +541,7 @@
             Kind::Account => match self.accounts.shift_remove(&key.name) {
                 Some(old) => {
                     self.forget_keys(&old);
+                    self.tiers.take_account(Some(&old), None);
                     true
                 }
                 None => false,
@@ -496,7 +553,13 @@
                 }
                 None => false,
             },
-            Kind::Class => self.classes.shift_remove(&key.name).is_some(),
+            Kind::Class => match self.classes.shift_remove(&key.name) {
+                Some(old) => {
+                    self.tiers.take_class(Some(&old), None);
+                    true
+                }
+                None => false,
+            },
             Kind::Service => self.services.shift_remove(&key.name).is_some(),
         };
         if found {
--- a/crates/policy/tests/arbiter_tiers.rs
+++ b/crates/policy/tests/arbiter_tiers.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use citron_policy::arbiter::{Note, Refusal, Settings};
+use citron_policy::arbiter::{Ask, Note, Refusal, Settings};
 use googletest::prelude::*;
 use indexmap::IndexMap;
 use proptest::{
@@ -441,3 +441,47 @@
     });
     expect_that!(shed.count(), ge(14));
 }
+
+/// Accounts that all have one tier of their own, as a platform's tenants may: the
+/// order of the classes must hold among them.
+#[gtest]
+fn classes_keep_their_order_among_accounts_of_one_tier() {
+    let mut daemons = Daemons::new(1, catalogue(1, |_| {}), runners(1));
+    let of_account = |ticket: u64, class: &str| Ask {
+        tier: Some(1),
+        ..ask(ticket, class, "a")
+    };
+    for ticket in 0..20 {
+        daemons.take(0, of_account(ticket, "c2"));
+    }
+    daemons.settle();
+    daemons.take(0, of_account(1_000, "c0"));
+    daemons.settle();
+    daemons.drain();
+    daemons.release(0, 0, done());
+    daemons.settle();
+    let told = daemons.drain();
+    let next = |it: &Told| matches!(it, Told::Granted { ticket: 1_000, .. });
+    expect_that!(told.iter().any(next), eq(true), "{told:?}");
+}
+
+/// A higher tier of an account goes before the order of the classes.
+#[gtest]
+fn an_accounts_tier_goes_before_the_class() {
+    let mut daemons = Daemons::new(1, catalogue(1, |_| {}), runners(1));
+    let of_tier = |ticket: u64, class: &str, tier: u8| Ask {
+        tier: Some(tier),
+        ..ask(ticket, class, "a")
+    };
+    daemons.take(0, of_tier(0, "c0", 1));
+    daemons.settle();
+    daemons.take(0, of_tier(1, "c0", 1));
+    daemons.take(0, of_tier(2, "c2", 0));
+    daemons.settle();
+    daemons.drain();
+    daemons.release(0, 0, done());
+    daemons.settle();
+    let told = daemons.drain();
+    let next = |it: &Told| matches!(it, Told::Granted { ticket: 2, .. });
+    expect_that!(told.iter().any(next), eq(true), "{told:?}");
+}
--- a/crates/policy/tests/catalogue.rs
+++ b/crates/policy/tests/catalogue.rs
@@ -87,3 +87,46 @@
     expect_that!(next.account_by_digest(&"a".repeat(64)), none());
     expect_that!(next.account_by_digest(&"c".repeat(64)), some(anything()));
 }
+
+/// Accounts with a tier go by it, and among those of one tier the classes keep their order.
+#[gtest]
+fn requests_rank_by_tier_and_then_by_class() {
+    let of_tier = |name: &str, digit: char, tier: Option<u8>| {
+        let Entry::Account(account) = account(name, digit, "chat") else {
+            unreachable!("an account");
+        };
+        Entry::Account(Arc::new(Account {
+            tier,
+            ..account.as_ref().clone()
+        }))
+    };
+    let puts = vec![
+        class("chat", 0),
+        class("draft", 2),
+        of_tier("first", 'a', Some(0)),
+        of_tier("second", 'b', Some(1)),
+        of_tier("plain", 'c', None),
+    ];
+    let first = Catalogue::default().apply(&change(puts, Vec::new()));
+    let catalogue = first.expect("a catalogue");
+    let rank = |catalogue: &Catalogue, tier: u8, class: &str| {
+        catalogue.rank(catalogue.urgency(tier, &class.to_owned()))
+    };
+    let order = [
+        (0, "chat"),
+        (0, "draft"),
+        (1, "chat"),
+        (1, "draft"),
+        (2, "draft"),
+    ];
+    for (place, (tier, class)) in order.into_iter().enumerate() {
+        expect_that!(usize::from(rank(&catalogue, tier, class)), eq(place));
+    }
+    // Without accounts of the second tier, what was behind them moves up.
+    let key = Key {
+        kind: Kind::Account,
+        name: "second".to_owned(),
+    };
+    let next = catalogue.apply(&change(Vec::new(), vec![key]));
+    expect_that!(rank(&next.expect("a catalogue"), 2, "draft"), eq(2));
+}
