slots: the gauges of an arbiter are current within 10 ms

a_caller_that_leaves_the_queue_is_never_run failed once with 104 ms against 100 ms (KNOWN-RED).

Cause: the time it measures is that of the gauge, not of the withdrawal. The gauge of waiting requests was set every 100 ms; the test leaves as soon as the gauge shows its request, that is right after one setting, and looks for the next. So the request is withdrawn at once, and the check could not see it; its bound stays.

Fix: a change at an arbiter is shown at once, and further ones at most each 10 ms.

Ruled out: the watch of the caller's connection and the message of the withdrawal, whose time is what is left, 2 ms.

--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -35,7 +35,7 @@
 };
 use futures_util::future::LocalBoxFuture;
 use indexmap::IndexMap;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{Notify, oneshot, watch};
 
 pub use citron_policy::arbiter::{End, Part, Refusal, Sample};
 pub use metrics::Metrics;
@@ -137,6 +137,8 @@
     busy: Cell<bool>,
     /// When work was last carried out here.
     driven: Cell<Instant>,
+    /// Tells that the gauges of arbiters are out of date.
+    stale: Notify,
 }
 
 /// A request that waits for its slot.
@@ -183,6 +185,7 @@
             next: Cell::new(first),
             busy: Cell::new(false),
             driven: Cell::new(Instant::now()),
+            stale: Notify::new(),
         };
         Self {
             inner: Rc::new(inner),
@@ -200,6 +203,8 @@
         if self.inner.settings.poll {
             actix_rt::spawn(poll::run(self.clone()));
         }
+        let inner = Rc::clone(&self.inner);
+        actix_rt::spawn(async move { inner.show_stats().await });
         let mut inputs = self.inner.inputs.clone();
         let mut ticks = actix_rt::time::interval(TICK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
--- a/crates/daemon/src/slots/host.rs
+++ b/crates/daemon/src/slots/host.rs
@@ -35,6 +35,10 @@
 /// slots, so that others have granted meanwhile what they still count as held.
 const STOOD_STILL: Duration = Duration::from_secs(2);
 
+/// Least time between two readings of the gauges; a tenth of the time within which
+/// a caller's leaving must show.
+const STATS_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Time between two lines about the work of arbiters.
 const EFFORT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -153,11 +157,23 @@
         }
         if events > 0 {
             self.host.borrow_mut().effort.add(events, now.elapsed());
+            self.stale.notify_one();
         }
         self.busy.set(false);
         self.send_all();
     }
 
+    /// Keeps the gauges of the arbiters here up to date, for ever.
+    pub(super) async fn show_stats(&self) {
+        loop {
+            self.stale.notified().await;
+            for (service, hosted) in &self.host.borrow().arbiters {
+                self.metrics.on_stats(service, &hosted.arbiter.stats());
+            }
+            actix_rt::time::sleep(STATS_INTERVAL).await;
+        }
+    }
+
     /// Tells from time to time what the arbiters here cost.
     fn tell_effort(&self, now: Instant) {
         let mut host = self.host.borrow_mut();
@@ -581,11 +597,6 @@
             works.push(Work::Arbiter(service, arbiter::Event::Tick));
         }
         self.drive(works);
-        let host = self.host.borrow();
-        for (service, hosted) in &host.arbiters {
-            self.metrics.on_stats(service, &hosted.arbiter.stats());
-        }
-        drop(host);
         self.tell_effort(now);
     }
 
