arbiter: one lost answer is no crash

Cause: a broken connection made the daemon suspect everything that it had on that runner of crashing it, and suspects run alone, one after the other, on a runner that is kept empty for them. With two engines that is half of the service's capacity or all of it, for each lost answer. Runners were not taken for dead by that, which is right; requests were.

Fix: the daemon marks the request whose connection broke; what ran beside it is marked as its own connection breaks, or by the arbiter once that takes the runner for dead. A request granted before the lost answer that ends well 100 ms later or more shows that the runner lives, and clears the suspicion. A reservation that is not needed any more is dropped before slots are granted, not after.

--- a/crates/daemon/tests/answers.rs
+++ b/crates/daemon/tests/answers.rs
@@ -396,7 +396,8 @@
         expect_that!(counts[name], eq(&json!(0)), "{name}");
     }
     // Most are answered; those that are not were refused or visibly cut.
-    expect_that!(counts["answered"].as_u64(), some(gt(50)));
+    let offered = counts["offered"].as_u64().unwrap_or(u64::MAX);
+    expect_that!(counts["answered"].as_u64(), some(gt(offered / 2)));
 }
 
 /// Time from a caller's leaving to `look` holding, the best of some tries.
--- a/crates/policy/src/arbiter/grant.rs
+++ b/crates/policy/src/arbiter/grant.rs
@@ -26,6 +26,7 @@
         if self.collecting.is_some() {
             return;
         }
+        self.drop_lost_reservation();
         self.probe(now, effects);
         while self.pool.is_free(now) && self.grant_next(now, effects) {}
         self.pool.settle();
--- a/crates/policy/src/arbiter/hold.rs
+++ b/crates/policy/src/arbiter/hold.rs
@@ -220,10 +220,13 @@
             self.end_alone();
         }
         match sample.end {
-            End::Done => self.on_done(&running, sample, effects),
+            End::Done => {
+                self.on_done(&running, sample, effects);
+                self.clear_outlived(now, &running, effects);
+            }
             End::Broken => {
                 let news = matches!(turn, Some(Turn::Down(_)));
-                self.on_broken(&running, news, effects);
+                self.on_broken(now, &running, news, effects);
             }
             End::Cancelled | End::Refused | End::Late | End::Preempted => {
                 let next = self.suspects.end_copy(running.fingerprint);
@@ -249,12 +252,36 @@
         }
     }
 
+    /// Clears those whose answers a runner lost without having crashed.
+    fn clear_outlived(&mut self, now: Instant, running: &Running, effects: &mut Vec<Effect>) {
+        let runner = self.pool.get_mut(&running.runner);
+        let outlived = runner.map_or_else(Vec::new, |it| it.outlived(now, running.since));
+        for fingerprint in outlived {
+            if self.marks.get(fingerprint) == Some(Mark::Suspected) {
+                self.mark(Step::Cleared(fingerprint), effects);
+            }
+        }
+    }
+
     /// Marks what was in flight on a runner that broke.
-    fn on_broken(&mut self, running: &Running, news: bool, effects: &mut Vec<Effect>) {
+    fn on_broken(
+        &mut self,
+        now: Instant,
+        running: &Running,
+        news: bool,
+        effects: &mut Vec<Effect>,
+    ) {
         if running.is_alone() {
             self.mark(Step::Quarantined(running.fingerprint), effects);
             return;
         }
+        if let Some(runner) = self
+            .pool
+            .get_mut(&running.runner)
+            .filter(|it| it.is_usable())
+        {
+            runner.on_lost(now, running.fingerprint);
+        }
         let mut there = IndexSet::from([running.fingerprint]);
         if news {
             let others = self
--- a/crates/policy/src/arbiter/runner.rs
+++ b/crates/policy/src/arbiter/runner.rs
@@ -6,7 +6,10 @@
 };
 
 use super::{message::Sample, prompt::Load};
-use crate::{catalogue::Class, id::DomainId};
+use crate::{
+    catalogue::Class,
+    id::{DomainId, Fingerprint},
+};
 
 /// Weight of a new sample in a runner's means.
 const GAIN: f64 = 0.2;
@@ -20,6 +23,13 @@
 /// Connections in a row that break before a runner is taken for dead.
 const MAX_BREAKS: u32 = 3;
 
+/// Time after a lost answer after which the end of another request, granted before
+/// it, shows that the runner lives; longer than what daemons say of one death takes.
+const ALIVE_AFTER: Duration = Duration::from_millis(100);
+
+/// Most lost answers that are remembered of one runner.
+const MAX_LOST: usize = 64;
+
 /// Tokens that times of reading are scaled to; a part of it stands for what a
 /// first token takes besides.
 const READ_UNIT: f64 = 2_000.0;
@@ -143,6 +153,8 @@
     faults: Faults,
     /// Connections that broke since the last answer.
     breaks: u32,
+    /// Requests whose answers were lost here while it seemed to live.
+    lost: Vec<(Instant, Fingerprint)>,
     pub(super) health: Health,
     pub(super) between: Mean,
     pub(super) first: Mean,
@@ -176,6 +188,7 @@
             prompts: Load::default(),
             faults: Faults::default(),
             breaks: 0,
+            lost: Vec::new(),
             health: Health::Good,
             between: Mean::default(),
             first: Mean::default(),
@@ -356,6 +369,22 @@
         self.breaks >= MAX_BREAKS || self.held == 0
     }
 
+    /// Notes that a request's answer was lost.
+    pub(super) fn on_lost(&mut self, now: Instant, fingerprint: Fingerprint) {
+        if self.lost.len() < MAX_LOST {
+            self.lost.push((now, fingerprint));
+        }
+    }
+
+    /// Lost answers that were no crash, since a request granted before them has
+    /// now run to its end.
+    pub(super) fn outlived(&mut self, now: Instant, granted: Instant) -> Vec<Fingerprint> {
+        let outlived =
+            |at: Instant| granted < at && now.saturating_duration_since(at) >= ALIVE_AFTER;
+        let lost = self.lost.extract_if(.., |(at, _)| outlived(*at));
+        lost.map(|(_, fingerprint)| fingerprint).collect()
+    }
+
     /// Notes whether a request failed on the runner.
     pub(super) fn note_fault(&mut self, now: Instant, failed: bool) {
         self.faults.note(now, failed);
@@ -381,6 +410,7 @@
             Health::Out { .. } => return,
         };
         self.refusals = 0;
+        self.lost.clear();
         self.health = Health::Out {
             cause,
             since: now,
--- a/crates/policy/src/desk.rs
+++ b/crates/policy/src/desk.rs
@@ -21,7 +21,7 @@
         message::mix,
     },
     crash::{Mark, Overlay, Step, Table},
-    id::{Epoch, Fingerprint, InstanceId, RunnerId},
+    id::{Epoch, InstanceId, RunnerId},
 };
 
 /// Bounds and times of a desk.
@@ -297,20 +297,16 @@
         self.send(Request::Release(ticket, sample), effects);
     }
 
-    /// Marks what this daemon had in flight on a runner that broke.
+    /// Marks a request whose runner's connection broke.
+    ///
+    /// Others that ran there are marked as their own connections break: a runner
+    /// that dies breaks all it has, and one lost answer is no death.
     fn on_broken(&mut self, held: &Held, effects: &mut Vec<Effect>) {
+        let fingerprint = held.ask.fingerprint;
         if held.alone {
-            self.mark(Step::Quarantined(held.ask.fingerprint), effects);
-            return;
-        }
-        let there = self.held.values().filter(|it| it.runner == held.runner);
-        let mut fingerprints: Vec<Fingerprint> = there.map(|it| it.ask.fingerprint).collect();
-        fingerprints.push(held.ask.fingerprint);
-        fingerprints.sort_unstable();
-        fingerprints.dedup();
-        fingerprints.retain(|it| *it != 0 && self.marks.get(*it).is_none());
-        if !fingerprints.is_empty() {
-            self.mark(Step::Suspected(fingerprints), effects);
+            self.mark(Step::Quarantined(fingerprint), effects);
+        } else if fingerprint != 0 && self.marks.get(fingerprint).is_none() {
+            self.mark(Step::Suspected(vec![fingerprint]), effects);
         }
     }
 
--- a/crates/policy/tests/crash_rule.rs
+++ b/crates/policy/tests/crash_rule.rs
@@ -6,7 +6,7 @@
 use std::{sync::Arc, time::Duration};
 
 use citron_policy::{
-    arbiter::{End, Refusal},
+    arbiter::{Ask, End, Refusal},
     crash::{self, Mark, Overlay, Step, Table},
 };
 use googletest::prelude::*;
@@ -381,3 +381,42 @@
     overlay.commit(Arc::new(Table::default()));
     expect_that!(overlay.get(2), none());
 }
+
+/// A stream that is cut while the others on its runner go on was no crash: it need
+/// not run alone, and those beside it need not either.
+#[gtest]
+fn one_lost_answer_suspects_nobody_for_long() {
+    let mut daemons = Daemons::new(1, catalogue(8, |_| {}), runners(1));
+    for ticket in 1..=3 {
+        daemons.take(0, ask(ticket, "c1", "a"));
+    }
+    daemons.settle();
+    expect_that!(daemons.drain().len(), eq(3));
+    daemons.now += Duration::from_millis(50);
+    daemons.release(0, 1, sample(End::Broken, Duration::from_millis(50)));
+    daemons.settle();
+    // Another that the same daemon had there is not suspected.
+    daemons.take(0, again(12, 2));
+    daemons.settle();
+    let granted = |told: &[Told], wanted: u64| {
+        let mut of = told.iter();
+        of.any(|it| matches!(it, Told::Granted { ticket, alone: false, .. } if *ticket == wanted))
+    };
+    expect_that!(granted(&daemons.drain(), 12), eq(true));
+    // The one that lost its answer is, until a neighbour ends well.
+    daemons.take(0, again(11, 1));
+    daemons.settle();
+    expect_that!(daemons.drain(), is_empty());
+    daemons.now += Duration::from_millis(100);
+    daemons.release(0, 3, done());
+    daemons.settle();
+    expect_that!(granted(&daemons.drain(), 11), eq(true));
+}
+
+/// The same request under another ticket, as its caller sends it again.
+fn again(ticket: u64, fingerprint: u64) -> Ask {
+    Ask {
+        fingerprint,
+        ..ask(ticket, "c1", "a")
+    }
+}
