desk: the patience for an arbiter follows the time of its answers

Under the burst on the grown sites the role of the arbiter wandered over eight instances in 7 s; each had to learn what 91 daemons hold, under the same burst.

Cause: a desk left an arbiter whose answer to an ask took 200 ms, however long its answers had been taking. Slow was taken for lost.

--- a/crates/policy/src/desk.rs
+++ b/crates/policy/src/desk.rs
@@ -7,6 +7,8 @@
 //! refused and given back. Every ask ends: with a slot, or at once with a
 //! refusal when its deadline passes or no arbiter can be reached.
 
+mod patience;
+
 use std::{
     net::SocketAddr,
     sync::Arc,
@@ -23,6 +25,7 @@
     crash::{Mark, Overlay, Step, Table},
     id::{Epoch, InstanceId, RunnerId},
 };
+use patience::Patience;
 
 /// Bounds and times of a desk.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -31,8 +34,11 @@
     pub max_waiting: usize,
     /// Time between heartbeats.
     pub beat: Duration,
-    /// Time without a word from the arbiter after which the next one is asked.
+    /// Time without a word from the arbiter after which the next one is asked, while
+    /// its answers come fast.
     pub patience: Duration,
+    /// The same at most, however slow its answers have become.
+    pub max_patience: Duration,
     /// Daemons asked before a request is given up as unreachable.
     pub max_ranks: usize,
     /// When to come back after that.
@@ -45,6 +51,8 @@
             max_waiting: 16_384,
             beat: Duration::from_millis(500),
             patience: Duration::from_millis(200),
+            // Half of what plain calls have in all, so that another can still serve.
+            max_patience: Duration::from_millis(750),
             max_ranks: 3,
             retry_after: Duration::from_secs(1),
         }
@@ -153,6 +161,7 @@
     marks: Overlay,
     progress: Vec<Progress>,
     beaten: Instant,
+    patience: Patience,
     /// When the arbiter was last heard, or began to be asked.
     heard: Instant,
 }
@@ -174,6 +183,7 @@
             marks: Overlay::default(),
             progress: Vec::new(),
             beaten: now,
+            patience: Patience::default(),
             heard: now,
         }
     }
@@ -347,6 +357,7 @@
         if decides || reply == Reply::Beat {
             self.fruitless = 0;
         }
+        self.time_answer(now, &reply);
         match reply {
             Reply::Queued(ticket) => {
                 if let Some(waiting) = self.waiting.get_mut(&ticket) {
@@ -388,6 +399,20 @@
         }
     }
 
+    /// Notes how long the first word about an ask took.
+    fn time_answer(&mut self, now: Instant, reply: &Reply) {
+        let (Reply::Queued(ticket) | Reply::Grant { ticket, .. } | Reply::Refused(ticket, _)) =
+            reply
+        else {
+            return;
+        };
+        let waiting = self.waiting.get(ticket).filter(|it| !it.acknowledged);
+        if let Some(waiting) = waiting {
+            let took = now.saturating_duration_since(waiting.asked);
+            self.patience.add(took);
+        }
+    }
+
     /// Follows the hint of a daemon that is not the arbiter.
     fn on_moved(&mut self, now: Instant, to: Option<InstanceId>, effects: &mut Vec<Effect>) {
         if self.fruitless >= self.settings.max_ranks {
@@ -492,7 +517,12 @@
 
     /// Whether an ask was not acknowledged in time, and nothing else was heard.
     fn is_unheard(&self, now: Instant) -> bool {
-        let patience = self.settings.patience;
+        let Settings {
+            patience: least,
+            max_patience: most,
+            ..
+        } = self.settings;
+        let patience = self.patience.bound(least, most);
         let mut unheard = self.waiting.values().filter(|it| !it.acknowledged);
         unheard
             .any(|it| now.saturating_duration_since(it.asked) >= patience && self.heard <= it.asked)
--- a/crates/policy/tests/desk_asks.rs
+++ b/crates/policy/tests/desk_asks.rs
@@ -149,3 +149,42 @@
     drop(reply(&mut desk, now, "i0", 1, Reply::Beat));
     expect_that!(desk.arbiter().map(String::as_str), some(eq("i0")));
 }
+
+/// Asks, and answers each after `wait`; ticks meanwhile. Whether the first arbiter
+/// was left for another.
+fn leaves_after(waits: &[Duration]) -> bool {
+    let mut now = Instant::now();
+    let mut desk = desk(now);
+    for (ticket, wait) in (1..).zip(waits) {
+        take(&mut desk, now, ticket, Duration::from_secs(9));
+        let answered = now + *wait;
+        while now < answered {
+            now = (now + Duration::from_millis(100)).min(answered);
+            desk.on_event(now, Event::Tick);
+            if desk.arbiter().is_none_or(|it| it != "i0") {
+                return true;
+            }
+        }
+        reply(&mut desk, now, "i0", 1, Reply::Queued(ticket));
+        now += Duration::from_millis(50);
+    }
+    false
+}
+
+/// A burst under which the arbiter's answers take longer and longer: whoever leaves
+/// it makes another one learn everything anew, under the same burst.
+#[gtest]
+fn an_arbiter_that_grows_slow_is_not_taken_for_lost() {
+    let growing = [5, 30, 60, 100, 140, 180, 240, 300, 380, 450, 550];
+    expect_that!(leaves_after(&growing.map(Duration::from_millis)), eq(false));
+}
+
+/// One that is silent is left as soon as before, and under a burst within the
+/// time that a plain call aims at and some.
+#[gtest]
+fn an_arbiter_that_falls_silent_is_left_in_time() {
+    let calm = [5, 5, 5, 5, 300];
+    expect_that!(leaves_after(&calm.map(Duration::from_millis)), eq(true));
+    let pressed = [100, 150, 180, 200, 220, 230, 1_100];
+    expect_that!(leaves_after(&pressed.map(Duration::from_millis)), eq(true));
+}
