retries: what daemons save up is shared among them

Suspected, not seen: on a deployment of ninety daemons the saved-up retries of all of them add up to more than a service bears when it fails whole.

Cause: each daemon kept five retries for a service, a constant for a dozen daemons. 91 keep 455, where the platform bears 222 and a fifth of the requests: with the 15% that requests earn, 637 retries against 562 for a service of 170 requests a second in a window of 10 s (the test with five each).

Fix: retry::saved divides the slack among the live daemons, five at most as before and one at least.

what_many_daemons_save_up_stays_within_the_slack has 11, 91 and 300 daemons. Left: with more daemons than slack each still keeps one.

--- a/crates/daemon/src/callers/retries.rs
+++ b/crates/daemon/src/callers/retries.rs
@@ -1,6 +1,9 @@
 //! Retry budgets of the services on this daemon.
 
-use std::{cell::RefCell, time::Instant};
+use std::{
+    cell::{Cell, RefCell},
+    time::Instant,
+};
 
 use citron_policy::{
     catalogue::Service,
@@ -18,7 +21,7 @@
 #[derive(Debug)]
 pub(crate) struct Retries {
     /// Most retries that each budget keeps.
-    burst: u32,
+    burst: Cell<u32>,
     budgets: RefCell<IndexMap<ServiceId, Budget>>,
     made: Counter,
     refused: Counter,
@@ -42,7 +45,7 @@
     /// Budgets that keep at most `burst` retries.
     pub(crate) fn new(burst: u32) -> Self {
         Self {
-            burst,
+            burst: Cell::new(burst),
             budgets: RefCell::default(),
             made: Counter::default(),
             refused: Counter::default(),
@@ -50,6 +53,11 @@
         }
     }
 
+    /// Changes how many retries each budget keeps at most.
+    pub(crate) fn set_burst(&self, burst: u32) {
+        self.burst.set(burst);
+    }
+
     /// Adds the counters to a registry.
     pub(crate) fn register(&self, registry: &mut Registry) {
         registry.register(
@@ -96,7 +104,8 @@
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets
             .entry(service.name.clone())
-            .or_insert_with(|| Budget::new(service.retry_percent).with_burst(self.burst));
+            .or_insert_with(|| Budget::new(service.retry_percent));
+        budget.set_burst(self.burst.get());
         budget.set_percent(service.retry_percent);
         let outcome = act(budget);
         let labels = Labels {
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -22,7 +22,11 @@
 };
 
 use actix_http::{ConnectionType, Request, Response, body::BoxBody};
-use citron_policy::feed::View;
+use citron_policy::{
+    feed::View,
+    member::{Members, State},
+    retry,
+};
 use prometheus_client::registry::Registry;
 use tokio::sync::watch;
 
@@ -50,10 +54,6 @@
 /// Time between two looks.
 const CURRENT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Retries that a daemon saves up for each service; a dozen daemons together
-/// stay within the slack that a service bears.
-const RETRY_BURST: u32 = 5;
-
 /// What the exchange works with.
 #[derive(Clone, Debug)]
 pub struct Ports {
@@ -61,6 +61,10 @@
     pub max_body_bytes: usize,
     /// Log lines a second for requests that go as they should.
     pub log_rate: usize,
+    /// Retries that all daemons together may save up for a service.
+    pub retry_slack: u32,
+    /// The daemons.
+    pub members: watch::Receiver<Arc<Members>>,
     /// Catalogue in force.
     pub view: watch::Receiver<Arc<View>>,
     /// Proof that the catalogue is current.
@@ -98,7 +102,7 @@
     pub fn new(ports: Ports) -> Self {
         let inner = Inner {
             in_flight: Rc::default(),
-            retries: Retries::new(RETRY_BURST),
+            retries: Retries::new(1),
             metrics: Metrics::default(),
             sample: RefCell::new(Sample::new(Instant::now(), ports.log_rate)),
             ports,
@@ -187,7 +191,7 @@
     async fn serve(&self, admitted: Admitted, guard: InFlight) -> Response<BoxBody> {
         let id = admitted.ask.id.clone();
         let watch = admitted.watch.clone();
-        self.inner.retries.earn(&admitted.service);
+        self.earn(&admitted);
         let mut run = Run::new(self.clone(), admitted);
         let first = tokio::select! {
             step = run.next() => step,
@@ -208,6 +212,17 @@
         }
     }
 
+    /// Counts a request for the retry budget of its service, of which each of the
+    /// daemons has a share.
+    fn earn(&self, admitted: &Admitted) {
+        let ports = self.ports();
+        let daemons = ports.members.borrow();
+        let live = daemons.values().filter(|it| it.state != State::Dead);
+        let retries = &self.inner.retries;
+        retries.set_burst(retry::saved(ports.retry_slack, live.count()));
+        retries.earn(&admitted.service);
+    }
+
     /// What is in force here, and how sure that is.
     fn known(&self) -> Known {
         let view = self.ports().view.borrow();
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -419,6 +419,8 @@
     Exchange::new(exchange::Ports {
         max_body_bytes: settings.max_body_bytes,
         log_rate: settings.log_rate,
+        retry_slack: settings.retry_slack,
+        members: core.gossip.members(),
         view: core.follow.view(),
         follow: core.follow.clone(),
         draining: ends.draining,
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -58,6 +58,8 @@
     pub max_body_bytes: usize,
     /// Log lines a second for requests that go as they should.
     pub log_rate: usize,
+    /// Retries that all daemons together may save up for a service.
+    pub retry_slack: u32,
 }
 
 impl Default for Settings {
@@ -82,6 +84,7 @@
             max_connections: 4_096,
             max_body_bytes: 1 << 20,
             log_rate: 100,
+            retry_slack: 60,
         }
     }
 }
--- a/crates/daemon/src/settings/flag.rs
+++ b/crates/daemon/src/settings/flag.rs
@@ -220,6 +220,19 @@
                 .ok_or("write a number from 0 to 100000")
         },
     },
+    Flag {
+        name: "retry-slack",
+        value: "NUMBER",
+        help: "Retries that all daemons together may save up for a service behind an adapter",
+        default: Some("60"),
+        required: false,
+        set: |settings, value| {
+            number(value, 0, 100_000)
+                .and_then(|number| u32::try_from(number).ok())
+                .map(|number| settings.retry_slack = number)
+                .ok_or("write a number from 0 to 100000")
+        },
+    },
 ];
 
 fn name(value: &str) -> Result<String, &'static str> {
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -16,12 +16,25 @@
 /// Retries that a budget keeps at most; about the streams of one runner.
 pub const DEFAULT_BURST: u32 = 64;
 
+/// Retries that one daemon saves up at most for a service of many daemons; as many
+/// as fail at once when a runner with some of its requests is lost.
+const MAX_SAVED: u32 = 5;
+
 /// Least time before the deadline in which an attempt is still worth making.
 pub const MIN_REMAINING: Duration = Duration::from_millis(20);
 
 /// Credit that one retry costs; a request earns its service's percentage.
 const RETRY_COST: u64 = 100;
 
+/// Retries that each of so many daemons may save up, where a service bears `slack`
+/// of them all together beyond the share that requests earn.
+#[must_use]
+pub fn saved(slack: u32, daemons: usize) -> u32 {
+    let daemons = u32::try_from(daemons.max(1)).unwrap_or(u32::MAX);
+    // Without room for one, a fraction that was earned would never become a retry.
+    (slack / daemons).clamp(1, MAX_SAVED)
+}
+
 /// Whether a request ran upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fate {
@@ -176,6 +189,12 @@
         Self { burst, ..self }
     }
 
+    /// Takes over a changed bound on what it keeps.
+    pub fn set_burst(&mut self, burst: u32) {
+        self.burst = burst;
+        self.credit = self.credit.min(u64::from(burst) * RETRY_COST);
+    }
+
     /// Takes over a changed percentage; what was earned stays.
     pub fn set_percent(&mut self, percent: u32) {
         self.percent = percent;
--- a/crates/policy/tests/retry.rs
+++ b/crates/policy/tests/retry.rs
@@ -4,7 +4,7 @@
 
 use citron_policy::retry::{
     Attempt, Budget, DEFAULT_BURST, Decision, Ending, Fate, MAX_ATTEMPTS, MIN_REMAINING, Reason,
-    Rerun, next,
+    Rerun, next, saved,
 };
 use googletest::prelude::*;
 use proptest::{
@@ -217,3 +217,31 @@
     });
     expect_that!(outcome, ok(anything()));
 }
+
+/// Retries that daemons make in a window in which all of a service's runners fail,
+/// after a time in which they have saved up what they may.
+fn retries_in_an_outage(daemons: usize, requests: u32, burst: u32) -> u32 {
+    let now = Instant::now();
+    let mut budgets = vec![Budget::new(15).with_burst(burst); daemons];
+    for budget in &mut budgets {
+        (0..1_000).for_each(|_| budget.earn());
+    }
+    let mut made = 0;
+    for number in 0..requests {
+        let budget = &mut budgets[number as usize % daemons];
+        budget.earn();
+        made += u32::from(next(now, &attempt(now), budget) == Decision::Again);
+    }
+    made
+}
+
+/// An outage of a service before which stand a dozen daemons, or many: what they have
+/// saved up must not add up to more than it bears.
+#[gtest]
+fn what_many_daemons_save_up_stays_within_the_slack() {
+    for (daemons, requests, slack) in [(11, 200, 62), (91, 1_700, 222), (300, 5_600, 700)] {
+        let made = retries_in_an_outage(daemons, requests, saved(slack, daemons));
+        expect_that!(made, le(requests / 5 + slack), "{daemons} daemons");
+        expect_that!(made, gt(requests / 10), "{daemons} daemons");
+    }
+}
