desk: a trial: what the arbiter gave up is answered at the entry for a moment

Idea: callers that come back at once cost the arbiter as much as others; an entry that was just told that an account's requests of a class are given up answers like ones itself for 100 ms.

--- a/crates/policy/src/desk.rs
+++ b/crates/policy/src/desk.rs
@@ -8,6 +8,7 @@
 //! refusal when its deadline passes or no arbiter can be reached.
 
 mod patience;
+mod shed;
 
 use std::{
     net::SocketAddr,
@@ -26,6 +27,7 @@
     id::{Epoch, InstanceId, RunnerId},
 };
 use patience::Patience;
+use shed::Shed;
 
 /// Bounds and times of a desk.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -162,6 +164,7 @@
     progress: Vec<Progress>,
     beaten: Instant,
     patience: Patience,
+    shed: Shed,
     /// When the arbiter was last heard, or began to be asked.
     heard: Instant,
 }
@@ -184,6 +187,7 @@
             progress: Vec::new(),
             beaten: now,
             patience: Patience::default(),
+            shed: Shed::default(),
             heard: now,
         }
     }
@@ -281,7 +285,7 @@
         } else if self.waiting.len() >= self.settings.max_waiting {
             Some(Refusal::Shed { retry_after })
         } else {
-            None
+            self.shed.refusal(now, ask)
         }
     }
 
@@ -378,8 +382,9 @@
                 self.on_grant(now, from, ticket, granted, effects);
             }
             Reply::Refused(ticket, refusal) => {
-                if self.waiting.swap_remove(&ticket).is_some() {
+                if let Some(waiting) = self.waiting.swap_remove(&ticket) {
                     self.digest ^= mix(ticket);
+                    self.shed.note(now, &waiting.ask, &refusal);
                     effects.push(Effect::Refused(ticket, refusal));
                 }
             }
