--- a/crates/policy/src/desk.rs
+++ b/crates/policy/src/desk.rs
@@ -8,7 +8,6 @@
 //! refusal when its deadline passes or no arbiter can be reached.
 
 mod patience;
-mod shed;
 
 use std::{
     net::SocketAddr,
@@ -27,7 +26,6 @@
     id::{Epoch, InstanceId, RunnerId},
 };
 use patience::Patience;
-use shed::Shed;
 
 /// Bounds and times of a desk.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -164,7 +162,6 @@
     progress: Vec<Progress>,
     beaten: Instant,
     patience: Patience,
-    shed: Shed,
     /// When the arbiter was last heard, or began to be asked.
     heard: Instant,
 }
@@ -187,7 +184,6 @@
             progress: Vec::new(),
             beaten: now,
             patience: Patience::default(),
-            shed: Shed::default(),
             heard: now,
         }
     }
@@ -285,7 +281,7 @@
         } else if self.waiting.len() >= self.settings.max_waiting {
             Some(Refusal::Shed { retry_after })
         } else {
-            self.shed.refusal(now, ask)
+            None
         }
     }
 
@@ -382,9 +378,8 @@
                 self.on_grant(now, from, ticket, granted, effects);
             }
             Reply::Refused(ticket, refusal) => {
-                if let Some(waiting) = self.waiting.swap_remove(&ticket) {
+                if self.waiting.swap_remove(&ticket).is_some() {
                     self.digest ^= mix(ticket);
-                    self.shed.note(now, &waiting.ask, &refusal);
                     effects.push(Effect::Refused(ticket, refusal));
                 }
             }
