arbiter: the role goes where much more processor is declared

On the grown sites the arbiter of the models stands on any of 91 instances, most of which have 0.12 of a core; five or six have 0.32.

Cause: the place follows the hash of names alone.

Where sizes are alike, as on the first sites (0.45 and 0.25), or not declared, nothing changes. arbiter_place.rs; an order that knows no capacity fails its first test.

Weighed: weights in the hash (eighty-six small instances would still win most of the time); shards, which the size of two years needs and these sites do not yet.

Risk: these instances are also the control replicas, so that a fault of one may now take both roles.

--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -54,6 +54,8 @@
     pub peer: SocketAddr,
     /// Address for callers, as they reach it.
     pub callers: SocketAddr,
+    /// Processor that it may use, in thousandths of a core; zero if not declared.
+    pub capacity: u32,
     /// Identity of its data folder, if it is a control replica.
     pub replica: Option<ReplicaId>,
     /// Addresses for peers of daemons that may be there.
@@ -67,6 +69,7 @@
             domain: self.domain.clone(),
             peer: self.peer,
             callers: self.callers,
+            capacity: self.capacity,
             replica: self.replica,
             incarnation: 0,
             state: State::Alive,
--- a/crates/daemon/src/run/core.rs
+++ b/crates/daemon/src/run/core.rs
@@ -123,6 +123,7 @@
         domain: settings.domain.clone(),
         peer: addresses.peer,
         callers: addresses.callers,
+        capacity: settings.capacity,
         replica: replica.map(Replica::id),
         seeds: settings.seeds.clone(),
     }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -25,6 +25,8 @@
     pub instance: String,
     /// Failure domain of this instance.
     pub domain: String,
+    /// Processor that this instance may use, in thousandths of a core; zero if not declared.
+    pub capacity: u32,
     /// Name of the cluster.
     pub cluster: String,
     /// Address for callers.
@@ -68,6 +70,7 @@
         Self {
             instance: String::new(),
             domain: String::new(),
+            capacity: 0,
             cluster: String::new(),
             callers: loopback(8080),
             peer: loopback(8081),
--- a/crates/daemon/src/settings/flag.rs
+++ b/crates/daemon/src/settings/flag.rs
@@ -74,6 +74,19 @@
         required: true,
         set: |settings, value| name(value).map(|name| settings.domain = name),
     },
+    Flag {
+        name: "capacity",
+        value: "NUMBER",
+        help: "Processor that this instance may use, in thousandths of a core; 0 if not declared",
+        default: Some("0"),
+        required: false,
+        set: |settings, value| {
+            number(value, 0, 1_000_000)
+                .and_then(|number| u32::try_from(number).ok())
+                .map(|number| settings.capacity = number)
+                .ok_or("write a number from 0 to 1000000")
+        },
+    },
     Flag {
         name: "cluster",
         value: "NAME",
--- a/crates/daemon/tests/admin/mod.rs
+++ b/crates/daemon/tests/admin/mod.rs
@@ -253,6 +253,7 @@
         domain: "windhoek".to_owned(),
         peer: daemon.peer,
         callers: daemon.address,
+        capacity: 0,
         replica: Some(REPLICA),
         incarnation: 1,
         state: State::Alive,
--- a/crates/daemon/tests/follow.rs
+++ b/crates/daemon/tests/follow.rs
@@ -92,6 +92,7 @@
         domain: "fd-1".to_owned(),
         peer: node.address,
         callers: node.address,
+        capacity: 0,
         replica: node.local.is_some().then_some(7),
         incarnation: 1,
         state: State::Alive,
--- a/crates/daemon/tests/gossip.rs
+++ b/crates/daemon/tests/gossip.rs
@@ -70,6 +70,7 @@
             domain: entry.domain,
             peer: entry.peer,
             callers: entry.peer,
+            capacity: 0,
             replica: None,
             seeds: Vec::new(),
         };
--- a/crates/daemon/tests/regressions.rs
+++ b/crates/daemon/tests/regressions.rs
@@ -102,6 +102,7 @@
         domain: "zone".to_owned(),
         peer: address,
         callers: address,
+        capacity: 0,
         replica: None,
         incarnation: 1,
         state: State::Alive,
--- a/crates/policy/src/arbiter/rank.rs
+++ b/crates/policy/src/arbiter/rank.rs
@@ -1,7 +1,9 @@
 //! Which daemon hosts the arbiter of a service.
 //!
 //! Rendezvous hashing: every daemon computes the same order from the same
-//! members, and a daemon that comes or goes moves only its own services.
+//! members, and a daemon that comes or goes moves only its own services. All the
+//! daemons' messages about a service meet at one, so where some instances have
+//! declared much more processor than others, those come first.
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -10,6 +12,9 @@
     member::{Members, State},
 };
 
+/// Part of the largest capacity from which an instance is as good a host as any.
+const STRONG_PART: u32 = 2;
+
 /// Daemons that take work, the arbiter of the shard first.
 #[must_use]
 pub fn order(service: &str, shard: u32, members: &Members) -> Vec<InstanceId> {
@@ -20,13 +25,16 @@
     } else {
         State::Leaving
     };
-    let mut ranked: Vec<(u64, &InstanceId)> = members
-        .values()
-        .filter(|member| member.state == wanted)
-        .map(|member| (weight(service, shard, &member.id), &member.id))
+    let fit = || members.values().filter(|member| member.state == wanted);
+    let most = fit().map(|it| it.capacity).max().unwrap_or(0);
+    let mut ranked: Vec<(bool, u64, &InstanceId)> = fit()
+        .map(|it| {
+            let strong = it.capacity == 0 || it.capacity >= most / STRONG_PART;
+            (strong, weight(service, shard, &it.id), &it.id)
+        })
         .collect();
     ranked.sort_unstable_by(|a, b| b.cmp(a));
-    ranked.into_iter().map(|(_, id)| id.clone()).collect()
+    ranked.into_iter().map(|(.., id)| id.clone()).collect()
 }
 
 fn weight(service: &str, shard: u32, id: &str) -> u64 {
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -36,6 +36,9 @@
     pub peer: SocketAddr,
     /// Address for callers.
     pub callers: SocketAddr,
+    /// Processor that it may use, in thousandths of a core; zero if not declared.
+    #[serde(default)]
+    pub capacity: u32,
     /// Identity of its data folder, if it is a control replica.
     pub replica: Option<ReplicaId>,
     /// Version of this record.
--- /dev/null
+++ b/crates/policy/tests/arbiter_place.rs
@@ -0,0 +1,66 @@
+//! Which daemon hosts an arbiter, where some have much more processor than others.
+
+use std::net::SocketAddr;
+
+use citron_policy::{
+    arbiter::order,
+    member::{Member, Members, State},
+};
+use googletest::prelude::*;
+
+fn members(capacities: &[u32]) -> Members {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let member = |(number, capacity): (usize, &u32)| Member {
+        id: format!("front-{number}"),
+        domain: "zone".to_owned(),
+        peer: address,
+        callers: address,
+        capacity: *capacity,
+        replica: None,
+        incarnation: 1,
+        state: State::Alive,
+        revision: 0,
+        load: 0,
+        current: true,
+    };
+    let all = capacities.iter().enumerate().map(member);
+    all.map(|it| (it.id.clone(), it)).collect()
+}
+
+fn services() -> impl Iterator<Item = String> {
+    (0..20).map(|number| format!("service-{number}"))
+}
+
+/// A burst at the arbiter of many runners takes more than an entry of an eighth of a
+/// core has; some instances have several times as much.
+#[gtest]
+fn an_arbiter_stands_where_there_is_processor_for_it() {
+    let mut capacities = vec![120; 86];
+    capacities.extend([320; 5]);
+    let mut members = members(&capacities);
+    for service in services() {
+        let ranks = order(&service, 0, &members);
+        expect_that!(ranks.len(), eq(91));
+        let strong = ranks.iter().take(5);
+        expect_true!(strong.map(|it| &members[it]).all(|it| it.capacity == 320));
+    }
+    // Once these are lost, the others take the work.
+    for member in members.values_mut().filter(|it| it.capacity == 320) {
+        member.state = State::Dead;
+    }
+    expect_that!(order("service-0", 0, &members).len(), eq(86));
+}
+
+/// Instances of about the same size, or of none that is known, share the work.
+#[gtest]
+fn alike_instances_share_the_arbiters() {
+    for capacities in [vec![450, 450, 450, 250, 250, 250, 250, 250], vec![0; 8]] {
+        let members = members(&capacities);
+        let mut hosts: Vec<String> = services()
+            .map(|it| order(&it, 0, &members)[0].clone())
+            .collect();
+        hosts.sort();
+        hosts.dedup();
+        expect_that!(hosts.len(), ge(5), "{capacities:?}");
+    }
+}
--- a/crates/policy/tests/entry_list.rs
+++ b/crates/policy/tests/entry_list.rs
@@ -15,6 +15,7 @@
         domain: format!("fd-{}", number % 3),
         peer: SocketAddr::from(([10, 0, 0, 1], 7_000 + number)),
         callers: SocketAddr::from(([10, 0, 0, 1], 8_000 + number)),
+        capacity: 0,
         replica: None,
         incarnation: 1,
         state: State::Alive,
--- a/crates/policy/tests/net/mod.rs
+++ b/crates/policy/tests/net/mod.rs
@@ -64,6 +64,7 @@
         domain: format!("fd-{}", number % 4),
         peer: address(number),
         callers: SocketAddr::from((address(number).ip(), 8_000)),
+        capacity: 0,
         replica: (number < 3).then_some(number as u64 + 1),
         incarnation: 0,
         state: State::Alive,
--- a/crates/policy/tests/raft_seats.rs
+++ b/crates/policy/tests/raft_seats.rs
@@ -32,6 +32,7 @@
         domain: domain.to_owned(),
         peer: address,
         callers: address,
+        capacity: 0,
         replica,
         incarnation: 1,
         state: State::Alive,
--- a/crates/policy/tests/relay_tree.rs
+++ b/crates/policy/tests/relay_tree.rs
@@ -17,6 +17,7 @@
         domain: format!("fd-{}", number % 4),
         peer: SocketAddr::from(([10, 0, 0, 1], 7_000)),
         callers: SocketAddr::from(([10, 0, 0, 1], 8_000)),
+        capacity: 0,
         replica: (number < replicas).then_some(number as u64 + 1),
         incarnation: 1,
         state: State::Alive,
--- a/crates/policy/tests/swim_garbage.rs
+++ b/crates/policy/tests/swim_garbage.rs
@@ -47,6 +47,7 @@
         domain: "fd-1".to_owned(),
         peer,
         callers: peer,
+        capacity: 0,
         replica: None,
         incarnation,
         state,
--- a/crates/wire/benches/members.rs
+++ b/crates/wire/benches/members.rs
@@ -104,6 +104,7 @@
             domain: format!("fd-{}", number % 4),
             peer: address(number),
             callers: SocketAddr::from((address(number).ip(), 8_000)),
+            capacity: 0,
             replica: (number < 5).then_some(number as u64 + 1),
             incarnation: 0,
             state: State::Alive,
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -132,6 +132,7 @@
         replica: member.replica.unwrap_or_default(),
         incarnation: member.incarnation,
         state: state_of(member.state).into(),
+        capacity: member.capacity,
     }
 }
 
@@ -142,6 +143,7 @@
         domain: named(record.domain, "domain")?,
         peer: address_from(&record.peer)?,
         callers: address_from(&record.callers)?,
+        capacity: record.capacity,
         replica: Some(record.replica).filter(|id| *id != 0),
         incarnation: record.incarnation,
         state,
--- a/crates/wire/tests/member_bytes.rs
+++ b/crates/wire/tests/member_bytes.rs
@@ -29,6 +29,7 @@
         domain: "d".repeat(name_bytes),
         peer: SocketAddr::from(([0xfd; 16], 7_000)),
         callers: SocketAddr::from(([10, 0, 0, 1], 8_000)),
+        capacity: u32::MAX,
         replica: Some(u64::MAX),
         incarnation: 1 << 53,
         state: State::Leaving,
