platform: a changed list is compared in one pass

At 7,800 runners that is what two years bring. Now runners are found by name. The arbiter's pool took its list in the same way and is mended with it. No caller was seen to suffer from it at the sizes of today.

--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -14,9 +14,13 @@
 };
 
 use awc::Client;
-use citron_policy::platform::{List, Runner};
+use citron_policy::{
+    id::RunnerId,
+    platform::{List, Runner},
+};
 use derive_more::{Display, Error};
 use futures_util::future::LocalBoxFuture;
+use indexmap::IndexMap;
 use prometheus_client::{
     metrics::{counter::Counter, gauge::Gauge},
     registry::Registry,
@@ -279,8 +283,10 @@
 
 /// Tells what a new list says that the one before did not.
 fn tell_changes(old: &List, new: &List) {
+    let mut gone: IndexMap<&RunnerId, &Runner> =
+        old.runners.iter().map(|it| (&it.id, it)).collect();
     for runner in &new.runners {
-        let before = old.runners.iter().find(|it| it.id == runner.id);
+        let before = gone.swap_remove(&runner.id);
         if before.is_none_or(|it| it.standing != runner.standing || it.address != runner.address) {
             log::info!(
                 event = "CP0552", runner = runner.id.as_str(), service = runner.service.as_str(),
@@ -289,8 +295,7 @@
             );
         }
     }
-    let gone = |it: &&Runner| !new.runners.iter().any(|new| new.id == it.id);
-    for runner in old.runners.iter().filter(gone) {
+    for runner in gone.into_values() {
         log::info!(
             event = "CP0553", runner = runner.id.as_str(), service = runner.service.as_str();
             "runner no longer listed"
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -2,14 +2,22 @@
 //! leaves the last good list.
 
 use std::{
+    cell::Cell,
     net::SocketAddr,
+    rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use actix_rt::{net::TcpListener, time::sleep};
-use citron_daemon::platform::{MAX_LIST_BYTES, Platform, Settings};
+use citron_daemon::{
+    edge::Listing,
+    platform::{MAX_LIST_BYTES, Platform, Settings},
+};
+use citron_policy::platform::{List, Runner, Standing};
+use futures_util::future::LocalBoxFuture;
 use googletest::prelude::*;
+use nix::time::{ClockId, clock_gettime};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     sync::watch,
@@ -108,3 +116,68 @@
         expect_that!(platform.read_at(), gt(read));
     });
 }
+
+/// Readings whose processor time is measured together.
+const READINGS: usize = 10;
+
+/// A list whose runners are all others at each reading.
+struct Changing {
+    runners: usize,
+    readings: Rc<Cell<usize>>,
+}
+
+impl Listing for Changing {
+    fn read(&self) -> LocalBoxFuture<'static, std::result::Result<List, String>> {
+        let number = self.readings.get() + 1;
+        self.readings.set(number);
+        if number > READINGS {
+            return Box::pin(std::future::pending());
+        }
+        let runners = (0..self.runners).map(|runner| Runner {
+            id: format!("r-{runner}-{number}"),
+            service: "assistant".to_owned(),
+            domain: "fd-1".to_owned(),
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            standing: Standing::Live,
+            slots: 0,
+        });
+        let list = List {
+            entries: Vec::new(),
+            runners: runners.collect(),
+        };
+        Box::pin(std::future::ready(Ok(list)))
+    }
+}
+
+/// Processor time of some readings of a changing list with so many runners.
+async fn cost_of_changes(runners: usize) -> Duration {
+    let readings = Rc::new(Cell::new(0));
+    let listing = Changing {
+        runners,
+        readings: Rc::clone(&readings),
+    };
+    let used = || {
+        let time = clock_gettime(ClockId::CLOCK_THREAD_CPUTIME_ID).expect("a clock");
+        Duration::from(time)
+    };
+    let before = used();
+    let short = Duration::from_millis(1);
+    let platform = Platform::start(Settings {
+        interval: short,
+        idle_interval: short,
+        listing: Some(Rc::new(listing)),
+        ..Settings::default()
+    });
+    until("all readings", || readings.get() > READINGS).await;
+    drop(platform);
+    used().saturating_sub(before)
+}
+
+#[gtest]
+fn a_change_of_the_list_is_compared_in_the_square_of_its_length() {
+    // Looked for after issue 15: work that grows faster than what it is done for.
+    actix_rt::System::new().block_on(async {
+        let (few, many) = (cost_of_changes(500).await, cost_of_changes(4_000).await);
+        expect_that!(many, le(few * 16), "{few:?} with an eighth of the runners");
+    });
+}
--- a/crates/policy/src/arbiter/pool.rs
+++ b/crates/policy/src/arbiter/pool.rs
@@ -123,8 +123,9 @@
 impl Pool {
     /// Takes in the platform's list; the state of runners that stay is kept.
     pub(super) fn set(&mut self, listed: &[platform::Runner], max: u32) {
+        let names: IndexSet<&RunnerId> = listed.iter().map(|it| &it.id).collect();
         self.runners
-            .retain(|id, runner| runner.held > 0 || listed.iter().any(|it| it.id == *id));
+            .retain(|id, runner| runner.held > 0 || names.contains(id));
         for runner in self.runners.values_mut() {
             runner.leaving = true;
         }
