daemon: log the identity of requests and how their slots ended

The logs could not tell the hypotheses about crashing requests apart (docs/incidents/2026-12-04-crashing-requests.md): no line named a request beyond the id of one attempt, CP1004 did not say how the slot was released, CP0307 was free text.

CP1001 and CP1004 carry the request's fingerprint, CP1004 the end of its slot, CP1001 whether it runs alone. CP0307 is structured, names its side and is counted in citron_slot_marks; citron_slot_suspects and citron_slot_parked show what waits outside the main queue. No decision uses the new field yet.

--- a/crates/daemon/src/callers/chat.rs
+++ b/crates/daemon/src/callers/chat.rs
@@ -15,7 +15,7 @@
 use citron_policy::{catalogue::Backend, id::RequestId};
 use serde::Deserialize;
 use serde_json::value::RawValue;
-use xxhash_rust::xxh3::{Xxh3, xxh3_64};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
     Callers, InFlight,
@@ -24,6 +24,7 @@
     problem::Problem,
     ticket::{Caller, Ticket},
 };
+use crate::fingerprint::fingerprint;
 use generation::Generation;
 
 /// Leading bytes of the messages that are hashed as the prompt's prefix.
@@ -117,17 +118,6 @@
     })
 }
 
-/// Digest that identifies equal requests, the same on every daemon.
-pub(super) fn fingerprint(names: &[&str], body: &[u8]) -> u64 {
-    let mut hash = Xxh3::new();
-    for name in names {
-        hash.update(name.as_bytes());
-        hash.update(&[0]);
-    }
-    hash.update(body);
-    hash.digest()
-}
-
 fn ask_for_stream(body: &[u8]) -> Result<Bytes, Problem> {
     let invalid = |error: serde_json::Error| {
         Problem::new(
--- a/crates/daemon/src/callers/once.rs
+++ b/crates/daemon/src/callers/once.rs
@@ -22,12 +22,11 @@
 
 use super::{
     Callers, InFlight,
-    chat::fingerprint,
     outcome::Outcome,
     plain::{self, Answer, Call, Failed},
     problem::Problem,
 };
-use crate::{control, slots::Slot};
+use crate::{control, fingerprint::fingerprint, slots::Slot};
 
 /// Header with the caller's idempotency key.
 const KEY_HEADER: &str = "idempotency-key";
--- a/crates/daemon/src/callers/plain.rs
+++ b/crates/daemon/src/callers/plain.rs
@@ -24,7 +24,6 @@
 use super::{
     Callers, InFlight,
     attainment::{Mark, Times},
-    chat::fingerprint,
     once,
     outcome::Outcome,
     payload,
@@ -33,6 +32,7 @@
 };
 use crate::{
     event::format_request_id,
+    fingerprint::fingerprint,
     slots::{Demand, End, Sample, Slot},
     trace::TRACEPARENT,
     upstream::{self, Failure, Limits},
--- a/crates/daemon/src/exchange/admit.rs
+++ b/crates/daemon/src/exchange/admit.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use citron_policy::{
     catalogue::{Account, Catalogue, Class, Service},
+    id::Fingerprint,
     route::Route,
 };
 use sha2::{Digest, Sha256};
@@ -20,6 +21,7 @@
 use crate::{
     clock,
     edge::{CallerHead, Problem},
+    fingerprint::fingerprint,
     http::Watch,
 };
 
@@ -36,6 +38,8 @@
     pub(super) path: String,
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
+    /// Identity of the request, which is the same when it is sent again.
+    pub(super) fingerprint: Fingerprint,
     pub(super) route: Arc<Route>,
     pub(super) class: Arc<Class>,
     pub(super) account: Option<Arc<Account>>,
@@ -87,8 +91,12 @@
         .uri()
         .path_and_query()
         .map_or_else(|| request.path().to_owned(), ToString::to_string);
+    let method = request.method().clone();
+    let account = allowed.account.as_ref().map_or("", |it| it.name.as_str());
+    let names = [account, &caller_head.host, method.as_str(), &path];
     Ok(Admitted {
-        method: request.method().clone(),
+        fingerprint: fingerprint(&names, &body),
+        method,
         path,
         headers: request.headers().clone(),
         body,
--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -25,6 +25,7 @@
 use crate::{
     callers::problem,
     edge::{Problem, RunnerHead},
+    fingerprint::format,
     slots::{Demand, End, Refusal, Sample, Slot},
     upstream::{self, Failure},
 };
@@ -132,8 +133,9 @@
         let answer = match answer {
             Ok(answer) => answer,
             Err(failure) => {
-                slot.release(sample(end_for(&failure), started, None, 0));
-                return self.on_failure(&failure).map(|()| None);
+                let end = end_for(&failure);
+                slot.release(sample(end, started, None, 0));
+                return self.on_failure(&failure, end).map(|()| None);
             }
         };
         if answer.runner_head.refused || answer.runner_head.misdirected {
@@ -142,7 +144,7 @@
         }
         if let Some(failure) = unusable(&answer) {
             slot.release(sample(End::Late, started, None, 0));
-            return self.on_failure(&failure).map(|()| None);
+            return self.on_failure(&failure, End::Late).map(|()| None);
         }
         self.ran += 1;
         if self.admitted.route.stream && answer.response.status.is_success() {
@@ -243,6 +245,7 @@
             service = admitted.service.name.as_str(), class = admitted.class.name.as_str(),
             tier = admitted.tier(),
             account = admitted.account.as_ref().map_or("", |it| it.name.as_str()),
+            fingerprint = format(admitted.fingerprint), alone = slot.alone,
             arbiter = slot.arbiter.as_str(), waited_ms = millis(waited), sent = self.sent,
             version = freshness.version, proof_age_ms = freshness.proof_age.map(millis), skipped;
             "sent to a runner"
@@ -270,7 +273,7 @@
     }
 
     /// Handles an attempt that ended without a response.
-    fn on_failure(&mut self, failure: &Failure) -> Result<(), Problem> {
+    fn on_failure(&mut self, failure: &Failure, end: End) -> Result<(), Problem> {
         self.exchange.ports().upstream.count_failure(failure);
         let fate = failure.fate();
         if fate != Fate::NotRun {
@@ -286,7 +289,7 @@
             detail: failure.to_string(),
             retry_after: None,
         };
-        self.decide_retry(fate, problem)
+        self.decide_retry(fate, end, problem)
     }
 
     /// Handles a runner's statement that the request did not run.
@@ -302,11 +305,11 @@
             detail: detail.to_owned(),
             retry_after: Some(REFUSED_RETRY),
         };
-        self.decide_retry(Fate::NotRun, problem)
+        self.decide_retry(Fate::NotRun, End::Refused, problem)
     }
 
     /// Decides whether to retry; the problem for the caller if not.
-    fn decide_retry(&mut self, fate: Fate, problem: Problem) -> Result<(), Problem> {
+    fn decide_retry(&mut self, fate: Fate, end: End, problem: Problem) -> Result<(), Problem> {
         let attempt = Attempt {
             fate,
             made: self.sent,
@@ -321,6 +324,7 @@
             event = "CP1004", request = self.admitted.caller_head.id.as_str(),
             runner = self.tried.last().map_or("", String::as_str), sent = self.sent, ran = self.ran,
             left_ms = millis(self.admitted.deadline.saturating_duration_since(now)), retries_left,
+            fingerprint = format(self.admitted.fingerprint), end:? = end,
             decision:? = decision;
             "attempt failed: {}", problem.detail
         );
@@ -395,9 +399,10 @@
                 Ok(Some(Step::Whole(answer)))
             }
             Err(failure) => {
-                slot.release(sample(end_for(&failure), started, None, 0));
+                let end = end_for(&failure);
+                slot.release(sample(end, started, None, 0));
                 self.ran -= 1;
-                self.on_failure(&failure).map(|()| None)
+                self.on_failure(&failure, end).map(|()| None)
             }
         }
     }
@@ -410,7 +415,7 @@
             detail: format!("the runner answered {status}"),
             retry_after: None,
         };
-        self.decide_retry(Fate::Unknown, problem).is_ok()
+        self.decide_retry(Fate::Unknown, End::Late, problem).is_ok()
     }
 
     /// Starts to read a stream.
@@ -489,9 +494,10 @@
 
     /// Handles a broken stream.
     fn on_stream_failure(&mut self, failure: &Failure) -> Result<(), Problem> {
-        self.release_stream(end_for(failure));
+        let end = end_for(failure);
+        self.release_stream(end);
         self.ran -= 1;
-        self.on_failure(failure)
+        self.on_failure(failure, end)
     }
 
     /// Releases the slot of the stream.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod edge;
 pub mod event;
 pub mod exchange;
+mod fingerprint;
 pub mod follow;
 pub mod gossip;
 pub mod handle;
--- a/crates/daemon/src/slots/host.rs
+++ b/crates/daemon/src/slots/host.rs
@@ -13,6 +13,7 @@
 use citron_policy::{
     arbiter::{self, Arbiter, Asked, Note, Reply, Request, Ticket, Transition, host_order},
     catalogue::{Key, Kind},
+    crash,
     id::{DomainId, Epoch, InstanceId, ServiceId},
     member::State,
     platform,
@@ -22,6 +23,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::{Grant, Inner, Waiter, metrics, progress};
+use crate::fingerprint;
 
 /// Longest wait of a new arbiter for the list of runners, which is read again when
 /// the arbiter starts.
@@ -43,6 +45,9 @@
 /// Time between two log lines about the cost of the arbiters.
 const COST_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Fingerprints named in the log line of a crash mark.
+const MAX_NAMED_MARKS: usize = 16;
+
 /// Number of ranks that may host an arbiter if those before do not respond.
 const MAX_CANDIDATES: usize = 3;
 
@@ -278,10 +283,7 @@
                         stream.preempt();
                     }
                 }
-                requester::Effect::Mark(step) => {
-                    log::warn!("CP0307 crash mark of service {service}: {step:?}");
-                    (self.propose)(step);
-                }
+                requester::Effect::Mark(step) => self.propose_mark(service, "asker", step),
             }
         }
     }
@@ -445,15 +447,27 @@
         for effect in effects {
             match effect {
                 arbiter::Effect::Send(to, reply) => self.reply(service, to, epoch, reply),
-                arbiter::Effect::Mark(step) => {
-                    log::warn!("CP0307 crash mark of service {service}: {step:?}");
-                    (self.propose)(step);
-                }
+                arbiter::Effect::Mark(step) => self.propose_mark(service, "arbiter", step),
                 arbiter::Effect::Note(note) => self.record_note(service, &note),
             }
         }
     }
 
+    /// Proposes a crash mark to the control log; `by` is the side that saw its reason.
+    fn propose_mark(&self, service: &ServiceId, by: &'static str, step: crash::Step) {
+        let mark = step.name();
+        let fingerprints = step.fingerprints();
+        self.metrics.on_marks(mark, by, fingerprints.len());
+        let named = fingerprints.iter().take(MAX_NAMED_MARKS);
+        let named: Vec<String> = named.map(|it| fingerprint::format(*it)).collect();
+        log::warn!(
+            event = "CP0307", service = service.as_str(), mark, by, count = fingerprints.len(),
+            fingerprints = named.join(",");
+            "crash mark"
+        );
+        (self.propose)(step);
+    }
+
     fn reply(&self, service: &ServiceId, to: InstanceId, epoch: Epoch, reply: Reply) {
         let mut host = self.host.borrow_mut();
         if to == host.me {
--- a/crates/daemon/src/slots/metrics.rs
+++ b/crates/daemon/src/slots/metrics.rs
@@ -37,6 +37,14 @@
     pub service: String,
 }
 
+/// Labels of a crash mark.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct MarkLabel {
+    mark: &'static str,
+    /// Side that proposed it: `asker` or `arbiter`.
+    by: &'static str,
+}
+
 /// Label of a reason.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ReasonLabel {
@@ -65,6 +73,9 @@
     queued: Family<QueueLabel, Gauge>,
     running: Family<ServiceLabel, Gauge>,
     aside: Family<ServiceLabel, Gauge>,
+    marks: Family<MarkLabel, Counter>,
+    suspects: Family<ServiceLabel, Gauge>,
+    parked: Family<ServiceLabel, Gauge>,
     arbiters: Gauge,
     events: Counter,
     busy: Counter<f64, AtomicU64>,
@@ -86,6 +97,9 @@
             queued: Family::default(),
             running: Family::default(),
             aside: Family::default(),
+            marks: Family::default(),
+            suspects: Family::default(),
+            parked: Family::default(),
             arbiters: Gauge::default(),
             events: Counter::default(),
             busy: Counter::default(),
@@ -121,6 +135,17 @@
         );
         registrar.add("running", "Slots in use by arbiters here", &self.running);
         registrar.add("aside_runners", "Runners set aside as slow", &self.aside);
+        registrar.add("marks", "Requests whose crash mark changed", &self.marks);
+        registrar.add(
+            "suspects",
+            "Suspected requests that wait to run alone at arbiters here",
+            &self.suspects,
+        );
+        registrar.add(
+            "parked",
+            "Copies that wait for the first of their request to complete",
+            &self.parked,
+        );
         registrar.add("arbiters", "Arbiters hosted here", &self.arbiters);
         registrar.add(
             "arbiter_events",
@@ -177,6 +202,14 @@
             .inc();
     }
 
+    /// Counts proposed crash marks.
+    pub(super) fn on_marks(&self, mark: &'static str, by: &'static str, count: usize) {
+        let count = u64::try_from(count).unwrap_or(u64::MAX);
+        self.marks
+            .get_or_create(&MarkLabel { mark, by })
+            .inc_by(count);
+    }
+
     pub(super) fn on_stats(&self, service: &str, stats: &Stats) {
         let service = service.to_owned();
         for (tier, queued) in stats.queued.iter().enumerate() {
@@ -189,6 +222,8 @@
         let of = ServiceLabel { service };
         self.running.get_or_create(&of).set(signed(stats.running));
         self.aside.get_or_create(&of).set(signed(stats.aside));
+        self.suspects.get_or_create(&of).set(signed(stats.suspects));
+        self.parked.get_or_create(&of).set(signed(stats.parked));
     }
 
     /// Clears the gauges of an arbiter that is no longer hosted.
--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -183,6 +183,10 @@
     pub queued: Vec<usize>,
     /// Slots in use.
     pub running: usize,
+    /// Suspected requests that wait to run alone.
+    pub suspects: usize,
+    /// Copies that wait for the first of their request to complete.
+    pub parked: usize,
     /// Known askers.
     pub askers: usize,
     /// Runners set aside as slow.
@@ -295,6 +299,8 @@
         Stats {
             queued: self.queue.tier_lens(),
             running: self.running.len(),
+            suspects: self.suspects.suspected(),
+            parked: self.suspects.parked(),
             askers: self.askers.len(),
             aside: self.pool.aside(),
             usable: self.pool.usable(),
--- a/crates/policy/src/arbiter/suspect.rs
+++ b/crates/policy/src/arbiter/suspect.rs
@@ -44,6 +44,14 @@
         self.waiting.len() + self.parked.len()
     }
 
+    pub(super) fn suspected(&self) -> usize {
+        self.waiting.len()
+    }
+
+    pub(super) fn parked(&self) -> usize {
+        self.parked.len()
+    }
+
     pub(super) fn waiting_of(&self, account: &str) -> u32 {
         let all = self.waiting.values().chain(self.parked.values());
         let of = all.filter(|it| &*it.account == account).count();
--- a/crates/policy/src/crash.rs
+++ b/crates/policy/src/crash.rs
@@ -36,6 +36,27 @@
     Cleared(Fingerprint),
 }
 
+impl Step {
+    /// Name of the kind of step, for logs and metrics.
+    #[must_use]
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Suspected(_) => "suspected",
+            Self::Quarantined(_) => "quarantined",
+            Self::Cleared(_) => "cleared",
+        }
+    }
+
+    /// The requests that it concerns.
+    #[must_use]
+    pub fn fingerprints(&self) -> &[Fingerprint] {
+        match self {
+            Self::Suspected(all) => all,
+            Self::Quarantined(one) | Self::Cleared(one) => std::slice::from_ref(one),
+        }
+    }
+}
+
 /// Marked requests by fingerprint.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Table {
