arbiter: one crash makes nobody run alone

Callers of chats saw: after a runner died, each request that had been in flight there waited for a runner kept empty for it, one at a time. On the platform, where requests had no identity, none did; they would once they get one.

Cause: every request in flight at a crash was a suspect, though at most one of them had caused it. Their queue runs one request at a time per pool.

Fix: a crash exposes what was in flight. An exposed request runs again at once, in one copy only; a second crash before it completed makes it a suspect, which runs alone, and the third quarantines it, so three crashes at most still hold. A copy that crashes while another one runs elsewhere is suspected at once, since that one may crash too. Exposures are kept by the daemons and told to each new arbiter, so a lost answer costs no entry of the control log any more. Parked copies of a request follow its mark even if no copy of it is queued.

--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -45,7 +45,7 @@
 use crate::{
     catalogue::{Backend, Catalogue, Class, Service},
     crash,
-    id::{AccountId, ClassId, DomainId, Epoch, Fingerprint, InstanceId, RunnerId, ServiceId},
+    id::{AccountId, ClassId, DomainId, Epoch, InstanceId, RunnerId, ServiceId},
     platform,
 };
 
@@ -505,6 +505,3 @@
         ));
     }
 }
-
-/// Fingerprint of requests that were not identified; crash marks never apply to it.
-const NO_FINGERPRINT: Fingerprint = 0;
--- a/crates/policy/src/arbiter/admit.rs
+++ b/crates/policy/src/arbiter/admit.rs
@@ -10,10 +10,11 @@
     time::{Duration, Instant},
 };
 
-use super::{Arbiter, Ask, Effect, Key, NO_FINGERPRINT, Note, Refusal, Reply, queue::Item};
+use super::{Arbiter, Ask, Effect, Key, Note, Refusal, Reply, queue::Item};
 use crate::{
     catalogue::{Account, Class, MAX_TIER, URGENCY_LEVELS},
-    crash::Mark,
+    crash::{Mark, NO_FINGERPRINT},
+    id::Fingerprint,
 };
 
 /// Shortest and longest retry delay in a refusal.
@@ -64,8 +65,8 @@
         }
         if self.marks.get(item.fingerprint) == Some(Mark::Suspected) {
             self.suspects.push(item);
-        } else if let Some(item) = self.suspects.admit_copy(item) {
-            self.queue.push(item);
+        } else {
+            self.push_copy(item);
         }
         self.schedule(now, effects);
         if !self.running.contains_key(&key) {
@@ -322,10 +323,24 @@
             Some(item) => item,
             None => self.suspects.remove(key)?,
         };
-        for copy in self.suspects.copy_gone(&item) {
+        self.end_copy(item.fingerprint);
+        Some(item)
+    }
+
+    /// Queues a copy of a request, or parks it while enough others wait or run.
+    pub(super) fn push_copy(&mut self, item: Item) {
+        let exposed = self.marks.is_exposed(item.fingerprint);
+        if let Some(item) = self.suspects.admit_copy(item, exposed) {
+            self.queue.push(item);
+        }
+    }
+
+    /// Ends a copy that did not complete; parked ones may take its place.
+    pub(super) fn end_copy(&mut self, fingerprint: Fingerprint) {
+        let exposed = self.marks.is_exposed(fingerprint);
+        for copy in self.suspects.end_copy(fingerprint, exposed) {
             self.queue.push(copy);
         }
-        Some(item)
     }
 
     pub(super) fn refuse_item(&mut self, item: &Item, refusal: Refusal, effects: &mut Vec<Effect>) {
--- a/crates/policy/src/arbiter/grant.rs
+++ b/crates/policy/src/arbiter/grant.rs
@@ -137,6 +137,7 @@
         let running = Running {
             address,
             usage,
+            exposed: self.marks.is_exposed(item.fingerprint),
             ..Running::new(now, item, runner, kind)
         };
         effects.push(Effect::Note(Note::Granted {
--- a/crates/policy/src/arbiter/hold.rs
+++ b/crates/policy/src/arbiter/hold.rs
@@ -9,8 +9,8 @@
 use indexmap::IndexSet;
 
 use super::{
-    Arbiter, Effect, End, Heartbeat, Hold, Inventory, Key, NO_FINGERPRINT, Note, Refusal, Reply,
-    Sample, Ticket, Transition,
+    Arbiter, Effect, End, Heartbeat, Hold, Inventory, Key, Note, Refusal, Reply, Sample, Ticket,
+    Transition,
     message::ticket_hash,
     prompt::{self, Usage, Work},
     queue::Item,
@@ -18,7 +18,7 @@
 };
 use crate::{
     catalogue::Class,
-    crash::{Mark, Step, Table},
+    crash::{InFlight, Mark, Step, Table},
     id::{Fingerprint, InstanceId, RunnerId},
 };
 
@@ -64,6 +64,8 @@
     pub(super) usage: Option<Usage>,
     /// Whether it resumes work from an earlier slot; it is not preempted again.
     pub(super) resumed: bool,
+    /// Whether it was exposed to a crash when it was granted.
+    pub(super) exposed: bool,
 }
 
 impl Running {
@@ -79,6 +81,7 @@
             preempting: false,
             usage: None,
             resumed: item.resume,
+            exposed: false,
         }
     }
 
@@ -229,10 +232,7 @@
                 self.on_broken(now, &running, newly_down, effects);
             }
             End::Cancelled | End::Refused | End::Late | End::Preempted => {
-                let next = self.suspects.end_copy(running.fingerprint);
-                for item in next {
-                    self.queue.push(item);
-                }
+                self.end_copy(running.fingerprint);
             }
         }
         if let Some(transition) = transition {
@@ -243,8 +243,8 @@
     fn on_done(&mut self, running: &Running, sample: &Sample, effects: &mut Vec<Effect>) {
         let class = &running.class.name;
         self.estimate.on_done(class, sample.whole, sample.tokens);
-        if self.marks.get(running.fingerprint) == Some(Mark::Suspected) {
-            self.mark(Step::Cleared(running.fingerprint), effects);
+        if let Some(step) = self.marks.on_innocent(running.fingerprint) {
+            self.mark(step, effects);
         }
         let parked = self.suspects.on_completed(running.fingerprint);
         for item in parked {
@@ -257,8 +257,8 @@
         let runner = self.pool.get_mut(&running.runner);
         let survived = runner.map_or_else(Vec::new, |it| it.take_survived(now, running.since));
         for fingerprint in survived {
-            if self.marks.get(fingerprint) == Some(Mark::Suspected) {
-                self.mark(Step::Cleared(fingerprint), effects);
+            if let Some(step) = self.marks.on_innocent(fingerprint) {
+                self.mark(step, effects);
             }
         }
     }
@@ -271,27 +271,42 @@
         newly_down: bool,
         effects: &mut Vec<Effect>,
     ) {
-        if running.is_alone() {
-            self.mark(Step::Quarantined(running.fingerprint), effects);
-            return;
-        }
         if let Some(runner) = self
             .pool
             .get_mut(&running.runner)
-            .filter(|it| it.is_usable())
+            .filter(|it| it.is_usable() && !running.is_alone())
         {
             runner.on_lost_answer(now, running.fingerprint);
         }
-        let mut in_flight = IndexSet::from([running.fingerprint]);
+        let mut in_flight = vec![self.in_flight(running)];
         if newly_down {
-            let others = self
-                .running
-                .values()
-                .filter(|it| it.runner == running.runner);
-            in_flight.extend(others.map(|it| it.fingerprint));
-        }
-        in_flight.swap_remove(&NO_FINGERPRINT);
-        self.mark(Step::Suspected(in_flight.into_iter().collect()), effects);
+            let others = self.running.values();
+            let others = others.filter(|it| it.runner == running.runner);
+            in_flight.extend(others.map(|it| self.in_flight(it)));
+        }
+        let mut suspected = Vec::new();
+        for it in in_flight {
+            self.suspects.on_crash(it.fingerprint);
+            match self.marks.on_crash(it) {
+                Some(Step::Suspected(all)) => suspected.extend(all),
+                Some(step) => self.mark(step, effects),
+                None => {}
+            }
+        }
+        self.mark(Step::Suspected(suspected), effects);
+        self.end_copy(running.fingerprint);
+    }
+
+    /// A request as it was in flight on its runner.
+    fn in_flight(&self, running: &Running) -> InFlight {
+        let fingerprint = running.fingerprint;
+        let mut others = self.running.values();
+        InFlight {
+            fingerprint,
+            alone: running.is_alone(),
+            exposed: running.exposed,
+            has_copy: others.any(|it| it.fingerprint == fingerprint && it.runner != running.runner),
+        }
     }
 
     /// Applies a mark here, sends it to the askers and proposes it to the control log.
@@ -328,6 +343,13 @@
                 self.requeue_item(item, effects);
             }
         }
+        for fingerprint in self.suspects.parked_fingerprints() {
+            if self.marks.get(fingerprint).is_some() {
+                for item in self.suspects.on_suspected(fingerprint) {
+                    self.requeue_item(item, effects);
+                }
+            }
+        }
         for fingerprint in self.suspects.fingerprints() {
             if self.marks.get(fingerprint) != Some(Mark::Suspected) {
                 let waiting = self.suspects.take_waiting(fingerprint);
@@ -342,11 +364,7 @@
         match self.marks.get(item.fingerprint) {
             Some(Mark::Quarantined) => self.refuse_item(&item, Refusal::Quarantined, effects),
             Some(Mark::Suspected) => self.suspects.push(item),
-            None => {
-                if let Some(item) = self.suspects.admit_copy(item) {
-                    self.queue.push(item);
-                }
-            }
+            None => self.push_copy(item),
         }
     }
 
@@ -418,6 +436,9 @@
     }
 
     fn apply_marks(&mut self, inventory: &Inventory, effects: &mut Vec<Effect>) {
+        for it in &inventory.exposed {
+            self.marks.expose(*it);
+        }
         let new = inventory.suspected.iter().copied();
         let new = new.filter(|it| self.marks.get(*it).is_none()).collect();
         self.mark(Step::Suspected(new), effects);
@@ -492,6 +513,7 @@
             },
             preempting: false,
             resumed: hold.ask.resume,
+            exposed: self.marks.is_exposed(hold.ask.fingerprint),
         };
         if let Some(runner) = self.pool.get_mut(&running.runner) {
             runner.on_grant(now);
--- a/crates/policy/src/arbiter/message.rs
+++ b/crates/policy/src/arbiter/message.rs
@@ -144,6 +144,8 @@
     pub waiting: Vec<Ticket>,
     /// Held slots.
     pub held: Vec<Hold>,
+    /// Requests that this asker saw in flight at one crash.
+    pub exposed: Vec<Fingerprint>,
     /// Requests that this asker's observations made suspects.
     pub suspected: Vec<Fingerprint>,
     /// Requests that this asker's observations put in quarantine.
--- a/crates/policy/src/arbiter/suspect.rs
+++ b/crates/policy/src/arbiter/suspect.rs
@@ -2,20 +2,26 @@
 //!
 //! These are requests suspected of crashing runners, and further copies of requests
 //! that have not completed yet. Suspects run alone, one per pool at a time. At most
-//! two copies of a fingerprint wait or run before one completes, so that a request
-//! sent many times at once crashes at most two runners before it is suspected, and
-//! one more when it runs alone.
+//! two copies of a fingerprint wait or run before one completes, and one after a
+//! crash, so that a request sent many times at once crashes at most two runners
+//! before it is suspected, and one more when it runs alone.
 
 use std::time::Instant;
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::{Key, NO_FINGERPRINT, queue::Item};
-use crate::id::{Fingerprint, RunnerId};
+use super::{Key, queue::Item};
+use crate::{
+    crash::NO_FINGERPRINT,
+    id::{Fingerprint, RunnerId},
+};
 
 /// Most copies of a request that wait or run before one has completed.
 const MAX_COPIES: u32 = 2;
 
+/// The same for a request that was in flight on a crashed runner.
+const MAX_EXPOSED_COPIES: u32 = 1;
+
 /// Most fingerprints remembered as completed.
 const MAX_COMPLETED: usize = 8_192;
 
@@ -31,7 +37,7 @@
 pub(super) struct Suspects {
     /// Suspected requests, which wait to run alone.
     waiting: IndexMap<Key, Item>,
-    /// Copies beyond [`MAX_COPIES`].
+    /// Copies beyond those allowed.
     parked: IndexMap<Key, Item>,
     /// Copies that wait in the main queue or run.
     copies: IndexMap<Fingerprint, u32>,
@@ -93,12 +99,12 @@
     }
 
     /// Counts and returns a copy, or parks it if there are enough.
-    pub(super) fn admit_copy(&mut self, item: Item) -> Option<Item> {
+    pub(super) fn admit_copy(&mut self, item: Item, exposed: bool) -> Option<Item> {
         if item.fingerprint == NO_FINGERPRINT || self.completed.contains(&item.fingerprint) {
             return Some(item);
         }
         let copies = self.copies.entry(item.fingerprint).or_default();
-        if *copies >= MAX_COPIES {
+        if *copies >= max_copies(exposed) {
             self.parked.insert(item.key, item);
             return None;
         }
@@ -113,18 +119,13 @@
         }
     }
 
-    /// Ends a copy that left the queue; returns the parked copies that replace it.
-    pub(super) fn copy_gone(&mut self, item: &Item) -> Vec<Item> {
-        self.end_copy(item.fingerprint)
-    }
-
     /// Ends a copy that did not complete; returns the parked copies that replace it.
-    pub(super) fn end_copy(&mut self, fingerprint: Fingerprint) -> Vec<Item> {
+    pub(super) fn end_copy(&mut self, fingerprint: Fingerprint, exposed: bool) -> Vec<Item> {
         let Some(copies) = self.copies.get_mut(&fingerprint) else {
             return Vec::new();
         };
         *copies = copies.saturating_sub(1);
-        let room = MAX_COPIES - (*copies).min(MAX_COPIES);
+        let room = max_copies(exposed).saturating_sub(*copies);
         let next = self.take_parked(fingerprint, room as usize);
         self.add_copies(fingerprint, next.len());
         next
@@ -143,6 +144,11 @@
         self.take_parked(fingerprint, usize::MAX)
     }
 
+    /// Records that a request was in flight at a crash, whatever it did before.
+    pub(super) fn on_crash(&mut self, fingerprint: Fingerprint) {
+        self.completed.swap_remove(&fingerprint);
+    }
+
     /// Records that a request is suspected; returns its parked copies.
     pub(super) fn on_suspected(&mut self, fingerprint: Fingerprint) -> Vec<Item> {
         self.completed.swap_remove(&fingerprint);
@@ -155,6 +161,11 @@
         take(&mut self.waiting, fingerprint, usize::MAX)
     }
 
+    /// Fingerprints of the parked copies.
+    pub(super) fn parked_fingerprints(&self) -> IndexSet<Fingerprint> {
+        self.parked.values().map(|it| it.fingerprint).collect()
+    }
+
     /// Fingerprints of the waiting suspects.
     pub(super) fn fingerprints(&self) -> Vec<Fingerprint> {
         self.waiting.values().map(|it| it.fingerprint).collect()
@@ -173,6 +184,14 @@
     }
 }
 
+fn max_copies(exposed: bool) -> u32 {
+    if exposed {
+        MAX_EXPOSED_COPIES
+    } else {
+        MAX_COPIES
+    }
+}
+
 fn take(items: &mut IndexMap<Key, Item>, fingerprint: Fingerprint, most: usize) -> Vec<Item> {
     let matching = items.values().filter(|it| it.fingerprint == fingerprint);
     let keys: Vec<Key> = matching.map(|it| it.key).take(most).collect();
--- a/crates/policy/src/crash.rs
+++ b/crates/policy/src/crash.rs
@@ -1,25 +1,36 @@
 //! Detection and quarantine of requests that crash their runner.
 //!
-//! When a runner crashes, every request in flight on it becomes a suspect.
-//! Suspects run alone on a runner, one per pool at a time. A suspect that crashes
-//! a runner while alone is quarantined; one that completes is cleared. Marks are
-//! replicated to all daemons through the control log. Until a mark is committed,
-//! the daemon or arbiter that observed the crash keeps it in an [`Overlay`], so
-//! that a slow log or the loss of an arbiter does not lose it.
+//! When a runner crashes, every request in flight on it is exposed; one that is
+//! exposed a second time before it completes becomes a suspect. Most requests on a
+//! crashed runner are innocent, and nearly all of them complete at the next attempt,
+//! so they do not wait. Suspects run alone on a runner, one per pool at a time. A
+//! suspect that crashes a runner while alone is quarantined; one that completes is
+//! cleared.
+//!
+//! Marks are replicated to all daemons through the control log. Until a mark is
+//! committed, the daemon or arbiter that observed the crash keeps it in an
+//! [`Overlay`], so that a slow log or the loss of an arbiter does not lose it.
+//! Exposures are kept only there: the daemons tell them to each new arbiter.
 
 use std::sync::Arc;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::id::Fingerprint;
 
+/// Fingerprint of requests that were not identified; crash marks never apply to it.
+pub const NO_FINGERPRINT: Fingerprint = 0;
+
 /// Maximum number of marks in the table; the oldest suspects are evicted first.
 pub const MAX_MARKS: usize = 4_096;
 
+/// Maximum number of exposed requests that are remembered; the oldest are dropped first.
+const MAX_EXPOSED: usize = 4_096;
+
 /// Status of a marked request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Mark {
-    /// Was in flight on a runner that crashed; runs alone from now on.
+    /// Was in flight on two runners that crashed; runs alone from now on.
     Suspected,
     /// Crashed a runner while it ran alone; never runs again.
     Quarantined,
@@ -28,7 +39,7 @@
 /// An update of the table.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
-    /// These requests were in flight on a runner that crashed.
+    /// These requests were in flight on two runners that crashed.
     Suspected(Vec<Fingerprint>),
     /// This request crashed a runner while it ran alone.
     Quarantined(Fingerprint),
@@ -100,6 +111,19 @@
     }
 }
 
+/// A request that was in flight on a runner as that crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct InFlight {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// Whether nothing else ran on the runner.
+    pub alone: bool,
+    /// Whether it was exposed already when it was sent there.
+    pub exposed: bool,
+    /// Whether a copy of it runs on another runner, which may crash too.
+    pub has_copy: bool,
+}
+
 /// The committed marks, with local changes that are not yet committed.
 #[derive(Clone, Debug, Default)]
 pub struct Overlay {
@@ -108,9 +132,57 @@
     local: Table,
     /// Requests cleared locally and not yet cleared in the committed table.
     cleared: IndexMap<Fingerprint, ()>,
+    /// Requests that were in flight at one crash and have not completed since.
+    exposed: IndexSet<Fingerprint>,
 }
 
 impl Overlay {
+    /// Records that a request was in flight at a crash; returns the mark that follows.
+    pub fn on_crash(&mut self, it: InFlight) -> Option<Step> {
+        if it.fingerprint == NO_FINGERPRINT {
+            return None;
+        }
+        if it.alone {
+            return Some(Step::Quarantined(it.fingerprint));
+        }
+        if it.exposed || it.has_copy {
+            let new = self.get(it.fingerprint).is_none();
+            return new.then(|| Step::Suspected(vec![it.fingerprint]));
+        }
+        self.expose(it.fingerprint);
+        None
+    }
+
+    /// Records that a request was in flight at one crash.
+    pub fn expose(&mut self, fingerprint: Fingerprint) {
+        if fingerprint == NO_FINGERPRINT {
+            return;
+        }
+        if self.exposed.len() >= MAX_EXPOSED {
+            self.exposed.shift_remove_index(0);
+        }
+        self.exposed.insert(fingerprint);
+    }
+
+    /// Records that a request completed, or that its runner had not crashed; returns
+    /// the step that clears its mark.
+    pub fn on_innocent(&mut self, fingerprint: Fingerprint) -> Option<Step> {
+        self.exposed.shift_remove(&fingerprint);
+        let suspected = self.get(fingerprint) == Some(Mark::Suspected);
+        suspected.then_some(Step::Cleared(fingerprint))
+    }
+
+    /// Whether a request was in flight at a crash and has not completed since.
+    #[must_use]
+    pub fn is_exposed(&self, fingerprint: Fingerprint) -> bool {
+        self.exposed.contains(&fingerprint)
+    }
+
+    /// The exposed requests.
+    pub fn exposed(&self) -> impl Iterator<Item = Fingerprint> {
+        self.exposed.iter().copied()
+    }
+
     /// Replaces the committed marks and drops the local changes that they include.
     pub fn commit(&mut self, committed: Arc<Table>) {
         self.local
--- a/crates/policy/src/requester.rs
+++ b/crates/policy/src/requester.rs
@@ -22,7 +22,7 @@
         Ask, Asked, End, Heartbeat, Hold, Inventory, Progress, Refusal, Reply, Request, Sample,
         Ticket, message::ticket_hash,
     },
-    crash::{Mark, Overlay, Step, Table},
+    crash::{InFlight, Mark, Overlay, Step, Table},
     id::{Epoch, InstanceId, RunnerId},
 };
 use timeout::Estimator;
@@ -142,6 +142,8 @@
     runner: RunnerId,
     alone: bool,
     since: Instant,
+    /// Whether it was exposed to a crash when it was granted.
+    exposed: bool,
 }
 
 /// Waiting and held tickets of one shard.
@@ -312,23 +314,28 @@
         self.send(Request::Release(ticket, sample), effects);
     }
 
-    /// Marks a request whose runner's connection broke.
+    /// Exposes or marks a request whose runner's connection broke.
     ///
-    /// Other requests on that runner are marked only if their own connections break: a
+    /// Other requests on that runner are affected only if their own connections break: a
     /// runner that dies breaks all of them, and one lost answer does not prove a death.
     fn on_broken(&mut self, held: &Held, effects: &mut Vec<Effect>) {
         let fingerprint = held.ask.fingerprint;
-        if held.alone {
-            self.mark(Step::Quarantined(fingerprint), effects);
-        } else if fingerprint != 0 && self.marks.get(fingerprint).is_none() {
-            self.mark(Step::Suspected(vec![fingerprint]), effects);
+        let mut others = self.held.values();
+        let in_flight = InFlight {
+            fingerprint,
+            alone: held.alone,
+            exposed: held.exposed,
+            has_copy: others
+                .any(|it| it.ask.fingerprint == fingerprint && it.runner != held.runner),
+        };
+        if let Some(step) = self.marks.on_crash(in_flight) {
+            self.mark(step, effects);
         }
     }
 
     fn on_done(&mut self, held: &Held, effects: &mut Vec<Effect>) {
-        let fingerprint = held.ask.fingerprint;
-        if self.marks.get(fingerprint) == Some(Mark::Suspected) {
-            self.mark(Step::Cleared(fingerprint), effects);
+        if let Some(step) = self.marks.on_innocent(held.ask.fingerprint) {
+            self.mark(step, effects);
         }
     }
 
@@ -479,10 +486,11 @@
             address,
         } = granted;
         let held = Held {
-            ask: waiting.ask,
             runner: runner.clone(),
             alone,
             since: now,
+            exposed: self.marks.is_exposed(waiting.ask.fingerprint),
+            ask: waiting.ask,
         };
         self.held.insert(ticket, held);
         effects.push(Effect::Granted {
@@ -620,6 +628,7 @@
         };
         let mut inventory = Inventory {
             held: self.held.values().map(hold).collect(),
+            exposed: self.marks.exposed().collect(),
             ..Inventory::default()
         };
         if to_arbiter {
--- a/crates/wire/src/slot.rs
+++ b/crates/wire/src/slot.rs
@@ -263,6 +263,7 @@
         held: held.collect(),
         suspected: recital.suspected,
         quarantined: recital.quarantined,
+        exposed: recital.exposed,
     }
 }
 
@@ -270,7 +271,11 @@
     check_len(recital.held.len(), "list of slots")?;
     check_len(recital.waiting.len(), "list of tickets")?;
     check_len(
-        recital.suspected.len().max(recital.quarantined.len()),
+        recital
+            .suspected
+            .len()
+            .max(recital.quarantined.len())
+            .max(recital.exposed.len()),
         "list of marks",
     )?;
     let held = recital.held.into_iter().map(|hold| {
@@ -286,6 +291,7 @@
         held: held.collect::<Result<_, _>>()?,
         suspected: recital.suspected,
         quarantined: recital.quarantined,
+        exposed: recital.exposed,
     })
 }
 
--- a/crates/wire/tests/slot.rs
+++ b/crates/wire/tests/slot.rs
@@ -71,6 +71,7 @@
             held: vec![hold],
             suspected: vec![3],
             quarantined: vec![4],
+            exposed: vec![5],
         }),
     ]
 }
