arbiter: a slot held on a dead runner is no proof of being there

Cause: when the arbiter took a runner for dead, it held responsible all that had a slot there, also what was granted after the death and then refused.

Fix: only a broken connection counts. What was in flight loses its own connection, which its daemon reports.

a_request_refused_by_a_dead_runner_is_not_held_responsible_for_its_crash failed before: the request was suspected. Not covered: a crash whose reports are lost with the daemons that would send them.

--- a/crates/policy/src/arbiter/hold.rs
+++ b/crates/policy/src/arbiter/hold.rs
@@ -10,7 +10,6 @@
 
 use super::{
     Arbiter, Effect, End, Heartbeat, Hold, Inventory, Key, Note, Refusal, Reply, Sample, Ticket,
-    Transition,
     message::ticket_hash,
     prompt::{self, Usage, Work},
     queue::Item,
@@ -227,10 +226,7 @@
                 self.on_done(&running, sample, effects);
                 self.clear_survived(now, &running, effects);
             }
-            End::Broken => {
-                let newly_down = matches!(transition, Some(Transition::Down(_)));
-                self.on_broken(now, &running, newly_down, effects);
-            }
+            End::Broken => self.on_broken(now, &running, effects),
             End::Cancelled | End::Refused | End::Late | End::Preempted => {
                 self.end_copy(running.fingerprint);
             }
@@ -263,14 +259,11 @@
         }
     }
 
-    /// Marks the requests that were in flight on a runner whose connection broke.
-    fn on_broken(
-        &mut self,
-        now: Instant,
-        running: &Running,
-        newly_down: bool,
-        effects: &mut Vec<Effect>,
-    ) {
+    /// Exposes or marks a request whose runner's connection broke.
+    ///
+    /// Others that hold a slot there may have been granted it after the crash; those in
+    /// flight lose their own connections.
+    fn on_broken(&mut self, now: Instant, running: &Running, effects: &mut Vec<Effect>) {
         if let Some(runner) = self
             .pool
             .get_mut(&running.runner)
@@ -278,35 +271,19 @@
         {
             runner.on_lost_answer(now, running.fingerprint);
         }
-        let mut in_flight = vec![self.in_flight(running)];
-        if newly_down {
-            let others = self.running.values();
-            let others = others.filter(|it| it.runner == running.runner);
-            in_flight.extend(others.map(|it| self.in_flight(it)));
-        }
-        let mut suspected = Vec::new();
-        for it in in_flight {
-            self.suspects.on_crash(it.fingerprint);
-            match self.marks.on_crash(it) {
-                Some(Step::Suspected(all)) => suspected.extend(all),
-                Some(step) => self.mark(step, effects),
-                None => {}
-            }
-        }
-        self.mark(Step::Suspected(suspected), effects);
-        self.end_copy(running.fingerprint);
-    }
-
-    /// A request as it was in flight on its runner.
-    fn in_flight(&self, running: &Running) -> InFlight {
         let fingerprint = running.fingerprint;
         let mut others = self.running.values();
-        InFlight {
+        let in_flight = InFlight {
             fingerprint,
             alone: running.is_alone(),
             exposed: running.exposed,
             has_copy: others.any(|it| it.fingerprint == fingerprint && it.runner != running.runner),
+        };
+        self.suspects.on_crash(fingerprint);
+        if let Some(step) = self.marks.on_crash(in_flight) {
+            self.mark(step, effects);
         }
+        self.end_copy(fingerprint);
     }
 
     /// Applies a mark here, sends it to the askers and proposes it to the control log.
--- a/crates/policy/tests/crash_rule.rs
+++ b/crates/policy/tests/crash_rule.rs
@@ -461,6 +461,48 @@
     expect_that!(daemons.proposed, is_empty());
 }
 
+/// A dead runner may get requests until the daemons have reported its death; those
+/// were refused there, not in flight.
+#[gtest]
+fn a_request_refused_by_a_dead_runner_is_not_held_responsible_for_its_crash() {
+    let mut daemons = Daemons::new(1, catalogue(4, |_| {}), runners(3));
+    for ticket in 1..=9 {
+        daemons.acquire(0, ask(ticket, "c1", "a"));
+    }
+    daemons.deliver_all();
+    let placed: IndexMap<u64, String> = daemons
+        .take_outcomes()
+        .into_iter()
+        .filter_map(|it| match it {
+            Outcome::Granted { ticket, runner, .. } => Some((ticket, runner)),
+            _ => None,
+        })
+        .collect();
+    let broken = sample(End::Broken, Duration::ZERO);
+    daemons.release(0, 1, broken);
+    daemons.acquire(
+        0,
+        Ask {
+            avoid: vec![placed[&1].clone()],
+            ..resent(11, 1)
+        },
+    );
+    daemons.deliver_all();
+    let outcomes = daemons.take_outcomes();
+    let [Outcome::Granted { runner, .. }] = &outcomes[..] else {
+        panic!("no single grant: {outcomes:?}");
+    };
+    let neighbors = placed.iter().filter(|(_, it)| *it == runner);
+    for (ticket, _) in neighbors {
+        daemons.release(0, *ticket, broken);
+    }
+    daemons.release(0, 11, sample(End::Refused, Duration::ZERO));
+    daemons.acquire(0, resent(21, 1));
+    daemons.deliver_all();
+    expect_that!(is_granted(&daemons.take_outcomes(), 21), eq(true));
+    expect_that!(daemons.proposed, is_empty());
+}
+
 /// Whether a ticket was granted beside others.
 fn is_granted(outcomes: &[Outcome], wanted: u64) -> bool {
     let mut events = outcomes.iter();
