exchange: opaque requests have an identity for the crash rule

Cause: the exchange asked for slots with fingerprint 0, which stands for a request that is not identified, and the crash rule leaves such requests out. Class: a field that a new path fills with a neutral value while a decision needs it; nothing failed, the rule just never applied.

Evidence: CP1004 ends as Broken for each crash and no CP0307 follows it, which rules out that the crash is not recognised, and late or lost marks. 13 and 16 crashes in 20 sends before.

--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -204,7 +204,7 @@
             service: admitted.service.name.clone(),
             class: admitted.class.name.clone(),
             account: account.map_or_else(String::new, |it| it.name.clone()),
-            fingerprint: 0,
+            fingerprint: admitted.fingerprint,
             prefix: cache_prefix(admitted),
             deadline: admitted.deadline,
             avoid: self.tried.clone(),
