crash: a request without identity is never marked

Nothing was seen by callers. An ask that says suspected and has no fingerprint, or an inventory with fingerprint 0, from any daemon, met a debug_assert in arbiter::admit; a release build marked fingerprint 0, and with that all requests without identity: they ran alone, or were refused for good.

Cause: the guard stood at some of the places that mark, not in the table.

Fix: the table never holds fingerprint 0, and the arbiter proposes no such mark. requests_without_an_identity_are_never_marked failed in three of its four expectations before.

--- a/crates/policy/src/arbiter/admit.rs
+++ b/crates/policy/src/arbiter/admit.rs
@@ -13,7 +13,7 @@
 use super::{Arbiter, Ask, Effect, Key, Note, Refusal, Reply, queue::Item};
 use crate::{
     catalogue::{Account, Class, MAX_TIER, URGENCY_LEVELS},
-    crash::{Mark, NO_FINGERPRINT},
+    crash::{Mark, NO_FINGERPRINT, Step},
     id::Fingerprint,
 };
 
@@ -56,8 +56,11 @@
         self.add_to_digest(key);
         self.floor.on_demand(now, &class.name);
         let item = self.new_item(now, key, ask, Arc::clone(&class));
-        if ask.suspected && self.marks.get(item.fingerprint).is_none() {
-            self.mark(crash_step(&item), effects);
+        if ask.suspected
+            && item.fingerprint != NO_FINGERPRINT
+            && self.marks.get(item.fingerprint).is_none()
+        {
+            self.mark(Step::Suspected(vec![item.fingerprint]), effects);
         }
         if let Err(refusal) = self.admit(now, ask, &class, &account, &item, effects) {
             self.refuse_item(&item, refusal, effects);
@@ -362,11 +365,3 @@
 fn retry_after(wait: Duration) -> Duration {
     wait.clamp(RETRY_AFTER_BOUNDS[0], RETRY_AFTER_BOUNDS[1])
 }
-
-fn crash_step(item: &Item) -> crate::crash::Step {
-    debug_assert!(
-        item.fingerprint != NO_FINGERPRINT,
-        "a suspected request must have a fingerprint"
-    );
-    crate::crash::Step::Suspected(vec![item.fingerprint])
-}
--- a/crates/policy/src/arbiter/hold.rs
+++ b/crates/policy/src/arbiter/hold.rs
@@ -17,7 +17,7 @@
 };
 use crate::{
     catalogue::Class,
-    crash::{InFlight, Mark, Step, Table},
+    crash::{InFlight, Mark, NO_FINGERPRINT, Step, Table},
     id::{Fingerprint, InstanceId, RunnerId},
 };
 
@@ -417,10 +417,10 @@
             self.marks.expose(*it);
         }
         let new = inventory.suspected.iter().copied();
-        let new = new.filter(|it| self.marks.get(*it).is_none()).collect();
-        self.mark(Step::Suspected(new), effects);
+        let new = new.filter(|it| *it != NO_FINGERPRINT && self.marks.get(*it).is_none());
+        self.mark(Step::Suspected(new.collect()), effects);
         for it in &inventory.quarantined {
-            if self.marks.get(*it) != Some(Mark::Quarantined) {
+            if *it != NO_FINGERPRINT && self.marks.get(*it) != Some(Mark::Quarantined) {
                 self.mark(Step::Quarantined(*it), effects);
             }
         }
--- a/crates/policy/src/crash.rs
+++ b/crates/policy/src/crash.rs
@@ -95,6 +95,9 @@
 
     /// Sets a mark; a quarantine is never downgraded to a suspicion.
     fn set(&mut self, fingerprint: Fingerprint, mark: Mark) {
+        if fingerprint == NO_FINGERPRINT {
+            return;
+        }
         if let Some(old) = self.marks.get_mut(&fingerprint) {
             *old = mark.max(*old);
             return;
--- a/crates/policy/tests/crash_rule.rs
+++ b/crates/policy/tests/crash_rule.rs
@@ -6,7 +6,7 @@
 use std::{sync::Arc, time::Duration};
 
 use citron_policy::{
-    arbiter::{Ask, End, Refusal},
+    arbiter::{self, Ask, End, Inventory, Refusal},
     crash::{self, Mark, Overlay, Step, Table},
 };
 use googletest::prelude::*;
@@ -367,6 +367,44 @@
     expect_that!(daemons.in_flight, is_empty());
 }
 
+#[gtest]
+fn requests_without_an_identity_are_never_marked() {
+    let mut daemons = Daemons::new(2, catalogue(4, |_| {}), runners(2));
+    daemons.acquire(0, resent(1, crash::NO_FINGERPRINT));
+    daemons.deliver_all();
+    let suspected = Ask {
+        suspected: true,
+        ..resent(9, crash::NO_FINGERPRINT)
+    };
+    let inventory = Inventory {
+        exposed: vec![crash::NO_FINGERPRINT],
+        suspected: vec![crash::NO_FINGERPRINT],
+        quarantined: vec![crash::NO_FINGERPRINT],
+        ..Inventory::default()
+    };
+    for request in [
+        arbiter::Request::Inventory(inventory),
+        arbiter::Request::Ask(suspected),
+    ] {
+        let asked = arbiter::Asked {
+            least: 0,
+            fallback: false,
+            request,
+        };
+        let from = slots::name(1);
+        daemons.arbiter_event(0, arbiter::Event::Asked { from, asked });
+    }
+    daemons.acquire(0, resent(2, crash::NO_FINGERPRINT));
+    daemons.deliver_all();
+    let outcomes = daemons.take_outcomes();
+    expect_that!(is_granted(&outcomes, 1), eq(true));
+    expect_that!(is_granted(&outcomes, 2), eq(true));
+    expect_that!(daemons.proposed, is_empty());
+    let mut table = Table::default();
+    table.apply(&Step::Quarantined(crash::NO_FINGERPRINT));
+    expect_that!(table.get(crash::NO_FINGERPRINT), none());
+}
+
 #[gtest]
 fn a_quarantine_is_never_lowered_and_the_table_is_bounded() {
     let mut table = Table::default();
