arbiter: the newest completed requests are remembered

Callers would see, on a service that has completed 8,192 different requests: of copies sent at the same time, all but two wait until one of them has completed, though the request completed moments ago.

Cause: a full set dropped the element at index 0 by swapping the last one there, so each completed request was dropped two completions later, and the oldest stayed for good.

Fix: two generations of 4,096; the older is dropped as a whole. the_newest_completed_requests_are_remembered failed for two of four copies.

--- a/crates/policy/src/arbiter/suspect.rs
+++ b/crates/policy/src/arbiter/suspect.rs
@@ -22,8 +22,9 @@
 /// The same for a request that was in flight on a crashed runner.
 const MAX_EXPOSED_COPIES: u32 = 1;
 
-/// Most fingerprints remembered as completed.
-const MAX_COMPLETED: usize = 8_192;
+/// Completed fingerprints in one generation of [`Completed`]; twice as many are
+/// remembered at most.
+const GENERATION: usize = 4_096;
 
 /// The request that runs alone, or for which a runner is reserved.
 #[derive(Clone, Debug)]
@@ -41,7 +42,7 @@
     parked: IndexMap<Key, Item>,
     /// Copies that wait in the main queue or run.
     copies: IndexMap<Fingerprint, u32>,
-    completed: IndexSet<Fingerprint>,
+    completed: Completed,
     pub(super) alone: Option<Alone>,
 }
 
@@ -100,7 +101,7 @@
 
     /// Counts and returns a copy, or parks it if there are enough.
     pub(super) fn admit_copy(&mut self, item: Item, exposed: bool) -> Option<Item> {
-        if item.fingerprint == NO_FINGERPRINT || self.completed.contains(&item.fingerprint) {
+        if item.fingerprint == NO_FINGERPRINT || self.completed.contains(item.fingerprint) {
             return Some(item);
         }
         let copies = self.copies.entry(item.fingerprint).or_default();
@@ -114,7 +115,7 @@
 
     /// Counts a copy that already runs.
     pub(super) fn adopt_copy(&mut self, fingerprint: Fingerprint) {
-        if fingerprint != NO_FINGERPRINT && !self.completed.contains(&fingerprint) {
+        if fingerprint != NO_FINGERPRINT && !self.completed.contains(fingerprint) {
             *self.copies.entry(fingerprint).or_default() += 1;
         }
     }
@@ -133,25 +134,21 @@
 
     /// Records the completion of a copy; returns all parked ones.
     pub(super) fn on_completed(&mut self, fingerprint: Fingerprint) -> Vec<Item> {
-        if fingerprint == NO_FINGERPRINT || self.completed.contains(&fingerprint) {
+        if fingerprint == NO_FINGERPRINT || !self.completed.insert(fingerprint) {
             return Vec::new();
         }
-        if self.completed.len() >= MAX_COMPLETED {
-            self.completed.swap_remove_index(0);
-        }
-        self.completed.insert(fingerprint);
         self.copies.swap_remove(&fingerprint);
         self.take_parked(fingerprint, usize::MAX)
     }
 
     /// Records that a request was in flight at a crash, whatever it did before.
     pub(super) fn on_crash(&mut self, fingerprint: Fingerprint) {
-        self.completed.swap_remove(&fingerprint);
+        self.completed.remove(fingerprint);
     }
 
     /// Records that a request is suspected; returns its parked copies.
     pub(super) fn on_suspected(&mut self, fingerprint: Fingerprint) -> Vec<Item> {
-        self.completed.swap_remove(&fingerprint);
+        self.completed.remove(fingerprint);
         self.copies.swap_remove(&fingerprint);
         self.take_parked(fingerprint, usize::MAX)
     }
@@ -184,6 +181,33 @@
     }
 }
 
+/// Requests that completed, the newest at least; the oldest are dropped as a whole
+/// generation, in constant time.
+#[derive(Debug, Default)]
+struct Completed {
+    newer: IndexSet<Fingerprint>,
+    older: IndexSet<Fingerprint>,
+}
+
+impl Completed {
+    fn contains(&self, fingerprint: Fingerprint) -> bool {
+        self.newer.contains(&fingerprint) || self.older.contains(&fingerprint)
+    }
+
+    /// False if it is among the newer ones already.
+    fn insert(&mut self, fingerprint: Fingerprint) -> bool {
+        if self.newer.len() >= GENERATION && !self.newer.contains(&fingerprint) {
+            self.older = std::mem::take(&mut self.newer);
+        }
+        self.newer.insert(fingerprint)
+    }
+
+    fn remove(&mut self, fingerprint: Fingerprint) {
+        self.newer.swap_remove(&fingerprint);
+        self.older.swap_remove(&fingerprint);
+    }
+}
+
 fn max_copies(exposed: bool) -> u32 {
     if exposed {
         MAX_EXPOSED_COPIES
--- a/crates/policy/tests/crash_rule.rs
+++ b/crates/policy/tests/crash_rule.rs
@@ -541,6 +541,29 @@
     expect_that!(daemons.proposed, is_empty());
 }
 
+/// Copies of a request that has just completed do not wait for one another.
+#[gtest]
+fn the_newest_completed_requests_are_remembered() {
+    const COMPLETED: u64 = 10_000;
+    let mut daemons = Daemons::new(1, catalogue(8, |_| {}), runners(1));
+    for fingerprint in 1..=COMPLETED {
+        daemons.acquire(0, resent(fingerprint, fingerprint));
+        daemons.deliver_all();
+        daemons.release(0, fingerprint, done());
+        daemons.deliver_all();
+    }
+    daemons.take_outcomes();
+    let copies = COMPLETED + 1..=COMPLETED + 4;
+    for ticket in copies.clone() {
+        daemons.acquire(0, resent(ticket, COMPLETED - 2));
+    }
+    daemons.deliver_all();
+    let outcomes = daemons.take_outcomes();
+    for ticket in copies {
+        expect_that!(is_granted(&outcomes, ticket), eq(true), "{ticket}");
+    }
+}
+
 /// Whether a ticket was granted beside others.
 fn is_granted(outcomes: &[Outcome], wanted: u64) -> bool {
     let mut events = outcomes.iter();
