--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -106,7 +106,7 @@
 }
 
 /// Contents of a runner's response head.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RunnerHead {
     /// Whether the runner states that the request did not run.
     pub refused: bool,
@@ -114,6 +114,9 @@
     pub misdirected: bool,
     /// Whether the response carries the runner's proof of origin.
     pub sealed: bool,
+    /// Requests per second that the runner takes from all daemons together, if it names
+    /// a limit; not a number if the limit cannot be read.
+    pub limit: Option<f64>,
 }
 
 /// A parsed declaration.
--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -138,6 +138,7 @@
                 return self.on_failure(&failure, end).map(|()| None);
             }
         };
+        self.log_limit(&slot, &answer.runner_head);
         if answer.runner_head.refused || answer.runner_head.misdirected {
             slot.release(sample(End::Refused, started, None, 0));
             return self.on_refusal(answer.runner_head).map(|()| None);
@@ -154,6 +155,22 @@
         self.read_whole(slot, answer, started).await
     }
 
+    /// Logs the limit that a runner names.
+    fn log_limit(&self, slot: &Slot, runner_head: &RunnerHead) {
+        let Some(limit) = runner_head.limit else {
+            return;
+        };
+        let Some(skipped) = self.exchange.log_permit() else {
+            return;
+        };
+        log::info!(
+            event = "CP1007", request = self.admitted.caller_head.id.as_str(),
+            runner = slot.runner.as_str(), service = self.admitted.service.name.as_str(),
+            limit = limit.to_string(), skipped;
+            "runner names a limit"
+        );
+    }
+
     /// Sends the request to the runner of a slot and waits for the response head, or
     /// until the runner has been silent long enough to try another one.
     async fn send(&self, slot: &Slot) -> Result<attempt::Started, Failure> {
