arbiter: a runner gets no more than the limit that it names

Cause: nobody read the limit. The adapter passed the header on to callers and that was all; the arbiter granted by load and latency, and a runner in need answers well. Class: a rule of the platform that no part of the product implements, so that nothing fails and nothing tells.

Evidence: the record has no line about the limit while the two runners get 1 to 7 requests a second as before; one daemon with one limited runner gave 150 and 300 requests in 4 s at 1.1 and 3 a second (11 and 23 allowed). That rules out that the limit is kept by each daemon for itself, and second attempts alone.

Fix: the daemon reports a named limit to the arbiter as the head of the answer comes, and the arbiter spaces all grants of that runner at the rate: attempts, resumptions, probes and requests that run alone. What waits goes to others at once; where all are limited, estimated waits and times to come back follow from the rates. The limit ends with an answer to a later request that does not name it. Daemons tell limits to a new arbiter, which starts them without credit, so a move does not double them.

Not covered: two arbiters at once, each of which paces for itself, and a limit known only to an arbiter and a daemon that are lost together.

--- a/crates/daemon/src/callers/chat/generation.rs
+++ b/crates/daemon/src/callers/chat/generation.rs
@@ -443,6 +443,7 @@
                 .and_then(|first| now.saturating_duration_since(first).checked_div(gaps)),
             whole: now.saturating_duration_since(exchange.begun),
             tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
+            unlimited: false,
         };
         // The connection must be closed before the slot is released.
         drop(exchange.stream);
@@ -485,6 +486,7 @@
         between_tokens: None,
         whole: begun.elapsed(),
         tokens: 0,
+        unlimited: false,
     }
 }
 
--- a/crates/daemon/src/callers/plain.rs
+++ b/crates/daemon/src/callers/plain.rs
@@ -290,6 +290,7 @@
         between_tokens: None,
         whole: begun.elapsed(),
         tokens: 0,
+        unlimited: false,
     });
     match outcome {
         Ok(answer) => check_refusal(call, answer),
--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -70,6 +70,8 @@
     pub(super) head: Option<(StatusCode, HeaderMap)>,
     /// Id of the last event passed to the caller.
     last: Option<u64>,
+    /// Whether the runner of this attempt answered without naming a limit.
+    unlimited: bool,
 }
 
 impl Run {
@@ -83,6 +85,7 @@
             sent: 0,
             stream: None,
             head: None,
+            unlimited: false,
         }
     }
 
@@ -128,23 +131,24 @@
         }
         self.sent += 1;
         self.tried.push(slot.runner.clone());
+        self.unlimited = false;
         let started = Instant::now();
         let answer = self.send(&slot).await;
         let answer = match answer {
             Ok(answer) => answer,
             Err(failure) => {
                 let end = end_for(&failure);
-                slot.release(sample(end, started, None, 0));
+                slot.release(self.sample(end, started, None, 0));
                 return self.on_failure(&failure, end).map(|()| None);
             }
         };
-        self.log_limit(&slot, &answer.runner_head);
+        self.on_limit(&slot, &answer.runner_head);
         if answer.runner_head.refused || answer.runner_head.misdirected {
-            slot.release(sample(End::Refused, started, None, 0));
+            slot.release(self.sample(End::Refused, started, None, 0));
             return self.on_refusal(answer.runner_head).map(|()| None);
         }
         if let Some(failure) = unusable(&answer) {
-            slot.release(sample(End::Late, started, None, 0));
+            slot.release(self.sample(End::Late, started, None, 0));
             return self.on_failure(&failure, End::Late).map(|()| None);
         }
         self.ran += 1;
@@ -155,11 +159,14 @@
         self.read_whole(slot, answer, started).await
     }
 
-    /// Logs the limit that a runner names.
-    fn log_limit(&self, slot: &Slot, runner_head: &RunnerHead) {
-        let Some(limit) = runner_head.limit else {
+    /// Reports and logs the limit that a runner names; another runner at its address
+    /// says nothing about it.
+    fn on_limit(&mut self, slot: &Slot, runner_head: &RunnerHead) {
+        self.unlimited = runner_head.sealed && runner_head.limit.is_none();
+        let Some(limit) = runner_head.limit.filter(|_| !runner_head.misdirected) else {
             return;
         };
+        slot.record_limit(limit);
         let Some(skipped) = self.exchange.log_permit() else {
             return;
         };
@@ -401,7 +408,7 @@
                 } else {
                     End::Done
                 };
-                slot.release(sample(end, started, None, 0));
+                slot.release(self.sample(end, started, None, 0));
                 let answer = Answer {
                     status,
                     headers,
@@ -417,7 +424,7 @@
             }
             Err(failure) => {
                 let end = end_for(&failure);
-                slot.release(sample(end, started, None, 0));
+                slot.release(self.sample(end, started, None, 0));
                 self.ran -= 1;
                 self.on_failure(&failure, end).map(|()| None)
             }
@@ -520,12 +527,25 @@
     /// Releases the slot of the stream.
     fn release_stream(&mut self, end: End) {
         if let Some(stream) = self.stream.take() {
-            stream.slot.release(sample(
-                end,
-                stream.started,
-                stream.first_event,
-                stream.event_count,
-            ));
+            let sample = self.sample(end, stream.started, stream.first_event, stream.event_count);
+            stream.slot.release(sample);
+        }
+    }
+
+    /// The sample of this attempt.
+    fn sample(&self, end: End, started: Instant, first: Option<Instant>, events: u32) -> Sample {
+        let now = Instant::now();
+        let since = |it: Instant| now.saturating_duration_since(it);
+        let between = first
+            .filter(|_| events > 1)
+            .map(|it| since(it) / (events - 1));
+        Sample {
+            end,
+            first_token: first.map(|it| it.saturating_duration_since(started)),
+            between_tokens: between,
+            whole: since(started),
+            tokens: events,
+            unlimited: self.unlimited,
         }
     }
 
@@ -601,18 +621,3 @@
         _ => End::Refused,
     }
 }
-
-fn sample(end: End, started: Instant, first: Option<Instant>, events: u32) -> Sample {
-    let now = Instant::now();
-    let since = |it: Instant| now.saturating_duration_since(it);
-    let between = first
-        .filter(|_| events > 1)
-        .map(|it| since(it) / (events - 1));
-    Sample {
-        end,
-        first_token: first.map(|it| it.saturating_duration_since(started)),
-        between_tokens: between,
-        whole: since(started),
-        tokens: events,
-    }
-}
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -475,6 +475,14 @@
         self.guard.inner.drive(vec![work]);
     }
 
+    /// Reports the limit that the runner names in its answer, in requests per second; not
+    /// a number if it cannot be read.
+    pub fn record_limit(&self, per_second: f64) {
+        let limit = requester::Event::Limit(self.guard.ticket, per_second);
+        let work = Work::Requester(self.guard.service.clone(), limit);
+        self.guard.inner.drive(vec![work]);
+    }
+
     /// Releases the slot with a sample of the attempt.
     pub fn release(mut self, sample: Sample) {
         self.guard.inner.metrics.on_sample(&sample);
--- a/crates/daemon/src/slots/host.rs
+++ b/crates/daemon/src/slots/host.rs
@@ -11,7 +11,7 @@
 };
 
 use citron_policy::{
-    arbiter::{self, Arbiter, Asked, Note, Reply, Request, Ticket, Transition, host_order},
+    arbiter::{self, Arbiter, Asked, Note, Rate, Reply, Request, Ticket, Transition, host_order},
     catalogue::{Key, Kind},
     crash,
     id::{DomainId, Epoch, InstanceId, ServiceId},
@@ -215,8 +215,8 @@
             return;
         }
         let dropped = std::mem::take(&mut self.host.borrow_mut().arbiters);
-        for service in dropped.keys() {
-            self.metrics.on_retired(service);
+        for (service, hosted) in &dropped {
+            self.metrics.on_retired(service, &hosted.arbiter.stats());
             self.ring.record(
                 "CP0309",
                 None,
@@ -432,7 +432,7 @@
         };
         let Some(hosted) = hosted else { return };
         self.metrics.set_arbiters(count);
-        self.metrics.on_retired(service);
+        self.metrics.on_retired(service, &hosted.arbiter.stats());
         self.ring.record(
             "CP0304",
             None,
@@ -509,6 +509,15 @@
                 self.ring
                     .record("CP0305", None, &[service_key(service)], text);
             }
+            Note::HeldBack => self.metrics.on_held_back(service),
+            Note::Limit { runner, rate, by } => {
+                self.metrics.on_limit(service, runner, *rate);
+                log::info!(
+                    event = "CP0311", service = service.as_str(), runner = runner.as_str(),
+                    limit = rate.map(Rate::per_second), by = by.as_str();
+                    "limit of a runner"
+                );
+            }
             Note::AskerLost(asker) => {
                 self.metrics.lost_askers.inc();
                 let text = format!("slots of {asker} at service {service} are free again");
--- a/crates/daemon/src/slots/metrics.rs
+++ b/crates/daemon/src/slots/metrics.rs
@@ -2,7 +2,10 @@
 
 use std::{sync::atomic::AtomicU64, time::Duration};
 
-use citron_policy::arbiter::{End, Refusal, Sample, Stats, Transition};
+use citron_policy::{
+    arbiter::{End, Rate, Refusal, Sample, Stats, Transition},
+    id::RunnerId,
+};
 use prometheus_client::{
     encoding::EncodeLabelSet,
     metrics::{
@@ -45,6 +48,13 @@
     by: &'static str,
 }
 
+/// Labels of a service and its runner.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RunnerLabel {
+    service: String,
+    runner: String,
+}
+
 /// Label of a reason.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ReasonLabel {
@@ -73,6 +83,9 @@
     queued: Family<QueueLabel, Gauge>,
     running: Family<ServiceLabel, Gauge>,
     aside: Family<ServiceLabel, Gauge>,
+    limited: Family<ServiceLabel, Gauge>,
+    limit: Family<RunnerLabel, Gauge<f64, AtomicU64>>,
+    held_back: Family<ServiceLabel, Counter>,
     marks: Family<MarkLabel, Counter>,
     suspects: Family<ServiceLabel, Gauge>,
     parked: Family<ServiceLabel, Gauge>,
@@ -97,6 +110,9 @@
             queued: Family::default(),
             running: Family::default(),
             aside: Family::default(),
+            limited: Family::default(),
+            limit: Family::default(),
+            held_back: Family::default(),
             marks: Family::default(),
             suspects: Family::default(),
             parked: Family::default(),
@@ -135,6 +151,21 @@
         );
         registrar.add("running", "Slots in use by arbiters here", &self.running);
         registrar.add("aside_runners", "Runners set aside as slow", &self.aside);
+        registrar.add(
+            "limited_runners",
+            "Runners that name a limit, at arbiters here",
+            &self.limited,
+        );
+        registrar.add(
+            "runner_limit",
+            "Requests per second that a runner takes, as it last named",
+            &self.limit,
+        );
+        registrar.add(
+            "held_back",
+            "Requests that waited because of the limits of runners",
+            &self.held_back,
+        );
         registrar.add("marks", "Requests whose crash mark changed", &self.marks);
         registrar.add(
             "suspects",
@@ -202,6 +233,30 @@
             .inc();
     }
 
+    /// Counts a request that waits because of the limit of a runner.
+    pub(super) fn on_held_back(&self, service: &str) {
+        let service = service.to_owned();
+        self.held_back
+            .get_or_create(&ServiceLabel { service })
+            .inc();
+    }
+
+    /// Shows the limit of a runner; hides it when the limit has ended.
+    pub(super) fn on_limit(&self, service: &str, runner: &RunnerId, rate: Option<Rate>) {
+        let label = RunnerLabel {
+            service: service.to_owned(),
+            runner: runner.clone(),
+        };
+        match rate {
+            Some(rate) => {
+                self.limit.get_or_create(&label).set(rate.per_second());
+            }
+            None => {
+                self.limit.remove(&label);
+            }
+        }
+    }
+
     /// Counts proposed crash marks.
     pub(super) fn on_marks(&self, mark: &'static str, by: &'static str, count: usize) {
         let count = u64::try_from(count).unwrap_or(u64::MAX);
@@ -222,12 +277,18 @@
         let of = ServiceLabel { service };
         self.running.get_or_create(&of).set(signed(stats.running));
         self.aside.get_or_create(&of).set(signed(stats.aside));
+        self.limited
+            .get_or_create(&of)
+            .set(signed(stats.limited.len()));
         self.suspects.get_or_create(&of).set(signed(stats.suspects));
         self.parked.get_or_create(&of).set(signed(stats.parked));
     }
 
     /// Clears the gauges of an arbiter that is no longer hosted.
-    pub(super) fn on_retired(&self, service: &str) {
+    pub(super) fn on_retired(&self, service: &str, last: &Stats) {
+        for runner in &last.limited {
+            self.on_limit(service, runner, None);
+        }
         self.on_stats(
             service,
             &Stats {
--- a/crates/policy/benches/slot_slopes.rs
+++ b/crates/policy/benches/slot_slopes.rs
@@ -142,6 +142,7 @@
         between_tokens: Some(Duration::from_millis(25)),
         whole: Duration::from_secs(5),
         tokens: 200,
+        unlimited: false,
     }
 }
 
--- a/crates/policy/benches/slots/model.rs
+++ b/crates/policy/benches/slots/model.rs
@@ -359,6 +359,7 @@
             between_tokens: between,
             whole: self.now.saturating_sub(request.attempt_start),
             tokens: request.attempt_tokens,
+            unlimited: false,
         };
         let (daemon, ticket) = (self.arrivals[index].daemon, request.ticket);
         self.tickets.swap_remove(&ticket);
--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -19,6 +19,7 @@
 mod grant;
 mod hold;
 pub mod message;
+mod pace;
 mod pool;
 mod prompt;
 mod queue;
@@ -39,6 +40,7 @@
     Ask, Asked, End, Heartbeat, Hold, Inventory, Part, Progress, Refusal, Reply, Request, Sample,
     Ticket,
 };
+pub use pace::Rate;
 pub use pool::{MAX_RUNNERS, Transition};
 pub use rendezvous::host_order;
 
@@ -161,6 +163,17 @@
     },
     /// A runner's health changed.
     Health(Transition),
+    /// A request waits though a runner has room, because of the runner's limit.
+    HeldBack,
+    /// A runner named another limit, or names none any more.
+    Limit {
+        /// The runner.
+        runner: RunnerId,
+        /// Requests per second from all daemons together.
+        rate: Option<Rate>,
+        /// The daemon that reported it.
+        by: InstanceId,
+    },
     /// An asker was lost and its slots were freed.
     AskerLost(InstanceId),
 }
@@ -191,6 +204,8 @@
     pub askers: usize,
     /// Runners set aside as slow.
     pub aside: usize,
+    /// Runners that name a limit.
+    pub limited: Vec<RunnerId>,
     /// Usable runners.
     pub usable: usize,
     /// Slots of the usable runners.
@@ -303,6 +318,7 @@
             parked: self.suspects.parked(),
             askers: self.askers.len(),
             aside: self.pool.aside(),
+            limited: self.pool.limited().cloned().collect(),
             usable: self.pool.usable(),
             slots: self.pool.slots(),
             evaluations: self.pool.evaluations(),
@@ -376,6 +392,7 @@
             Request::Release(ticket, sample) => {
                 self.release(now, Key { asker, ticket }, &sample, effects);
             }
+            Request::Limit(runner, rate) => self.on_limit(now, from, &runner, rate, effects),
             Request::Heartbeat(beat) => self.on_heartbeat(now, from, asker, &beat, effects),
             Request::Inventory(list) => self.on_inventory(now, from, asker, list, effects),
         }
@@ -399,7 +416,17 @@
         let max = self
             .declared_service()
             .map_or(1, |service| service.max_running_per_runner);
+        let limited: Vec<RunnerId> = self.pool.limited().cloned().collect();
         self.pool.set(listed, max);
+        for runner in limited {
+            if self.pool.get(&runner).is_none() {
+                effects.push(Effect::Note(Note::Limit {
+                    runner,
+                    rate: None,
+                    by: InstanceId::new(),
+                }));
+            }
+        }
         let memory = self
             .declared_service()
             .map_or(0, |service| service.memory_tokens);
@@ -421,6 +448,24 @@
         }
     }
 
+    /// Records the limit that a runner named in an answer to a daemon.
+    fn on_limit(
+        &mut self,
+        now: Instant,
+        by: &InstanceId,
+        runner: &RunnerId,
+        rate: Rate,
+        effects: &mut Vec<Effect>,
+    ) {
+        if self.pool.on_limit(now, runner, rate) {
+            effects.push(Effect::Note(Note::Limit {
+                runner: runner.clone(),
+                rate: Some(rate),
+                by: by.clone(),
+            }));
+        }
+    }
+
     /// Starts granting once every daemon has reported its slots, or on timeout.
     fn end_collecting(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         let ended = self
--- a/crates/policy/src/arbiter/admit.rs
+++ b/crates/policy/src/arbiter/admit.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use super::{Arbiter, Ask, Effect, Key, Note, Refusal, Reply, queue::Item};
+use super::{Arbiter, Ask, Effect, Key, Note, Refusal, Reply, estimate::Capacity, queue::Item};
 use crate::{
     catalogue::{Account, Class, MAX_TIER, URGENCY_LEVELS},
     crash::{Mark, NO_FINGERPRINT, Step},
@@ -149,6 +149,7 @@
             prompt: ask.prompt.as_slice().into(),
             output: ask.output,
             obstacle: None,
+            held_back: false,
             class,
         }
     }
@@ -236,16 +237,16 @@
 
     /// Estimated wait of a new request like this.
     fn estimated_wait(&self, item: &Item) -> Duration {
-        self.estimated_wait_with(self.pool.slots(), item)
+        self.estimated_wait_with(self.pool.capacity(), item)
     }
 
-    /// Estimated wait of a new request like this with the given number of slots.
-    fn estimated_wait_with(&self, slots: u32, item: &Item) -> Duration {
+    /// Estimated wait of a new request like this with the given capacity.
+    fn estimated_wait_with(&self, capacity: Capacity, item: &Item) -> Duration {
         let urgency = item.urgency_index();
         let higher = (0..urgency).map(|it| self.queue.len_of(it)).sum();
         let own = self.queue.ahead_of(urgency, &item.account) + 1;
         self.estimate
-            .wait(slots, urgency, higher, own, self.settings.floor_share)
+            .wait(capacity, urgency, higher, own, self.settings.floor_share)
     }
 
     pub(super) fn retry_after(&self, item: &Item) -> Duration {
@@ -264,9 +265,9 @@
         if self.collecting.is_some() {
             return;
         }
-        let slots = self.pool.slots();
+        let capacity = self.pool.capacity();
         for urgency in (0..URGENCY_LEVELS).rev() {
-            self.shed_overdue(now, urgency, slots, effects);
+            self.shed_overdue(now, urgency, capacity, effects);
         }
     }
 
@@ -276,13 +277,13 @@
         &mut self,
         now: Instant,
         urgency: usize,
-        slots: u32,
+        capacity: Capacity,
         effects: &mut Vec<Effect>,
     ) {
         let overdue = self.queue.overdue(urgency, now);
         let first = overdue.first().and_then(|key| self.queue.get(*key));
-        let overloaded =
-            first.is_some_and(|it| self.estimated_wait_with(slots, it) > self.max_wait(&it.class));
+        let overloaded = first
+            .is_some_and(|it| self.estimated_wait_with(capacity, it) > self.max_wait(&it.class));
         self.queue.set_overloaded(urgency, overloaded);
         if !overloaded {
             return;
@@ -291,7 +292,7 @@
             let Some(item) = self.queue.get(key).filter(|it| !self.is_exempt(it)) else {
                 continue;
             };
-            let retry_after = retry_after(self.estimated_wait_with(slots, item));
+            let retry_after = retry_after(self.estimated_wait_with(capacity, item));
             if let Some(item) = self.take_waiting(key) {
                 self.refuse_item(&item, Refusal::Shed { retry_after }, effects);
             }
--- a/crates/policy/src/arbiter/estimate.rs
+++ b/crates/policy/src/arbiter/estimate.rs
@@ -61,6 +61,17 @@
     }
 }
 
+/// What the runners of a service can serve.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Capacity {
+    /// Slots of the runners that name no limit.
+    pub(super) slots: u32,
+    /// Slots of those that do.
+    pub(super) limited_slots: u32,
+    /// Sum of their limits, in requests per second.
+    pub(super) limited_rate: f64,
+}
+
 /// Run time, output lengths and grant rates of one arbiter.
 #[derive(Debug)]
 pub(super) struct Estimate {
@@ -104,22 +115,29 @@
         self.lengths.get(class)
     }
 
-    /// Requests per second that `slots` can finish; none before the first sample.
-    pub(super) fn service_rate(&self, slots: u32) -> Option<f64> {
-        self.mean_seconds
-            .map(|mean| f64::from(slots) / mean.max(0.001))
+    /// Requests per second that can be finished; none before the first sample, unless
+    /// limits tell it.
+    fn service_rate(&self, capacity: Capacity) -> Option<f64> {
+        let of_slots = |slots: u32| Some(f64::from(slots) / self.mean_seconds?.max(0.001));
+        let limited = of_slots(capacity.limited_slots).map_or(capacity.limited_rate, |rate| {
+            rate.min(capacity.limited_rate)
+        });
+        match capacity.slots {
+            0 if limited > 0.0 => Some(limited),
+            slots => of_slots(slots.max(1)).map(|rate| rate + limited),
+        }
     }
 
     /// Wait of a request behind `higher` more urgent and `own` equally urgent ones.
     pub(super) fn wait(
         &self,
-        slots: u32,
+        capacity: Capacity,
         urgency: usize,
         higher: usize,
         own: usize,
         floor: f64,
     ) -> Duration {
-        let Some(rate) = self.service_rate(slots.max(1)) else {
+        let Some(rate) = self.service_rate(capacity) else {
             return Duration::ZERO;
         };
         let taken: f64 = self.grant_rates[..urgency].iter().sum();
--- a/crates/policy/src/arbiter/grant.rs
+++ b/crates/policy/src/arbiter/grant.rs
@@ -91,7 +91,12 @@
         let runner = match picked {
             Ok(runner) => runner,
             Err(obstacle) => {
-                self.queue.set_obstacle(key, obstacle);
+                if self
+                    .queue
+                    .set_obstacle(key, obstacle, self.pool.is_held_back(now))
+                {
+                    effects.push(Effect::Note(Note::HeldBack));
+                }
                 return false;
             }
         };
@@ -190,8 +195,9 @@
         let Some(alone) = self.suspects.alone.clone() else {
             return;
         };
-        let empty = self.pool.get(&alone.runner).is_some_and(|it| it.held == 0);
-        if !empty || self.running.contains_key(&alone.key) {
+        let runner = self.pool.get(&alone.runner);
+        let ready = runner.is_some_and(|it| it.held == 0 && !it.is_held_back(now));
+        if !ready || self.running.contains_key(&alone.key) {
             return;
         }
         if let Some(item) = self.suspects.remove(alone.key) {
@@ -238,7 +244,7 @@
             return;
         }
         // If no runner is usable, the suspect serves as the probe of one out of use.
-        let usable = self.pool.least_loaded(&item.avoid);
+        let usable = self.pool.least_loaded(now, &item.avoid);
         let Some(runner) = usable.or_else(|| self.pool.probe(now)) else {
             return;
         };
@@ -252,7 +258,8 @@
     /// Preempts lower tiers for requests that are running out of time.
     fn preempt(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         let idle = self.victims.is_empty() || self.queue.len() == 0;
-        if self.backend != Backend::Model || idle {
+        // A freed slot is of no use where limits hold the requests back.
+        if self.backend != Backend::Model || idle || self.pool.capacity().slots == 0 {
             return;
         }
         let urgent = self.urgent_tiers(now);
--- a/crates/policy/src/arbiter/hold.rs
+++ b/crates/policy/src/arbiter/hold.rs
@@ -214,6 +214,13 @@
         let Some(running) = self.remove_running(now, key) else {
             return;
         };
+        if sample.unlimited && self.pool.end_limit(&running.runner, running.since) {
+            effects.push(Effect::Note(Note::Limit {
+                runner: running.runner.clone(),
+                rate: None,
+                by: self.instance_of(key.asker),
+            }));
+        }
         let read = running.usage.is_some();
         let transition = self
             .pool
@@ -398,6 +405,9 @@
             .take(MAX_LISTED)
             .collect();
         self.apply_marks(&inventory, effects);
+        for (runner, rate) in &inventory.limits {
+            self.on_limit(now, from, runner, *rate, effects);
+        }
         for hold in inventory.held {
             self.adopt(now, asker, hold);
         }
@@ -493,7 +503,7 @@
             exposed: self.marks.is_exposed(hold.ask.fingerprint),
         };
         if let Some(runner) = self.pool.get_mut(&running.runner) {
-            runner.on_grant(now);
+            runner.on_hold(now);
             runner.reserved |= hold.alone;
         }
         self.pool.touch(&running.runner);
--- a/crates/policy/src/arbiter/message.rs
+++ b/crates/policy/src/arbiter/message.rs
@@ -8,6 +8,7 @@
 
 use derive_more::{Display, Error};
 
+use super::Rate;
 use crate::{
     crash,
     id::{AccountId, ClassId, Epoch, Fingerprint, InstanceId, RunnerId},
@@ -99,6 +100,8 @@
     pub whole: Duration,
     /// Tokens received.
     pub tokens: u32,
+    /// Whether the runner answered without naming a limit on requests per second.
+    pub unlimited: bool,
 }
 
 impl Sample {
@@ -111,6 +114,7 @@
             between_tokens: None,
             whole: Duration::ZERO,
             tokens: 0,
+            unlimited: false,
         }
     }
 }
@@ -150,6 +154,8 @@
     pub suspected: Vec<Fingerprint>,
     /// Requests that this asker's observations put in quarantine.
     pub quarantined: Vec<Fingerprint>,
+    /// Limits that runners named to this asker lately.
+    pub limits: Vec<(RunnerId, Rate)>,
 }
 
 /// Request of an asker.
@@ -163,6 +169,8 @@
     Begun(Ticket),
     /// Releases a slot.
     Release(Ticket, Sample),
+    /// Reports the limit that a runner names in an answer.
+    Limit(RunnerId, Rate),
     /// Heartbeat.
     Heartbeat(Heartbeat),
     /// Lists all queued tickets and held slots.
--- a/crates/policy/src/arbiter/pool.rs
+++ b/crates/policy/src/arbiter/pool.rs
@@ -13,7 +13,9 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::{
+    estimate::Capacity,
     message::{End, Sample},
+    pace::{Pace, Rate},
     prompt::Work,
     runner::{Cause, Health, Runner},
 };
@@ -97,6 +99,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Pool {
     runners: IndexMap<RunnerId, Runner>,
+    /// Limits reported of runners that are not on the list yet.
+    early_limits: IndexMap<RunnerId, Pace>,
     /// Number of times that a runner was evaluated for a request.
     evaluations: Cell<u64>,
     /// Generation of the cached obstacles; those of an older one are void.
@@ -133,10 +137,11 @@
             if self.runners.len() >= MAX_RUNNERS && !self.runners.contains_key(&it.id) {
                 continue;
             }
-            let runner = self
-                .runners
-                .entry(it.id.clone())
-                .or_insert_with(|| Runner::new(max));
+            let runner = self.runners.entry(it.id.clone()).or_insert_with(|| {
+                let mut runner = Runner::new(max);
+                runner.pace = self.early_limits.shift_remove(&it.id);
+                runner
+            });
             runner.address = Some(it.address);
             runner.domain.clone_from(&it.domain);
             runner.leaving = it.standing == Standing::Leaving;
@@ -148,6 +153,50 @@
         self.invalidate_obstacles();
     }
 
+    /// Records the limit that a runner names; true if it was not known.
+    pub(super) fn on_limit(&mut self, now: Instant, id: &RunnerId, rate: Rate) -> bool {
+        let Some(runner) = self.runners.get_mut(id) else {
+            if self.early_limits.len() >= MAX_RUNNERS {
+                self.early_limits.shift_remove_index(0);
+            }
+            self.early_limits.insert(id.clone(), Pace::new(now, rate));
+            return false;
+        };
+        match &mut runner.pace {
+            Some(pace) => pace.on_named(now, rate),
+            none => {
+                *none = Some(Pace::new(now, rate));
+                true
+            }
+        }
+    }
+
+    /// Ends a limit that an answer to a request granted at `granted` did not name;
+    /// false if there was none.
+    pub(super) fn end_limit(&mut self, id: &RunnerId, granted: Instant) -> bool {
+        let Some(runner) = self.runners.get_mut(id) else {
+            return false;
+        };
+        let ended = runner.pace.is_some_and(|pace| pace.is_ended_by(granted));
+        if ended {
+            runner.pace = None;
+            self.touch(id);
+        }
+        ended
+    }
+
+    /// Runners that name a limit.
+    pub(super) fn limited(&self) -> impl Iterator<Item = &RunnerId> {
+        let limited = self.runners.iter().filter(|(_, it)| it.pace.is_some());
+        limited.map(|(id, _)| id)
+    }
+
+    /// Whether a usable runner gets no request now because of its limit.
+    pub(super) fn is_held_back(&self, now: Instant) -> bool {
+        let mut runners = self.runners.values();
+        runners.any(|it| it.is_usable() && it.is_held_back(now))
+    }
+
     pub(super) fn set_max(&mut self, max: u32) {
         self.runners
             .values_mut()
@@ -197,6 +246,21 @@
         usable.map(Runner::limit).sum()
     }
 
+    /// What the usable runners can serve.
+    pub(super) fn capacity(&self) -> Capacity {
+        let mut capacity = Capacity::default();
+        for runner in self.runners.values().filter(|it| it.is_usable()) {
+            match &runner.pace {
+                None => capacity.slots += runner.limit(),
+                Some(pace) => {
+                    capacity.limited_slots += runner.limit();
+                    capacity.limited_rate += pace.rate().per_second();
+                }
+            }
+        }
+        capacity
+    }
+
     /// Whether no runner is usable.
     pub(super) fn is_unusable(&self) -> bool {
         !self.runners.values().any(Runner::is_usable)
@@ -237,7 +301,7 @@
         now: Instant,
         query: &Query<'_>,
     ) -> Result<RunnerId, Obstacle> {
-        let others = self.has_others(query.avoid);
+        let others = self.has_others(now, query.avoid);
         let mut cheapest: Option<[(usize, f64); 2]> = None;
         for (place, (id, runner)) in self.runners.iter().enumerate() {
             if runner.free(now) == 0 || (others && query.avoid.contains(id)) {
@@ -309,13 +373,13 @@
         })
     }
 
-    /// Whether any usable runner is not one of those to avoid.
-    fn has_others(&self, avoid: &[RunnerId]) -> bool {
+    /// Whether any runner that may be used now is not one of those to avoid.
+    fn has_others(&self, now: Instant, avoid: &[RunnerId]) -> bool {
         if avoid.is_empty() {
             return false;
         }
         let mut runners = self.runners.iter();
-        runners.any(|(id, it)| it.is_usable() && !avoid.contains(id))
+        runners.any(|(id, it)| it.is_usable() && !it.is_held_back(now) && !avoid.contains(id))
     }
 
     /// The best runner with a free slot; avoided ones only if no other is usable.
@@ -325,7 +389,7 @@
         query: &Query<'_>,
         warm: Option<&RunnerId>,
     ) -> Result<RunnerId, Obstacle> {
-        let others = self.has_others(query.avoid);
+        let others = self.has_others(now, query.avoid);
         let mut best: Option<(f64, &RunnerId)> = None;
         let mut warm_score = None;
         for (id, runner) in &self.runners {
@@ -361,10 +425,10 @@
     }
 
     /// The least loaded usable runner, for a request that must run alone.
-    pub(super) fn least_loaded(&self, avoid: &[RunnerId]) -> Option<RunnerId> {
+    pub(super) fn least_loaded(&self, now: Instant, avoid: &[RunnerId]) -> Option<RunnerId> {
         let usable = self.runners.iter().filter(|(_, it)| it.is_usable());
         usable
-            .min_by_key(|(id, it)| (avoid.contains(id), it.held))
+            .min_by_key(|(id, it)| (it.is_held_back(now), avoid.contains(id), it.held))
             .map(|(id, _)| id.clone())
     }
 
--- a/crates/policy/src/arbiter/queue.rs
+++ b/crates/policy/src/arbiter/queue.rs
@@ -46,6 +46,8 @@
     pub(super) output: u32,
     /// Why it could not be granted when it was last tried.
     pub(super) obstacle: Option<Obstacle>,
+    /// Whether a runner's limit has held it back.
+    pub(super) held_back: bool,
 }
 
 impl Item {
@@ -147,11 +149,14 @@
         self.items.get(&key)
     }
 
-    /// Records why an item could not be granted.
-    pub(super) fn set_obstacle(&mut self, key: Key, obstacle: Obstacle) {
-        if let Some(item) = self.items.get_mut(&key) {
-            item.obstacle = Some(obstacle);
-        }
+    /// Records why an item could not be granted, and whether runners' limits hold
+    /// requests back; true if that is new for the item.
+    pub(super) fn set_obstacle(&mut self, key: Key, obstacle: Obstacle, held_back: bool) -> bool {
+        let Some(item) = self.items.get_mut(&key) else {
+            return false;
+        };
+        item.obstacle = Some(obstacle);
+        held_back && !std::mem::replace(&mut item.held_back, true)
     }
 
     pub(super) fn items(&self) -> impl Iterator<Item = &Item> {
--- a/crates/policy/src/arbiter/runner.rs
+++ b/crates/policy/src/arbiter/runner.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use super::{message::Sample, prompt::Load};
+use super::{message::Sample, pace::Pace, prompt::Load};
 use crate::{
     catalogue::Class,
     id::{DomainId, Fingerprint},
@@ -174,6 +174,8 @@
     latency_ratio: f64,
     decreased_at: Option<Instant>,
     paused_until: Option<Instant>,
+    /// Limit on requests per second that it names.
+    pub(super) pace: Option<Pace>,
     refusals: u32,
     /// Highest `held` in this and the previous window.
     peaks: [u32; 2],
@@ -207,6 +209,7 @@
             latency_ratio: 0.0,
             decreased_at: None,
             paused_until: None,
+            pace: None,
             refusals: 0,
             peaks: [0; 2],
             peak_at: None,
@@ -257,16 +260,21 @@
     /// Slots that can be granted now.
     pub(super) fn free(&self, now: Instant) -> u32 {
         let paused = self.paused_until.is_some_and(|until| now < until);
-        if !self.is_usable() || self.reserved || paused {
+        if !self.is_usable() || self.reserved || paused || self.is_held_back(now) {
             return 0;
         }
         self.limit().saturating_sub(self.load(now))
     }
 
+    /// Whether its limit allows no request yet.
+    pub(super) fn is_held_back(&self, now: Instant) -> bool {
+        self.pace.is_some_and(|pace| pace.holds_back(now))
+    }
+
     /// Whether it may be probed with one request.
     pub(super) fn is_probe_due(&self, now: Instant) -> bool {
         let due = matches!(self.health, Health::Excluded { probe_at, probing: false, .. } if probe_at <= now);
-        due && !self.leaving && !self.reserved && self.held == 0
+        due && !self.leaving && !self.reserved && self.held == 0 && !self.is_held_back(now)
     }
 
     /// Whether its probe has waited too long for a request of the lowest class.
@@ -275,6 +283,14 @@
     }
 
     pub(super) fn on_grant(&mut self, now: Instant) {
+        if let Some(pace) = &mut self.pace {
+            pace.on_grant(now);
+        }
+        self.on_hold(now);
+    }
+
+    /// Records a slot in use, granted here or by another arbiter.
+    pub(super) fn on_hold(&mut self, now: Instant) {
         self.held += 1;
         self.roll_peaks(now);
         self.peaks[0] = self.peaks[0].max(self.held);
--- a/crates/policy/src/requester.rs
+++ b/crates/policy/src/requester.rs
@@ -19,8 +19,8 @@
 
 use crate::{
     arbiter::{
-        Ask, Asked, End, Heartbeat, Hold, Inventory, Progress, Refusal, Reply, Request, Sample,
-        Ticket, message::ticket_hash,
+        Ask, Asked, End, Heartbeat, Hold, Inventory, MAX_RUNNERS, Progress, Rate, Refusal, Reply,
+        Request, Sample, Ticket, message::ticket_hash,
     },
     crash::{InFlight, Mark, Overlay, Step, Table},
     id::{Epoch, InstanceId, RunnerId},
@@ -59,6 +59,10 @@
     }
 }
 
+/// Time for which the limit of a runner is told to a new arbiter: some intervals of a
+/// runner that takes one request per second from a dozen daemons.
+const LIMIT_MEMORY: Duration = Duration::from_secs(30);
+
 /// Input of a requester.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -73,6 +77,8 @@
     Cancel(Ticket),
     /// The answer on a slot has started.
     Begun(Ticket),
+    /// The answer on a slot names a limit of its runner, in requests per second.
+    Limit(Ticket, f64),
     /// A slot is released.
     Release(Ticket, Sample),
     /// Observations of the running streams, for the next heartbeat.
@@ -146,6 +152,13 @@
     exposed: bool,
 }
 
+/// A limit that a runner named in an answer.
+#[derive(Clone, Copy, Debug)]
+struct Limit {
+    rate: Rate,
+    heard_at: Instant,
+}
+
 /// Waiting and held tickets of one shard.
 #[derive(Debug)]
 pub struct Requester {
@@ -164,6 +177,8 @@
     /// Exclusive or of the mixed ticket numbers.
     digest: u64,
     marks: Overlay,
+    /// Limits of runners, the newest last.
+    limits: IndexMap<RunnerId, Limit>,
     progress: Vec<Progress>,
     last_heartbeat: Instant,
     estimator: Estimator,
@@ -186,6 +201,7 @@
             held: IndexMap::new(),
             digest: 0,
             marks: Overlay::default(),
+            limits: IndexMap::new(),
             progress: Vec::new(),
             last_heartbeat: now,
             estimator: Estimator::default(),
@@ -237,6 +253,7 @@
                     self.send(Request::Begun(ticket), &mut effects);
                 }
             }
+            Event::Limit(ticket, named) => self.on_limit(now, ticket, named, &mut effects),
             Event::Release(ticket, sample) => self.on_release(ticket, sample, &mut effects),
             Event::Progress(progress) => self.progress = progress,
             Event::Reply { from, epoch, reply } => {
@@ -306,6 +323,12 @@
             return;
         };
         self.digest ^= ticket_hash(ticket);
+        if sample.unlimited
+            && let Some(limit) = self.limits.get(&held.runner)
+            && limit.heard_at < held.since
+        {
+            self.limits.shift_remove(&held.runner);
+        }
         match sample.end {
             End::Broken => self.on_broken(&held, effects),
             End::Done => self.on_done(&held, effects),
@@ -314,6 +337,26 @@
         self.send(Request::Release(ticket, sample), effects);
     }
 
+    /// Tells the arbiter the limit that a runner names, and remembers it for the next one.
+    fn on_limit(&mut self, now: Instant, ticket: Ticket, named: f64, effects: &mut Vec<Effect>) {
+        let Some(held) = self.held.get(&ticket) else {
+            return;
+        };
+        let runner = held.runner.clone();
+        let known = self.limits.shift_remove(&runner).map(|it| it.rate);
+        let rate = Rate::from_per_second(named).or(known);
+        let rate = rate.unwrap_or(Rate::UNREADABLE);
+        if self.limits.len() >= MAX_RUNNERS {
+            self.limits.shift_remove_index(0);
+        }
+        let limit = Limit {
+            rate,
+            heard_at: now,
+        };
+        self.limits.insert(runner.clone(), limit);
+        self.send(Request::Limit(runner, rate), effects);
+    }
+
     /// Exposes or marks a request whose runner's connection broke.
     ///
     /// Other requests on that runner are affected only if their own connections break: a
@@ -629,6 +672,7 @@
         let mut inventory = Inventory {
             held: self.held.values().map(hold).collect(),
             exposed: self.marks.exposed().collect(),
+            limits: self.recent_limits(now),
             ..Inventory::default()
         };
         if to_arbiter {
@@ -644,6 +688,17 @@
         self.send_to(to, Request::Inventory(inventory), effects);
     }
 
+    /// Limits that were named lately; an older one may have ended.
+    fn recent_limits(&self, now: Instant) -> Vec<(RunnerId, Rate)> {
+        let recent = self
+            .limits
+            .iter()
+            .filter(|(_, it)| now.saturating_duration_since(it.heard_at) <= LIMIT_MEMORY);
+        recent
+            .map(|(runner, it)| (runner.clone(), it.rate))
+            .collect()
+    }
+
     fn send_ask(&mut self, now: Instant, ticket: Ticket, effects: &mut Vec<Effect>) {
         let Some(waiting) = self.waiting.get_mut(&ticket) else {
             return;
--- a/crates/policy/tests/arbiter_tiers.rs
+++ b/crates/policy/tests/arbiter_tiers.rs
@@ -222,7 +222,11 @@
                     waiting
                 );
             }
-            Note::Refused { .. } | Note::Health(_) | Note::AskerLost(_) => {}
+            Note::Refused { .. }
+            | Note::Health(_)
+            | Note::HeldBack
+            | Note::Limit { .. }
+            | Note::AskerLost(_) => {}
         }
         Ok(())
     }
--- a/crates/policy/tests/slots/mod.rs
+++ b/crates/policy/tests/slots/mod.rs
@@ -117,6 +117,7 @@
         between_tokens: first_token.map(|_| whole / 100),
         whole,
         tokens: 100,
+        unlimited: false,
     }
 }
 
--- a/crates/wire/benches/slots.rs
+++ b/crates/wire/benches/slots.rs
@@ -41,6 +41,7 @@
         between_tokens: Some(Duration::from_millis(30)),
         whole: Duration::from_secs(10),
         tokens: 316,
+        unlimited: false,
     };
     Request::Release(TICKET, sample)
 }
--- a/crates/wire/src/slot.rs
+++ b/crates/wire/src/slot.rs
@@ -4,11 +4,11 @@
 
 use citron_policy::{
     arbiter::{
-        Ask, Asked, End, Heartbeat, Hold, Inventory, Part, Progress, Refusal, Reply, Request,
+        Ask, Asked, End, Heartbeat, Hold, Inventory, Part, Progress, Rate, Refusal, Reply, Request,
         Sample,
     },
     crash::Step,
-    id::{Epoch, ServiceId},
+    id::{Epoch, RunnerId, ServiceId},
 };
 use derive_more::{Display, Error};
 
@@ -104,6 +104,7 @@
         Request::Withdraw(ticket) => Out::Withdraw(ticket),
         Request::Begun(ticket) => Out::Begun(ticket),
         Request::Release(ticket, sample) => Out::Release(sample_to_proto(ticket, sample)),
+        Request::Limit(runner, rate) => Out::Limit(limit_to_proto((runner, rate))),
         Request::Heartbeat(beat) => Out::Beat(beat_to_proto(beat)),
         Request::Inventory(recital) => Out::Recital(recital_to_proto(recital)),
     };
@@ -121,6 +122,10 @@
         In::Withdraw(ticket) => Request::Withdraw(ticket),
         In::Begun(ticket) => Request::Begun(ticket),
         In::Release(release) => Request::Release(release.ticket, sample_from_proto(&release)?),
+        In::Limit(limit) => {
+            let (runner, rate) = limit_from_proto(limit)?;
+            Request::Limit(runner, rate)
+        }
         In::Beat(beat) => Request::Heartbeat(beat_from_proto(beat)?),
         In::Recital(recital) => Request::Inventory(recital_from_proto(recital)?),
     };
@@ -200,6 +205,7 @@
         between_tokens_us: sample.between_tokens.map(micros),
         whole_us: micros(sample.whole),
         tokens: sample.tokens,
+        unlimited: sample.unlimited,
     }
 }
 
@@ -219,6 +225,7 @@
         between_tokens: release.between_tokens_us.map(duration),
         whole: duration(release.whole_us),
         tokens: release.tokens,
+        unlimited: release.unlimited,
     })
 }
 
@@ -251,6 +258,18 @@
     })
 }
 
+fn limit_to_proto((runner, rate): (RunnerId, Rate)) -> proto::Limit {
+    proto::Limit {
+        runner,
+        milli: rate.milli(),
+    }
+}
+
+fn limit_from_proto(limit: proto::Limit) -> Result<(RunnerId, Rate), Error> {
+    let runner = check_name(limit.runner, "runner")?;
+    Ok((runner, Rate::from_milli(limit.milli)))
+}
+
 fn recital_to_proto(recital: Inventory) -> proto::Recital {
     let held = recital.held.into_iter().map(|hold| proto::Hold {
         ask: Some(ask_to_proto(hold.ask)),
@@ -264,6 +283,7 @@
         suspected: recital.suspected,
         quarantined: recital.quarantined,
         exposed: recital.exposed,
+        limits: recital.limits.into_iter().map(limit_to_proto).collect(),
     }
 }
 
@@ -278,6 +298,8 @@
             .max(recital.exposed.len()),
         "list of marks",
     )?;
+    check_len(recital.limits.len(), "list of limits")?;
+    let limits = recital.limits.into_iter().map(limit_from_proto);
     let held = recital.held.into_iter().map(|hold| {
         Ok(Hold {
             ask: ask_from_proto(hold.ask.ok_or(Error::Missing { part: "ask" })?)?,
@@ -292,6 +314,7 @@
         suspected: recital.suspected,
         quarantined: recital.quarantined,
         exposed: recital.exposed,
+        limits: limits.collect::<Result<_, _>>()?,
     })
 }
 
--- a/crates/wire/tests/slot.rs
+++ b/crates/wire/tests/slot.rs
@@ -1,7 +1,8 @@
 //! Slot messages: round trips, and generated garbage.
 
 use citron_policy::arbiter::{
-    Ask, Asked, End, Heartbeat, Hold, Inventory, Part, Progress, Refusal, Reply, Request, Sample,
+    Ask, Asked, End, Heartbeat, Hold, Inventory, Part, Progress, Rate, Refusal, Reply, Request,
+    Sample,
 };
 use citron_policy::crash::Step;
 use citron_wire::{
@@ -45,6 +46,7 @@
         between_tokens: None,
         whole: Duration::from_secs(3),
         tokens: 4,
+        unlimited: true,
     };
     let progress = Progress {
         runner: "r1".to_owned(),
@@ -57,6 +59,7 @@
         alone: true,
         age: Duration::from_secs(2),
     };
+    let rate = Rate::from_per_second(1.1).expect("a rate");
     vec![
         Request::Ask(ask()),
         Request::Withdraw(7),
@@ -72,7 +75,9 @@
             suspected: vec![3],
             quarantined: vec![4],
             exposed: vec![5],
+            limits: vec![("r1".to_owned(), rate)],
         }),
+        Request::Limit("r1".to_owned(), rate),
     ]
 }
 
