arbiter: the log tells a limit that was known before its runner

Operators would see no CP0311 and no gauge for a runner that is paced, if its limit was told to the arbiter before the platform's list named it, as at a move. The pacing held; only the note was missing.

a_limit_told_before_its_runner_is_listed_holds failed in its last expectation before: no note.

--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -171,7 +171,7 @@
         runner: RunnerId,
         /// Requests per second from all daemons together.
         rate: Option<Rate>,
-        /// The daemon that reported it.
+        /// The daemon that reported it; empty if the list of runners changed.
         by: InstanceId,
     },
     /// An asker was lost and its slots were freed.
@@ -318,7 +318,7 @@
             parked: self.suspects.parked(),
             askers: self.askers.len(),
             aside: self.pool.aside(),
-            limited: self.pool.limited().cloned().collect(),
+            limited: self.pool.limits().map(|(id, _)| id).collect(),
             usable: self.pool.usable(),
             slots: self.pool.slots(),
             evaluations: self.pool.evaluations(),
@@ -416,13 +416,15 @@
         let max = self
             .declared_service()
             .map_or(1, |service| service.max_running_per_runner);
-        let limited: Vec<RunnerId> = self.pool.limited().cloned().collect();
+        let before: IndexMap<RunnerId, Rate> = self.pool.limits().collect();
         self.pool.set(listed, max);
-        for runner in limited {
-            if self.pool.get(&runner).is_none() {
+        let after: IndexMap<RunnerId, Rate> = self.pool.limits().collect();
+        let ids: IndexSet<&RunnerId> = before.keys().chain(after.keys()).collect();
+        for runner in ids {
+            if before.get(runner) != after.get(runner) {
                 effects.push(Effect::Note(Note::Limit {
-                    runner,
-                    rate: None,
+                    runner: runner.clone(),
+                    rate: after.get(runner).copied(),
                     by: InstanceId::new(),
                 }));
             }
--- a/crates/policy/src/arbiter/pool.rs
+++ b/crates/policy/src/arbiter/pool.rs
@@ -185,10 +185,10 @@
         ended
     }
 
-    /// Runners that name a limit.
-    pub(super) fn limited(&self) -> impl Iterator<Item = &RunnerId> {
-        let limited = self.runners.iter().filter(|(_, it)| it.pace.is_some());
-        limited.map(|(id, _)| id)
+    /// Limits of the runners that name one.
+    pub(super) fn limits(&self) -> impl Iterator<Item = (RunnerId, Rate)> {
+        let runners = self.runners.iter();
+        runners.filter_map(|(id, it)| Some((id.clone(), it.pace.as_ref()?.rate())))
     }
 
     /// Whether a usable runner gets no request now because of its limit.
--- a/crates/policy/tests/runner_limits.rs
+++ b/crates/policy/tests/runner_limits.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use citron_policy::{
-    arbiter::{Ask, Note, Rate, Refusal, Sample},
+    arbiter::{self, Ask, Note, Rate, Refusal, Sample},
     requester,
 };
 use googletest::prelude::*;
@@ -270,6 +270,35 @@
     expect_that!(ends.count(), eq(1));
 }
 
+#[gtest]
+fn a_limit_told_before_its_runner_is_listed_holds() {
+    let mut simulation = Simulation::new(1, &[("r0", 1.0)]);
+    let listed = std::mem::take(&mut simulation.daemons.runners);
+    simulation.daemons.start_arbiter(0);
+    let rate = Rate::from_per_second(1.0).expect("a rate");
+    let asked = arbiter::Asked {
+        least: 0,
+        fallback: false,
+        request: arbiter::Request::Limit("r0".to_owned(), rate),
+    };
+    let event = |asked| arbiter::Event::Asked {
+        from: slots::name(1),
+        asked,
+    };
+    simulation.daemons.arbiter_event(0, event(asked));
+    simulation
+        .daemons
+        .arbiter_event(0, arbiter::Event::Runners(listed));
+    for _ in 0..50 {
+        simulation.send("c1");
+        simulation.step();
+    }
+    expect_that!(simulation.grants.len(), le(1));
+    let limit = |note: &Note| matches!(note, Note::Limit { rate: Some(_), .. });
+    let notes = simulation.daemons.notes.iter().filter(|it| limit(&it.1));
+    expect_that!(notes.count(), eq(1));
+}
+
 #[gtest]
 fn odd_limits_neither_free_a_runner_nor_close_it_for_good() {
     let rate = |named: f64| Rate::from_per_second(named).map(Rate::milli);
