--- a/crates/wire/benches/slots.rs
+++ b/crates/wire/benches/slots.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use citron_policy::arbiter::{Ask, Asked, End, Heartbeat, Progress, Reply, Request, Sample};
+use citron_policy::arbiter::{Ask, Asked, End, Heartbeat, Progress, Rate, Reply, Request, Sample};
 use citron_wire::{Body, Frame, VERSION, codec::Codec, generated::slot as proto, slot};
 use tokio_util::codec::Encoder;
 
@@ -41,7 +41,7 @@
         between_tokens: Some(Duration::from_millis(30)),
         whole: Duration::from_secs(10),
         tokens: 316,
-        unlimited: false,
+        unlimited: true,
     };
     Request::Release(TICKET, sample)
 }
@@ -100,6 +100,8 @@
         alone: false,
         address: None,
     };
+    let rate = Rate::from_per_second(1.1).expect("a rate");
+    let limit = Request::Limit("runner-0001".to_owned(), rate);
     let messages = [
         ("ask", asked(ask())),
         ("grant", reply(grant)),
@@ -107,6 +109,7 @@
         ("beat_0_runners", asked(beat(0))),
         ("beat_64_runners", asked(beat(64))),
         ("beat_answer", reply(Reply::Ack)),
+        ("limit", asked(limit)),
     ];
     for (name, message) in &messages {
         println!(
