peers, follow: bytes by kind of message, and how each catch-up ended

The logs could not tell what fills the links after a restart of the fleet. CP0905 and citron_peer_sent_kind_bytes tell what is sent and to whom; CP0702, CP0703, CP0710 and CP0711 tell index, size and time of each answer of the feed.

No logic is changed.

--- a/crates/daemon/src/follow.rs
+++ b/crates/daemon/src/follow.rs
@@ -30,6 +30,7 @@
     generated::feed as proto,
 };
 use futures_util::future::LocalBoxFuture;
+use prost::Message as _;
 use tokio::sync::{mpsc, watch};
 
 use crate::{clock, edge::Declarations, peers::Hub};
@@ -54,6 +55,9 @@
 /// Time without requests after which an encoded snapshot is dropped.
 const SNAPSHOT_TTL: Duration = Duration::from_secs(10);
 
+/// Index covered by a view, and time of its latest proof.
+type Progress = (Index, Option<Instant>);
+
 /// Settings for following the control log.
 #[derive(Clone, Default, derive_more::Debug)]
 pub struct Settings {
@@ -207,16 +211,43 @@
         let answer = self.call(parent, pull, hold + ANSWER_GRACE).await;
         let now = clock::now();
         match answer {
-            Some(proto::message::Body::News(news)) => self.apply_news(parent, now, sent, news),
-            Some(proto::message::Body::Part(part)) => self.fetch_snapshot(parent, part).await,
+            Some(proto::message::Body::News(news)) => {
+                let bytes = news.encoded_len();
+                self.apply_news(parent, now, sent, news);
+                self.log_catch_up(parent, now, sent, before, bytes);
+            }
+            Some(proto::message::Body::Part(part)) => {
+                self.fetch_snapshot(parent, sent, part).await;
+            }
             Some(proto::message::Body::Pull(_)) | None => return false,
         }
         // A parent that brings neither updates nor a newer proof is itself cut off.
         self.progress() != before
     }
 
+    /// Logs updates that reached this daemon while its proof was old or absent.
+    fn log_catch_up(
+        &self,
+        parent: &InstanceId,
+        now: Instant,
+        sent: Instant,
+        before: Progress,
+        bytes: usize,
+    ) {
+        let (from, proved) = before;
+        let (to, _) = self.progress();
+        let behind = proved.is_none_or(|at| sent.saturating_duration_since(at) >= STALE_PROOF_AGE);
+        if behind && to > from {
+            let took = now.saturating_duration_since(sent);
+            log::info!(
+                event = "CP0711", parent = parent.as_str(), from, to, bytes,
+                took_ms = took.as_millis(); "updates applied after a time without proof"
+            );
+        }
+    }
+
     /// Index covered by the view, and time of its latest proof.
-    fn progress(&self) -> (Index, Option<Instant>) {
+    fn progress(&self) -> Progress {
         let feed = self.inner.feed.borrow();
         (feed.covered_index(), feed.view().proved)
     }
@@ -245,11 +276,17 @@
         pull: proto::Pull,
         within: Duration,
     ) -> Option<proto::message::Body> {
+        let begun = clock::now();
+        let (index, offset) = (pull.index.max(pull.snapshot), pull.offset);
         let body = Body::Feed(codec::message(proto::message::Body::Pull(pull)));
         let outcome = tokio::select! {
             outcome = self.inner.hub.call(parent, body, within) => outcome,
             () = self.until_not_a_parent(parent) => {
-                log::info!("CP0702 no longer following instance {parent}: it is not reachable");
+                log::info!(
+                    event = "CP0702", parent = parent.as_str(), index, offset,
+                    waited_ms = clock::now().saturating_duration_since(begun).as_millis();
+                    "no longer followed: it is not reachable"
+                );
                 return None;
             }
         };
@@ -261,7 +298,11 @@
             Ok(_) => None,
             Err(error) => {
                 self.inner.metrics.unanswered();
-                log::debug!("CP0702 no longer following instance {parent}: {error}");
+                let waited = clock::now().saturating_duration_since(begun);
+                log::info!(
+                    event = "CP0702", parent = parent.as_str(), index, offset,
+                    waited_ms = waited.as_millis(); "no longer followed: {error}"
+                );
                 None
             }
         }
@@ -289,9 +330,15 @@
     }
 
     /// Fetches the remaining parts of a snapshot and applies it.
-    async fn fetch_snapshot(&self, parent: &InstanceId, first: proto::Part) {
+    async fn fetch_snapshot(&self, parent: &InstanceId, begun: Instant, first: proto::Part) {
+        let total = first.total;
         let Some(bytes) = self.fetch_parts(parent, first).await else {
             self.inner.metrics.refused();
+            log::info!(
+                event = "CP0710", parent = parent.as_str(), total,
+                took_ms = clock::now().saturating_duration_since(begun).as_millis();
+                "snapshot given up"
+            );
             return;
         };
         match codec::decode_snapshot(bytes) {
@@ -300,7 +347,9 @@
                 self.update_feed(|feed| feed.apply_snapshot(snapshot));
                 self.inner.metrics.snapshot_taken();
                 log::info!(
-                    "CP0703 snapshot of index {index}, revision {revision} applied from {parent}"
+                    event = "CP0703", parent = parent.as_str(), index, revision, bytes = total,
+                    took_ms = clock::now().saturating_duration_since(begun).as_millis();
+                    "snapshot applied"
                 );
             }
             Err(error) => {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -7,6 +7,7 @@
 
 mod link;
 mod listen;
+mod traffic;
 
 use std::{
     cell::{Cell, RefCell},
@@ -115,6 +116,7 @@
     calls: RefCell<IndexMap<u64, Call>>,
     next_call: Cell<u64>,
     counts: Cell<Counts>,
+    traffic: traffic::Traffic,
     /// Seconds from queueing a message until it is written to its connection.
     waits: Histogram,
 }
@@ -150,6 +152,7 @@
             calls: RefCell::default(),
             next_call: Cell::new(1),
             counts: Cell::default(),
+            traffic: traffic::Traffic::default(),
             waits: Histogram::new(exponential_buckets(0.000_25, 2.0, 16)),
         };
         Self {
@@ -157,13 +160,15 @@
         }
     }
 
-    /// Adds the histogram of waits to a registry; the counters are read by [`Hub::counts`].
+    /// Adds the histogram of waits and the bytes by kind to a registry; the other counters
+    /// are read by [`Hub::counts`].
     pub fn register(&self, registry: &mut Registry) {
         registry.register(
             "citron_peer_wait_seconds",
             "Time that messages wait for their connection to a peer",
             self.inner.waits.clone(),
         );
+        self.inner.traffic.register(registry);
     }
 
     /// This instance.
--- a/crates/daemon/src/peers/link.rs
+++ b/crates/daemon/src/peers/link.rs
@@ -12,7 +12,7 @@
 use futures_util::{SinkExt, StreamExt};
 use tokio::sync::mpsc;
 
-use super::{Hub, Queued};
+use super::{Hub, Queued, traffic::Kind};
 use crate::socket::detect_dead_peer;
 
 /// Longest time to open a connection.
@@ -72,12 +72,12 @@
         tokio::select! {
             next = queue.recv() => {
                 let Some(first) = next else { return };
-                let Some(wait) = send(hub, &mut framed, first, queue).await else { return };
+                let Some(wait) = send(hub, peer, &mut framed, first, queue).await else { return };
                 log_wait(peer, &wait, queue.len(), &mut last_logged);
             }
             next = framed.next() => match next {
                 Some(Ok(frame)) => {
-                    count(hub, &mut framed, 0, 1);
+                    count_received(hub, &mut framed);
                     on_answer(hub, peer, frame);
                 }
                 Some(Err(error)) => {
@@ -104,6 +104,7 @@
 /// peer does not read.
 async fn send(
     hub: &Hub,
+    peer: &InstanceId,
     framed: &mut Framed<TcpStream, Codec>,
     first: Queued,
     queue: &mut mpsc::Receiver<Queued>,
@@ -111,9 +112,10 @@
     let (oldest, begun) = (first.queued_at, Instant::now());
     let mut next = Some(first);
     while let Some(Queued { frame, queued_at }) = next {
+        let kind = Kind::of(&frame);
         let fed = actix_rt::time::timeout(SEND_TIMEOUT, framed.feed(frame)).await;
         fed.ok()?.ok()?;
-        count(hub, framed, 1, 0);
+        count_sent(hub, framed, peer, kind);
         hub.inner.waits.observe(queued_at.elapsed().as_secs_f64());
         next = queue.try_recv().ok();
     }
@@ -137,15 +139,27 @@
     }
 }
 
-/// Counts the traffic of a connection; `sent` and `received` are numbers of frames.
-pub(super) fn count(hub: &Hub, framed: &mut Framed<TcpStream, Codec>, sent: u64, received: u64) {
-    let codec = framed.codec_mut();
-    let (sent_bytes, received_bytes) = (codec.take_sent_bytes(), codec.take_received_bytes());
+/// Counts a frame that was written to a connection.
+pub(super) fn count_sent(
+    hub: &Hub,
+    framed: &mut Framed<TcpStream, Codec>,
+    peer: &InstanceId,
+    kind: Kind,
+) {
+    let bytes = framed.codec_mut().take_sent_bytes();
+    hub.inner.traffic.count(peer, kind, bytes);
+    hub.count(|counts| {
+        counts.sent += 1;
+        counts.sent_bytes += bytes;
+    });
+}
+
+/// Counts a frame that was read from a connection.
+pub(super) fn count_received(hub: &Hub, framed: &mut Framed<TcpStream, Codec>) {
+    let bytes = framed.codec_mut().take_received_bytes();
     hub.count(|counts| {
-        counts.sent += sent;
-        counts.sent_bytes += sent_bytes;
-        counts.received += received;
-        counts.received_bytes += received_bytes;
+        counts.received += 1;
+        counts.received_bytes += bytes;
     });
 }
 
--- a/crates/daemon/src/peers/listen.rs
+++ b/crates/daemon/src/peers/listen.rs
@@ -4,11 +4,16 @@
 
 use actix_codec::Framed;
 use actix_rt::net::{TcpListener, TcpStream};
+use citron_policy::id::InstanceId;
 use citron_wire::{Body, Frame, codec::Codec};
 use futures_util::{SinkExt, StreamExt};
 use tokio::sync::mpsc;
 
-use super::{Handler, Hub, link::count};
+use super::{
+    Handler, Hub,
+    link::{count_received, count_sent},
+    traffic::Kind,
+};
 use crate::socket::detect_dead_peer;
 
 /// Most answers queued for one connection.
@@ -23,6 +28,12 @@
 /// Pause after a failed accept, for example when file descriptors run out.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(100);
 
+/// An answer queued for its connection.
+struct Answer {
+    to: InstanceId,
+    frame: Frame,
+}
+
 /// Accepts connections from peers forever.
 pub async fn listen(hub: Hub, listener: TcpListener, handler: Rc<dyn Handler>) {
     loop {
@@ -45,13 +56,13 @@
     {
         log::debug!("CP0903 connection from {address}: {error}");
     }
-    let (sender, mut answers) = mpsc::channel::<Frame>(ANSWER_QUEUE);
+    let (sender, mut answers) = mpsc::channel::<Answer>(ANSWER_QUEUE);
     let mut framed = Framed::new(stream, Codec::new(&hub.inner.cluster));
     loop {
         tokio::select! {
             next = framed.next() => match next {
                 Some(Ok(frame)) if hub.admits(&frame.from, address) => {
-                    count(&hub, &mut framed, 0, 1);
+                    count_received(&hub, &mut framed);
                     on_frame(&hub, frame, &handler, &sender);
                 }
                 Some(Ok(frame)) => {
@@ -67,18 +78,19 @@
                 None => return,
             },
             answer = answers.recv() => {
-                let Some(frame) = answer else { return };
+                let Some(Answer { to, frame }) = answer else { return };
+                let kind = Kind::of(&frame);
                 if !matches!(actix_rt::time::timeout(SEND_TIMEOUT, framed.send(frame)).await, Ok(Ok(()))) {
                     return;
                 }
-                count(&hub, &mut framed, 1, 0);
+                count_sent(&hub, &mut framed, &to, kind);
             }
             () = actix_rt::time::sleep(IDLE_TIMEOUT) => return,
         }
     }
 }
 
-fn on_frame(hub: &Hub, frame: Frame, handler: &Rc<dyn Handler>, answers: &mpsc::Sender<Frame>) {
+fn on_frame(hub: &Hub, frame: Frame, handler: &Rc<dyn Handler>, answers: &mpsc::Sender<Answer>) {
     let Some(body) = frame.body else { return };
     if frame.call == 0 {
         handler.on_message(&frame.from, body);
@@ -88,7 +100,10 @@
     let (hub, answers) = (hub.clone(), answers.clone());
     actix_rt::spawn(async move {
         let body = outcome.await.unwrap_or_else(Body::Refusal);
-        let answer = hub.frame(frame.call, true, body);
+        let answer = Answer {
+            frame: hub.frame(frame.call, true, body),
+            to: frame.from,
+        };
         if answers.try_send(answer).is_err() {
             hub.count(|counts| counts.dropped += 1);
         }
