--- a/crates/daemon/tests/follow.rs
+++ b/crates/daemon/tests/follow.rs
@@ -1,5 +1,8 @@
-//! The feed over real connections: updates, expiring proofs, snapshots in parts
-//! and the replacement of a lost parent.
+//! The feed over real connections: updates, expiring proofs, snapshots in parts,
+//! the replacement of a lost parent and the catch-up over slow links.
+
+#[path = "common/link.rs"]
+mod link;
 
 use std::{
     net::SocketAddr,
@@ -15,6 +18,7 @@
 };
 use citron_policy::{
     catalogue::{Account, Catalogue, Change, Class, Entry},
+    declaration::Declaration,
     feed::{self, Local, Step, Update},
     id::{Index, InstanceId},
     member::{Member, Members, State},
@@ -22,6 +26,7 @@
 use citron_wire::Body;
 use futures_util::future::LocalBoxFuture;
 use googletest::prelude::*;
+use link::{Link, Rate};
 use tokio::sync::{mpsc, watch};
 
 /// Deadline for conditions that normally hold in well under a second.
@@ -315,3 +320,133 @@
         }
     });
 }
+
+/// Followers of the replica that was restarted with them.
+const RESTARTED: usize = 17;
+
+/// Versions in the control log since its snapshot; fewer than the updates kept.
+const VERSIONS: u64 = 60;
+
+/// Bytes of a declaration.
+const DECLARATION_BYTES: usize = 37_000;
+
+/// Link of a replica, in bytes per second: 100 Mbit/s.
+const REPLICA_LINK: usize = 12_500_000;
+
+/// Link of an instance without a disk, in bytes per second: 10 Mbit/s.
+const FOLLOWER_LINK: usize = 1_250_000;
+
+/// Longest time until all followers take work.
+const CATCH_UP: Duration = Duration::from_secs(5);
+
+fn declared(version: u64, bytes: usize) -> Local {
+    let text = format!("{version:08}").repeat(bytes / 8);
+    Local::Update(Update {
+        index: version,
+        step: Step::Declare(Arc::new(Declaration {
+            version,
+            source: text.as_bytes().into(),
+        })),
+    })
+}
+
+/// Starts followers of `replica` whose links to it are slow, and waits until all take
+/// work; returns the time and the bytes that it took.
+async fn restart_followers(replica: &Node, count: usize, index: Index) -> (Duration, u64) {
+    let shared = Rate::new(REPLICA_LINK);
+    let mut followers = Vec::new();
+    let mut links = Vec::new();
+    for number in 0..count {
+        let follower = node(&format!("f{number:02}"), false).await;
+        let link = Link::start(replica.address, &[&shared, &Rate::new(FOLLOWER_LINK)]).await;
+        set_known(replica, &[replica, &follower]);
+        set_known(&follower, &[replica, &follower]);
+        let name = replica.hub.me().clone();
+        let book = [(name, link.address)].into_iter().collect();
+        follower.hub.set_addresses(book);
+        followers.push(follower);
+        links.push(link);
+    }
+    let all: Vec<&Node> = followers.iter().chain([replica]).collect();
+    set_known(replica, &all);
+    let begun = Instant::now();
+    wait_until("all followers take work at the newest version", || {
+        let now = Instant::now();
+        let current = |it: &Node| it.follow.index() == index && it.follow.may_take_work(now);
+        followers.iter().all(current)
+    })
+    .await;
+    let bytes = links.iter().map(Link::bytes).sum();
+    (begun.elapsed(), bytes)
+}
+
+/// Answers that did not fit into the wait for them were sent again and again, so that no
+/// follower ever got the newest version.
+#[gtest]
+fn followers_on_slow_links_are_current_soon_after_a_restart() {
+    actix_rt::System::new().block_on(async {
+        let replica = node("a", true).await;
+        let local = replica.local.clone().expect("a replica");
+        for version in 1..=VERSIONS {
+            let update = declared(version, DECLARATION_BYTES);
+            local.send(update).await.expect("room");
+        }
+        let _leader = send_proofs(&replica, watch::Sender::new(VERSIONS).subscribe());
+        let (took, bytes) = restart_followers(&replica, RESTARTED, VERSIONS).await;
+        expect_that!(took, lt(CATCH_UP));
+        let two_each = 2 * RESTARTED * DECLARATION_BYTES;
+        expect_that!(bytes, lt(two_each as u64));
+    });
+}
+
+/// Bytes of a declaration larger than a follower's link passes in the wait for one answer.
+const LARGE_DECLARATION_BYTES: usize = 1 << 20;
+
+/// Time between two versions of a series.
+const SERIES_INTERVAL: Duration = Duration::from_millis(330);
+
+/// A part of a snapshot was longer on its way than a follower waited for it.
+#[gtest]
+fn a_large_declaration_reaches_followers_on_slow_links() {
+    actix_rt::System::new().block_on(async {
+        let replica = node("a", true).await;
+        let local = replica.local.clone().expect("a replica");
+        let update = declared(1, LARGE_DECLARATION_BYTES);
+        local.send(update).await.expect("room");
+        let _leader = send_proofs(&replica, watch::Sender::new(1).subscribe());
+        let (took, bytes) = restart_followers(&replica, 4, 1).await;
+        expect_that!(took, lt(CATCH_UP));
+        expect_that!(bytes, lt(2 * 4 * LARGE_DECLARATION_BYTES as u64));
+    });
+}
+
+/// A follower that has not fetched a snapshot before the next version must not begin anew.
+#[gtest]
+fn a_series_of_large_declarations_keeps_no_follower_from_the_first_one() {
+    actix_rt::System::new().block_on(async {
+        let replica = node("a", true).await;
+        let local = replica.local.clone().expect("a replica");
+        local
+            .send(declared(1, LARGE_DECLARATION_BYTES))
+            .await
+            .expect("room");
+        let index = watch::Sender::new(1);
+        let _leader = send_proofs(&replica, index.subscribe());
+        let follower = node("f", false).await;
+        let link = Link::start(replica.address, &[&Rate::new(FOLLOWER_LINK)]).await;
+        make_all_known(&[&replica, &follower]);
+        let book = [("a".to_owned(), link.address)].into_iter().collect();
+        follower.hub.set_addresses(book);
+        let begun = Instant::now();
+        for version in 2.. {
+            if follower.follow.index() > 0 || begun.elapsed() >= CATCH_UP {
+                break;
+            }
+            sleep(SERIES_INTERVAL).await;
+            let update = declared(version, LARGE_DECLARATION_BYTES);
+            local.send(update).await.expect("room");
+            index.send_replace(version);
+        }
+        expect_that!(begun.elapsed(), lt(CATCH_UP));
+    });
+}
