feed: a catch-up brings one declaration, in answers that a slow link can carry

Callers saw that after a restart of the whole fleet hardly any instance took work again, and operators read no config in time.

Cause: a follower without a proof waits 400 ms for an answer, and an answer held up to 1 MiB of updates, each a whole declaration of which only the newest counts. On a link of 10 Mbit/s that takes 840 ms. It was thrown away when it came, asked for again at the next parent, and filled the links of replicas and relays, so that no other answer came in time either: a metastable state.

- Answers and parts hold 64 KiB.
A late part is asked for again, the others are kept.
- Without a lease to lose, the wait doubles with each late answer, up to 1.6 s.

--- a/crates/daemon/src/follow.rs
+++ b/crates/daemon/src/follow.rs
@@ -19,7 +19,7 @@
 use bytes::{Bytes, BytesMut};
 use citron_policy::{
     catalogue::Catalogue,
-    feed::{self, Feed, Local, View},
+    feed::{self, Admission, Feed, Local, Patience, View},
     id::{Index, InstanceId, Version},
     member::Members,
     relay,
@@ -33,13 +33,14 @@
 use prost::Message as _;
 use tokio::sync::{mpsc, watch};
 
-use crate::{clock, edge::Declarations, peers::Hub};
+use crate::{
+    clock,
+    edge::Declarations,
+    peers::{self, Hub},
+};
 
 pub use metrics::Metrics;
 
-/// Time for an answer beyond the time that the parent may hold the request.
-const ANSWER_GRACE: Duration = Duration::from_millis(400);
-
 /// Age of this daemon's proof below which it polls no parent.
 const FRESH_PROOF_AGE: Duration = Duration::from_millis(500);
 
@@ -52,8 +53,17 @@
 /// Time between two checks of the lease.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time without requests after which an encoded snapshot is dropped.
-const SNAPSHOT_TTL: Duration = Duration::from_secs(10);
+/// Tries for one part of a snapshot at one parent.
+const PART_TRIES: u32 = 3;
+
+/// Why a request brought no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Unanswered {
+    /// It did not come in time.
+    Late,
+    /// The parent refused, is not reachable, or sent something else.
+    Refused,
+}
 
 /// Index covered by a view, and time of its latest proof.
 type Progress = (Index, Option<Instant>);
@@ -83,7 +93,11 @@
     declared: RefCell<Option<(Version, Arc<Catalogue>)>>,
     view: watch::Sender<Arc<View>>,
     held: Cell<usize>,
-    snapshot: RefCell<Option<serve::EncodedSnapshot>>,
+    snapshots: RefCell<serve::Snapshots>,
+    /// Followers that fetch a snapshot here.
+    admission: RefCell<Admission>,
+    /// Wait for answers of this daemon's parents.
+    patience: Cell<Patience>,
     metrics: Metrics,
 }
 
@@ -113,7 +127,9 @@
             declared: RefCell::default(),
             view: watch::Sender::new(Arc::default()),
             held: Cell::new(0),
-            snapshot: RefCell::default(),
+            snapshots: RefCell::default(),
+            admission: RefCell::default(),
+            patience: Cell::default(),
             metrics: Metrics::default(),
         };
         let follow = Self {
@@ -153,7 +169,7 @@
         message: proto::Message,
     ) -> LocalBoxFuture<'static, Result<proto::Message, String>> {
         log::trace!("feed request from {from}");
-        Box::pin(serve::answer(self.clone(), message))
+        Box::pin(serve::answer(self.clone(), from.clone(), message))
     }
 
     /// Counters of the feed.
@@ -208,7 +224,7 @@
         let sent = clock::now();
         let before = self.progress();
         let (pull, hold) = self.next_pull(sent);
-        let answer = self.call(parent, pull, hold + ANSWER_GRACE).await;
+        let answer = self.call(parent, pull, hold).await.ok();
         let now = clock::now();
         match answer {
             Some(proto::message::Body::News(news)) => {
@@ -269,14 +285,16 @@
         (pull, hold)
     }
 
-    /// Sends one request; gives up early when the parent is no longer one to follow.
+    /// Sends one request that the parent may hold for `hold`; gives up early when the
+    /// parent is no longer one to follow.
     async fn call(
         &self,
         parent: &InstanceId,
         pull: proto::Pull,
-        within: Duration,
-    ) -> Option<proto::message::Body> {
+        hold: Duration,
+    ) -> Result<proto::message::Body, Unanswered> {
         let begun = clock::now();
+        let within = hold + self.inner.patience.get().wait(self.may_take_work(begun));
         let (index, offset) = (pull.index.max(pull.snapshot), pull.offset);
         let body = Body::Feed(codec::message(proto::message::Body::Pull(pull)));
         let outcome = tokio::select! {
@@ -285,29 +303,43 @@
                 log::info!(
                     event = "CP0702", parent = parent.as_str(), index, offset,
                     waited_ms = clock::now().saturating_duration_since(begun).as_millis();
-                    "no longer followed: it is not reachable"
+                    "poll not answered: the parent is not reachable"
                 );
-                return None;
+                return Err(Unanswered::Refused);
             }
         };
         match outcome {
             Ok(Body::Feed(message)) => {
                 self.inner.metrics.answered();
-                message.body
+                self.update_patience(Patience::answered);
+                message.body.ok_or(Unanswered::Refused)
             }
-            Ok(_) => None,
+            Ok(_) => Err(Unanswered::Refused),
             Err(error) => {
                 self.inner.metrics.unanswered();
                 let waited = clock::now().saturating_duration_since(begun);
                 log::info!(
                     event = "CP0702", parent = parent.as_str(), index, offset,
-                    waited_ms = waited.as_millis(); "no longer followed: {error}"
+                    waited_ms = waited.as_millis(); "poll not answered: {error}"
                 );
-                None
+                if !matches!(error, peers::Error::Late { .. }) {
+                    return Err(Unanswered::Refused);
+                }
+                self.update_patience(Patience::late);
+                Err(Unanswered::Late)
             }
         }
     }
 
+    fn update_patience<F>(&self, update: F)
+    where
+        F: FnOnce(&mut Patience),
+    {
+        let mut patience = self.inner.patience.get();
+        update(&mut patience);
+        self.inner.patience.set(patience);
+    }
+
     /// Resolves when an instance is no longer among the parents to follow.
     async fn until_not_a_parent(&self, parent: &InstanceId) {
         let mut members = self.inner.members.clone();
@@ -371,8 +403,8 @@
                 offset: bytes.len() as u64,
                 ..proto::Pull::default()
             };
-            let next = self.call(parent, pull, ANSWER_GRACE * 4).await?;
-            let proto::message::Body::Part(part) = next else {
+            let Ok(proto::message::Body::Part(part)) = self.call_for_part(parent, pull).await
+            else {
                 return None;
             };
             let follows = part.index == index && part.offset == bytes.len() as u64;
@@ -384,6 +416,21 @@
         (bytes.len() == total).then(|| bytes.freeze())
     }
 
+    /// Asks for a part of a snapshot, again if it is late: the parts before it are kept.
+    async fn call_for_part(
+        &self,
+        parent: &InstanceId,
+        pull: proto::Pull,
+    ) -> Result<proto::message::Body, Unanswered> {
+        for _ in 1..PART_TRIES {
+            match self.call(parent, pull, Duration::ZERO).await {
+                Err(Unanswered::Late) => {}
+                answer => return answer,
+            }
+        }
+        self.call(parent, pull, Duration::ZERO).await
+    }
+
     /// Updates the feed, and publishes the view if it changed.
     fn update_feed<F>(&self, update: F)
     where
@@ -458,16 +505,11 @@
             self.inner
                 .metrics
                 .observe(now, &self.inner.feed.borrow(), self.inner.held.get());
-            self.drop_snapshot(now);
+            self.inner.snapshots.borrow_mut().drop_idle(now);
             actix_rt::time::sleep(LEASE_CHECK_INTERVAL).await;
         }
     }
 
-    fn drop_snapshot(&self, now: Instant) {
-        let mut snapshot = self.inner.snapshot.borrow_mut();
-        snapshot.take_if(|it| now.saturating_duration_since(it.last_requested) >= SNAPSHOT_TTL);
-    }
-
     /// Index of the view, for tests and status.
     #[must_use]
     pub fn index(&self) -> Index {
--- a/crates/daemon/src/follow/serve.rs
+++ b/crates/daemon/src/follow/serve.rs
@@ -6,7 +6,10 @@
 };
 
 use bytes::Bytes;
-use citron_policy::{feed::Answer, id::Index};
+use citron_policy::{
+    feed::Answer,
+    id::{Index, InstanceId},
+};
 use citron_wire::{
     feed::{self as codec, PART_BYTES},
     generated::feed as proto,
@@ -22,13 +25,55 @@
 /// Most requests held at once.
 const MAX_HELD: usize = 64;
 
-/// An encoded snapshot, cached while followers request its parts.
+/// Most encoded snapshots cached: the newest, and older ones that followers still fetch.
+const MAX_SNAPSHOTS: usize = 4;
+
+/// Age up to which an encoded snapshot is handed out though a newer state is in force,
+/// so that a series of changes does not make one snapshot each.
+const SNAPSHOT_REUSE: Duration = Duration::from_millis(500);
+
+/// Time without requests after which an encoded snapshot is dropped.
+const SNAPSHOT_TTL: Duration = Duration::from_secs(10);
+
+/// Encoded snapshots, oldest first, cached while followers fetch their parts.
+#[derive(Debug, Default)]
+pub(super) struct Snapshots {
+    cached: Vec<EncodedSnapshot>,
+}
+
 #[derive(Debug)]
-pub(super) struct EncodedSnapshot {
+struct EncodedSnapshot {
     index: Index,
     bytes: Bytes,
-    /// When a part was last requested.
-    pub(super) last_requested: Instant,
+    encoded_at: Instant,
+    last_requested: Instant,
+}
+
+impl Snapshots {
+    /// Drops snapshots that nobody fetches any more.
+    pub(super) fn drop_idle(&mut self, now: Instant) {
+        self.cached
+            .retain(|it| now.saturating_duration_since(it.last_requested) < SNAPSHOT_TTL);
+    }
+
+    /// The snapshot of exactly this index.
+    fn at(&mut self, index: Index) -> Option<&mut EncodedSnapshot> {
+        self.cached.iter_mut().find(|it| it.index == index)
+    }
+
+    /// The newest snapshot, if it is recent and tells a follower at `index` something.
+    fn recent(&mut self, now: Instant, index: Index) -> Option<&mut EncodedSnapshot> {
+        self.cached.last_mut().filter(|it| {
+            it.index > index && now.saturating_duration_since(it.encoded_at) < SNAPSHOT_REUSE
+        })
+    }
+
+    fn insert(&mut self, snapshot: EncodedSnapshot) {
+        if self.cached.len() >= MAX_SNAPSHOTS {
+            self.cached.remove(0);
+        }
+        self.cached.push(snapshot);
+    }
 }
 
 /// Counts a held request until it is dropped.
@@ -55,6 +100,7 @@
 /// Answers one request, holding it while there is nothing new.
 pub(super) async fn answer(
     follow: Follow,
+    from: InstanceId,
     message: proto::Message,
 ) -> Result<proto::Message, String> {
     let arrived = clock::now();
@@ -62,15 +108,15 @@
         return Err("not a question of the feed: upgrade the older daemon".to_owned());
     };
     let body = if pull.snapshot != 0 || pull.whole {
-        snapshot_part(&follow, pull.snapshot, pull.offset)
+        snapshot_part(&follow, &from, &pull)
     } else {
         let held = Held::new(&follow.inner.held);
         let held = held.ok_or("too many daemons follow this one: ask another")?;
         wait_until_due(&follow, arrived, &pull).await;
         drop(held);
-        news(&follow, arrived, pull.index)
+        news(&follow, &from, arrived, &pull)
     };
-    body.map(codec::message).map_err(|error| error.to_string())
+    body.map(codec::message)
 }
 
 /// Waits until the request is due for an answer.
@@ -98,39 +144,49 @@
     }
 }
 
-fn news(follow: &Follow, arrived: Instant, index: Index) -> Result<Body, codec::Error> {
-    let answer = follow.inner.feed.borrow().answer(arrived, index);
+fn news(
+    follow: &Follow,
+    from: &InstanceId,
+    arrived: Instant,
+    pull: &proto::Pull,
+) -> Result<Body, String> {
+    let answer = follow.inner.feed.borrow().answer(arrived, pull.index);
     match answer {
-        Answer::News(news) => codec::news_to_proto(&news).map(Body::News),
-        Answer::Snapshot(_) => snapshot_part(follow, 0, 0),
+        Answer::News(news) => codec::news_to_proto(&news)
+            .map(Body::News)
+            .map_err(|error| error.to_string()),
+        Answer::Snapshot(_) => snapshot_part(follow, from, pull),
     }
 }
 
-/// A part of the cached snapshot, or the first part of a new one.
-fn snapshot_part(follow: &Follow, index: Index, offset: u64) -> Result<Body, codec::Error> {
-    let mut cached = follow.inner.snapshot.borrow_mut();
-    let continues = |it: &EncodedSnapshot| it.index == index && offset <= it.bytes.len() as u64;
-    let current = follow.inner.feed.borrow().view().index;
-    let reuse = cached.as_ref().is_some_and(|it| {
-        if offset == 0 {
-            it.index == current
-        } else {
-            continues(it)
-        }
-    });
-    let offset = if reuse { offset } else { 0 };
-    if !reuse {
-        *cached = None;
+/// The next part of the snapshot that a follower fetches, or the first part of one.
+fn snapshot_part(follow: &Follow, from: &InstanceId, pull: &proto::Pull) -> Result<Body, String> {
+    let now = clock::now();
+    let mut admission = follow.inner.admission.borrow_mut();
+    if !admission.admits(now, from) {
+        return Err("too many daemons fetch a snapshot here: ask another".to_owned());
     }
-    let encoded = match &mut *cached {
-        Some(encoded) => encoded,
-        None => cached.insert(encode(follow)?),
+    let mut snapshots = follow.inner.snapshots.borrow_mut();
+    let current = follow.inner.feed.borrow().view().index;
+    let (index, offset) = if pull.snapshot != 0 && snapshots.at(pull.snapshot).is_some() {
+        (pull.snapshot, pull.offset)
+    } else if let Some(recent) = snapshots.recent(now, pull.index).filter(|_| !pull.whole) {
+        (recent.index, 0)
+    } else {
+        (current, 0)
     };
-    encoded.last_requested = clock::now();
+    if snapshots.at(index).is_none() {
+        snapshots.insert(encode(follow, now).map_err(|error| error.to_string())?);
+    }
+    let encoded = snapshots.at(index).ok_or("no snapshot: ask another")?;
+    encoded.last_requested = now;
     let start = usize::try_from(offset)
         .unwrap_or(usize::MAX)
         .min(encoded.bytes.len());
     let end = (start + PART_BYTES).min(encoded.bytes.len());
+    if end == encoded.bytes.len() {
+        admission.finished(from);
+    }
     Ok(Body::Part(proto::Part {
         index: encoded.index,
         offset,
@@ -139,12 +195,13 @@
     }))
 }
 
-fn encode(follow: &Follow) -> Result<EncodedSnapshot, codec::Error> {
+fn encode(follow: &Follow, now: Instant) -> Result<EncodedSnapshot, codec::Error> {
     let snapshot = follow.inner.feed.borrow().snapshot();
     follow.inner.metrics.snapshot_encoded();
     Ok(EncodedSnapshot {
         index: snapshot.index,
         bytes: codec::encode_snapshot(&snapshot)?,
-        last_requested: clock::now(),
+        encoded_at: now,
+        last_requested: now,
     })
 }
--- a/crates/policy/src/feed.rs
+++ b/crates/policy/src/feed.rs
@@ -4,7 +4,9 @@
 //! stays with the replicas. Updates carry their log index, and the index of a view
 //! never decreases.
 
+mod admission;
 mod follower;
+mod patience;
 mod ring;
 
 use std::{sync::Arc, time::Instant};
@@ -16,7 +18,9 @@
     id::Index,
 };
 
+pub use admission::Admission;
 pub use follower::{Answer, Feed, LEASE, News, Settings, Snapshot};
+pub use patience::Patience;
 
 /// Committed step that concerns every daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/policy/src/feed/follower.rs
+++ b/crates/policy/src/feed/follower.rs
@@ -17,7 +17,10 @@
 
 use crate::{catalogue::Catalogue, crash, declaration::Declaration, id::Index};
 
-use super::{Local, Step, Update, View, ring::Ring};
+use super::{
+    Local, Step, Update, View,
+    ring::{ENTRY_BYTES, MARK_BYTES, Ring},
+};
 
 /// Time after a proof during which new work is accepted.
 pub const LEASE: Duration = Duration::from_secs(4);
@@ -40,7 +43,8 @@
     pub ring_updates: usize,
     /// Approximate maximum size of the kept updates, in bytes.
     pub ring_bytes: usize,
-    /// Approximate maximum size of the updates in one answer, in bytes.
+    /// Approximate maximum size of the updates in one answer, in bytes: 50 ms of a link
+    /// of 10 Mbit/s.
     pub answer_bytes: usize,
     /// Minimum time to hold a request before answering it with only a newer proof.
     pub min_hold: Duration,
@@ -58,7 +62,7 @@
             max_staleness: Duration::ZERO,
             ring_updates: 64,
             ring_bytes: 8 << 20,
-            answer_bytes: 1 << 20,
+            answer_bytes: 64 << 10,
             min_hold: Duration::from_millis(400),
             max_hold: Duration::from_millis(800),
             max_proof_age: Duration::from_millis(900),
@@ -84,7 +88,7 @@
 pub enum Answer {
     /// Updates above the requested index, with a proof of currency.
     News(News),
-    /// Snapshot, because the updates are no longer kept.
+    /// Snapshot, because the updates are no longer kept, or are larger.
     Snapshot(Snapshot),
 }
 
@@ -310,7 +314,8 @@
     /// Answers a request for updates above `index` that arrived at `arrived`.
     #[must_use]
     pub fn answer(&self, arrived: Instant, index: Index) -> Answer {
-        let Some(updates) = self.ring.after(index, self.settings.answer_bytes) else {
+        let updates = self.ring.after(index, self.settings.answer_bytes);
+        let Some(updates) = updates.filter(|_| !self.prefers_snapshot(index)) else {
             return Answer::Snapshot(self.snapshot());
         };
         let last = updates.last().map(|update| update.index);
@@ -328,6 +333,28 @@
         })
     }
 
+    /// Whether a snapshot brings a follower at `index` up to date with fewer bytes than
+    /// updates would, or the next update does not fit into an answer; a snapshot is sent
+    /// in parts.
+    fn prefers_snapshot(&self, index: Index) -> bool {
+        let Some(mut sizes) = self.ring.sizes_after(index) else {
+            return true;
+        };
+        let most = self.settings.answer_bytes;
+        let first = sizes.next().unwrap_or_default();
+        let total = first + sizes.sum::<usize>();
+        first > most || (total > most && self.snapshot_bytes() < total)
+    }
+
+    /// Approximate size of a snapshot, in bytes.
+    fn snapshot_bytes(&self) -> usize {
+        let view = &self.view;
+        let declaration = view.declaration.as_ref().map_or(0, |it| it.source.len());
+        declaration
+            + view.catalogue.entries().count() * ENTRY_BYTES
+            + view.marks.marks.len() * MARK_BYTES
+    }
+
     /// Complete state at the present index.
     #[must_use]
     pub fn snapshot(&self) -> Snapshot {
--- a/crates/policy/src/feed/ring.rs
+++ b/crates/policy/src/feed/ring.rs
@@ -1,8 +1,11 @@
 //! Latest updates, kept for followers that are nearly up to date.
+//!
+//! A declaration replaces the whole one before it, so only the newest is kept: a
+//! follower that is behind by many versions gets one.
 
 use std::collections::VecDeque;
 
-use crate::id::Index;
+use crate::{declaration::Declaration, id::Index};
 
 use super::{Step, Update};
 
@@ -10,10 +13,10 @@
 const UPDATE_BYTES: usize = 128;
 
 /// Approximate size of one catalogue entry, in bytes.
-const ENTRY_BYTES: usize = 384;
+pub(super) const ENTRY_BYTES: usize = 384;
 
 /// Size of one marked fingerprint, in bytes.
-const MARK_BYTES: usize = 8;
+pub(super) const MARK_BYTES: usize = 8;
 
 /// Updates in log order; all those above `floor` are present.
 #[derive(Debug, Default)]
@@ -26,6 +29,9 @@
 impl Ring {
     /// Adds the next update and drops the oldest ones beyond the limits.
     pub(super) fn push(&mut self, update: Update, most: usize, most_bytes: usize) {
+        if let Step::Declare(newer) = &update.step {
+            self.drop_superseded(newer);
+        }
         self.bytes += approx_bytes(&update);
         self.updates.push_back(update);
         while self.updates.len() > most || self.bytes > most_bytes {
@@ -37,6 +43,15 @@
         }
     }
 
+    fn drop_superseded(&mut self, newer: &Declaration) {
+        let superseded = |it: &Update| match &it.step {
+            Step::Declare(older) => newer.supersedes(Some(&**older)),
+            Step::Change(_) | Step::Crash(_) => false,
+        };
+        self.updates.retain(|it| !superseded(it));
+        self.bytes = self.updates.iter().map(approx_bytes).sum();
+    }
+
     /// Clears the ring after a snapshot at index `floor`.
     pub(super) fn reset(&mut self, floor: Index) {
         self.updates.clear();
@@ -63,6 +78,13 @@
         Some(chosen)
     }
 
+    /// Sizes of the updates after an index, oldest first, in bytes; none if some of them
+    /// are no longer kept.
+    pub(super) fn sizes_after(&self, index: Index) -> Option<impl Iterator<Item = usize>> {
+        let start = self.updates.partition_point(|it| it.index <= index);
+        (index >= self.floor).then(|| self.updates.range(start..).map(approx_bytes))
+    }
+
     /// Index of the newest update.
     pub(super) fn newest(&self) -> Option<Index> {
         self.updates.back().map(|it| it.index)
--- a/crates/wire/src/feed.rs
+++ b/crates/wire/src/feed.rs
@@ -14,8 +14,8 @@
 
 use crate::generated::feed as proto;
 
-/// Largest part of a snapshot in one message, in bytes.
-pub const PART_BYTES: usize = 1 << 20;
+/// Largest part of a snapshot in one message, in bytes: 50 ms of a link of 10 Mbit/s.
+pub const PART_BYTES: usize = 64 << 10;
 
 /// Largest encoded snapshot accepted, in bytes.
 pub const MAX_SNAPSHOT_BYTES: usize = 128 << 20;
