--- a/crates/policy/tests/crash_rule.rs
+++ b/crates/policy/tests/crash_rule.rs
@@ -167,23 +167,8 @@
 
     /// Commits the proposed steps to the control log and replicates them to all daemons.
     fn commit(&mut self) {
-        let proposed = std::mem::take(&mut self.daemons.proposed);
-        if !self.log_available || proposed.is_empty() {
-            return;
-        }
-        let mut table = (*self.daemons.marks).clone();
-        for step in &proposed {
-            table.apply(step);
-        }
-        self.daemons.marks = Arc::new(table);
-        let marks = Arc::clone(&self.daemons.marks);
-        for daemon in 0..DAEMONS {
-            let event = citron_policy::requester::Event::Marks(Arc::clone(&marks));
-            self.daemons.requester_event(daemon, event);
-        }
-        for host in self.daemons.hosts() {
-            let event = citron_policy::arbiter::Event::Marks(Arc::clone(&marks));
-            self.daemons.arbiter_event(host, event);
+        if self.log_available {
+            self.daemons.commit_marks();
         }
     }
 
--- a/crates/policy/tests/slots/mod.rs
+++ b/crates/policy/tests/slots/mod.rs
@@ -318,6 +318,27 @@
         }
     }
 
+    /// Commits the proposed marks to the control log, and tells all daemons.
+    pub fn commit_marks(&mut self) {
+        let proposed = std::mem::take(&mut self.proposed);
+        if proposed.is_empty() {
+            return;
+        }
+        let mut table = (*self.marks).clone();
+        for step in &proposed {
+            table.apply(step);
+        }
+        self.marks = Arc::new(table);
+        let marks = Arc::clone(&self.marks);
+        for daemon in 0..self.requesters.len() {
+            let event = requester::Event::Marks(Arc::clone(&marks));
+            self.requester_event(daemon, event);
+        }
+        for host in self.hosts() {
+            self.arbiter_event(host, arbiter::Event::Marks(Arc::clone(&marks)));
+        }
+    }
+
     pub fn start_arbiter(&mut self, host: usize) {
         let live: IndexSet<String> = (0..self.requesters.len())
             .filter(|it| self.requesters[*it].is_some())
