crash: a part of prompts that crashes runners is convicted by its service's arbiter

Callers saw one runner after the other crash, and sound requests refused or waiting to run alone, as long as requests with the part came.

Cause: the crash rule marks whole requests. No two with the part are alike, so each crashed two runners before it was suspected, and so were the sound ones beside it.

The arbiter holds each crash against one part: the one seen at most crashes without an answer in between, on different requests and runners, for a second at least; of parts seen at the same ones the last, which concerns fewest requests. Its mark goes through the control log like that of a request, what it explains is held against nobody else, and requests with it are refused, those that wait too. A part seen at two crashes is marked as suspected for the next arbiter. Two probes end a wrong conviction.

--- a/crates/daemon/src/slots/host.rs
+++ b/crates/daemon/src/slots/host.rs
@@ -518,6 +518,19 @@
                     "limit of a runner"
                 );
             }
+            Note::PartConvicted {
+                part,
+                crashes,
+                beside,
+            } => log::warn!(
+                event = "CP0312", service = service.as_str(), part = fingerprint::format(*part),
+                mark = fingerprint::format(crash::parts::mark_of(service, *part)), crashes, beside;
+                "part of prompts crashes runners"
+            ),
+            Note::PartProbed(part) => log::info!(
+                event = "CP0313", service = service.as_str(), part = fingerprint::format(*part);
+                "request admitted to test a convicted part"
+            ),
             Note::AskerLost(asker) => {
                 self.metrics.lost_askers.inc();
                 let text = format!("slots of {asker} at service {service} are free again");
--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -20,6 +20,7 @@
 mod hold;
 pub mod message;
 mod pace;
+mod part;
 mod pool;
 mod prompt;
 mod queue;
@@ -46,8 +47,8 @@
 
 use crate::{
     catalogue::{Backend, Catalogue, Class, Service},
-    crash,
-    id::{AccountId, ClassId, DomainId, Epoch, InstanceId, RunnerId, ServiceId},
+    crash::{self, parts::Evidence},
+    id::{AccountId, ClassId, DomainId, Epoch, InstanceId, PartId, RunnerId, ServiceId},
     platform,
 };
 
@@ -174,6 +175,17 @@
         /// The daemon that reported it; empty if the list of runners changed.
         by: InstanceId,
     },
+    /// A part of prompts was found to crash runners.
+    PartConvicted {
+        /// The part.
+        part: PartId,
+        /// Crashes that it was seen at.
+        crashes: usize,
+        /// Requests beside it that are not suspected for these crashes any more.
+        beside: usize,
+    },
+    /// A request tests whether a convicted part still crashes runners.
+    PartProbed(PartId),
     /// An asker was lost and its slots were freed.
     AskerLost(InstanceId),
 }
@@ -241,6 +253,8 @@
     estimate: estimate::Estimate,
     affinity: affinity::Affinity,
     suspects: suspect::Suspects,
+    /// Crashes that parts of prompts may have caused.
+    evidence: Evidence,
     started: Instant,
     last_tick: Instant,
 }
@@ -295,6 +309,7 @@
             estimate: estimate::Estimate::default(),
             affinity: affinity::Affinity::default(),
             suspects: suspect::Suspects::default(),
+            evidence: Evidence::default(),
             started: now,
             last_tick: now,
             settings,
@@ -448,6 +463,7 @@
         for transition in self.pool.detect_outliers(now) {
             self.on_health_change(now, transition, effects);
         }
+        self.judge_crashes(now, effects);
     }
 
     /// Records the limit that a runner named in an answer to a daemon.
--- a/crates/policy/src/arbiter/admit.rs
+++ b/crates/policy/src/arbiter/admit.rs
@@ -166,6 +166,7 @@
         if self.marks.get(item.fingerprint) == Some(Mark::Quarantined) {
             return Err(Refusal::Quarantined);
         }
+        self.admit_parts(now, &item.prompt, effects)?;
         if ask.remaining.is_zero() {
             return Err(Refusal::Late);
         }
--- a/crates/policy/src/arbiter/hold.rs
+++ b/crates/policy/src/arbiter/hold.rs
@@ -9,7 +9,8 @@
 use indexmap::IndexSet;
 
 use super::{
-    Arbiter, Effect, End, Heartbeat, Hold, Inventory, Key, Note, Refusal, Reply, Sample, Ticket,
+    Arbiter, Effect, End, Heartbeat, Hold, Inventory, Key, Note, Part, Refusal, Reply, Sample,
+    Ticket,
     message::ticket_hash,
     prompt::{self, Usage, Work},
     queue::Item,
@@ -59,6 +60,8 @@
     pub(super) since: Instant,
     pub(super) kind: GrantKind,
     pub(super) preempting: bool,
+    /// Parts of its prompt, in order.
+    pub(super) prompt: Arc<[Part]>,
     /// Its use of the runner's prompt capacity; `None` without a prompt.
     pub(super) usage: Option<Usage>,
     /// Whether it resumes work from an earlier slot; it is not preempted again.
@@ -78,6 +81,7 @@
             since: now,
             kind,
             preempting: false,
+            prompt: Arc::clone(&item.prompt),
             usage: None,
             resumed: item.resume,
             exposed: false,
@@ -228,11 +232,16 @@
         if running.is_alone() {
             self.end_alone();
         }
+        let explained = self.on_parts_end(now, &running, sample, effects);
         match sample.end {
             End::Done => {
                 self.on_done(&running, sample, effects);
                 self.clear_survived(now, &running, effects);
             }
+            End::Broken if explained => {
+                self.clear_suspicion(running.fingerprint, effects);
+                self.end_copy(running.fingerprint);
+            }
             End::Broken => self.on_broken(now, &running, effects),
             End::Cancelled | End::Refused | End::Late | End::Preempted => {
                 self.end_copy(running.fingerprint);
@@ -499,6 +508,7 @@
                 GrantKind::Priority
             },
             preempting: false,
+            prompt: hold.ask.prompt.as_slice().into(),
             resumed: hold.ask.resume,
             exposed: self.marks.is_exposed(hold.ask.fingerprint),
         };
--- a/crates/policy/src/arbiter/message.rs
+++ b/crates/policy/src/arbiter/message.rs
@@ -11,7 +11,7 @@
 use super::Rate;
 use crate::{
     crash,
-    id::{AccountId, ClassId, Epoch, Fingerprint, InstanceId, RunnerId},
+    id::{AccountId, ClassId, Epoch, Fingerprint, InstanceId, PartId, RunnerId},
 };
 
 /// Number of an ask, unique at the daemon that sends it.
@@ -52,7 +52,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Part {
     /// Identity of its content.
-    pub id: u64,
+    pub id: PartId,
     /// Its length.
     pub tokens: u32,
 }
@@ -193,7 +193,10 @@
         retry_after: Duration,
     },
     /// The request crashed runners and is not run again.
-    #[display("this request crashed runners and is quarantined: change it, or ask its operator")]
+    #[display(
+        "this request, or a part of its prompt, crashed runners and is quarantined: change it, \
+         or ask its operator"
+    )]
     Quarantined,
     /// The account is at its limit.
     #[display("the account is at its limit: come back in {retry_after:?}")]
--- a/crates/policy/src/arbiter/suspect.rs
+++ b/crates/policy/src/arbiter/suspect.rs
@@ -77,6 +77,11 @@
         self.waiting.keys().chain(self.parked.keys()).copied()
     }
 
+    /// All requests here.
+    pub(super) fn items(&self) -> impl Iterator<Item = &Item> {
+        self.waiting.values().chain(self.parked.values())
+    }
+
     pub(super) fn push(&mut self, item: Item) {
         self.waiting.insert(item.key, item);
     }
--- a/crates/policy/src/crash.rs
+++ b/crates/policy/src/crash.rs
@@ -12,6 +12,8 @@
 //! [`Overlay`], so that a slow log or the loss of an arbiter does not lose it.
 //! Exposures are kept only there: the daemons tell them to each new arbiter.
 
+pub mod parts;
+
 use std::sync::Arc;
 
 use indexmap::{IndexMap, IndexSet};
@@ -199,6 +201,7 @@
     pub fn apply(&mut self, step: &Step) {
         match step {
             Step::Cleared(it) => {
+                self.exposed.shift_remove(it);
                 if self.get(*it) == Some(Mark::Quarantined) {
                     return;
                 }
--- a/crates/policy/src/id.rs
+++ b/crates/policy/src/id.rs
@@ -53,6 +53,9 @@
 /// Digest of an account and a request body, stable across daemons.
 pub type Fingerprint = u64;
 
+/// Identity of a part of a prompt, by its content.
+pub type PartId = u64;
+
 /// Version of one instance's own membership record.
 pub type Incarnation = u64;
 
--- a/crates/policy/tests/arbiter_tiers.rs
+++ b/crates/policy/tests/arbiter_tiers.rs
@@ -226,6 +226,8 @@
             | Note::Health(_)
             | Note::HeldBack
             | Note::Limit { .. }
+            | Note::PartConvicted { .. }
+            | Note::PartProbed(_)
             | Note::AskerLost(_) => {}
         }
         Ok(())
--- a/crates/policy/tests/crashing_parts.rs
+++ b/crates/policy/tests/crashing_parts.rs
@@ -13,7 +13,8 @@
 };
 
 use citron_policy::{
-    arbiter::{Ask, End, Part, Refusal},
+    arbiter::{Ask, End, Part, Refusal, Sample},
+    crash::{Mark, Step, parts::mark_of},
     id::RunnerId,
     requester,
 };
@@ -39,16 +40,28 @@
 /// Part that all requests begin with.
 const SHARED: u64 = 1;
 
+/// The first of the parts that sound requests hold beside it.
+const SUBJECT: u64 = 1_000;
+
 /// Parts that crash their runners.
 const DEADLY: [u64; 2] = [666, 667];
 
+/// Where the deadly part stands in its requests.
+#[derive(Clone, Copy, Debug, Default)]
+enum Place {
+    First,
+    #[default]
+    Second,
+    /// Behind a part that sound requests hold too.
+    Third,
+}
+
 /// What happens beside the deadly parts.
 #[derive(Clone, Copy, Debug, Default)]
 struct Day {
     /// Number of deadly parts.
     deadly: usize,
-    /// Whether the deadly part is the first one of its requests.
-    first: bool,
+    place: Place,
     /// Share of the requests that have one.
     share: f64,
     /// Share of the answers that are lost while the runner lives.
@@ -61,6 +74,8 @@
     log_available: bool,
     /// Whether all sound requests are about one subject.
     hot_key: bool,
+    /// Attempts for one request, those of its client included.
+    attempts: u32,
 }
 
 /// One request on a runner.
@@ -68,9 +83,10 @@
     daemon: usize,
     runner: RunnerId,
     deadly: Option<u64>,
-    first_attempt: bool,
-    /// Start of the answer, unless it has started.
-    begins: Option<Instant>,
+    attempt: u32,
+    granted: Instant,
+    begins: Instant,
+    begun: bool,
     ends: Instant,
     ask: Ask,
 }
@@ -81,7 +97,7 @@
     random: StdRng,
     started: Instant,
     next: u64,
-    asks: BTreeMap<u64, (Ask, bool)>,
+    asks: BTreeMap<u64, (Ask, u32)>,
     runs: BTreeMap<u64, Run>,
     down: BTreeMap<RunnerId, Instant>,
     /// Crashes by each deadly part.
@@ -127,24 +143,28 @@
         let subject = if self.day.hot_key {
             2
         } else {
-            self.random.random_range(1_000..1_040)
+            self.random.random_range(SUBJECT..SUBJECT + 40)
         };
         let ids = match deadly {
-            Some(part) if self.day.first => [part, subject, ticket << 20],
-            Some(part) => [SHARED, part, ticket << 20],
-            None => [SHARED, subject, ticket << 20],
+            None => vec![SHARED, subject, ticket << 20],
+            Some(part) => match self.day.place {
+                Place::First => vec![part, subject, ticket << 20],
+                Place::Second => vec![SHARED, part, ticket << 20],
+                Place::Third => vec![SHARED, SUBJECT, part, ticket << 20],
+            },
         };
         let mut ask = ask(0, "c1", "a");
         ask.fingerprint = ticket << 20 | 7;
-        ask.prompt = ids.map(|id| Part { id, tokens: 100 }).to_vec();
+        let parts = ids.into_iter().map(|id| Part { id, tokens: 100 });
+        ask.prompt = parts.collect();
         ask.remaining = Duration::from_secs(5);
         if deadly.is_none() {
             *self.sent.entry(self.second()).or_default() += 1;
         }
-        self.send(ask, true);
+        self.send(ask, 1);
     }
 
-    fn send(&mut self, ask: Ask, first_attempt: bool) {
+    fn send(&mut self, ask: Ask, attempt: u32) {
         let live = (0..DAEMONS).filter(|it| self.daemons.requesters[*it].is_some());
         let live: Vec<usize> = live.collect();
         let daemon = live[self.random.random_range(0..live.len())];
@@ -153,15 +173,10 @@
             ..ask
         };
         self.next += 1;
-        self.asks.insert(ask.ticket, (ask.clone(), first_attempt));
+        self.asks.insert(ask.ticket, (ask.clone(), attempt));
         self.daemons.acquire(daemon, ask);
     }
 
-    fn deadly(&self, ask: &Ask) -> Option<u64> {
-        let ids = ask.prompt.iter().map(|it| it.id);
-        ids.into_iter().find(|it| DEADLY.contains(it))
-    }
-
     fn on_outcome(&mut self, outcome: Outcome) {
         match outcome {
             Outcome::Granted {
@@ -170,7 +185,7 @@
                 runner,
                 alone,
             } => {
-                let Some((ask, first_attempt)) = self.asks.remove(&ticket) else {
+                let Some((ask, attempt)) = self.asks.remove(&ticket) else {
                     return;
                 };
                 let now = self.daemons.now;
@@ -178,10 +193,10 @@
                     let refused = sample(End::Refused, Duration::ZERO);
                     self.daemons.release(daemon, ticket, refused);
                     let avoid = vec![runner];
-                    self.send(Ask { avoid, ..ask }, first_attempt);
+                    self.send(Ask { avoid, ..ask }, attempt);
                     return;
                 }
-                let deadly = self.deadly(&ask);
+                let deadly = deadly_part(&ask);
                 match deadly {
                     Some(part) => self.arrivals.push((now, part)),
                     None if alone && self.is_late(now) => self.late_alone += 1,
@@ -193,8 +208,10 @@
                     daemon,
                     runner,
                     deadly,
-                    first_attempt,
-                    begins: Some(now + prefill),
+                    attempt,
+                    granted: now,
+                    begins: now + prefill,
+                    begun: false,
                     ends: now + prefill + work,
                     ask,
                 };
@@ -204,7 +221,7 @@
                 ticket, refusal, ..
             } => {
                 let refused = self.asks.remove(&ticket);
-                let sound = refused.is_some_and(|(ask, _)| self.deadly(&ask).is_none());
+                let sound = refused.is_some_and(|(ask, _)| deadly_part(&ask).is_none());
                 self.quarantined += usize::from(sound && refusal == Refusal::Quarantined);
             }
             Outcome::Preempted { .. } => {}
@@ -235,11 +252,15 @@
     }
 
     fn lose(&mut self, ticket: u64, run: Run) {
-        let broken = sample(End::Broken, Duration::from_millis(200));
+        let whole = self.daemons.now - run.granted;
+        let broken = Sample {
+            first_token: run.begun.then(|| run.begins - run.granted),
+            ..sample(End::Broken, whole)
+        };
         self.daemons.release(run.daemon, ticket, broken);
-        if run.first_attempt {
+        if run.attempt < self.day.attempts {
             let avoid = vec![run.runner];
-            self.send(Ask { avoid, ..run.ask }, false);
+            self.send(Ask { avoid, ..run.ask }, run.attempt + 1);
         }
     }
 
@@ -272,9 +293,9 @@
             let Some(run) = self.runs.get_mut(&ticket) else {
                 continue;
             };
-            if run.begins.is_some_and(|at| at <= now) {
-                run.begins = None;
-                let (daemon, first) = (run.daemon, run.first_attempt);
+            if run.begins <= now && !run.begun {
+                run.begun = true;
+                let (daemon, first) = (run.daemon, run.attempt == 1);
                 if let Some(part) = run.deadly {
                     let runner = run.runner.clone();
                     self.crashes.entry(part).or_default().push(now);
@@ -338,6 +359,11 @@
     }
 }
 
+fn deadly_part(ask: &Ask) -> Option<u64> {
+    let ids = ask.prompt.iter().map(|it| it.id);
+    ids.into_iter().find(|it| DEADLY.contains(it))
+}
+
 fn check(day: Day) {
     for seed in 0..12 {
         let mut simulation = Simulation::new(seed, day);
@@ -366,13 +392,14 @@
 
 const DAY: Day = Day {
     deadly: 1,
-    first: false,
+    place: Place::Second,
     share: 0.05,
     lost_answers: 0.0,
     rack_crashes: None,
     arbiter_lost: None,
     log_available: true,
     hot_key: false,
+    attempts: 2,
 };
 
 #[gtest]
@@ -382,9 +409,30 @@
     check(Day { share: 0.2, ..DAY });
 }
 
+#[gtest]
+fn a_deadly_part_reaches_few_runners_though_its_requests_come_again() {
+    check(Day {
+        share: 0.01,
+        attempts: 4,
+        ..DAY
+    });
+}
+
 #[gtest]
 fn a_deadly_first_part_reaches_few_runners() {
-    check(Day { first: true, ..DAY });
+    check(Day {
+        place: Place::First,
+        ..DAY
+    });
+}
+
+/// The part before it is seen at the same crashes, and is sound.
+#[gtest]
+fn a_deadly_part_behind_a_sound_one_reaches_few_runners() {
+    check(Day {
+        place: Place::Third,
+        ..DAY
+    });
 }
 
 #[gtest]
@@ -392,6 +440,14 @@
     check(Day { deadly: 2, ..DAY });
 }
 
+/// Five crashes a second on nine runners leave a sound part no time to be answered.
+#[gtest]
+fn a_flood_of_crashes_convicts_no_sound_part() {
+    let mut simulation = Simulation::new(65, Day { deadly: 2, ..DAY });
+    simulation.run();
+    expect_that!(simulation.quarantined, eq(0));
+}
+
 #[gtest]
 fn a_deadly_part_reaches_few_runners_though_the_arbiter_is_lost() {
     for seconds in [5, 7, 12] {
@@ -442,3 +498,134 @@
         }
     }
 }
+
+#[gtest]
+fn a_deadly_part_is_found_beside_racks_that_crash() {
+    check(Day {
+        rack_crashes: Some(Duration::from_secs(3)),
+        lost_answers: 0.03,
+        ..DAY
+    });
+}
+
+/// Longest wait for the first request that tests a conviction.
+const PROBE_WAIT: Duration = Duration::from_secs(11);
+
+fn ask_with_part(ticket: u64, part: u64) -> Ask {
+    let prompt = [part, ticket << 20].map(|id| Part { id, tokens: 100 });
+    Ask {
+        prompt: prompt.to_vec(),
+        ..ask(ticket, "c1", "a")
+    }
+}
+
+/// Outcome of a request with a part.
+fn outcome(daemons: &mut Daemons, ticket: u64, part: u64) -> Outcome {
+    daemons.acquire(0, ask_with_part(ticket, part));
+    daemons.deliver_all();
+    let outcomes = daemons.take_outcomes();
+    outcomes.into_iter().next().expect("an outcome")
+}
+
+fn refused_as_quarantined(outcome: &Outcome) -> bool {
+    matches!(
+        outcome,
+        Outcome::Refused {
+            refusal: Refusal::Quarantined,
+            ..
+        }
+    )
+}
+
+/// Daemons whose arbiter has just convicted a part.
+fn convicted(part: u64) -> Daemons {
+    let mut daemons = Daemons::new(2, catalogue(4, |_| {}), runners(4));
+    for ticket in 1_001..=1_003 {
+        let granted = outcome(&mut daemons, ticket, part);
+        assert!(matches!(granted, Outcome::Granted { .. }), "{granted:?}");
+        daemons.run(Duration::from_millis(400));
+        daemons.release(0, ticket, sample(End::Broken, Duration::from_millis(400)));
+    }
+    daemons.run(Duration::from_millis(500));
+    daemons.commit_marks();
+    let mark = mark_of(slots::SERVICE, part);
+    assert_eq!(daemons.marks.get(mark), Some(Mark::Quarantined));
+    daemons
+}
+
+/// Daemons that know a conviction from the control log only.
+fn convicted_elsewhere(service: &str, part: u64) -> Daemons {
+    let mut daemons = Daemons::new(2, catalogue(4, |_| {}), runners(2));
+    let mark = mark_of(service, part);
+    daemons.proposed.push(Step::Quarantined(mark));
+    daemons.commit_marks();
+    daemons
+}
+
+/// Two requests test a conviction, and no more, since each may crash a runner.
+#[gtest]
+fn a_convicted_part_is_tested_twice_and_no_more() {
+    let mut daemons = convicted(9);
+    let mut granted = 0;
+    for ticket in 1..300 {
+        let outcome = outcome(&mut daemons, ticket, 9);
+        if !refused_as_quarantined(&outcome) {
+            granted += 1;
+            daemons.release(0, ticket, sample(End::Broken, Duration::from_millis(100)));
+        }
+        daemons.run(Duration::from_secs(1));
+        daemons.commit_marks();
+    }
+    expect_that!(granted, eq(2));
+}
+
+#[gtest]
+fn a_wrong_conviction_ends_with_a_probe_that_is_answered() {
+    let mut daemons = convicted(9);
+    let first = outcome(&mut daemons, 1, 9);
+    expect_that!(refused_as_quarantined(&first), eq(true));
+    daemons.run(PROBE_WAIT);
+    let probe = outcome(&mut daemons, 2, 9);
+    expect_that!(refused_as_quarantined(&probe), eq(false));
+    let meanwhile = outcome(&mut daemons, 3, 9);
+    expect_that!(refused_as_quarantined(&meanwhile), eq(true));
+    daemons.release(0, 2, sample(End::Done, Duration::from_millis(500)));
+    daemons.deliver_all();
+    daemons.commit_marks();
+    let after = outcome(&mut daemons, 4, 9);
+    expect_that!(refused_as_quarantined(&after), eq(false));
+}
+
+#[gtest]
+fn a_released_part_runs_at_once() {
+    let mut daemons = convicted(9);
+    let before = outcome(&mut daemons, 1, 9);
+    expect_that!(refused_as_quarantined(&before), eq(true));
+    let mark = mark_of(slots::SERVICE, 9);
+    daemons.proposed.push(Step::Cleared(mark));
+    daemons.commit_marks();
+    let after = outcome(&mut daemons, 2, 9);
+    expect_that!(refused_as_quarantined(&after), eq(false));
+}
+
+/// The probes of all arbiters count together.
+#[gtest]
+fn an_arbiter_that_did_not_convict_a_part_makes_no_probes() {
+    let mut daemons = convicted_elsewhere(slots::SERVICE, 9);
+    for ticket in 1..100 {
+        let outcome = outcome(&mut daemons, ticket, 9);
+        expect_that!(refused_as_quarantined(&outcome), eq(true));
+        daemons.run(Duration::from_secs(1));
+    }
+}
+
+/// The same part at another service, or as the last one, is not concerned.
+#[gtest]
+fn a_conviction_holds_for_its_service_and_not_for_last_parts() {
+    let mut daemons = convicted_elsewhere("another", 9);
+    let last = mark_of(slots::SERVICE, 1 << 20);
+    daemons.proposed.push(Step::Quarantined(last));
+    daemons.commit_marks();
+    let outcome = outcome(&mut daemons, 1, 9);
+    expect_that!(refused_as_quarantined(&outcome), eq(false));
+}
