--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -87,6 +87,8 @@
         Command::Wait(wait) => apply::wait(&client, wait.revision, timeout, now).await,
         Command::Init(init) => show::init(&client, init).await,
         Command::ReplaceReplica(replace) => show::replace(&client, replace).await,
+        Command::Marks(_) => show::marks(&client).await,
+        Command::Release(release) => show::release(&client, release).await,
         Command::Key(_) => Ok(key::run(std::io::stdin())),
     };
     outcome.unwrap_or_else(|outcome| outcome)
--- a/crates/ctl/src/command/arguments.rs
+++ b/crates/ctl/src/command/arguments.rs
@@ -37,6 +37,10 @@
     Wait(Wait),
     /// Let a new replica count in place of one whose disk is lost.
     ReplaceReplica(ReplaceReplica),
+    /// List the requests and parts of prompts marked for crashing runners.
+    Marks(Marks),
+    /// Lift a mark, so that what it names runs again.
+    Release(Release),
     /// Print the digest of an API key read from standard input.
     Key(Key),
 }
@@ -155,6 +159,23 @@
     pub new: String,
 }
 
+/// Arguments of `marks`.
+#[derive(Debug, Options)]
+pub struct Marks {
+    /// Show this help.
+    pub help: bool,
+}
+
+/// Arguments of `release`.
+#[derive(Debug, Options)]
+pub struct Release {
+    /// Show this help.
+    pub help: bool,
+    /// Mark in hex, as `marks` and the logs show it.
+    #[options(free, required)]
+    pub mark: String,
+}
+
 /// Arguments of `key`.
 #[derive(Debug, Options)]
 pub struct Key {
--- a/crates/ctl/src/command/render.rs
+++ b/crates/ctl/src/command/render.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, UNIX_EPOCH};
 
 use citron_policy::member::State;
-use citron_wire::admin::{Explanation, Kind, OwnedEntry, Propagation, Status};
+use citron_wire::admin::{Explanation, Kind, Marks, OwnedEntry, Propagation, Status};
 
 use crate::{
     client::Error,
@@ -43,6 +43,14 @@
     text
 }
 
+/// The marks as a table, quarantined ones first.
+pub(super) fn marks(marks: &Marks) -> String {
+    let mut rows = vec![row(&["MARK", "STATE"])];
+    rows.extend(marks.quarantined.iter().map(|it| row(&[it, "quarantined"])));
+    rows.extend(marks.suspected.iter().map(|it| row(&[it, "suspected"])));
+    table(&rows)
+}
+
 /// Tables of daemons and replicas.
 pub(super) fn status(status: &Status) -> String {
     let leader = status.leader.as_deref().unwrap_or("none known");
--- a/crates/ctl/src/command/show.rs
+++ b/crates/ctl/src/command/show.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use citron_policy::catalogue::Entry;
-use citron_wire::admin::{self, Done, Explanation, Init, Replace, Status};
+use citron_wire::admin::{self, Done, Explanation, Init, Marks, Release, Replace, Status};
 use serde_json::{Value, json};
 
 use super::{
@@ -114,6 +114,25 @@
     Ok(Outcome::done(text, body))
 }
 
+/// Lists the marks for crashing runners.
+pub(super) async fn marks(client: &Client) -> Result<Outcome, Outcome> {
+    let marks: Marks = client.get("/v1/marks").await?;
+    Ok(Outcome::done(render::marks(&marks), json!(marks)))
+}
+
+/// Lifts a mark.
+pub(super) async fn release(
+    client: &Client,
+    arguments: arguments::Release,
+) -> Result<Outcome, Outcome> {
+    let release = Release {
+        mark: arguments.mark,
+    };
+    let Done {} = client.post_once("/v1/marks/release", &release).await?;
+    let text = format!("mark {} is lifted: what it names runs again", release.mark);
+    Ok(Outcome::done(text, json!({"outcome": "done"})))
+}
+
 /// Replaces a voting replica by another.
 pub(super) async fn replace(
     client: &Client,
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -11,6 +11,7 @@
 mod explain;
 mod fanout;
 mod force;
+mod mark;
 mod metrics;
 mod port;
 mod problem;
@@ -141,6 +142,8 @@
         (&Method::POST, "/v1/replicas/replace") => {
             replica::replace(ports, request, &operator).await
         }
+        (&Method::GET, "/v1/marks") => Ok(mark::list(ports)),
+        (&Method::POST, "/v1/marks/release") => mark::release(ports, request, &operator).await,
         _ => Err(Problem::new(
             StatusCode::NOT_FOUND,
             Kind::Request,
--- a/crates/daemon/tests/admin/mod.rs
+++ b/crates/daemon/tests/admin/mod.rs
@@ -17,6 +17,7 @@
 };
 use citron_policy::{
     catalogue::{Catalogue, Change, Class, Entry},
+    crash,
     feed::View,
     id::{InstanceId, ReplicaId, Revision},
     member::{Member, Members, State},
@@ -47,6 +48,8 @@
     pub outcome: RefCell<Option<Result<(), Error>>>,
     /// Changes submitted.
     pub changes: RefCell<Vec<Change>>,
+    /// Crash marks submitted.
+    pub marks: RefCell<Vec<crash::Step>>,
     /// Instances whose replica answers, each with whether it belongs to a cluster.
     pub standing: RefCell<Vec<(&'static str, bool)>>,
     /// Whether the replicas join once the cluster is formed.
@@ -61,8 +64,10 @@
         command: Command,
         _within: Duration,
     ) -> LocalBoxFuture<'static, Result<Answer, Error>> {
-        if let Command::Change { change, .. } = command {
-            self.changes.borrow_mut().push((*change).clone());
+        match command {
+            Command::Change { change, .. } => self.changes.borrow_mut().push((*change).clone()),
+            Command::Crash(step) => self.marks.borrow_mut().push(step),
+            _ => {}
         }
         let answer = self.answer.borrow_mut().take();
         Box::pin(std::future::ready(answer.unwrap_or(Err(Error::NoLeader))))
@@ -198,6 +203,14 @@
             ..View::default()
         }));
     }
+
+    /// Puts crash marks in force.
+    pub fn set_marks(&self, marks: crash::Table) {
+        self.view.send_replace(Arc::new(View {
+            marks: Arc::new(marks),
+            ..View::default()
+        }));
+    }
 }
 
 /// Makes the daemons known to each other and lists them on the platform.
--- a/crates/daemon/tests/admin_http.rs
+++ b/crates/daemon/tests/admin_http.rs
@@ -11,6 +11,7 @@
 };
 use citron_policy::{
     catalogue::{Change, Fault, Key, Kind},
+    crash::{Step, Table},
     state::{Answer, Author, Refusal},
 };
 use googletest::prelude::*;
@@ -417,6 +418,37 @@
     });
 }
 
+#[gtest]
+fn marks_are_listed_and_lifted_by_operators() {
+    actix_rt::System::new().block_on(async {
+        let daemon = Daemon::start("e1").await;
+        let mut marks = Table::default();
+        marks.apply(&Step::Suspected(vec![0x1f]));
+        marks.apply(&Step::Quarantined(0xab));
+        daemon.set_marks(marks);
+        let listed = get(&daemon, "/v1/marks").await;
+        let expected = json!({
+            "suspected": ["000000000000001f"],
+            "quarantined": ["00000000000000ab"],
+        });
+        expect_that!(listed.body, eq(&expected));
+        *daemon.script.answer.borrow_mut() = Some(Ok(Answer::Done));
+        let release = |mark: &str| json!({ "mark": mark });
+        let lifted = post(&daemon, "/v1/marks/release", release("00000000000000ab")).await;
+        expect_that!(lifted.status, eq(StatusCode::OK));
+        expect_that!(
+            *daemon.script.marks.borrow(),
+            elements_are![eq(&Step::Cleared(0xab))]
+        );
+        // Neither an unknown mark nor garbage reaches the control log.
+        for wrong in ["cd", "mark"] {
+            let refused = post(&daemon, "/v1/marks/release", release(wrong)).await;
+            expect_that!(refused.status, eq(StatusCode::BAD_REQUEST));
+        }
+        expect_that!(daemon.script.marks.borrow().len(), eq(1));
+    });
+}
+
 #[gtest]
 fn token_lists_show_every_fault_and_no_token() {
     let text = "ann secret-secret-secret # desk\n\nbob\n b!d secret-secret-secre2\ncy short\n\
--- a/crates/wire/src/admin.rs
+++ b/crates/wire/src/admin.rs
@@ -246,6 +246,22 @@
     pub new: String,
 }
 
+/// Requests, and parts of prompts, marked for crashing runners; each in hex.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Marks {
+    /// Those suspected.
+    pub suspected: Vec<String>,
+    /// Those in quarantine.
+    pub quarantined: Vec<String>,
+}
+
+/// Request to lift a mark.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Release {
+    /// The mark, in hex.
+    pub mark: String,
+}
+
 /// Answer to a completed request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Done {}
