arbiter: convictions in the control log hold for what waits, and end with its word

And probes that were used up stayed so after an operator had lifted the mark, so that a second conviction of the part could not heal. Both tests fail without on_part_marks. Crashes are judged for 2 s after the latest one, not on each tick for good.

--- a/crates/policy/src/arbiter/hold.rs
+++ b/crates/policy/src/arbiter/hold.rs
@@ -318,6 +318,7 @@
     pub(super) fn on_marks(&mut self, table: Arc<Table>, effects: &mut Vec<Effect>) {
         self.marks.commit(table);
         self.requeue_marked(effects);
+        self.on_part_marks(effects);
     }
 
     /// Moves waiting requests between the queues, as their marks require.
--- a/crates/policy/src/arbiter/part.rs
+++ b/crates/policy/src/arbiter/part.rs
@@ -77,10 +77,7 @@
             match self.marks.get(mark) {
                 Some(Mark::Suspected) => self.mark(Step::Cleared(mark), effects),
                 // Only the control log lifts a quarantine.
-                Some(Mark::Quarantined) => {
-                    self.evidence.on_released(mark);
-                    effects.push(Effect::Mark(Step::Cleared(mark)));
-                }
+                Some(Mark::Quarantined) => effects.push(Effect::Mark(Step::Cleared(mark))),
                 None => {}
             }
         }
@@ -148,6 +145,14 @@
         }
     }
 
+    /// Follows the convictions in the control log, those of other arbiters too.
+    pub(super) fn on_part_marks(&mut self, effects: &mut Vec<Effect>) {
+        let marks = &self.marks;
+        self.evidence
+            .retain_probes(|mark| marks.get(mark) == Some(Mark::Quarantined));
+        self.refuse_convicted(effects);
+    }
+
     /// Refuses the waiting requests with a convicted part.
     fn refuse_convicted(&mut self, effects: &mut Vec<Effect>) {
         let waiting = self.queue.items().chain(self.suspects.items());
--- a/crates/policy/src/crash/parts.rs
+++ b/crates/policy/src/crash/parts.rs
@@ -44,6 +44,10 @@
 /// Wait for the requests of a crash to be reported before it is judged.
 const SETTLE_TIME: Duration = Duration::from_millis(100);
 
+/// Time after the latest crash in which the crashes are judged again: a little more than
+/// [`MIN_SPAN`].
+const JUDGE_TIME: Duration = Duration::from_secs(2);
+
 /// Time within which the daemons report the crashes of runners that are lost together.
 const SAME_EVENT: Duration = Duration::from_millis(150);
 
@@ -253,6 +257,10 @@
     where
         F: Fn(PartId) -> bool,
     {
+        let latest = self.crashes.back()?.at;
+        if now.saturating_duration_since(latest) > JUDGE_TIME {
+            return None;
+        }
         for crash in &mut self.crashes {
             crash.judged |= now.saturating_duration_since(crash.at) >= SETTLE_TIME;
         }
@@ -352,9 +360,12 @@
         true
     }
 
-    /// Forgets the probes of a conviction that no longer holds.
-    pub fn on_released(&mut self, mark: Fingerprint) {
-        self.probes.shift_remove(&mark);
+    /// Forgets the probes of convictions that no longer hold.
+    pub fn retain_probes<F>(&mut self, holds: F)
+    where
+        F: Fn(Fingerprint) -> bool,
+    {
+        self.probes.retain(|mark, _| holds(*mark));
     }
 }
 
--- a/crates/policy/tests/crashing_parts.rs
+++ b/crates/policy/tests/crashing_parts.rs
@@ -537,11 +537,10 @@
     )
 }
 
-/// Daemons whose arbiter has just convicted a part.
-fn convicted(part: u64) -> Daemons {
-    let mut daemons = Daemons::new(2, catalogue(4, |_| {}), runners(4));
-    for ticket in 1_001..=1_003 {
-        let granted = outcome(&mut daemons, ticket, part);
+/// Crashes three runners with different requests that hold a part, until it is convicted.
+fn crash_three_times(daemons: &mut Daemons, part: u64, ticket: u64) {
+    for ticket in ticket..ticket + 3 {
+        let granted = outcome(daemons, ticket, part);
         assert!(matches!(granted, Outcome::Granted { .. }), "{granted:?}");
         daemons.run(Duration::from_millis(400));
         daemons.release(0, ticket, sample(End::Broken, Duration::from_millis(400)));
@@ -550,6 +549,12 @@
     daemons.commit_marks();
     let mark = mark_of(slots::SERVICE, part);
     assert_eq!(daemons.marks.get(mark), Some(Mark::Quarantined));
+}
+
+/// Daemons whose arbiter has just convicted a part.
+fn convicted(part: u64) -> Daemons {
+    let mut daemons = Daemons::new(2, catalogue(4, |_| {}), runners(4));
+    crash_three_times(&mut daemons, part, 1_000);
     daemons
 }
 
@@ -619,6 +624,40 @@
     }
 }
 
+/// Arbiters of other shards hear of a conviction through the control log.
+#[gtest]
+fn what_waits_with_a_part_convicted_elsewhere_is_refused() {
+    let mut daemons = Daemons::new(2, catalogue(1, |_| {}), runners(1));
+    let first = outcome(&mut daemons, 1, 5);
+    assert!(matches!(first, Outcome::Granted { .. }), "{first:?}");
+    daemons.acquire(0, ask_with_part(2, 9));
+    daemons.deliver_all();
+    assert_eq!(daemons.take_outcomes(), Vec::new());
+    let mark = mark_of(slots::SERVICE, 9);
+    daemons.proposed.push(Step::Quarantined(mark));
+    daemons.commit_marks();
+    daemons.deliver_all();
+    let refused = daemons.take_outcomes();
+    expect_that!(refused.iter().any(refused_as_quarantined), eq(true));
+}
+
+/// A part that is convicted again after an operator lifted its mark is tested again.
+#[gtest]
+fn a_part_convicted_again_is_tested_again() {
+    let mut daemons = convicted(9);
+    daemons.run(PROBE_WAIT);
+    let probe = outcome(&mut daemons, 1, 9);
+    expect_that!(refused_as_quarantined(&probe), eq(false));
+    daemons.release(0, 1, sample(End::Broken, Duration::from_millis(100)));
+    let mark = mark_of(slots::SERVICE, 9);
+    daemons.proposed.push(Step::Cleared(mark));
+    daemons.commit_marks();
+    crash_three_times(&mut daemons, 9, 2_000);
+    daemons.run(PROBE_WAIT);
+    let again = outcome(&mut daemons, 2, 9);
+    expect_that!(refused_as_quarantined(&again), eq(false));
+}
+
 /// The same part at another service, or as the last one, is not concerned.
 #[gtest]
 fn a_conviction_holds_for_its_service_and_not_for_last_parts() {
