arbiter, exchange: the build of runners in grants, logs and a counter

To tell the hypotheses of the mixed streams apart: the list's version of a runner's software is read, told with each grant and logged (CP0552, CP1001), with the stream that an attempt goes on with. citron_exchange_continued_total counts streams that go on by who took them up and whether the build is the one that began them. No decision reads any of it yet.

--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -40,6 +40,16 @@
     pub output: u32,
     /// Last event that the caller received, when it resumes a stream.
     pub after: Option<u64>,
+    /// ID of the request that brought the first event of that stream.
+    pub resumes: Option<String>,
+}
+
+impl CallerHead {
+    /// Whether the caller takes up a stream that an earlier request began.
+    #[must_use]
+    pub fn is_continued(&self) -> bool {
+        self.after.is_some() || self.resumes.is_some()
+    }
 }
 
 /// Error response to a caller.
--- a/crates/daemon/src/exchange/metrics.rs
+++ b/crates/daemon/src/exchange/metrics.rs
@@ -39,6 +39,13 @@
     status: u16,
 }
 
+/// Labels of a stream that goes on.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Continued {
+    by: &'static str,
+    build: &'static str,
+}
+
 /// Counters and latency histograms; clones share them.
 #[derive(Clone, Debug)]
 pub(super) struct Metrics {
@@ -46,6 +53,7 @@
     first_event: Family<ClassLabel, Histogram, fn() -> Histogram>,
     slot_wait: Family<ClassLabel, Histogram, fn() -> Histogram>,
     refused: Family<Refused, Counter>,
+    continued: Family<Continued, Counter>,
 }
 
 impl Default for Metrics {
@@ -55,6 +63,7 @@
             first_event: Family::new_with_constructor(histogram),
             slot_wait: Family::new_with_constructor(histogram),
             refused: Family::default(),
+            continued: Family::default(),
         }
     }
 }
@@ -85,6 +94,11 @@
             "Requests refused or given up, by reason",
             self.refused.clone(),
         );
+        registry.register(
+            "citron_exchange_continued",
+            "Streams sent to a runner to go on, by who takes them up and by build",
+            self.continued.clone(),
+        );
     }
 
     /// Records the time from arrival to the end of a request.
@@ -110,6 +124,17 @@
         wait.observe(took.as_secs_f64());
     }
 
+    /// Counts a stream that goes on, and whether at the build that began it, if known.
+    pub(super) fn count_continued(&self, by: &'static str, same: Option<bool>) {
+        let build = match same {
+            Some(true) => "same",
+            Some(false) => "other",
+            None => "unknown",
+        };
+        let labels = Continued { by, build };
+        self.continued.get_or_create(&labels).inc();
+    }
+
     /// Counts a refused or failed request.
     pub(super) fn count_refusal(&self, kind: &'static str, status: u16) {
         self.refused.get_or_create(&Refused { kind, status }).inc();
--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -9,7 +9,7 @@
 use actix_http::{StatusCode, header::HeaderMap};
 use bytes::Bytes;
 use citron_policy::{
-    id::RunnerId,
+    id::{BuildId, RunnerId},
     retry::{Attempt, Decision, Fate, Rerun},
     route::Repeat,
     silence::{self, Wait},
@@ -70,6 +70,8 @@
     pub(super) head: Option<(StatusCode, HeaderMap)>,
     /// Id of the last event passed to the caller.
     last: Option<u64>,
+    /// Version of the runner whose events the caller gets; none before the first one.
+    build: Option<BuildId>,
     /// Whether the runner of this attempt answered without naming a limit.
     unlimited: bool,
 }
@@ -85,6 +87,7 @@
             sent: 0,
             stream: None,
             head: None,
+            build: None,
             unlimited: false,
         }
     }
@@ -111,6 +114,11 @@
         self.last
     }
 
+    /// Whether the caller has events of the stream already.
+    fn is_continued(&self) -> bool {
+        self.build.is_some() || self.admitted.caller_head.is_continued()
+    }
+
     /// Cancels the upstream work after the caller has disconnected.
     pub(super) fn abandon(&mut self) {
         log::info!(
@@ -256,16 +264,26 @@
             .inner
             .metrics
             .record_wait(&admitted.class.name, waited);
+        if self.is_continued() {
+            let by = if self.build.is_some() {
+                "daemon"
+            } else {
+                "caller"
+            };
+            let same = self.build.as_ref().map(|it| *it == slot.build);
+            exchange.inner.metrics.count_continued(by, same);
+        }
         // An attempt after the first follows a failure and is always logged.
         let skipped = match exchange.log_permit() {
             Some(skipped) => skipped,
-            None if self.sent > 0 => 0,
+            None if self.sent > 0 || self.is_continued() => 0,
             None => return,
         };
         let freshness = exchange.freshness();
         log::info!(
             event = "CP1001", request = admitted.caller_head.id.as_str(),
-            runner = slot.runner.as_str(), address:% = slot.address,
+            runner = slot.runner.as_str(), address:% = slot.address, build = slot.build.as_str(),
+            resumes = admitted.caller_head.resumes.as_deref(), after = self.last,
             service = admitted.service.name.as_str(), class = admitted.class.name.as_str(),
             tier = admitted.tier(),
             account = admitted.account.as_ref().map_or("", |it| it.name.as_str()),
@@ -481,6 +499,7 @@
                         stream.event_count += count;
                         stream.slot.record_tokens(stream.event_count);
                         self.last = stream.events.last_id();
+                        self.build.get_or_insert_with(|| stream.slot.build.clone());
                         return Ok(Step::Events(events));
                     }
                     Ok(_) => {}
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -286,10 +286,16 @@
         old.runners.iter().map(|it| (&it.id, it)).collect();
     for runner in &new.runners {
         let before = removed.swap_remove(&runner.id);
-        if before.is_none_or(|it| it.standing != runner.standing || it.address != runner.address) {
+        let changed = |it: &&Runner| {
+            it.standing != runner.standing
+                || it.address != runner.address
+                || it.build != runner.build
+        };
+        if before.is_none_or(|it| changed(&it)) {
             log::info!(
                 event = "CP0552", runner = runner.id.as_str(), service = runner.service.as_str(),
-                address:% = runner.address, standing:? = runner.standing;
+                address:% = runner.address, build = runner.build.as_str(),
+                standing:? = runner.standing;
                 "runner listed"
             );
         }
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -23,7 +23,7 @@
     catalogue::Backend,
     crash,
     feed::View,
-    id::{AccountId, ClassId, Fingerprint, InstanceId, RequestId, RunnerId, ServiceId},
+    id::{AccountId, BuildId, ClassId, Fingerprint, InstanceId, RequestId, RunnerId, ServiceId},
     member::Members,
     platform::List,
     requester::{self, Requester},
@@ -153,6 +153,8 @@
     alone: bool,
     /// Address of the runner, if the arbiter knows it.
     address: Option<SocketAddr>,
+    /// Version of the runner's software.
+    build: BuildId,
     waited: Duration,
 }
 
@@ -283,6 +285,7 @@
         Ok(Slot {
             runner: grant.runner,
             address,
+            build: grant.build,
             alone: grant.alone,
             waited: grant.waited,
             arbiter: self.inner.arbiter_of(&guard.service),
@@ -439,6 +442,8 @@
     pub runner: RunnerId,
     /// Its address.
     pub address: SocketAddr,
+    /// Version of its software.
+    pub build: BuildId,
     /// Whether the request must run alone on the runner.
     pub alone: bool,
     /// Time that the request waited for the slot.
--- a/crates/daemon/src/slots/host.rs
+++ b/crates/daemon/src/slots/host.rs
@@ -261,12 +261,14 @@
                     runner,
                     alone,
                     address,
+                    build,
                     waited,
                 } => {
                     let grant = Grant {
                         runner,
                         alone,
                         address,
+                        build,
                         waited,
                     };
                     self.on_granted(service, ticket, grant);
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -139,6 +139,7 @@
             domain: "fd-1".to_owned(),
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
             standing: Standing::Live,
+            build: String::new(),
             slots: 0,
         });
         let list = List {
--- a/crates/policy/benches/slot_slopes.rs
+++ b/crates/policy/benches/slot_slopes.rs
@@ -162,6 +162,7 @@
         domain: "d".to_owned(),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         standing: Standing::Live,
+        build: String::new(),
         slots: 0,
     });
     black_box(arbiter.on_event(now, Event::Runners(listed.collect())));
--- a/crates/policy/benches/slots/model.rs
+++ b/crates/policy/benches/slots/model.rs
@@ -594,6 +594,7 @@
             domain: "d".to_owned(),
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
             standing: Standing::Live,
+            build: String::new(),
             slots: 0,
         });
         let runners = arbiter::Event::Runners(runners.collect());
--- a/crates/policy/src/arbiter/grant.rs
+++ b/crates/policy/src/arbiter/grant.rs
@@ -141,6 +141,7 @@
         self.pool.touch(&runner);
         let running = Running {
             address,
+            build: self.build_of(&runner),
             usage,
             exposed: self.marks.is_exposed(item.fingerprint),
             ..Running::new(now, item, runner, kind)
--- a/crates/policy/src/arbiter/hold.rs
+++ b/crates/policy/src/arbiter/hold.rs
@@ -57,6 +57,8 @@
     pub(super) fingerprint: Fingerprint,
     pub(super) runner: RunnerId,
     pub(super) address: Option<SocketAddr>,
+    /// Version of the runner's software when the slot was granted.
+    pub(super) build: Arc<str>,
     pub(super) since: Instant,
     pub(super) kind: GrantKind,
     pub(super) preempting: bool,
@@ -74,6 +76,7 @@
     pub(super) fn new(now: Instant, item: &Item, runner: RunnerId, kind: GrantKind) -> Self {
         Self {
             address: None,
+            build: Arc::from(""),
             class: Arc::clone(&item.class),
             account: Arc::clone(&item.account),
             fingerprint: item.fingerprint,
@@ -98,6 +101,7 @@
             runner: self.runner.clone(),
             alone: self.is_alone(),
             address: self.address,
+            build: self.build.to_string(),
         }
     }
 }
@@ -501,6 +505,7 @@
             account: self.account(&hold.ask.account),
             fingerprint: hold.ask.fingerprint,
             address: self.pool.get(&hold.runner).and_then(|it| it.address),
+            build: self.build_of(&hold.runner),
             runner: hold.runner,
             since: now.checked_sub(hold.age).unwrap_or(now),
             kind: if hold.alone {
@@ -529,6 +534,12 @@
         self.insert_running(key, running);
     }
 
+    /// Version of a runner's software, empty if the runner is not listed.
+    pub(super) fn build_of(&self, runner: &RunnerId) -> Arc<str> {
+        let runner = self.pool.get(runner);
+        runner.map_or_else(|| Arc::from(""), |it| Arc::clone(&it.build))
+    }
+
     fn keys_of(&self, asker: u32) -> Vec<Key> {
         let waiting = self.queue.items().map(|it| it.key);
         let all = waiting
--- a/crates/policy/src/arbiter/message.rs
+++ b/crates/policy/src/arbiter/message.rs
@@ -11,7 +11,7 @@
 use super::Rate;
 use crate::{
     crash,
-    id::{AccountId, ClassId, Epoch, Fingerprint, InstanceId, PartId, RunnerId},
+    id::{AccountId, BuildId, ClassId, Epoch, Fingerprint, InstanceId, PartId, RunnerId},
 };
 
 /// Number of an ask, unique at the daemon that sends it.
@@ -230,6 +230,8 @@
         alone: bool,
         /// Address of the runner, if the arbiter knows it.
         address: Option<SocketAddr>,
+        /// Version of the runner's software.
+        build: BuildId,
     },
     /// The ask is refused.
     Refused(Ticket, Refusal),
--- a/crates/policy/src/arbiter/pool.rs
+++ b/crates/policy/src/arbiter/pool.rs
@@ -7,6 +7,7 @@
 
 use std::{
     cell::Cell,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -144,6 +145,9 @@
             });
             runner.address = Some(it.address);
             runner.domain.clone_from(&it.domain);
+            if *runner.build != *it.build {
+                runner.build = Arc::from(it.build.as_str());
+            }
             runner.leaving = it.standing == Standing::Leaving;
             if it.slots > 0 {
                 runner.set_slots(it.slots);
--- a/crates/policy/src/arbiter/runner.rs
+++ b/crates/policy/src/arbiter/runner.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -143,6 +144,8 @@
     pub(super) address: Option<SocketAddr>,
     /// Failure domain on the platform's list.
     pub(super) domain: DomainId,
+    /// Version of its software on the platform's list.
+    pub(super) build: Arc<str>,
     /// Whether it is reserved for a request that must run alone.
     pub(super) reserved: bool,
     /// Slots in use, as far as this arbiter knows.
@@ -191,6 +194,7 @@
             leaving: false,
             address: None,
             domain: DomainId::new(),
+            build: Arc::from(""),
             reserved: false,
             held: 0,
             last_change: 0,
--- a/crates/policy/src/id.rs
+++ b/crates/policy/src/id.rs
@@ -11,6 +11,10 @@
 /// Name of an upstream runner, as listed by the platform.
 pub type RunnerId = String;
 
+/// Version of a runner's software; declarations and model weights have versions of
+/// their own.
+pub type BuildId = String;
+
 /// Name of a failure domain.
 pub type DomainId = String;
 
--- a/crates/policy/src/platform.rs
+++ b/crates/policy/src/platform.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{DomainId, InstanceId, RunnerId, ServiceId};
+use crate::id::{BuildId, DomainId, InstanceId, RunnerId, ServiceId};
 
 /// Lifecycle state of an instance or runner, as listed by the platform.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -47,6 +47,9 @@
     /// Lifecycle state.
     #[serde(default)]
     pub standing: Standing,
+    /// Version of its software; empty if the list does not say.
+    #[serde(default)]
+    pub build: BuildId,
     /// Number of concurrent requests; zero if the list does not say.
     #[serde(default)]
     pub slots: u32,
--- a/crates/policy/src/requester.rs
+++ b/crates/policy/src/requester.rs
@@ -23,7 +23,7 @@
         Request, Sample, Ticket, message::ticket_hash,
     },
     crash::{InFlight, Mark, Overlay, Step, Table},
-    id::{Epoch, InstanceId, RunnerId},
+    id::{BuildId, Epoch, InstanceId, RunnerId},
 };
 use timeout::Estimator;
 
@@ -115,6 +115,8 @@
         alone: bool,
         /// Address of the runner, if the arbiter knows it.
         address: Option<SocketAddr>,
+        /// Version of the runner's software.
+        build: BuildId,
         /// Time for which the request waited.
         waited: Duration,
     },
@@ -140,6 +142,7 @@
     runner: RunnerId,
     alone: bool,
     address: Option<SocketAddr>,
+    build: BuildId,
 }
 
 #[derive(Debug)]
@@ -424,11 +427,13 @@
                 runner,
                 alone,
                 address,
+                build,
             } => {
                 let granted = Granted {
                     runner,
                     alone,
                     address,
+                    build,
                 };
                 self.on_grant(now, from, ticket, granted, effects);
             }
@@ -527,6 +532,7 @@
             runner,
             alone,
             address,
+            build,
         } = granted;
         let held = Held {
             runner: runner.clone(),
@@ -541,6 +547,7 @@
             runner,
             alone,
             address,
+            build,
             waited: now.saturating_duration_since(waiting.since),
         });
     }
--- a/crates/policy/tests/desk_asks.rs
+++ b/crates/policy/tests/desk_asks.rs
@@ -41,6 +41,7 @@
         runner: "r0".to_owned(),
         alone: false,
         address: None,
+        build: "v1".to_owned(),
     }
 }
 
--- a/crates/policy/tests/slots/mod.rs
+++ b/crates/policy/tests/slots/mod.rs
@@ -93,6 +93,7 @@
             domain: "d".to_owned(),
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
             standing: Standing::Live,
+            build: String::new(),
             slots: 0,
         })
         .collect()
--- a/crates/wire/benches/slots.rs
+++ b/crates/wire/benches/slots.rs
@@ -99,6 +99,7 @@
         runner: "runner-0001".to_owned(),
         alone: false,
         address: None,
+        build: "v1.1".to_owned(),
     };
     let rate = Rate::from_per_second(1.1).expect("a rate");
     let limit = Request::Limit("runner-0001".to_owned(), rate);
--- a/crates/wire/tests/slot.rs
+++ b/crates/wire/tests/slot.rs
@@ -90,6 +90,7 @@
             runner: "r1".to_owned(),
             alone: true,
             address: "10.0.0.3:80".parse().ok(),
+            build: "v1.1".to_owned(),
         },
         Reply::Refused(1, Refusal::Shed { retry_after }),
         Reply::Refused(1, Refusal::NoRunner { retry_after }),
