peers: connections come from the address that peers know

A machine with several addresses, or several daemons on one host, opened its connections from whatever address the system chose; peers admit a frame only from the known one, so such daemons refused each other. The check stays as it is. Test: failed before with 'connection to instance b was lost'.

--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -11,7 +11,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -111,6 +111,8 @@
 struct Inner {
     me: InstanceId,
     cluster: String,
+    /// Address that connections are opened from; the system's choice if there is none.
+    source: Cell<Option<IpAddr>>,
     addresses: RefCell<IndexMap<InstanceId, SocketAddr>>,
     connections: RefCell<IndexMap<InstanceId, mpsc::Sender<Queued>>>,
     calls: RefCell<IndexMap<u64, Call>>,
@@ -147,6 +149,7 @@
         let inner = Inner {
             me: me.to_owned(),
             cluster: cluster.to_owned(),
+            source: Cell::default(),
             addresses: RefCell::default(),
             connections: RefCell::default(),
             calls: RefCell::default(),
@@ -177,6 +180,13 @@
         &self.inner.me
     }
 
+    /// Opens connections from this address, the one under which peers know this instance:
+    /// they refuse any other, which a machine with several addresses might use.
+    pub fn set_source(&self, address: IpAddr) {
+        let source = (!address.is_unspecified()).then_some(address);
+        self.inner.source.set(source);
+    }
+
     /// Replaces the known addresses; connections to removed or changed ones are closed.
     pub fn set_addresses(&self, addresses: IndexMap<InstanceId, SocketAddr>) {
         let old = self.inner.addresses.replace(addresses);
--- a/crates/daemon/src/peers/link.rs
+++ b/crates/daemon/src/peers/link.rs
@@ -1,7 +1,8 @@
 //! An outgoing connection to one peer.
 
 use std::{
-    net::SocketAddr,
+    io,
+    net::{IpAddr, SocketAddr},
     time::{Duration, Instant},
 };
 
@@ -10,7 +11,7 @@
 use citron_policy::id::InstanceId;
 use citron_wire::{Frame, codec::Codec};
 use futures_util::{SinkExt, StreamExt};
-use tokio::sync::mpsc;
+use tokio::{net::TcpSocket, sync::mpsc};
 
 use super::{Hub, Queued, traffic::Kind};
 use crate::socket::detect_dead_peer;
@@ -38,7 +39,8 @@
     address: SocketAddr,
     mut queue: mpsc::Receiver<Queued>,
 ) {
-    match actix_rt::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+    let source = hub.inner.source.get();
+    match actix_rt::time::timeout(CONNECT_TIMEOUT, connect(source, address)).await {
         Ok(Ok(stream)) => serve(&hub, &peer, stream, &mut queue).await,
         Ok(Err(error)) => log::debug!("CP0903 no connection to {peer} at {address}: {error}"),
         Err(_) => {
@@ -54,6 +56,18 @@
     hub.fail_calls(&peer);
 }
 
+async fn connect(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    if let Some(source) = source.filter(|it| it.is_ipv4() == address.is_ipv4()) {
+        socket.bind(SocketAddr::new(source, 0))?;
+    }
+    socket.connect(address).await
+}
+
 async fn serve(
     hub: &Hub,
     peer: &InstanceId,
--- a/crates/daemon/src/run/core.rs
+++ b/crates/daemon/src/run/core.rs
@@ -48,6 +48,7 @@
         reader: Option<Rc<dyn Declarations>>,
     ) -> (Self, oneshot::Receiver<String>) {
         let hub = Hub::new(&settings.instance, &settings.cluster);
+        hub.set_source(addresses.peer.ip());
         actix_rt::spawn(hub.clone().log_traffic());
         let behind_adapter = reader.is_some();
         let platform = Platform::start(platform);
--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -85,6 +85,21 @@
     });
 }
 
+/// The system would connect from 127.0.0.1, under which no peer knows the instance.
+#[gtest]
+fn a_peer_with_several_addresses_connects_from_the_one_that_is_known() {
+    actix_rt::System::new().block_on(async {
+        let known = SocketAddr::from(([127, 0, 0, 2], 1));
+        let (_server, address) = server("b", "one", &[("a", known)]).await;
+        let hub = client("a", "one", address);
+        hub.set_source(known.ip());
+        expect_that!(
+            hub.call(&"b".to_owned(), status(), CALL_TIMEOUT).await,
+            ok(anything())
+        );
+    });
+}
+
 #[gtest]
 fn another_cluster_and_an_unknown_instance_are_refused_and_counted() {
     actix_rt::System::new().block_on(async {
