--- a/crates/daemon/src/callers/chat/generation.rs
+++ b/crates/daemon/src/callers/chat/generation.rs
@@ -12,8 +12,9 @@
 };
 use bytes::Bytes;
 use citron_policy::{
-    id::RunnerId,
+    id::{BuildId, RunnerId},
     retry::{Attempt, Decision, Ending, Fate, Reason, Rerun},
+    stream::{self, Origin},
 };
 
 use super::{Callers, Chat, Mark, Problem, Ticket};
@@ -60,6 +61,8 @@
     attempts: u32,
     avoid: Vec<RunnerId>,
     offset: u64,
+    /// Version of the runner that the first token came from.
+    build: Option<BuildId>,
     may_have_run: bool,
     first_token: Option<Instant>,
     counted: bool,
@@ -92,6 +95,7 @@
             attempts: 0,
             avoid: Vec::new(),
             offset: 0,
+            build: None,
             may_have_run: false,
             first_token: None,
             counted: false,
@@ -237,6 +241,7 @@
             tier: ticket.account.tier,
             prompt: Vec::new(),
             output: 0,
+            stream: Some(self.stream()),
         };
         let taken = self.callers.ports().slots.acquire(demand).await;
         taken.map_err(|refusal| {
@@ -253,6 +258,16 @@
         })
     }
 
+    /// The answer as a stream; only this generation goes on with it.
+    fn stream(&self) -> stream::Stream {
+        let build = self.build.as_ref().filter(|_| self.offset > 0);
+        stream::Stream {
+            id: stream::NO_STREAM,
+            origin: build.map_or(Origin::New, |it| Origin::Build(it.clone())),
+            life: Duration::ZERO,
+        }
+    }
+
     fn limits(&self, now: Instant) -> Limits {
         let left = self.ticket().deadline.saturating_duration_since(now);
         Limits {
@@ -295,6 +310,8 @@
         if let Some(exchange) = &mut self.exchange {
             exchange.first_token.get_or_insert(now);
             let tokens = self.offset - exchange.first_offset;
+            self.build
+                .get_or_insert_with(|| exchange.slot.build.clone());
             exchange
                 .slot
                 .record_tokens(u32::try_from(tokens).unwrap_or(u32::MAX));
--- a/crates/daemon/src/callers/plain.rs
+++ b/crates/daemon/src/callers/plain.rs
@@ -251,6 +251,7 @@
         tier: ticket.account.tier,
         prompt: Vec::new(),
         output: 0,
+        stream: None,
     };
     let taken = callers.ports().slots.acquire(demand).await;
     taken.map_err(|refusal| {
--- a/crates/daemon/src/callers/problem.rs
+++ b/crates/daemon/src/callers/problem.rs
@@ -91,6 +91,17 @@
                 "unreachable",
                 Some(*retry_after),
             ),
+            Refusal::UnknownBuild { retry_after } => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "unknown-build",
+                Some(*retry_after),
+            ),
+            // It can start anew at once.
+            Refusal::NoBuild { .. } => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "no-build",
+                Some(Duration::ZERO),
+            ),
             Refusal::Quarantined => (StatusCode::UNPROCESSABLE_ENTITY, "quarantined", None),
             Refusal::Late => (StatusCode::GATEWAY_TIMEOUT, "late", None),
         };
--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -4,15 +4,19 @@
 //! attempt follows is decided by the route and the retry budget
 //! ([`citron_policy::retry`]).
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use actix_http::{StatusCode, header::HeaderMap};
 use bytes::Bytes;
 use citron_policy::{
-    id::{BuildId, RunnerId},
+    id::{BuildId, RunnerId, ServiceId, StreamId},
     retry::{Attempt, Decision, Fate, Rerun},
     route::Repeat,
     silence::{self, Wait},
+    stream::{NO_STREAM, Origin, Stream as Continuation},
 };
 
 use super::{
@@ -24,7 +28,7 @@
 };
 use crate::{
     callers::problem,
-    edge::{Problem, RunnerHead},
+    edge::{CallerHead, Problem, RunnerHead},
     fingerprint::format,
     slots::{Demand, End, Refusal, Sample, Slot},
     upstream::{self, Failure},
@@ -70,8 +74,10 @@
     pub(super) head: Option<(StatusCode, HeaderMap)>,
     /// Id of the last event passed to the caller.
     last: Option<u64>,
-    /// Version of the runner whose events the caller gets; none before the first one.
+    /// Version of the runners that the stream goes on at; none before its first event.
     build: Option<BuildId>,
+    /// Services whose arbiter does not know the stream.
+    searched: Vec<ServiceId>,
     /// Whether the runner of this attempt answered without naming a limit.
     unlimited: bool,
 }
@@ -88,6 +94,7 @@
             stream: None,
             head: None,
             build: None,
+            searched: Vec::new(),
             unlimited: false,
         }
     }
@@ -133,10 +140,15 @@
 
     /// Makes one attempt; `None` if another attempt or the events of a stream follow.
     async fn attempt(&mut self) -> Result<Option<Step>, Problem> {
-        let slot = self.acquire_slot().await?;
+        let Some(slot) = self.acquire_slot().await? else {
+            return Ok(None);
+        };
         if !self.recheck()? {
             return Ok(None);
         }
+        if self.is_continued() {
+            self.build.get_or_insert_with(|| slot.build.clone());
+        }
         self.sent += 1;
         self.tried.push(slot.runner.clone());
         self.unlimited = false;
@@ -227,8 +239,8 @@
         }
     }
 
-    /// Waits for a slot on a runner.
-    async fn acquire_slot(&self) -> Result<Slot, Problem> {
+    /// Waits for a slot on a runner; `None` if another service is to be asked.
+    async fn acquire_slot(&mut self) -> Result<Option<Slot>, Problem> {
         let admitted = &self.admitted;
         let account = admitted.account.as_ref();
         let demand = Demand {
@@ -244,18 +256,61 @@
             tier: Some(admitted.tier()),
             prompt: admitted.caller_head.prompt.clone(),
             output: admitted.caller_head.output,
+            stream: self.continuation(),
         };
         let waiting = Instant::now();
         let acquired = self.exchange.ports().slots.acquire(demand).await;
         match acquired {
             Ok(slot) => {
                 self.log_sent(&slot, waiting.elapsed());
-                Ok(slot)
+                Ok(Some(slot))
             }
+            Err(Refusal::UnknownBuild { .. }) if self.search_next_service()? => Ok(None),
             Err(refusal) => Err(self.slot_problem(&refusal)),
         }
     }
 
+    /// The stream that the answer is, for the choice of a runner.
+    fn continuation(&self) -> Option<Continuation> {
+        let Admitted {
+            caller_head,
+            route,
+            arrived,
+            ..
+        } = &self.admitted;
+        if !route.stream {
+            return None;
+        }
+        let origin = match &self.build {
+            Some(build) => Origin::Build(build.clone()),
+            None if !caller_head.is_continued() => Origin::New,
+            None if route.backends.len() > 1 => Origin::Recorded,
+            None => Origin::Unknown,
+        };
+        let allowed = caller_head.timeout.unwrap_or(route.timeout);
+        Some(Continuation {
+            id: stream_id(caller_head),
+            origin,
+            life: allowed.saturating_sub(arrived.elapsed()),
+        })
+    }
+
+    /// Turns to another service of the route, which may know the stream; false if all
+    /// were asked.
+    fn search_next_service(&mut self) -> Result<bool, Problem> {
+        self.searched.push(self.admitted.service.name.clone());
+        let ports = self.exchange.ports();
+        let catalogue = admit::current_catalogue(ports).map_err(|it| self.adjust_status(it))?;
+        let route = &self.admitted.route;
+        let mut others = route.backends.iter().filter(|it| it.weight > 0);
+        let next = others.find(|it| !self.searched.contains(&it.service));
+        let service = next.and_then(|it| catalogue.services.get(&it.service));
+        if let Some(service) = service {
+            self.admitted.service = Arc::clone(service);
+        }
+        Ok(service.is_some())
+    }
+
     /// Logs the runner that the request is sent to and the basis of the choice.
     fn log_sent(&self, slot: &Slot, waited: Duration) {
         let admitted = &self.admitted;
@@ -303,6 +358,16 @@
         let allowed = admit::allow(&catalogue, &self.admitted.caller_head, path)
             .map_err(|it| self.adjust_status(it))?;
         let stays = allowed.route.allows(&self.admitted.service.name);
+        if !stays && self.build.is_some() {
+            return Err(self.adjust_status(Problem {
+                status: StatusCode::SERVICE_UNAVAILABLE,
+                kind: "no-build",
+                detail: "the route leads to another service than the one that began the stream: \
+                         start it anew"
+                    .to_owned(),
+                retry_after: Some(Duration::ZERO),
+            }));
+        }
         if !stays {
             let service = admit::choose_service(&catalogue, &allowed.route);
             self.admitted.service = service.map_err(|it| self.adjust_status(it))?;
@@ -462,7 +527,8 @@
 
     /// Starts to read a stream.
     fn start_stream(&mut self, slot: Slot, response: upstream::Response, started: Instant) {
-        if self.head.is_none() {
+        // The caller has the head of the first runner as soon as it has an event.
+        if self.head.is_none() || self.last == self.admitted.caller_head.after {
             self.head = Some((response.status, response.headers));
         }
         self.stream = Some(Stream {
@@ -628,6 +694,15 @@
     prompt.get(1).or(prompt.first()).map_or(0, |it| it.id)
 }
 
+/// Digest of the id of the request that brought the stream's first event.
+fn stream_id(caller_head: &CallerHead) -> StreamId {
+    match &caller_head.resumes {
+        Some(first) => request_number(first),
+        None if caller_head.is_continued() => NO_STREAM,
+        None => request_number(&caller_head.id),
+    }
+}
+
 /// Numeric id under which operators see the request.
 fn request_number(id: &str) -> u64 {
     xxhash_rust::xxh3::xxh3_64(id.as_bytes())
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -160,6 +160,12 @@
         read.is_some_and(|at| now.saturating_duration_since(at) <= FRESH_AGE)
     }
 
+    /// When the last good list was read, if any.
+    #[must_use]
+    pub fn read_at(&self) -> Option<Instant> {
+        self.last_read.get()
+    }
+
     /// Requests an immediate read that notifies receivers even if nothing has changed.
     pub fn refresh(&self) {
         self.needed.set(true);
@@ -205,7 +211,7 @@
     /// When the last good list was read, if any.
     #[must_use]
     pub fn read_at(&self) -> Option<Instant> {
-        self.need.last_read.get()
+        self.need.read_at()
     }
 
     /// Number of reads that failed so far.
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -27,6 +27,7 @@
     member::Members,
     platform::List,
     requester::{self, Requester},
+    stream::Stream,
 };
 use citron_wire::{
     generated::slot as proto,
@@ -41,7 +42,7 @@
 
 use crate::{event::Ring, peers::Hub, platform::Need};
 use host::{Host, Work};
-use progress::Stream;
+use progress::Stream as RunningStream;
 
 /// Time between two ticks of requesters and arbiters.
 const TICK: Duration = Duration::from_millis(100);
@@ -80,6 +81,8 @@
     pub prompt: Vec<Part>,
     /// Maximum number of output tokens.
     pub output: u32,
+    /// The stream that the answer is, if it is one.
+    pub stream: Option<Stream>,
 }
 
 /// Settings of the slots of this daemon.
@@ -131,7 +134,7 @@
     metrics: Metrics,
     host: RefCell<Host>,
     waiting: RefCell<IndexMap<Ticket, Waiter>>,
-    streams: RefCell<IndexMap<Ticket, Rc<Stream>>>,
+    streams: RefCell<IndexMap<Ticket, Rc<RunningStream>>>,
     next_ticket: Cell<Ticket>,
     /// Whether `drive` is running; events queued meanwhile are processed by that call.
     driving: Cell<bool>,
@@ -272,7 +275,7 @@
             });
         };
         guard.armed = false;
-        let stream = Rc::new(Stream::new(
+        let stream = Rc::new(RunningStream::new(
             Instant::now(),
             guard.service.clone(),
             grant.runner.clone(),
@@ -352,6 +355,7 @@
             tier: demand.tier,
             prompt: demand.prompt,
             output: demand.output,
+            stream: demand.stream,
             ..Ask::default()
         };
         let event = requester::Event::Acquire {
@@ -451,7 +455,7 @@
     /// Daemon whose arbiter granted the slot.
     pub arbiter: InstanceId,
     guard: Guard,
-    stream: Rc<Stream>,
+    stream: Rc<RunningStream>,
 }
 
 impl std::fmt::Debug for Slot {
--- a/crates/daemon/src/slots/host.rs
+++ b/crates/daemon/src/slots/host.rs
@@ -11,7 +11,9 @@
 };
 
 use citron_policy::{
-    arbiter::{self, Arbiter, Asked, Note, Rate, Reply, Request, Ticket, Transition, host_order},
+    arbiter::{
+        self, Arbiter, Asked, Note, Rate, Reply, Request, Ticket, Transition, host_order, standbys,
+    },
     catalogue::{Key, Kind},
     crash,
     id::{DomainId, Epoch, InstanceId, ServiceId},
@@ -246,6 +248,12 @@
     }
 
     fn on_requester(&self, now: Instant, service: &ServiceId, event: requester::Event) {
+        if let requester::Event::Reply { reply, .. } = &event
+            && matches!(reply, Reply::RequestInventory | Reply::Streams(_))
+        {
+            // What a daemon knows, or keeps for others, does not depend on its own requests.
+            self.ensure_requester(now, service);
+        }
         let effects = {
             let mut host = self.host.borrow_mut();
             let Some(requester) = host.requesters.get_mut(service) else {
@@ -398,6 +406,7 @@
             arbiter::Event::Catalogue(Arc::clone(&view.catalogue)),
             arbiter::Event::Marks(Arc::clone(&view.marks)),
             arbiter::Event::Domains(self.domains()),
+            self.standbys_event(service),
         ] {
             effects.extend(arbiter.on_event(now, event));
         }
@@ -574,6 +583,10 @@
             } else {
                 let domains = arbiter::Event::Domains(Arc::clone(&domains));
                 works.push(Work::Arbiter(service.clone(), domains));
+                works.push(Work::Arbiter(
+                    service.clone(),
+                    self.standbys_event(&service),
+                ));
                 works.push(Work::Arbiter(service, arbiter::Event::Live(live.clone())));
             }
         }
@@ -642,6 +655,9 @@
             if self.accepts_stale_list(now, &service) {
                 works.push(self.list_work(service.clone()));
             }
+            if let Some(at) = self.inputs.need.read_at() {
+                works.push(Work::Arbiter(service.clone(), arbiter::Event::Listed(at)));
+            }
             works.push(Work::Arbiter(service, arbiter::Event::Tick));
         }
         self.drive(works);
@@ -712,6 +728,12 @@
         Arc::new(domains.collect())
     }
 
+    /// The daemons that keep copies for a hosted arbiter.
+    fn standbys_event(&self, service: &ServiceId) -> arbiter::Event {
+        let ranks = self.ranks(service);
+        arbiter::Event::Standbys(standbys(self.hub.me(), &ranks, &self.domains()))
+    }
+
     fn live(&self) -> IndexSet<InstanceId> {
         let members = self.inputs.members.borrow();
         let live = members.values().filter(|it| it.state != State::Dead);
--- a/crates/daemon/src/slots/metrics.rs
+++ b/crates/daemon/src/slots/metrics.rs
@@ -316,6 +316,8 @@
         Refusal::Quarantined => "quarantined",
         Refusal::Account { .. } => "account",
         Refusal::Late => "late",
+        Refusal::UnknownBuild { .. } => "unknown-build",
+        Refusal::NoBuild { .. } => "no-build",
         Refusal::Unreachable { .. } => "unreachable",
     }
 }
--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -14,6 +14,7 @@
 
 mod admit;
 mod affinity;
+mod continuity;
 mod estimate;
 mod floor;
 mod grant;
@@ -43,7 +44,7 @@
 };
 pub use pace::Rate;
 pub use pool::{MAX_RUNNERS, Transition};
-pub use rendezvous::host_order;
+pub use rendezvous::{host_order, standbys};
 
 use crate::{
     catalogue::{Backend, Catalogue, Class, Service},
@@ -125,6 +126,10 @@
     Live(IndexSet<InstanceId>),
     /// Failure domains of the daemons.
     Domains(Arc<IndexMap<InstanceId, DomainId>>),
+    /// Daemons that keep copies of what a new arbiter has to know about streams.
+    Standbys(Vec<InstanceId>),
+    /// When the platform's list of runners was last read.
+    Listed(Instant),
     /// A runner's report of its recent load.
     Load {
         /// The runner.
@@ -252,6 +257,7 @@
     floor: floor::Floor,
     estimate: estimate::Estimate,
     affinity: affinity::Affinity,
+    continuity: continuity::Continuity,
     suspects: suspect::Suspects,
     /// Crashes that parts of prompts may have caused.
     evidence: Evidence,
@@ -283,6 +289,7 @@
             .iter()
             .map(|it| Effect::Send(it.clone(), Reply::RequestInventory))
             .collect();
+        let continuity = continuity::Continuity::new(live.len());
         let collecting = Collecting {
             missing: live,
             until: now + settings.collect_timeout,
@@ -308,6 +315,7 @@
             floor: floor::Floor::new(settings.floor_share),
             estimate: estimate::Estimate::default(),
             affinity: affinity::Affinity::default(),
+            continuity,
             suspects: suspect::Suspects::default(),
             evidence: Evidence::default(),
             started: now,
@@ -362,6 +370,8 @@
             Event::Runners(listed) => self.on_runners(now, &listed, &mut effects),
             Event::Live(live) => self.on_live(now, &live, &mut effects),
             Event::Domains(domains) => self.domains = domains,
+            Event::Standbys(standbys) => self.continuity.on_standbys(standbys),
+            Event::Listed(at) => self.continuity.on_listed(at),
             Event::Load {
                 runner,
                 running,
@@ -464,6 +474,7 @@
             self.on_health_change(now, transition, effects);
         }
         self.judge_crashes(now, effects);
+        self.copy_records(now, effects);
     }
 
     /// Records the limit that a runner named in an answer to a daemon.
@@ -497,6 +508,7 @@
         if ended && !awaits_list {
             self.collecting = None;
             self.refuse_without_runner(now, effects);
+            self.decide_builds(now, effects);
         }
     }
 
--- a/crates/policy/src/arbiter/admit.rs
+++ b/crates/policy/src/arbiter/admit.rs
@@ -55,14 +55,15 @@
         };
         self.add_to_digest(key);
         self.floor.on_demand(now, &class.name);
-        let item = self.new_item(now, key, ask, Arc::clone(&class));
+        let mut item = self.new_item(now, key, ask, Arc::clone(&class));
         if ask.suspected
             && item.fingerprint != NO_FINGERPRINT
             && self.marks.get(item.fingerprint).is_none()
         {
             self.mark(Step::Suspected(vec![item.fingerprint]), effects);
         }
-        if let Err(refusal) = self.admit(now, ask, &class, &account, &item, effects) {
+        let admitted = self.admit(now, ask, &class, &account, &item, effects);
+        if let Err(refusal) = admitted.and_then(|()| self.decide_build(now, &mut item)) {
             self.refuse_item(&item, refusal, effects);
             return;
         }
@@ -148,6 +149,8 @@
             resume: ask.resume,
             prompt: ask.prompt.as_slice().into(),
             output: ask.output,
+            stream: ask.stream.clone(),
+            build: None,
             obstacle: None,
             held_back: false,
             class,
@@ -222,7 +225,7 @@
         if !full || self.queue.class_len(&item.class.name) < reserve {
             return Ok(());
         }
-        let last = self.queue.newest_of_lowest(reserve);
+        let last = self.queue.newest_of_lowest(reserve, |_| true);
         let lower = last.filter(|key| {
             let last = self.queue.get(*key);
             last.is_some_and(|last| last.urgency > item.urgency)
@@ -310,6 +313,7 @@
     /// Refuses every waiting request when no runner is usable.
     pub(super) fn refuse_without_runner(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         if self.collecting.is_some() || !self.pool.is_unusable() {
+            self.refuse_without_build(now, effects);
             return;
         }
         let retry_after = self.pool.retry_after(now);
--- a/crates/policy/src/arbiter/grant.rs
+++ b/crates/policy/src/arbiter/grant.rs
@@ -75,6 +75,7 @@
         };
         let query = Query {
             avoid: &item.avoid,
+            build: item.build.as_deref(),
             domain: self.domain_of(key),
             work: item.work(),
         };
@@ -139,9 +140,11 @@
             }
         }
         self.pool.touch(&runner);
+        let build = self.build_of(&runner);
+        self.record_stream(now, item, &build);
         let running = Running {
             address,
-            build: self.build_of(&runner),
+            build,
             usage,
             exposed: self.marks.is_exposed(item.fingerprint),
             ..Running::new(now, item, runner, kind)
@@ -158,7 +161,8 @@
     /// waiting tier.
     fn probe(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         while let Some(runner) = self.pool.probe(now) {
-            let last = self.queue.newest_of_lowest(0);
+            let build = self.build_of(&runner);
+            let last = self.queue.newest_of_lowest(0, |it| it.may_run_at(&build));
             let Some(item) = last.and_then(|key| self.queue.get(key)) else {
                 return;
             };
@@ -245,8 +249,9 @@
             return;
         }
         // If no runner is usable, the suspect serves as the probe of one out of use.
-        let usable = self.pool.least_loaded(now, &item.avoid);
-        let Some(runner) = usable.or_else(|| self.pool.probe(now)) else {
+        let build = item.build.as_deref();
+        let usable = self.pool.least_loaded(now, &item.avoid, build);
+        let Some(runner) = usable.or_else(|| self.pool.probe_of(now, build)) else {
             return;
         };
         let key = item.key;
@@ -324,7 +329,11 @@
             return;
         }
         let there = self.running.iter().filter(|(_, it)| {
-            it.runner == *runner && !it.preempting && it.kind != GrantKind::Alone && !it.resumed
+            it.runner == *runner
+                && !it.preempting
+                && it.kind != GrantKind::Alone
+                && !it.resumed
+                && self.pool.is_usable_for(&it.build)
         });
         let keys: Vec<Key> = there.map(|(key, _)| *key).collect();
         for key in keys {
--- a/crates/policy/src/arbiter/hold.rs
+++ b/crates/policy/src/arbiter/hold.rs
@@ -358,7 +358,7 @@
         }
     }
 
-    fn requeue_item(&mut self, item: Item, effects: &mut Vec<Effect>) {
+    pub(super) fn requeue_item(&mut self, item: Item, effects: &mut Vec<Effect>) {
         match self.marks.get(item.fingerprint) {
             Some(Mark::Quarantined) => self.refuse_item(&item, Refusal::Quarantined, effects),
             Some(Mark::Suspected) => self.suspects.push(item),
@@ -419,6 +419,7 @@
             .take(MAX_LISTED)
             .collect();
         self.apply_marks(&inventory, effects);
+        self.continuity.on_told(now, &inventory.streams);
         for (runner, rate) in &inventory.limits {
             self.on_limit(now, from, runner, *rate, effects);
         }
--- a/crates/policy/src/arbiter/message.rs
+++ b/crates/policy/src/arbiter/message.rs
@@ -12,6 +12,7 @@
 use crate::{
     crash,
     id::{AccountId, BuildId, ClassId, Epoch, Fingerprint, InstanceId, PartId, RunnerId},
+    stream::{Group, Stream},
 };
 
 /// Number of an ask, unique at the daemon that sends it.
@@ -46,6 +47,8 @@
     pub prompt: Vec<Part>,
     /// Most tokens that the answer may have.
     pub output: u32,
+    /// The stream that it begins or goes on with, if its answer is one.
+    pub stream: Option<Stream>,
 }
 
 /// One part of a prompt; other requests may contain the same part.
@@ -156,6 +159,8 @@
     pub quarantined: Vec<Fingerprint>,
     /// Limits that runners named to this asker lately.
     pub limits: Vec<(RunnerId, Rate)>,
+    /// Builds that began the streams known to this asker.
+    pub streams: Vec<Group>,
 }
 
 /// Request of an asker.
@@ -207,6 +212,21 @@
     /// The deadline passed.
     #[display("the deadline passed while the request waited: allow it more time")]
     Late,
+    /// The build that began the stream is not known.
+    #[display(
+        "it is not known which version of the runners began the stream: start it anew, or come \
+         back in {retry_after:?}"
+    )]
+    UnknownBuild {
+        /// When it may be known.
+        retry_after: Duration,
+    },
+    /// No runner of the build that began the stream is left.
+    #[display("no runner of version {build:?}, which began the stream, is left: start it anew")]
+    NoBuild {
+        /// The build.
+        build: BuildId,
+    },
     /// No arbiter could be reached, or it has no room for another asker.
     #[display("no arbiter answers for the service: come back in {retry_after:?}")]
     Unreachable {
@@ -245,6 +265,8 @@
     Unknown(Vec<Ticket>),
     /// A crash mark that is being proposed to the control log.
     Mark(crash::Step),
+    /// Records for this daemon to keep for the next arbiter.
+    Streams(Vec<Group>),
     /// This daemon is not the arbiter.
     Moved {
         /// The daemon that hosts it, if known.
--- a/crates/policy/src/arbiter/pool.rs
+++ b/crates/policy/src/arbiter/pool.rs
@@ -80,11 +80,20 @@
 pub(super) struct Query<'a> {
     /// Runners on which it has already failed.
     pub(super) avoid: &'a [RunnerId],
+    /// Version of the software that it must have.
+    pub(super) build: Option<&'a str>,
     /// Failure domain of the asking daemon, if known.
     pub(super) domain: Option<&'a DomainId>,
     pub(super) work: Work<'a>,
 }
 
+impl Query<'_> {
+    /// Whether a runner can serve the request at all.
+    fn accepts(&self, runner: &Runner) -> bool {
+        has_build(runner, self.build)
+    }
+}
+
 /// Why a request found no runner; it is not tried again until that changes.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Obstacle {
@@ -265,6 +274,23 @@
         capacity
     }
 
+    /// Versions of the listed runners' software.
+    pub(super) fn builds(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.runners.values().map(|it| &it.build)
+    }
+
+    /// Whether a runner of a build is listed and not about to leave.
+    pub(super) fn has_build(&self, build: &str) -> bool {
+        let mut runners = self.runners.values();
+        runners.any(|it| !it.leaving && *it.build == *build)
+    }
+
+    /// Whether a runner of a build is usable.
+    pub(super) fn is_usable_for(&self, build: &str) -> bool {
+        let mut runners = self.runners.values();
+        runners.any(|it| it.is_usable() && *it.build == *build)
+    }
+
     /// Whether no runner is usable.
     pub(super) fn is_unusable(&self) -> bool {
         !self.runners.values().any(Runner::is_usable)
@@ -305,10 +331,13 @@
         now: Instant,
         query: &Query<'_>,
     ) -> Result<RunnerId, Obstacle> {
-        let others = self.has_others(now, query.avoid);
+        let others = self.has_others(now, query);
         let mut cheapest: Option<[(usize, f64); 2]> = None;
         for (place, (id, runner)) in self.runners.iter().enumerate() {
-            if runner.free(now) == 0 || (others && query.avoid.contains(id)) {
+            if !query.accepts(runner)
+                || runner.free(now) == 0
+                || (others && query.avoid.contains(id))
+            {
                 continue;
             }
             let costs = self.costs(now, runner, query);
@@ -365,7 +394,7 @@
             (runner.last_change > found.seen).then_some((*place, id, runner))
         });
         changed.into_iter().any(|(place, id, runner)| {
-            let fits = runner.free(now) > 0 && !query.avoid.contains(id);
+            let fits = query.accepts(runner) && runner.free(now) > 0 && !query.avoid.contains(id);
             let Some(cheapest) = &found.cheapest else {
                 return fits;
             };
@@ -378,12 +407,13 @@
     }
 
     /// Whether any runner that may be used now is not one of those to avoid.
-    fn has_others(&self, now: Instant, avoid: &[RunnerId]) -> bool {
-        if avoid.is_empty() {
+    fn has_others(&self, now: Instant, query: &Query<'_>) -> bool {
+        if query.avoid.is_empty() {
             return false;
         }
+        let usable = |it: &Runner| it.is_usable() && !it.is_held_back(now) && query.accepts(it);
         let mut runners = self.runners.iter();
-        runners.any(|(id, it)| it.is_usable() && !it.is_held_back(now) && !avoid.contains(id))
+        runners.any(|(id, it)| usable(it) && !query.avoid.contains(id))
     }
 
     /// The best runner with a free slot; avoided ones only if no other is usable.
@@ -393,11 +423,14 @@
         query: &Query<'_>,
         warm: Option<&RunnerId>,
     ) -> Result<RunnerId, Obstacle> {
-        let others = self.has_others(now, query.avoid);
+        let others = self.has_others(now, query);
         let mut best: Option<(f64, &RunnerId)> = None;
         let mut warm_score = None;
         for (id, runner) in &self.runners {
-            if runner.free(now) == 0 || (others && query.avoid.contains(id)) {
+            if !query.accepts(runner)
+                || runner.free(now) == 0
+                || (others && query.avoid.contains(id))
+            {
                 continue;
             }
             self.evaluations.set(self.evaluations.get() + 1);
@@ -424,13 +457,25 @@
 
     /// An excluded runner that is due for a probe with one request.
     pub(super) fn probe(&self, now: Instant) -> Option<RunnerId> {
-        let due = self.runners.iter().find(|(_, it)| it.is_probe_due(now));
+        self.probe_of(now, None)
+    }
+
+    /// The same among the runners of a build, if one is given.
+    pub(super) fn probe_of(&self, now: Instant, build: Option<&str>) -> Option<RunnerId> {
+        let mut runners = self.runners.iter();
+        let due = runners.find(|(_, it)| it.is_probe_due(now) && has_build(it, build));
         due.map(|(id, _)| id.clone())
     }
 
     /// The least loaded usable runner, for a request that must run alone.
-    pub(super) fn least_loaded(&self, now: Instant, avoid: &[RunnerId]) -> Option<RunnerId> {
-        let usable = self.runners.iter().filter(|(_, it)| it.is_usable());
+    pub(super) fn least_loaded(
+        &self,
+        now: Instant,
+        avoid: &[RunnerId],
+        build: Option<&str>,
+    ) -> Option<RunnerId> {
+        let usable = |it: &Runner| it.is_usable() && has_build(it, build);
+        let usable = self.runners.iter().filter(|(_, it)| usable(it));
         usable
             .min_by_key(|(id, it)| (it.is_held_back(now), avoid.contains(id), it.held))
             .map(|(id, _)| id.clone())
@@ -579,6 +624,11 @@
     }
 }
 
+/// Whether a runner is of a build, if one is given.
+fn has_build(runner: &Runner, build: Option<&str>) -> bool {
+    build.is_none_or(|build| *runner.build == *build)
+}
+
 /// Whether a runner is in another failure domain than the asking daemon.
 fn is_remote(runner: &Runner, domain: Option<&DomainId>) -> bool {
     domain.is_some_and(|domain| runner.domain != *domain)
--- a/crates/policy/src/arbiter/queue.rs
+++ b/crates/policy/src/arbiter/queue.rs
@@ -19,6 +19,7 @@
 use crate::{
     catalogue::{Class, MAX_TIER, URGENCY_LEVELS, Urgency},
     id::{ClassId, Fingerprint, RunnerId},
+    stream::{Origin, Stream},
 };
 
 /// A waiting request.
@@ -44,6 +45,10 @@
     pub(super) prompt: Arc<[Part]>,
     /// Most tokens of the answer.
     pub(super) output: u32,
+    /// The stream that it begins or goes on with.
+    pub(super) stream: Option<Stream>,
+    /// Build that the stream must go on at.
+    pub(super) build: Option<Arc<str>>,
     /// Why it could not be granted when it was last tried.
     pub(super) obstacle: Option<Obstacle>,
     /// Whether a runner's limit has held it back.
@@ -56,6 +61,17 @@
         self.urgency.index()
     }
 
+    /// Whether it goes on with a stream.
+    pub(super) fn is_begun(&self) -> bool {
+        let stream = self.stream.as_ref();
+        stream.is_some_and(|it| it.origin != Origin::New)
+    }
+
+    /// Whether runners of a build can serve it.
+    pub(super) fn may_run_at(&self, build: &str) -> bool {
+        self.build.as_deref().is_none_or(|it| it == build)
+    }
+
     /// The work of reading its prompt, for the choice of a runner.
     pub(super) fn work(&self) -> Work<'_> {
         Work {
@@ -353,9 +369,12 @@
             .map(|(.., key)| *key)
     }
 
-    /// The newest request of the lowest urgency whose class has more than `reserve`
-    /// requests.
-    pub(super) fn newest_of_lowest(&self, reserve: usize) -> Option<Key> {
+    /// The newest request of the lowest urgency that fits and whose class has more than
+    /// `reserve` requests.
+    pub(super) fn newest_of_lowest<F>(&self, reserve: usize, fits: F) -> Option<Key>
+    where
+        F: Fn(&Item) -> bool,
+    {
         let newest = self
             .urgencies
             .iter()
@@ -364,7 +383,7 @@
         let mut keys = newest.map(|(_, key)| *key);
         keys.find(|key| {
             let item = self.items.get(key);
-            item.is_some_and(|item| self.class_len(&item.class.name) > reserve)
+            item.is_some_and(|item| self.class_len(&item.class.name) > reserve && fits(item))
         })
     }
 
--- a/crates/policy/src/arbiter/rendezvous.rs
+++ b/crates/policy/src/arbiter/rendezvous.rs
@@ -5,16 +5,20 @@
 //! all daemons about the service, so instances that declare much more processor
 //! capacity than others come first.
 
+use indexmap::IndexMap;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    id::InstanceId,
+    id::{DomainId, InstanceId},
     member::{Members, State},
 };
 
 /// Instances with at least the largest capacity divided by this rank equally as hosts.
 const CAPACITY_DIVISOR: u32 = 2;
 
+/// Daemons that keep copies: some are lost together with the host.
+const STANDBYS: usize = 2;
+
 /// Daemons that can host the shard's arbiter, the preferred one first.
 #[must_use]
 pub fn host_order(service: &str, shard: u32, members: &Members) -> Vec<InstanceId> {
@@ -37,6 +41,20 @@
     ranked.into_iter().map(|(.., id)| id.clone()).collect()
 }
 
+/// Daemons that keep copies for the host of a shard's arbiter: the next ones to host it,
+/// those in other failure domains first.
+#[must_use]
+pub fn standbys(
+    host: &InstanceId,
+    ranks: &[InstanceId],
+    domains: &IndexMap<InstanceId, DomainId>,
+) -> Vec<InstanceId> {
+    let others = ranks.iter().filter(|it| *it != host);
+    let mut others: Vec<&InstanceId> = others.collect();
+    others.sort_by_key(|it| domains.get(*it) == domains.get(host));
+    others.into_iter().take(STANDBYS).cloned().collect()
+}
+
 fn weight(service: &str, shard: u32, id: &str) -> u64 {
     let mut bytes = Vec::with_capacity(service.len() + id.len() + 5);
     bytes.extend_from_slice(service.as_bytes());
--- a/crates/policy/src/id.rs
+++ b/crates/policy/src/id.rs
@@ -57,6 +57,9 @@
 /// Digest of an account and a request body, stable across daemons.
 pub type Fingerprint = u64;
 
+/// Digest of the id of the request that brought a stream's first event.
+pub type StreamId = u64;
+
 /// Identity of a part of a prompt, by its content.
 pub type PartId = u64;
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -25,4 +25,5 @@
 pub mod route;
 pub mod silence;
 pub mod state;
+pub mod stream;
 pub mod swim;
--- a/crates/policy/src/requester.rs
+++ b/crates/policy/src/requester.rs
@@ -24,6 +24,7 @@
     },
     crash::{InFlight, Mark, Overlay, Step, Table},
     id::{BuildId, Epoch, InstanceId, RunnerId},
+    stream::{Origin, Records},
 };
 use timeout::Estimator;
 
@@ -180,6 +181,8 @@
     /// Exclusive or of the mixed ticket numbers.
     digest: u64,
     marks: Overlay,
+    /// Builds that began streams, granted here or told by an arbiter.
+    streams: Records,
     /// Limits of runners, the newest last.
     limits: IndexMap<RunnerId, Limit>,
     progress: Vec<Progress>,
@@ -204,6 +207,7 @@
             held: IndexMap::new(),
             digest: 0,
             marks: Overlay::default(),
+            streams: Records::default(),
             limits: IndexMap::new(),
             progress: Vec::new(),
             last_heartbeat: now,
@@ -282,6 +286,7 @@
             return;
         }
         ask.suspected = self.marks.get(ask.fingerprint) == Some(Mark::Suspected);
+        self.name_build(now, &mut ask);
         if self.waiting.is_empty() && self.held.is_empty() {
             self.last_heard = now;
         }
@@ -297,6 +302,18 @@
         self.send_ask(now, ticket, effects);
     }
 
+    /// Tells the build that began the stream of an ask, if it is known here.
+    fn name_build(&self, now: Instant, ask: &mut Ask) {
+        let Some(stream) = &mut ask.stream else {
+            return;
+        };
+        if matches!(stream.origin, Origin::Unknown | Origin::Recorded)
+            && let Some(build) = self.streams.get(now, stream.id)
+        {
+            stream.origin = Origin::Build(build.to_string());
+        }
+    }
+
     fn refusal(&self, now: Instant, ask: &Ask, deadline: Instant) -> Option<Refusal> {
         let retry_after = self.settings.retry_after;
         if self.marks.get(ask.fingerprint) == Some(Mark::Quarantined) {
@@ -399,8 +416,11 @@
         effects: &mut Vec<Effect>,
     ) {
         self.highest_epoch = self.highest_epoch.max(epoch);
-        if let Reply::Mark(step) = &reply {
-            self.marks.apply(step);
+        match &reply {
+            Reply::Mark(step) => self.marks.apply(step),
+            // Copies come from an arbiter that need not be the one asked.
+            Reply::Streams(groups) => return self.streams.extend(now, groups),
+            _ => {}
         }
         let is_decision = matches!(
             reply,
@@ -454,7 +474,7 @@
                     self.send_ask(now, ticket, effects);
                 }
             }
-            Reply::Ack | Reply::Mark(_) => {}
+            Reply::Ack | Reply::Mark(_) | Reply::Streams(_) => {}
             Reply::Moved { to } => self.on_moved(now, to, effects),
         }
     }
@@ -534,6 +554,9 @@
             address,
             build,
         } = granted;
+        if let Some(stream) = &waiting.ask.stream {
+            self.streams.insert(now, stream.id, &build, stream.life);
+        }
         let held = Held {
             runner: runner.clone(),
             alone,
@@ -568,6 +591,7 @@
     }
 
     fn on_tick(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        self.streams.expire(now);
         self.refuse_expired(now, effects);
         let silent = now.saturating_duration_since(self.last_heard);
         if self.is_answer_overdue(now)
@@ -680,6 +704,7 @@
             held: self.held.values().map(hold).collect(),
             exposed: self.marks.exposed().collect(),
             limits: self.recent_limits(now),
+            streams: self.streams.groups(now),
             ..Inventory::default()
         };
         if to_arbiter {
--- a/crates/policy/tests/slots/mod.rs
+++ b/crates/policy/tests/slots/mod.rs
@@ -93,7 +93,7 @@
             domain: "d".to_owned(),
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
             standing: Standing::Live,
-            build: String::new(),
+            build: "v1".to_owned(),
             slots: 0,
         })
         .collect()
@@ -176,6 +176,8 @@
     pub notes: Vec<(usize, Note)>,
     pub proposed: Vec<crash::Step>,
     pub in_flight: std::collections::VecDeque<Message>,
+    /// Whether the list of runners can be read.
+    pub list_available: bool,
     /// Arbiters started so far.
     pub arbiters_started: u32,
     /// Rendezvous order at the start: all daemons, by number.
@@ -205,6 +207,7 @@
             notes: Vec::new(),
             proposed: Vec::new(),
             in_flight: std::collections::VecDeque::new(),
+            list_available: true,
             arbiters_started: 0,
             ranks: (0..count).map(name).collect(),
         };
@@ -242,9 +245,33 @@
         }
         for host in self.hosts() {
             self.arbiter_event(host, arbiter::Event::Live(set.clone()));
+            self.set_standbys(host);
         }
     }
 
+    fn set_standbys(&mut self, host: usize) {
+        let live: Vec<String> = (0..self.requesters.len())
+            .filter(|it| self.requesters[*it].is_some())
+            .map(name)
+            .collect();
+        let standbys = arbiter::standbys(&name(host), &live, &IndexMap::new());
+        self.arbiter_event(host, arbiter::Event::Standbys(standbys));
+    }
+
+    /// Gives all arbiters a new list of runners.
+    pub fn set_runners(&mut self, runners: Vec<Runner>) {
+        self.runners = runners;
+        for host in self.hosts() {
+            self.arbiter_event(host, arbiter::Event::Runners(self.runners.clone()));
+        }
+    }
+
+    /// Starts a lost daemon again, with nothing that it knew.
+    pub fn restart(&mut self, daemon: usize) {
+        let settings = requester::Settings::default();
+        self.requesters[daemon] = Some(Requester::new(self.now, settings));
+    }
+
     pub fn hosts(&self) -> Vec<usize> {
         self.arbiters.keys().copied().collect()
     }
@@ -354,6 +381,14 @@
         self.arbiter_event(host, arbiter::Event::Catalogue(Arc::clone(&self.catalogue)));
         self.arbiter_event(host, arbiter::Event::Marks(Arc::clone(&self.marks)));
         self.arbiter_event(host, arbiter::Event::Runners(self.runners.clone()));
+        self.read_list(host);
+        self.set_standbys(host);
+    }
+
+    fn read_list(&mut self, host: usize) {
+        if self.list_available {
+            self.arbiter_event(host, arbiter::Event::Listed(self.now));
+        }
     }
 
     /// Delivers one message; a request to a live daemon without an arbiter starts one there.
@@ -403,6 +438,7 @@
             self.requester_event(daemon, requester::Event::Tick);
         }
         for host in self.hosts() {
+            self.read_list(host);
             self.arbiter_event(host, arbiter::Event::Tick);
         }
     }
--- /dev/null
+++ b/crates/policy/tests/stream_builds.rs
@@ -0,0 +1,632 @@
+//! A stream goes on at the build that began it, through whichever daemon, whatever was
+//! lost meanwhile, or is refused at once.
+//!
+//! The targets: no stream has events of two builds, and of the streams that are taken up
+//! at least half as many go on as new ones begin.
+
+mod slots;
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use citron_policy::{
+    arbiter::{self, Ask, End, Refusal},
+    id::{BuildId, StreamId},
+    platform::{Runner, Standing},
+    stream::{Origin, Stream},
+};
+use googletest::prelude::*;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use slots::{Daemons, Outcome, ask, catalogue, done, runners, sample};
+
+/// Time for which a caller may take its stream up.
+const LIFE: Duration = Duration::from_secs(5);
+
+/// Longest wait of a stream that can go on.
+const SOON: Duration = Duration::from_millis(500);
+
+/// Runners of builds that take turns.
+fn runners_of(builds: &[&str], count: usize) -> Vec<Runner> {
+    let mut all = runners(count);
+    for (runner, build) in all.iter_mut().zip(builds.iter().cycle()) {
+        (*build).clone_into(&mut runner.build);
+    }
+    all
+}
+
+fn daemons(count: usize, builds: &[&str]) -> Daemons {
+    Daemons::new(count, catalogue(16, |_| {}), runners_of(builds, 4))
+}
+
+fn stream_ask(ticket: u64, id: StreamId, origin: Origin) -> Ask {
+    Ask {
+        stream: Some(Stream {
+            id,
+            origin,
+            life: LIFE,
+        }),
+        ..ask(ticket, "c1", "a")
+    }
+}
+
+/// What became of a stream that asked for a slot.
+#[derive(Clone, Debug, PartialEq)]
+enum Answer {
+    Build(BuildId),
+    Refused(Refusal),
+    Waits,
+}
+
+/// Asks for a slot and waits a little for the answer.
+fn request(daemons: &mut Daemons, daemon: usize, ask: Ask) -> Answer {
+    let ticket = ask.ticket;
+    daemons.acquire(daemon, ask);
+    let end = daemons.now + SOON;
+    loop {
+        daemons.deliver_all();
+        for outcome in daemons.take_outcomes() {
+            match outcome {
+                Outcome::Granted {
+                    ticket: it, runner, ..
+                } if it == ticket => return Answer::Build(build_of(daemons, &runner)),
+                Outcome::Refused {
+                    ticket: it,
+                    refusal,
+                    ..
+                } if it == ticket => return Answer::Refused(refusal),
+                _ => {}
+            }
+        }
+        if daemons.now >= end {
+            return Answer::Waits;
+        }
+        daemons.run(Duration::from_millis(50));
+    }
+}
+
+fn build_of(daemons: &Daemons, runner: &str) -> BuildId {
+    let mut runners = daemons.runners.iter();
+    let runner = runners.find(|it| it.id == runner);
+    runner.expect("a listed runner").build.clone()
+}
+
+/// Begins streams at a daemon; returns the build of each.
+fn begin(daemons: &mut Daemons, daemon: usize, ids: std::ops::Range<u64>) -> Vec<(u64, BuildId)> {
+    ids.map(|id| {
+        let ask = stream_ask(id, id, Origin::New);
+        let Answer::Build(build) = request(daemons, daemon, ask) else {
+            panic!("stream {id} does not begin");
+        };
+        (id, build)
+    })
+    .collect()
+}
+
+/// Ends the streams and takes them up at a daemon; returns their answers.
+fn take_up(daemons: &mut Daemons, daemon: usize, begun: &[(u64, BuildId)]) -> Vec<Answer> {
+    let answers = begun.iter().map(|(id, _)| {
+        let ticket = 1_000_000 + id;
+        let ask = stream_ask(ticket, *id, Origin::Unknown);
+        let answer = request(daemons, daemon, ask);
+        daemons.release(daemon, ticket, done());
+        answer
+    });
+    answers.collect()
+}
+
+fn builds(begun: &[(u64, BuildId)]) -> Vec<Answer> {
+    let builds = begun.iter().map(|(_, build)| Answer::Build(build.clone()));
+    builds.collect()
+}
+
+fn lose(daemons: &mut Daemons, daemon: usize) {
+    daemons.kill(daemon);
+    daemons.announce_live();
+}
+
+fn is_unknown(answer: &Answer) -> bool {
+    matches!(answer, Answer::Refused(Refusal::UnknownBuild { .. }))
+}
+
+#[gtest]
+fn a_stream_goes_on_at_its_build_through_another_daemon() {
+    let mut daemons = daemons(3, &["v1", "v2"]);
+    let begun = begin(&mut daemons, 1, 1..20);
+    expect_that!(take_up(&mut daemons, 2, &begun), eq(&builds(&begun)));
+}
+
+#[gtest]
+fn a_stream_goes_on_at_its_build_though_the_arbiter_is_lost() {
+    let mut daemons = daemons(3, &["v1", "v2"]);
+    let begun = begin(&mut daemons, 1, 1..20);
+    lose(&mut daemons, 0);
+    expect_that!(take_up(&mut daemons, 2, &begun), eq(&builds(&begun)));
+}
+
+/// The daemon that served the stream is asked, and its word need not reach the arbiter first.
+#[gtest]
+fn a_stream_goes_on_at_the_daemon_that_served_it_though_the_arbiter_does_not_know_it() {
+    let mut daemons = daemons(5, &["v1", "v2"]);
+    let begun = begin(&mut daemons, 1, 1..8);
+    daemons.kill(0);
+    daemons.announce_live();
+    for (id, build) in &begun {
+        daemons.acquire(1, stream_ask(100 + id, *id, Origin::Unknown));
+        let end = daemons.now + SOON;
+        while daemons.now < end {
+            daemons.now += Duration::from_millis(50);
+            daemons.tick();
+            while let Some(message) = daemons.in_flight.pop_front() {
+                let inventory = matches!(
+                    &message,
+                    slots::Message::Asked { asked, .. }
+                        if matches!(asked.request, arbiter::Request::Inventory(_))
+                );
+                if !inventory {
+                    daemons.deliver(message);
+                }
+            }
+        }
+        let granted = daemons.take_outcomes().into_iter().find_map(|it| match it {
+            Outcome::Granted { runner, .. } => Some(build_of(&daemons, &runner)),
+            _ => None,
+        });
+        expect_that!(granted, some(eq(build)));
+        daemons.release(1, 100 + id, done());
+    }
+}
+
+/// The arbiter's host served the streams too, so nobody else had a part in them.
+#[gtest]
+fn a_stream_goes_on_at_its_build_though_arbiter_and_daemon_are_lost() {
+    let mut daemons = daemons(4, &["v1", "v2"]);
+    let begun = begin(&mut daemons, 0, 1..20);
+    daemons.run(Duration::from_millis(200));
+    lose(&mut daemons, 0);
+    expect_that!(take_up(&mut daemons, 3, &begun), eq(&builds(&begun)));
+}
+
+#[gtest]
+fn a_stream_older_than_the_second_build_goes_on_though_arbiter_and_daemon_are_lost() {
+    let mut daemons = daemons(4, &["v1"]);
+    let begun = begin(&mut daemons, 0, 1..20);
+    daemons.run(Duration::from_millis(200));
+    daemons.set_runners(runners_of(&["v1", "v2"], 4));
+    daemons.run(Duration::from_millis(200));
+    lose(&mut daemons, 0);
+    expect_that!(take_up(&mut daemons, 3, &begun), eq(&builds(&begun)));
+}
+
+#[gtest]
+fn a_stream_goes_on_though_its_arbiters_are_lost_one_after_the_other() {
+    let mut daemons = daemons(6, &["v1", "v2"]);
+    let begun = begin(&mut daemons, 0, 1..20);
+    for lost in 0..3 {
+        daemons.run(Duration::from_millis(200));
+        lose(&mut daemons, lost);
+        // The next arbiter starts with the first ask.
+        request(&mut daemons, 5, ask(2_000 + lost as u64, "c1", "a"));
+    }
+    expect_that!(take_up(&mut daemons, 5, &begun), eq(&builds(&begun)));
+}
+
+/// A guess would mix every second stream.
+#[gtest]
+fn an_unknown_stream_is_refused_at_once_while_there_are_two_builds() {
+    let mut daemons = daemons(2, &["v1", "v2"]);
+    let unknown = [(7, String::new())];
+    let answers = take_up(&mut daemons, 1, &unknown);
+    expect_that!(answers.iter().all(is_unknown), eq(true), "{answers:?}");
+}
+
+#[gtest]
+fn an_unknown_stream_goes_on_while_there_is_one_build() {
+    let mut daemons = daemons(2, &["v1"]);
+    let unknown = [(7, "v1".to_owned())];
+    expect_that!(take_up(&mut daemons, 1, &unknown), eq(&builds(&unknown)));
+}
+
+/// Other arbiters may grant runners of a build that a list this old lacks.
+#[gtest]
+fn an_unknown_stream_is_refused_while_the_list_is_old() {
+    let mut daemons = daemons(2, &["v1"]);
+    let begun = begin(&mut daemons, 1, 1..2);
+    daemons.list_available = false;
+    daemons.run(Duration::from_secs(4));
+    let answers = take_up(&mut daemons, 1, &[(7, String::new())]);
+    expect_that!(answers.iter().all(is_unknown), eq(true), "{answers:?}");
+    expect_that!(take_up(&mut daemons, 1, &begun), eq(&builds(&begun)));
+}
+
+/// Streams of a build that is not listed any more may still be taken up.
+#[gtest]
+fn an_unknown_stream_is_refused_while_streams_of_a_former_build_last() {
+    let mut daemons = daemons(2, &["v1"]);
+    begin(&mut daemons, 1, 1..2);
+    daemons.release(1, 1, done());
+    daemons.set_runners(runners_of(&["v2"], 4));
+    daemons.run(SOON);
+    let unknown = [(7, "v2".to_owned())];
+    let answers = take_up(&mut daemons, 1, &unknown);
+    expect_that!(answers.iter().all(is_unknown), eq(true), "{answers:?}");
+    daemons.run(LIFE);
+    expect_that!(take_up(&mut daemons, 1, &unknown), eq(&builds(&unknown)));
+}
+
+/// The daemons that do not answer may have seen another build.
+#[gtest]
+fn an_arbiter_that_few_daemons_answer_concludes_nothing() {
+    let mut daemons = daemons(5, &["v1"]);
+    daemons.acquire(1, stream_ask(1, 7, Origin::Unknown));
+    let end = daemons.now + SOON;
+    while daemons.now < end {
+        daemons.now += Duration::from_millis(50);
+        daemons.tick();
+        while let Some(message) = daemons.in_flight.pop_front() {
+            let silent = matches!(&message, slots::Message::Reply { to, .. } if *to > 1);
+            if !silent {
+                daemons.deliver(message);
+            }
+        }
+    }
+    let outcomes = daemons.take_outcomes();
+    expect_that!(
+        outcomes,
+        elements_are![matches_pattern!(Outcome::Refused {
+            refusal: matches_pattern!(Refusal::UnknownBuild { .. }),
+            ..
+        })]
+    );
+}
+
+#[gtest]
+fn a_stream_perhaps_of_another_service_needs_a_record() {
+    let mut daemons = daemons(2, &["v1"]);
+    let begun = begin(&mut daemons, 0, 1..2);
+    let recorded = stream_ask(2_000, 7, Origin::Recorded);
+    let answer = request(&mut daemons, 1, recorded);
+    expect_that!(is_unknown(&answer), eq(true), "{answer:?}");
+    let recorded = stream_ask(2_001, begun[0].0, Origin::Recorded);
+    let answer = request(&mut daemons, 1, recorded);
+    expect_that!(answer, eq(&Answer::Build("v1".to_owned())));
+}
+
+#[gtest]
+fn a_stream_whose_build_has_left_is_refused_at_once() {
+    let mut daemons = daemons(2, &["v1"]);
+    let begun = begin(&mut daemons, 1, 1..2);
+    daemons.set_runners(runners_of(&["v2"], 4));
+    let gone = Answer::Refused(Refusal::NoBuild {
+        build: "v1".to_owned(),
+    });
+    expect_that!(take_up(&mut daemons, 1, &begun), eq(&vec![gone]));
+}
+
+#[gtest]
+fn a_waiting_stream_is_refused_as_its_last_runner_leaves() {
+    let mut all = runners_of(&["v1", "v2"], 2);
+    let mut daemons = Daemons::new(2, catalogue(1, |_| {}), all.clone());
+    let begun = begin(&mut daemons, 1, 1..3);
+    let waits = stream_ask(9, 50, Origin::Build("v1".to_owned()));
+    expect_that!(request(&mut daemons, 1, waits), eq(&Answer::Waits));
+    all[0].standing = Standing::Leaving;
+    daemons.set_runners(all);
+    daemons.deliver_all();
+    let refusal = Refusal::NoBuild {
+        build: "v1".to_owned(),
+    };
+    let expected = Outcome::Refused {
+        daemon: 1,
+        ticket: 9,
+        refusal,
+    };
+    expect_that!(
+        daemons.take_outcomes(),
+        contains(eq(&expected)),
+        "{begun:?}"
+    );
+}
+
+/// Its own runners are full; those of the other build have room.
+#[gtest]
+fn a_stream_waits_for_its_build() {
+    let mut daemons = Daemons::new(1, catalogue(1, |_| {}), runners_of(&["v1", "v2"], 2));
+    let begun = begin(&mut daemons, 0, 1..3);
+    let of = |build: &str| begun.iter().find(|it| it.1 == build).expect("a stream").0;
+    daemons.release(0, of("v2"), done());
+    let waits = stream_ask(10, 50, Origin::Build("v1".to_owned()));
+    expect_that!(request(&mut daemons, 0, waits), eq(&Answer::Waits));
+    daemons.release(0, of("v1"), done());
+    daemons.deliver_all();
+    let granted = daemons.take_outcomes().into_iter().find_map(|it| match it {
+        Outcome::Granted { runner, .. } => Some(build_of(&daemons, &runner)),
+        _ => None,
+    });
+    expect_that!(granted, some(eq("v1")));
+}
+
+/// Probes of runners out of use are requests like others.
+#[gtest]
+fn a_runner_out_of_use_is_not_probed_with_a_stream_of_another_build() {
+    let mut daemons = Daemons::new(1, catalogue(1, |_| {}), runners_of(&["v1", "v2"], 2));
+    let mut ticket = 100;
+    for _ in 0..10 {
+        ticket += 1;
+        let ask = stream_ask(ticket, ticket, Origin::Build("v2".to_owned()));
+        if request(&mut daemons, 0, ask) == Answer::Build("v2".to_owned()) {
+            daemons.release(0, ticket, sample(End::Broken, Duration::from_millis(10)));
+        }
+    }
+    // Long enough for the probe to take any class.
+    daemons.run(Duration::from_secs(5));
+    daemons.take_outcomes();
+    let begun = stream_ask(1, 1, Origin::Build("v1".to_owned()));
+    expect_that!(
+        request(&mut daemons, 0, begun),
+        eq(&Answer::Build("v1".to_owned()))
+    );
+}
+
+#[gtest]
+fn a_slow_runner_keeps_its_streams_if_no_other_has_its_build() {
+    let all = runners_of(&["v1", "v2", "v2", "v2", "v2", "v2"], 6);
+    let mut daemons = Daemons::new(1, catalogue(4, |_| {}), all);
+    let begun = begin(&mut daemons, 0, 1..19);
+    let slow: Vec<u64> = begun
+        .iter()
+        .filter(|it| it.1 == "v1")
+        .map(|it| it.0)
+        .collect();
+    assert!(slow.len() >= 2, "{begun:?}");
+    for round in 0..20 {
+        let progress = (0..6).map(|number| arbiter::Progress {
+            runner: format!("r{number}"),
+            silent: Duration::ZERO,
+            between_tokens: Some(Duration::from_millis(if number == 0 { 500 } else { 20 })),
+        });
+        let event = citron_policy::requester::Event::Progress(progress.collect());
+        daemons.requester_event(0, event);
+        daemons.run(Duration::from_millis(600));
+        let preempted = daemons
+            .take_outcomes()
+            .into_iter()
+            .filter(|it| matches!(it, Outcome::Preempted { .. }));
+        expect_that!(preempted.count(), eq(0), "round {round}");
+    }
+    let aside = daemons.notes.iter().any(|(_, note)| {
+        matches!(note, arbiter::Note::Health(arbiter::Transition::Aside(it)) if it == "r0")
+    });
+    expect_that!(aside, eq(true));
+}
+
+/// One stream of a caller, which takes it up as long as its time lasts.
+struct Caller {
+    id: StreamId,
+    ticket: u64,
+    daemon: usize,
+    /// Build of its first event.
+    build: Option<BuildId>,
+    runner: Option<String>,
+    granted: Instant,
+    /// When it leaves, or has the whole stream.
+    leaves: Instant,
+    until: Instant,
+    tries: u32,
+}
+
+/// Streams at daemons that are lost, with builds that come and go.
+struct Simulation {
+    daemons: Daemons,
+    random: StdRng,
+    started: Instant,
+    next: u64,
+    callers: BTreeMap<u64, Caller>,
+    begun: usize,
+    new: usize,
+    taken_up: usize,
+    gone_on: usize,
+    mixed: usize,
+}
+
+impl Simulation {
+    fn new(seed: u64) -> Self {
+        let daemons = Daemons::new(8, catalogue(16, |_| {}), runners_of(&["v1"], 6));
+        Self {
+            random: StdRng::seed_from_u64(seed),
+            started: daemons.now,
+            daemons,
+            next: 1,
+            callers: BTreeMap::new(),
+            begun: 0,
+            new: 0,
+            taken_up: 0,
+            gone_on: 0,
+            mixed: 0,
+        }
+    }
+
+    fn live(&mut self) -> usize {
+        let live = (0..8).filter(|it| self.daemons.requesters[*it].is_some());
+        let live: Vec<usize> = live.collect();
+        live[self.random.random_range(0..live.len())]
+    }
+
+    fn begin(&mut self) {
+        self.new += 1;
+        let caller = Caller {
+            id: self.next,
+            ticket: 0,
+            daemon: 0,
+            build: None,
+            runner: None,
+            granted: self.daemons.now,
+            leaves: self.daemons.now + LIFE,
+            until: self.daemons.now + LIFE,
+            tries: 0,
+        };
+        self.send(caller);
+    }
+
+    fn send(&mut self, mut caller: Caller) {
+        let origin = match &caller.build {
+            None => Origin::New,
+            Some(_) => Origin::Unknown,
+        };
+        caller.daemon = self.live();
+        caller.ticket = self.next;
+        caller.tries += 1;
+        self.next += 1;
+        let life = caller.until.saturating_duration_since(self.daemons.now);
+        let ask = Ask {
+            stream: Some(Stream {
+                id: caller.id,
+                origin,
+                life,
+            }),
+            fingerprint: caller.ticket,
+            remaining: life,
+            ..ask(caller.ticket, "c1", "a")
+        };
+        self.daemons.acquire(caller.daemon, ask);
+        self.callers.insert(caller.ticket, caller);
+    }
+
+    fn on_granted(&mut self, ticket: u64, runner: String) {
+        let build = build_of(&self.daemons, &runner);
+        let now = self.daemons.now;
+        let lasts = Duration::from_millis(self.random.random_range(100..1_500));
+        let Some(caller) = self.callers.get_mut(&ticket) else {
+            return;
+        };
+        match &caller.build {
+            None => self.begun += 1,
+            Some(first) => {
+                self.gone_on += 1;
+                self.mixed += usize::from(*first != build);
+            }
+        }
+        caller.build.get_or_insert(build);
+        caller.runner = Some(runner);
+        caller.granted = now;
+        caller.leaves = now + lasts;
+    }
+
+    fn advance(&mut self) {
+        self.daemons.now += Duration::from_millis(50);
+        for _ in 0..2 {
+            self.begin();
+        }
+        self.daemons.tick();
+        self.daemons.deliver_all();
+        for outcome in self.daemons.take_outcomes() {
+            match outcome {
+                Outcome::Granted { ticket, runner, .. } => self.on_granted(ticket, runner),
+                Outcome::Refused { ticket, .. } => {
+                    self.callers.remove(&ticket);
+                }
+                Outcome::Preempted { .. } => {}
+            }
+        }
+        let now = self.daemons.now;
+        let left = self.callers.values();
+        let left = left.filter(|it| it.runner.is_some() && it.leaves <= now);
+        let left: Vec<u64> = left.map(|it| it.ticket).collect();
+        for ticket in left {
+            let caller = self.callers.remove(&ticket).expect("a caller");
+            self.daemons.release(caller.daemon, ticket, done());
+            if caller.tries < 3 && self.random.random_bool(0.3) {
+                self.take_up(caller);
+            }
+        }
+    }
+
+    fn take_up(&mut self, caller: Caller) {
+        if caller.build.is_none() || caller.until <= self.daemons.now {
+            return;
+        }
+        self.taken_up += 1;
+        self.send(Caller {
+            runner: None,
+            ..caller
+        });
+    }
+
+    /// Loses daemons at once, with all streams there.
+    fn lose(&mut self, lost: &[usize]) {
+        for daemon in lost {
+            self.daemons.kill(*daemon);
+        }
+        self.daemons.announce_live();
+        let there = self.callers.values();
+        let there = there.filter(|it| lost.contains(&it.daemon));
+        let there: Vec<u64> = there.map(|it| it.ticket).collect();
+        for ticket in there {
+            let caller = self.callers.remove(&ticket).expect("a caller");
+            self.take_up(caller);
+        }
+    }
+
+    fn run(&mut self, lost_at_once: usize) {
+        let plans: [(u64, &[&str]); 5] = [
+            (5, &["v1", "v2"]),
+            (15, &["v1", "v2", "v3"]),
+            (25, &["v2", "v3"]),
+            (32, &["v3"]),
+            (38, &["v3", "v4"]),
+        ];
+        let mut plans = plans.iter().peekable();
+        let mut next_loss = 3;
+        while self.daemons.now - self.started < Duration::from_secs(45) {
+            let second = (self.daemons.now - self.started).as_secs();
+            if plans.peek().is_some_and(|it| it.0 <= second) {
+                let (_, builds) = plans.next().expect("a plan");
+                self.daemons.set_runners(runners_of(builds, 6));
+            }
+            if second >= next_loss {
+                next_loss += 4;
+                let first = self.random.random_range(0..8);
+                let lost: Vec<usize> = (0..lost_at_once).map(|it| (first + it) % 8).collect();
+                self.lose(&lost);
+                for daemon in lost {
+                    self.daemons.restart(daemon);
+                }
+                self.daemons.announce_live();
+            }
+            self.advance();
+        }
+    }
+}
+
+fn check(lost_at_once: usize) {
+    for seed in 0..20 {
+        let mut simulation = Simulation::new(seed);
+        simulation.run(lost_at_once);
+        let Simulation {
+            mixed,
+            taken_up,
+            gone_on,
+            new,
+            begun,
+            ..
+        } = simulation;
+        expect_that!(mixed, eq(0), "seed {seed}");
+        expect_that!(taken_up, ge(300), "seed {seed}");
+        expect_that!(
+            2 * gone_on * new,
+            ge(taken_up * begun),
+            "seed {seed}: {gone_on} of {taken_up}, {begun} of {new}"
+        );
+    }
+}
+
+#[gtest]
+fn streams_go_on_at_their_build_while_daemons_are_lost_and_builds_come_and_go() {
+    check(1);
+}
+
+#[gtest]
+fn streams_go_on_at_their_build_while_half_of_the_daemons_are_lost_at_once() {
+    check(4);
+}
--- a/crates/wire/benches/slots.rs
+++ b/crates/wire/benches/slots.rs
@@ -6,7 +6,10 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use citron_policy::arbiter::{Ask, Asked, End, Heartbeat, Progress, Rate, Reply, Request, Sample};
+use citron_policy::{
+    arbiter::{Ask, Asked, End, Heartbeat, Progress, Rate, Reply, Request, Sample},
+    stream::{Group, Origin, Stream},
+};
 use citron_wire::{Body, Frame, VERSION, codec::Codec, generated::slot as proto, slot};
 use tokio_util::codec::Encoder;
 
@@ -22,8 +25,8 @@
 const TICKET: u64 = 4_000_000;
 const SERVICE: &str = "assistant";
 
-fn ask() -> Request {
-    Request::Ask(Ask {
+fn ask() -> Ask {
+    Ask {
         ticket: TICKET,
         class: "repair-desk".to_owned(),
         account: "windhoek-counter".to_owned(),
@@ -31,7 +34,7 @@
         prefix: u64::MAX / 5,
         remaining: Duration::from_mins(1),
         ..Ask::default()
-    })
+    }
 }
 
 fn release() -> Request {
@@ -103,14 +106,29 @@
     };
     let rate = Rate::from_per_second(1.1).expect("a rate");
     let limit = Request::Limit("runner-0001".to_owned(), rate);
+    let stream = Stream {
+        id: TICKET,
+        origin: Origin::New,
+        life: Duration::from_secs(15),
+    };
+    let stream_ask = Ask {
+        stream: Some(stream),
+        ..ask()
+    };
+    let records = Group {
+        build: "v1.1".to_owned(),
+        streams: (0..100).map(|it| (it, Duration::from_secs(15))).collect(),
+    };
     let messages = [
-        ("ask", asked(ask())),
+        ("ask", asked(Request::Ask(ask()))),
         ("grant", reply(grant)),
         ("release", asked(release())),
         ("beat_0_runners", asked(beat(0))),
         ("beat_64_runners", asked(beat(64))),
         ("beat_answer", reply(Reply::Ack)),
         ("limit", asked(limit)),
+        ("ask_stream", asked(Request::Ask(stream_ask))),
+        ("records_100", reply(Reply::Streams(vec![records]))),
     ];
     for (name, message) in &messages {
         println!(
--- a/crates/wire/src/slot.rs
+++ b/crates/wire/src/slot.rs
@@ -9,6 +9,7 @@
     },
     crash::Step,
     id::{Epoch, RunnerId, ServiceId},
+    stream::{Group, Origin, Stream},
 };
 use derive_more::{Display, Error};
 
@@ -151,6 +152,7 @@
         tier: ask.tier.map(u32::from),
         prompt: ask.prompt.iter().map(part_to_proto).collect(),
         output: ask.output,
+        stream: ask.stream.map(stream_to_proto),
     }
 }
 
@@ -172,9 +174,68 @@
         tier: ask.tier.and_then(|tier| u8::try_from(tier).ok()),
         prompt: ask.prompt.iter().map(part_from_proto).collect(),
         output: ask.output,
+        stream: ask.stream.map(stream_from_proto).transpose()?,
     })
 }
 
+fn stream_to_proto(stream: Stream) -> proto::Stream {
+    let (origin, build) = match stream.origin {
+        Origin::New => (proto::Origin::New, String::new()),
+        Origin::Build(build) => (proto::Origin::Build, build),
+        Origin::Unknown => (proto::Origin::Unknown, String::new()),
+        Origin::Recorded => (proto::Origin::Recorded, String::new()),
+    };
+    proto::Stream {
+        id: stream.id,
+        origin: origin.into(),
+        build,
+        life_us: micros(stream.life),
+    }
+}
+
+fn stream_from_proto(stream: proto::Stream) -> Result<Stream, Error> {
+    let origin = match stream.origin() {
+        proto::Origin::New => Origin::New,
+        proto::Origin::Build => Origin::Build(check_name(stream.build, "build")?),
+        proto::Origin::Unknown => Origin::Unknown,
+        proto::Origin::Recorded => Origin::Recorded,
+    };
+    Ok(Stream {
+        id: stream.id,
+        origin,
+        life: duration(stream.life_us),
+    })
+}
+
+fn group_to_proto(group: Group) -> proto::Streams {
+    let (ids, life_ms) = group
+        .streams
+        .into_iter()
+        .map(|(id, life)| (id, u32::try_from(life.as_millis()).unwrap_or(u32::MAX)))
+        .unzip();
+    proto::Streams {
+        build: group.build,
+        ids,
+        life_ms,
+    }
+}
+
+fn groups_from_proto(groups: Vec<proto::Streams>) -> Result<Vec<Group>, Error> {
+    check_len(groups.len(), "list of builds")?;
+    let groups = groups.into_iter().map(|it| {
+        check_len(it.ids.len(), "list of streams")?;
+        let lives = it
+            .life_ms
+            .iter()
+            .map(|it| Duration::from_millis((*it).into()));
+        Ok(Group {
+            build: check_name(it.build, "build")?,
+            streams: it.ids.iter().copied().zip(lives).collect(),
+        })
+    });
+    groups.collect()
+}
+
 fn part_to_proto(part: &Part) -> proto::Part {
     proto::Part {
         id: part.id,
@@ -284,6 +345,7 @@
         quarantined: recital.quarantined,
         exposed: recital.exposed,
         limits: recital.limits.into_iter().map(limit_to_proto).collect(),
+        streams: recital.streams.into_iter().map(group_to_proto).collect(),
     }
 }
 
@@ -315,6 +377,7 @@
         quarantined: recital.quarantined,
         exposed: recital.exposed,
         limits: limits.collect::<Result<_, _>>()?,
+        streams: groups_from_proto(recital.streams)?,
     })
 }
 
@@ -341,6 +404,9 @@
         Reply::RequestInventory => Out::Recite(proto::Nothing {}),
         Reply::Unknown(tickets) => Out::Unknown(proto::Unknown { tickets }),
         Reply::Mark(step) => Out::Mark(step_to_proto(step)),
+        Reply::Streams(groups) => Out::Streams(proto::Records {
+            groups: groups.into_iter().map(group_to_proto).collect(),
+        }),
         Reply::Moved { to } => Out::Moved(proto::Moved {
             to: to.unwrap_or_default(),
         }),
@@ -368,6 +434,7 @@
             Reply::Unknown(unknown.tickets)
         }
         In::Mark(mark) => Reply::Mark(step_from_proto(mark)?),
+        In::Streams(records) => Reply::Streams(groups_from_proto(records.groups)?),
         In::Moved(moved) if moved.to.is_empty() => Reply::Moved { to: None },
         In::Moved(moved) => Reply::Moved {
             to: Some(check_name(moved.to, "instance")?),
@@ -382,12 +449,19 @@
         Refusal::Quarantined => (proto::Reason::Quarantined, Duration::ZERO),
         Refusal::Account { retry_after } => (proto::Reason::Account, *retry_after),
         Refusal::Late => (proto::Reason::Late, Duration::ZERO),
+        Refusal::UnknownBuild { retry_after } => (proto::Reason::UnknownBuild, *retry_after),
+        Refusal::NoBuild { .. } => (proto::Reason::NoBuild, Duration::ZERO),
         Refusal::Unreachable { retry_after } => (proto::Reason::Unreachable, *retry_after),
     };
+    let build = match refusal {
+        Refusal::NoBuild { build } => build.clone(),
+        _ => String::new(),
+    };
     proto::Refused {
         ticket,
         reason: reason.into(),
         retry_after_us: micros(retry_after),
+        build,
     }
 }
 
@@ -400,6 +474,10 @@
         proto::Reason::Quarantined => Refusal::Quarantined,
         proto::Reason::Account => Refusal::Account { retry_after },
         proto::Reason::Late => Refusal::Late,
+        proto::Reason::UnknownBuild => Refusal::UnknownBuild { retry_after },
+        proto::Reason::NoBuild => Refusal::NoBuild {
+            build: check_name(refused.build.clone(), "build")?,
+        },
         proto::Reason::Unreachable => Refusal::Unreachable { retry_after },
     })
 }
--- a/crates/wire/tests/slot.rs
+++ b/crates/wire/tests/slot.rs
@@ -5,6 +5,7 @@
     Sample,
 };
 use citron_policy::crash::Step;
+use citron_policy::stream::{Group, Origin, Stream};
 use citron_wire::{
     generated::slot as proto,
     slot::{self, Content, Error},
@@ -36,6 +37,18 @@
         tier: Some(3),
         prompt: vec![Part { id: 7, tokens: 800 }],
         output: 40,
+        stream: Some(Stream {
+            id: 12,
+            origin: Origin::Build("v1.1".to_owned()),
+            life: Duration::from_secs(5),
+        }),
+    }
+}
+
+fn group() -> Group {
+    Group {
+        build: "v1.1".to_owned(),
+        streams: vec![(12, Duration::from_secs(5)), (13, Duration::ZERO)],
     }
 }
 
@@ -76,6 +89,7 @@
             quarantined: vec![4],
             exposed: vec![5],
             limits: vec![("r1".to_owned(), rate)],
+            streams: vec![group()],
         }),
         Request::Limit("r1".to_owned(), rate),
     ]
@@ -97,6 +111,14 @@
         Reply::Refused(1, Refusal::Quarantined),
         Reply::Refused(1, Refusal::Account { retry_after }),
         Reply::Refused(1, Refusal::Late),
+        Reply::Refused(1, Refusal::UnknownBuild { retry_after }),
+        Reply::Refused(
+            1,
+            Refusal::NoBuild {
+                build: "v1.1".to_owned(),
+            },
+        ),
+        Reply::Streams(vec![group()]),
         Reply::Refused(1, Refusal::Unreachable { retry_after }),
         Reply::Preempt(1),
         Reply::Ack,
