--- a/crates/daemon/src/slots/host.rs
+++ b/crates/daemon/src/slots/host.rs
@@ -520,6 +520,11 @@
                 self.ring
                     .record("CP0305", None, &[service_key(service)], text);
             }
+            Note::Accused { runner, by, end } => log::info!(
+                event = "CP0314", service = service.as_str(), runner = runner.as_str(),
+                by = by.as_str(), end:? = end;
+                "runner is put out of use"
+            ),
             Note::HeldBack => self.metrics.on_held_back(service),
             Note::Limit { runner, rate, by } => {
                 self.metrics.on_limit(service, runner, *rate);
--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -167,6 +167,15 @@
         /// Tier of the waiting request.
         waiting: u8,
     },
+    /// The failures of a daemon's requests put a runner out of use.
+    Accused {
+        /// The runner.
+        runner: RunnerId,
+        /// The daemon.
+        by: InstanceId,
+        /// How its latest request there ended.
+        end: End,
+    },
     /// A runner's health changed.
     Health(Transition),
     /// A request waits though a runner has room, because of the runner's limit.
--- a/crates/policy/src/arbiter/hold.rs
+++ b/crates/policy/src/arbiter/hold.rs
@@ -10,7 +10,7 @@
 
 use super::{
     Arbiter, Effect, End, Heartbeat, Hold, Inventory, Key, Note, Part, Refusal, Reply, Sample,
-    Ticket,
+    Ticket, Transition,
     message::ticket_hash,
     prompt::{self, Usage, Work},
     queue::Item,
@@ -252,6 +252,13 @@
             }
         }
         if let Some(transition) = transition {
+            if let Transition::Down(runner) = &transition {
+                effects.push(Effect::Note(Note::Accused {
+                    runner: runner.clone(),
+                    by: self.instance_of(key.asker),
+                    end: sample.end,
+                }));
+            }
             self.on_health_change(now, transition, effects);
         }
     }
