arbiter: a daemon that lost its own path puts no runner out of use for the others

Cause: broken connections and failed connects counted for the runner, whoever saw them; one observer's cut path and a dead runner looked the same.

A failure is not held against a runner that has just answered another asker, until a second one fails there, nor if the asker fails at runner after runner while others are served. A connection that was never opened is an end of its own (Unreachable) and does not pause the runner for all.

--- a/crates/daemon/src/callers/chat/generation.rs
+++ b/crates/daemon/src/callers/chat/generation.rs
@@ -510,6 +510,7 @@
 fn slot_end(failure: &Failure) -> End {
     match failure {
         Failure::Late | Failure::Silent => End::Late,
+        failure if failure.is_unconnected() => End::Unreachable,
         failure if failure.is_disconnect() => End::Broken,
         _ => End::Refused,
     }
--- a/crates/daemon/src/callers/plain.rs
+++ b/crates/daemon/src/callers/plain.rs
@@ -282,6 +282,7 @@
         Ok(_) => End::Done,
         Err(Failure::Late) => End::Late,
         Err(failure) if failure.is_disconnect() => End::Broken,
+        Err(failure) if failure.is_unconnected() => End::Unreachable,
         Err(_) => End::Refused,
     };
     span.set("end", format!("{end:?}"));
--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -711,6 +711,7 @@
 fn end_for(failure: &Failure) -> End {
     match failure {
         Failure::Late | Failure::Silent => End::Late,
+        failure if failure.is_unconnected() => End::Unreachable,
         failure if failure.is_disconnect() => End::Broken,
         _ => End::Refused,
     }
--- a/crates/daemon/src/slots/metrics.rs
+++ b/crates/daemon/src/slots/metrics.rs
@@ -201,6 +201,7 @@
             End::Done => "done",
             End::Cancelled => "cancelled",
             End::Refused => "refused",
+            End::Unreachable => "unreachable",
             End::Broken => "broken",
             End::Late => "late",
             End::Preempted => "preempted",
--- a/crates/daemon/src/upstream/failure.rs
+++ b/crates/daemon/src/upstream/failure.rs
@@ -72,6 +72,12 @@
         self.ending().fate(&[])
     }
 
+    /// Whether nothing of the request can have reached the runner.
+    #[must_use]
+    pub fn is_unconnected(&self) -> bool {
+        matches!(self, Self::Refused(_) | Self::Unreachable | Self::Unwritten)
+    }
+
     /// Whether the connection was lost, as happens when the runner crashes.
     #[must_use]
     pub fn is_disconnect(&self) -> bool {
--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -22,6 +22,7 @@
 pub mod message;
 mod pace;
 mod part;
+mod path;
 mod pool;
 mod prompt;
 mod queue;
--- a/crates/policy/src/arbiter/grant.rs
+++ b/crates/policy/src/arbiter/grant.rs
@@ -162,7 +162,10 @@
     fn probe(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         while let Some(runner) = self.pool.probe(now) {
             let build = self.build_of(&runner);
-            let last = self.queue.newest_of_lowest(0, |it| it.may_run_at(&build));
+            let paths = &self.pool.paths;
+            let last = self.queue.newest_of_lowest(0, |it| {
+                it.may_run_at(&build) && !paths.is_cut_off(now, it.key.asker)
+            });
             let Some(item) = last.and_then(|key| self.queue.get(key)) else {
                 return;
             };
--- a/crates/policy/src/arbiter/hold.rs
+++ b/crates/policy/src/arbiter/hold.rs
@@ -199,6 +199,7 @@
         let Some(running) = self.running.get_mut(&key) else {
             return;
         };
+        self.pool.on_answer(now, key.asker, &running.runner);
         let Some(runner) = self.pool.get_mut(&running.runner) else {
             return;
         };
@@ -230,9 +231,13 @@
             }));
         }
         let read = running.usage.is_some();
-        let transition = self
-            .pool
-            .on_end(now, &running.runner, &running.class, sample, read);
+        let transition = self.pool.on_end(
+            now,
+            (key.asker, &running.runner),
+            &running.class,
+            sample,
+            read,
+        );
         if running.is_alone() {
             self.end_alone();
         }
@@ -247,7 +252,7 @@
                 self.end_copy(running.fingerprint);
             }
             End::Broken => self.on_broken(now, &running, effects),
-            End::Cancelled | End::Refused | End::Late | End::Preempted => {
+            End::Cancelled | End::Refused | End::Unreachable | End::Late | End::Preempted => {
                 self.end_copy(running.fingerprint);
             }
         }
@@ -603,6 +608,7 @@
         }
         if let Some(asker) = self.askers.swap_remove(name) {
             self.instances.swap_remove(&asker.id);
+            self.pool.paths.forget(asker.id);
         }
         if !keys.is_empty() {
             effects.push(Effect::Note(Note::AskerLost(name.clone())));
--- a/crates/policy/src/arbiter/message.rs
+++ b/crates/policy/src/arbiter/message.rs
@@ -82,6 +82,8 @@
     Cancelled,
     /// The runner refused the request before running it.
     Refused,
+    /// No connection to the runner was established.
+    Unreachable,
     /// The runner's connection broke mid-exchange.
     Broken,
     /// The deadline passed while the runner worked.
--- a/crates/policy/src/arbiter/part.rs
+++ b/crates/policy/src/arbiter/part.rs
@@ -66,7 +66,7 @@
                 false
             }
             End::Broken => self.on_parts_crash(now, running, sample),
-            End::Cancelled | End::Refused | End::Late | End::Preempted => false,
+            End::Cancelled | End::Refused | End::Unreachable | End::Late | End::Preempted => false,
         }
     }
 
--- a/crates/policy/src/arbiter/pool.rs
+++ b/crates/policy/src/arbiter/pool.rs
@@ -17,6 +17,7 @@
     estimate::Capacity,
     message::{End, Sample},
     pace::{Pace, Rate},
+    path::Paths,
     prompt::Work,
     runner::{Cause, Health, Runner},
 };
@@ -109,6 +110,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Pool {
     runners: IndexMap<RunnerId, Runner>,
+    pub(super) paths: Paths,
     /// Limits reported of runners that are not on the list yet.
     early_limits: IndexMap<RunnerId, Pace>,
     /// Number of times that a runner was evaluated for a request.
@@ -490,16 +492,38 @@
         probes.min().unwrap_or(NO_RUNNER_RETRY).max(MIN_RETRY)
     }
 
-    /// Records the end of a request; returns the health transition that it causes.
+    /// Records that a runner answered an asker.
+    pub(super) fn on_answer(&mut self, now: Instant, asker: u32, id: &RunnerId) {
+        if let Some(runner) = self.runners.get_mut(id) {
+            self.paths.on_answer(now, asker, &mut runner.sightings);
+        }
+    }
+
+    /// Records the end of an asker's request; returns the health transition that it causes.
     pub(super) fn on_end(
         &mut self,
         now: Instant,
-        id: &RunnerId,
+        (asker, id): (u32, &RunnerId),
         class: &Class,
         sample: &Sample,
         read: bool,
     ) -> Option<Transition> {
         let runner = self.runners.get_mut(id)?;
+        let sightings = &mut runner.sightings;
+        match sample.end {
+            End::Broken | End::Unreachable => {
+                if !self.paths.on_failure(now, asker, id, sightings) {
+                    runner.end_probe();
+                    return None;
+                }
+            }
+            End::Done | End::Refused => self.paths.on_answer(now, asker, sightings),
+            End::Cancelled | End::Late | End::Preempted => {
+                if sample.first_token.is_some() {
+                    self.paths.on_answer(now, asker, sightings);
+                }
+            }
+        }
         let was_down = matches!(
             runner.health,
             Health::Excluded {
@@ -517,7 +541,7 @@
                 runner.prompts.clear_cache();
                 (!was_down).then(|| Transition::Down(id.clone()))
             }
-            End::Refused => {
+            End::Refused | End::Unreachable => {
                 runner.note_fault(now, true);
                 let down = runner.on_refused(now) || was_down;
                 if down {
--- a/crates/policy/src/arbiter/runner.rs
+++ b/crates/policy/src/arbiter/runner.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use super::{message::Sample, pace::Pace, prompt::Load};
+use super::{message::Sample, pace::Pace, path::Sightings, prompt::Load};
 use crate::{
     catalogue::Class,
     id::{DomainId, Fingerprint},
@@ -154,6 +154,8 @@
     pub(super) last_change: u64,
     /// Cached prompt parts and pending prefill.
     pub(super) prompts: Load,
+    /// What the askers have seen of it.
+    pub(super) sightings: Sightings,
     /// Recent failure rate.
     faults: Faults,
     /// Connections broken since the last answer.
@@ -199,6 +201,7 @@
             held: 0,
             last_change: 0,
             prompts: Load::default(),
+            sightings: Sightings::default(),
             faults: Faults::default(),
             consecutive_breaks: 0,
             lost_answers: Vec::new(),
--- a/crates/policy/src/requester.rs
+++ b/crates/policy/src/requester.rs
@@ -352,7 +352,7 @@
         match sample.end {
             End::Broken => self.on_broken(&held, effects),
             End::Done => self.on_done(&held, effects),
-            End::Cancelled | End::Refused | End::Late | End::Preempted => {}
+            End::Cancelled | End::Refused | End::Unreachable | End::Late | End::Preempted => {}
         }
         self.send(Request::Release(ticket, sample), effects);
     }
