exchange: an instance that reaches no runner has its attempts made by a peer

Cause: an attempt had no way but the own one. The instance asked for slots it could not use, failed to connect, and refused.

Two different runners in a row that are not reached, without an answer to a later attempt, show a lost path. Requests then go to a peer's listener for callers as they came, with the time that is left; the peer serves them as its own, so what is counted is counted once, there, and never passes them on. A marked refusal says that the peer has no path either. A client that leaves ends the work through the hop.

--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -115,6 +115,17 @@
     pub after: Option<u64>,
 }
 
+/// What is changed in a caller's request that a peer is to serve.
+#[derive(Clone, Debug)]
+pub struct Forward<'a> {
+    /// Time left for the response.
+    pub left: Duration,
+    /// Last event received, when a stream goes on after it.
+    pub after: Option<u64>,
+    /// ID of the request that brought the first event, if this instance passed it on.
+    pub resumes: Option<&'a str>,
+}
+
 /// Contents of a runner's response head.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RunnerHead {
@@ -154,6 +165,9 @@
     /// The problem to respond with when the head is invalid.
     fn read(&self, head: &RequestHead) -> Result<CallerHead, Problem>;
 
+    /// Rewrites a caller's headers for a peer that serves the request.
+    fn forward(&self, forward: &Forward<'_>, headers: &mut HeaderMap);
+
     /// Response that reports a problem for the request with this ID.
     fn refuse(&self, id: &str, problem: &Problem) -> Response<BoxBody>;
 }
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -10,6 +10,8 @@
 mod admit;
 mod attempt;
 mod events;
+mod hop;
+mod lease;
 mod log_limit;
 mod metrics;
 mod relay;
@@ -24,7 +26,9 @@
 
 use actix_http::{ConnectionType, Request, Response, body::BoxBody};
 use citron_policy::{
+    detour::{self, Detour},
     feed::View,
+    id::InstanceId,
     member::{Members, State},
     retry,
 };
@@ -64,6 +68,8 @@
     pub log_rate: usize,
     /// Retries that all daemons together may accumulate for a service.
     pub retry_slack: u32,
+    /// This instance.
+    pub me: InstanceId,
     /// Daemons of the cluster.
     pub members: watch::Receiver<Arc<Members>>,
     /// Catalogue in force.
@@ -93,6 +99,9 @@
     ports: Ports,
     in_flight: Rc<Cell<u32>>,
     retries: Retries,
+    detour: RefCell<Detour>,
+    /// Whether the paths to the runners are being tested.
+    testing: Cell<bool>,
     metrics: Metrics,
     log_limit: RefCell<Limiter>,
 }
@@ -104,6 +113,8 @@
         let inner = Inner {
             in_flight: Rc::default(),
             retries: Retries::new(1),
+            detour: RefCell::new(Detour::new(detour::Settings::default())),
+            testing: Cell::default(),
             metrics: Metrics::default(),
             log_limit: RefCell::new(Limiter::new(Instant::now(), ports.log_rate)),
             ports,
@@ -158,12 +169,20 @@
             Err(problem) => return self.refuse("", &problem, None),
         };
         let id = caller_head.id.clone();
+        if hop::is_hop(&request.head().headers) && !self.may_serve_peers() {
+            return self.refuse_hop(&id);
+        }
         match self.admit(&mut request, caller_head, arrived).await {
             Ok(admitted) => self.serve(admitted, guard).await,
             Err(problem) => self.refuse(&id, &problem, None),
         }
     }
 
+    /// Whether this instance may make attempts for others.
+    fn may_serve_peers(&self) -> bool {
+        !*self.ports().draining.borrow() && admit::is_current(self.ports()) && !self.is_cut_off()
+    }
+
     async fn admit(
         &self,
         request: &mut Request,
@@ -199,7 +218,10 @@
     async fn serve(&self, admitted: Admitted, guard: InFlight) -> Response<BoxBody> {
         let id = admitted.caller_head.id.clone();
         let watch = admitted.watch.clone();
-        self.earn_retries(&admitted);
+        // The peer that makes the attempts has the budget for them.
+        if admitted.is_hop || !self.is_cut_off() {
+            self.earn_retries(&admitted);
+        }
         let mut run = Run::new(self.clone(), admitted);
         let first = tokio::select! {
             step = run.next() => step,
--- a/crates/daemon/src/exchange/admit.rs
+++ b/crates/daemon/src/exchange/admit.rs
@@ -17,7 +17,7 @@
 };
 use sha2::{Digest, Sha256};
 
-use super::Ports;
+use super::{Ports, hop};
 use crate::{
     clock,
     edge::{CallerHead, Problem},
@@ -49,6 +49,8 @@
     pub(super) arrived: Instant,
     pub(super) deadline: Instant,
     pub(super) watch: Option<Watch>,
+    /// Whether a peer passed it on, so that it must not be passed on again.
+    pub(super) is_hop: bool,
 }
 
 impl Admitted {
@@ -93,12 +95,15 @@
         .map_or_else(|| request.path().to_owned(), ToString::to_string);
     let method = request.method().clone();
     let account = allowed.account.as_ref().map_or("", |it| it.name.as_str());
+    let mut headers = request.headers().clone();
+    let is_hop = hop::is_hop(&headers);
+    hop::remove_mark(&mut headers);
     let names = [account, &caller_head.host, method.as_str(), &path];
     Ok(Admitted {
         fingerprint: fingerprint(&names, &body),
         method,
         path,
-        headers: request.headers().clone(),
+        headers,
         body,
         route: allowed.route,
         class: allowed.class,
@@ -108,6 +113,7 @@
         arrived,
         deadline,
         watch,
+        is_hop,
         caller_head,
     })
 }
--- /dev/null
+++ b/crates/daemon/src/exchange/hop.rs
@@ -0,0 +1,186 @@
+//! Attempts that a peer makes, while this instance reaches no runner.
+//!
+//! The request is sent to the peer's listener for callers as the caller sent it, with the
+//! time that is left. The peer admits it, takes the slot, and answers as it answers its
+//! own callers; it never passes it on again. Dropping the exchange cancels the work there.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use actix_http::{
+    Response, StatusCode,
+    body::BoxBody,
+    header::{self, HeaderMap, HeaderName, HeaderValue},
+};
+use citron_policy::id::InstanceId;
+use tokio::io::AsyncReadExt as _;
+
+use super::{Exchange, admit::Admitted, attempt::MAX_ANSWER_BYTES, millis};
+use crate::{
+    edge::{Forward, Problem},
+    upstream::{self, Failure, Limits},
+};
+
+/// Marks a request that a peer passed on, and the answer of a peer that cannot serve it.
+const HOP: HeaderName = HeaderName::from_static("citron-hop");
+
+/// Longest time to connect to a peer.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Longest time to connect to a runner for a test.
+const TEST_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time within which a lost path closes a connection that it let through.
+const TEST_PAUSE: Duration = Duration::from_millis(100);
+
+/// Pause between two checks whether a test is due.
+const TEST_POLL: Duration = Duration::from_millis(100);
+
+/// `Retry-After` of an instance that cannot serve a request of a peer.
+const UNABLE_RETRY: Duration = Duration::from_millis(250);
+
+/// An attempt in a peer's hand; ends when dropped.
+#[derive(Debug)]
+pub(super) struct Hop {
+    exchange: Exchange,
+    peer: InstanceId,
+}
+
+impl Hop {
+    pub(super) fn begin(exchange: &Exchange, peer: &InstanceId) -> Self {
+        exchange.inner.detour.borrow_mut().begin(peer);
+        Self {
+            exchange: exchange.clone(),
+            peer: peer.clone(),
+        }
+    }
+}
+
+impl Drop for Hop {
+    fn drop(&mut self) {
+        self.exchange.inner.detour.borrow_mut().end(&self.peer);
+    }
+}
+
+/// Whether a request was passed on by a peer.
+pub(super) fn is_hop(headers: &HeaderMap) -> bool {
+    headers.contains_key(HOP)
+}
+
+/// Removes the mark of a request that a peer passed on.
+pub(super) fn remove_mark(headers: &mut HeaderMap) {
+    headers.remove(HOP);
+}
+
+/// Sends a request to a peer and waits for the head of its answer.
+pub(super) async fn send(
+    exchange: &Exchange,
+    admitted: &Admitted,
+    address: SocketAddr,
+    after: Option<u64>,
+) -> Result<upstream::Response, Failure> {
+    let adapter = &exchange.ports().adapter;
+    let left = admitted.deadline.saturating_duration_since(Instant::now());
+    let limits = Limits {
+        connect: CONNECT_TIMEOUT.min(left),
+        head: left,
+        idle: left,
+        whole: left,
+        max_body_bytes: MAX_ANSWER_BYTES,
+        ..Limits::default()
+    };
+    let caller_head = &admitted.caller_head;
+    let goes_on = after != caller_head.after;
+    let first = caller_head.resumes.as_ref().unwrap_or(&caller_head.id);
+    let mut headers = admitted.headers.clone();
+    let forward = Forward {
+        left,
+        after,
+        resumes: goes_on.then_some(first.as_str()),
+    };
+    adapter.callers.forward(&forward, &mut headers);
+    headers.insert(HOP, HeaderValue::from_static("1"));
+    let request = upstream::Request {
+        id: caller_head.id.clone(),
+        id_header: adapter.runners.id_header(),
+        host: admitted.headers.get(header::HOST).cloned(),
+        method: admitted.method.clone(),
+        path: admitted.path.clone(),
+        headers,
+        body: admitted.body.clone(),
+    };
+    upstream::exchange(address, request, &limits).await
+}
+
+/// Whether a peer says that it cannot serve the request.
+pub(super) fn is_unable(response: &upstream::Response) -> bool {
+    response.headers.contains_key(HOP)
+}
+
+impl Exchange {
+    /// The answer to a request of a peer that this instance cannot serve either.
+    pub(super) fn refuse_hop(&self, id: &str) -> Response<BoxBody> {
+        let problem = Problem {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            kind: "no-path",
+            detail: "this instance cannot serve requests of its peers now".to_owned(),
+            retry_after: Some(UNABLE_RETRY),
+        };
+        let mut response = self.refuse(id, &problem, None);
+        let unable = HeaderValue::from_static("unable");
+        response.headers_mut().insert(HOP, unable);
+        response
+    }
+
+    /// Whether this instance reaches no runner.
+    pub(super) fn is_cut_off(&self) -> bool {
+        self.inner.detour.borrow().is_cut_off(Instant::now())
+    }
+
+    /// Records that an attempt made `at` did not reach a runner.
+    pub(super) fn on_unreached(&self, at: Instant, runner: &str) {
+        let cut_off = {
+            let mut detour = self.inner.detour.borrow_mut();
+            detour.on_unreached(at, &runner.to_owned());
+            detour.is_cut_off(Instant::now())
+        };
+        if cut_off && !self.inner.testing.replace(true) {
+            log::warn!(event = "CP1009", runner; "no path to the runners: peers make the attempts");
+            self.inner.metrics.set_cut_off(true);
+            actix_rt::spawn(self.clone().test_paths(Instant::now()));
+        }
+    }
+
+    /// Tests runners until one can be reached again.
+    async fn test_paths(self, since: Instant) {
+        while self.is_cut_off() {
+            let due = self.inner.detour.borrow_mut().test(Instant::now());
+            if let Some(address) = due {
+                let began = Instant::now();
+                if is_reached(address).await {
+                    self.inner.detour.borrow_mut().on_answer(began);
+                }
+            }
+            actix_rt::time::sleep(TEST_POLL).await;
+        }
+        self.inner.testing.set(false);
+        self.inner.metrics.set_cut_off(false);
+        let members = self.ports().members.borrow().clone();
+        self.inner.detour.borrow_mut().retain_peers(&members);
+        log::info!(event = "CP1010", after_ms = millis(since.elapsed()); "runners are reached again");
+    }
+}
+
+/// Whether a connection is opened and stays open for a moment.
+async fn is_reached(address: SocketAddr) -> bool {
+    let connect = actix_rt::net::TcpStream::connect(address);
+    let Ok(Ok(mut stream)) = actix_rt::time::timeout(TEST_TIMEOUT, connect).await else {
+        return false;
+    };
+    let mut byte = [0_u8; 1];
+    let read = stream.read(&mut byte);
+    // A runner says nothing before it is asked.
+    actix_rt::time::timeout(TEST_PAUSE, read).await.is_err()
+}
--- a/crates/daemon/src/exchange/metrics.rs
+++ b/crates/daemon/src/exchange/metrics.rs
@@ -8,6 +8,7 @@
     metrics::{
         counter::Counter,
         family::Family,
+        gauge::Gauge,
         histogram::{Histogram, exponential_buckets},
     },
     registry::{Registry, Unit},
@@ -39,6 +40,12 @@
     status: u16,
 }
 
+/// Label of an attempt passed on to a peer.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct HopLabel {
+    outcome: &'static str,
+}
+
 /// Labels of a stream that goes on.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Continued {
@@ -54,6 +61,8 @@
     slot_wait: Family<ClassLabel, Histogram, fn() -> Histogram>,
     refused: Family<Refused, Counter>,
     continued: Family<Continued, Counter>,
+    hops: Family<HopLabel, Counter>,
+    cut_off: Gauge,
 }
 
 impl Default for Metrics {
@@ -64,6 +73,8 @@
             slot_wait: Family::new_with_constructor(histogram),
             refused: Family::default(),
             continued: Family::default(),
+            hops: Family::default(),
+            cut_off: Gauge::default(),
         }
     }
 }
@@ -99,6 +110,16 @@
             "Streams sent to a runner to go on, by who takes them up and by build",
             self.continued.clone(),
         );
+        registry.register(
+            "citron_exchange_hops",
+            "Attempts passed on to peers, by outcome",
+            self.hops.clone(),
+        );
+        registry.register(
+            "citron_exchange_cut_off",
+            "Whether this instance reaches no runner",
+            self.cut_off.clone(),
+        );
     }
 
     /// Records the time from arrival to the end of a request.
@@ -135,6 +156,16 @@
         self.continued.get_or_create(&labels).inc();
     }
 
+    /// Counts an attempt passed on to a peer.
+    pub(super) fn count_hop(&self, outcome: &'static str) {
+        self.hops.get_or_create(&HopLabel { outcome }).inc();
+    }
+
+    /// Sets whether this instance reaches no runner.
+    pub(super) fn set_cut_off(&self, cut_off: bool) {
+        self.cut_off.set(i64::from(cut_off));
+    }
+
     /// Counts a refused or failed request.
     pub(super) fn count_refusal(&self, kind: &'static str, status: u16) {
         self.refused.get_or_create(&Refused { kind, status }).inc();
--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -5,6 +5,7 @@
 //! ([`citron_policy::retry`]).
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -12,7 +13,7 @@
 use actix_http::{StatusCode, header::HeaderMap};
 use bytes::Bytes;
 use citron_policy::{
-    id::{BuildId, RunnerId, ServiceId, StreamId},
+    id::{BuildId, InstanceId, RunnerId, ServiceId, StreamId},
     retry::{Attempt, Decision, Fate, Rerun},
     route::Repeat,
     silence::{self, Wait},
@@ -24,6 +25,8 @@
     admit::{self, Admitted},
     attempt::{self, Answer},
     events::Events,
+    hop::{self, Hop},
+    lease::Lease,
     millis,
 };
 use crate::{
@@ -37,6 +40,9 @@
 /// `Retry-After` if every runner that was tried refused the request.
 const REFUSED_RETRY: Duration = Duration::from_millis(300);
 
+/// Most peers that are asked for one request.
+const MAX_HOPS: usize = 4;
+
 /// Next step of a response.
 pub(super) enum Step {
     /// The complete response.
@@ -51,7 +57,7 @@
 
 /// A stream that is being read.
 struct Stream {
-    slot: Slot,
+    lease: Lease,
     body: upstream::Body,
     events: Events,
     started: Instant,
@@ -78,6 +84,8 @@
     build: Option<BuildId>,
     /// Services whose arbiter does not know the stream.
     searched: Vec<ServiceId>,
+    /// Peers that were asked to make an attempt.
+    asked_peers: Vec<InstanceId>,
     /// Whether the runner of this attempt answered without naming a limit.
     unlimited: bool,
 }
@@ -95,6 +103,7 @@
             head: None,
             build: None,
             searched: Vec::new(),
+            asked_peers: Vec::new(),
             unlimited: false,
         }
     }
@@ -123,7 +132,12 @@
 
     /// Whether the caller has events of the stream already.
     fn is_continued(&self) -> bool {
-        self.build.is_some() || self.admitted.caller_head.is_continued()
+        self.has_events() || self.build.is_some() || self.admitted.caller_head.is_continued()
+    }
+
+    /// Whether events were passed to the caller.
+    fn has_events(&self) -> bool {
+        self.last != self.admitted.caller_head.after
     }
 
     /// Cancels the upstream work after the caller has disconnected.
@@ -140,6 +154,11 @@
 
     /// Makes one attempt; `None` if another attempt or the events of a stream follow.
     async fn attempt(&mut self) -> Result<Option<Step>, Problem> {
+        if self.may_hop()
+            && let Some(hopped) = self.hop().await?
+        {
+            return Ok(hopped);
+        }
         let Some(slot) = self.acquire_slot().await? else {
             return Ok(None);
         };
@@ -153,11 +172,20 @@
         self.tried.push(slot.runner.clone());
         self.unlimited = false;
         let started = Instant::now();
+        self.exchange
+            .inner
+            .detour
+            .borrow_mut()
+            .on_attempt(&slot.runner, slot.address);
         let answer = self.send(&slot).await;
         let answer = match answer {
-            Ok(answer) => answer,
+            Ok(answer) => {
+                self.exchange.inner.detour.borrow_mut().on_answer(started);
+                answer
+            }
             Err(failure) => {
                 let end = end_for(&failure);
+                self.note_path(&slot.runner, &failure, started);
                 slot.release(self.sample(end, started, None, 0));
                 return self.on_failure(&failure, end).map(|()| None);
             }
@@ -173,10 +201,131 @@
         }
         self.ran += 1;
         if self.admitted.route.stream && answer.response.status.is_success() {
-            self.start_stream(slot, answer.response, started);
+            self.start_stream(Lease::Slot(slot), answer.response, started);
             return Ok(None);
         }
-        self.read_whole(slot, answer, started).await
+        self.read_whole(Lease::Slot(slot), answer, started).await
+    }
+
+    /// Records a connection that was not opened, or was lost.
+    fn note_path(&self, runner: &str, failure: &Failure, at: Instant) {
+        if failure.is_unconnected() || failure.is_disconnect() {
+            self.exchange.on_unreached(at, runner);
+        }
+    }
+
+    /// Whether a peer is to make the attempt, since this instance reaches no runner.
+    fn may_hop(&self) -> bool {
+        !self.admitted.is_hop
+            && self.asked_peers.len() < MAX_HOPS
+            && self.exchange.is_cut_off()
+            && Instant::now() < self.admitted.deadline
+    }
+
+    /// Has a peer make the attempt; `None` if no peer can. The inner `None` means that
+    /// events of a stream, or another attempt, follow.
+    async fn hop(&mut self) -> Result<Option<Option<Step>>, Problem> {
+        while self.may_hop() {
+            let Some((peer, address)) = self.choose_peer() else {
+                // Without a peer the attempt is made from here, for want of a better way.
+                self.asked_peers.resize(MAX_HOPS, InstanceId::new());
+                return Ok(None);
+            };
+            self.asked_peers.push(peer.clone());
+            let lease = Hop::begin(&self.exchange, &peer);
+            let started = Instant::now();
+            let answer = hop::send(&self.exchange, &self.admitted, address, self.last).await;
+            let unable = match &answer {
+                Ok(response) => hop::is_unable(response),
+                Err(failure) => failure.is_unconnected(),
+            };
+            let outcome = match &answer {
+                _ if unable => "unable",
+                Ok(_) => "answered",
+                Err(_) => "failed",
+            };
+            self.log_hop(&peer, outcome, started.elapsed());
+            if unable {
+                let mut detour = self.exchange.inner.detour.borrow_mut();
+                detour.on_unable(Instant::now(), &peer);
+                continue;
+            }
+            // The peer may have used all attempts that the route allows.
+            let ran = self.ran + self.admitted.route.attempts.max(1);
+            let response = match answer {
+                Ok(response) => response,
+                Err(failure) => {
+                    self.ran = ran - 1;
+                    return self
+                        .on_failure(&failure, end_for(&failure))
+                        .map(|()| Some(None));
+                }
+            };
+            let adapter = &self.exchange.ports().adapter;
+            let runner_head = adapter.runners.read(response.status, &response.headers);
+            if !runner_head.sealed {
+                return self.pass_on(response).await.map(|it| Some(Some(it)));
+            }
+            self.ran = ran;
+            let lease = Lease::Hop(lease);
+            if self.admitted.route.stream && response.status.is_success() {
+                self.start_stream(lease, response, started);
+                return Ok(Some(None));
+            }
+            let answer = attempt::Started {
+                runner_head,
+                response,
+            };
+            return self.read_whole(lease, answer, started).await.map(Some);
+        }
+        Ok(None)
+    }
+
+    fn choose_peer(&self) -> Option<(InstanceId, SocketAddr)> {
+        let ports = self.exchange.ports();
+        let members = ports.members.borrow();
+        let detour = self.exchange.inner.detour.borrow();
+        let now = Instant::now();
+        detour.choose(
+            now,
+            &ports.me,
+            &members,
+            &self.asked_peers,
+            rand::random_range(0..usize::MAX),
+        )
+    }
+
+    fn log_hop(&self, peer: &str, outcome: &'static str, took: Duration) {
+        self.exchange.inner.metrics.count_hop(outcome);
+        let skipped = match self.exchange.log_permit() {
+            Some(skipped) => skipped,
+            None if outcome != "answered" => 0,
+            None => return,
+        };
+        log::info!(
+            event = "CP1008", request = self.admitted.caller_head.id.as_str(), peer, outcome,
+            took_ms = millis(took), after = self.last, skipped;
+            "passed on to a peer"
+        );
+    }
+
+    /// Passes a peer's own answer on to the caller: its word counts like this instance's.
+    async fn pass_on(&self, response: upstream::Response) -> Result<Step, Problem> {
+        let (status, headers) = (response.status, response.headers);
+        let body = response.body.whole().await.unwrap_or_default();
+        if self.ran > 0 && promises_not_run(status) {
+            return Err(self.adjust_status(Problem {
+                status,
+                kind: "upstream",
+                detail: format!("a peer answered {status} to the rest of the request"),
+                retry_after: None,
+            }));
+        }
+        Ok(self.check_resumed(Step::Whole(Answer {
+            status,
+            headers,
+            body,
+        })))
     }
 
     /// Reports and logs the limit that a runner names; another runner at its address
@@ -386,6 +535,10 @@
         if fate != Fate::NotRun {
             self.ran += 1;
         }
+        // Nothing was used up, and a peer may have a path.
+        if fate == Fate::NotRun && self.may_hop() {
+            return Ok(());
+        }
         let status = match failure {
             Failure::Late | Failure::Silent => StatusCode::GATEWAY_TIMEOUT,
             _ => StatusCode::BAD_GATEWAY,
@@ -479,7 +632,7 @@
     /// Reads a complete response; a failed one may be retried.
     async fn read_whole(
         &mut self,
-        slot: Slot,
+        lease: Lease,
         answer: attempt::Started,
         started: Instant,
     ) -> Result<Option<Step>, Problem> {
@@ -491,7 +644,7 @@
                 } else {
                     End::Done
                 };
-                slot.release(self.sample(end, started, None, 0));
+                lease.release(self.sample(end, started, None, 0));
                 let answer = Answer {
                     status,
                     headers,
@@ -507,7 +660,10 @@
             }
             Err(failure) => {
                 let end = end_for(&failure);
-                slot.release(self.sample(end, started, None, 0));
+                if let Some(slot) = lease.slot() {
+                    self.note_path(&slot.runner, &failure, Instant::now());
+                }
+                lease.release(self.sample(end, started, None, 0));
                 self.ran -= 1;
                 self.on_failure(&failure, end).map(|()| None)
             }
@@ -526,13 +682,13 @@
     }
 
     /// Starts to read a stream.
-    fn start_stream(&mut self, slot: Slot, response: upstream::Response, started: Instant) {
+    fn start_stream(&mut self, lease: Lease, response: upstream::Response, started: Instant) {
         // The caller has the head of the first runner as soon as it has an event.
-        if self.head.is_none() || self.last == self.admitted.caller_head.after {
+        if self.head.is_none() || !self.has_events() {
             self.head = Some((response.status, response.headers));
         }
         self.stream = Some(Stream {
-            slot,
+            lease,
             body: response.body,
             events: Events::after(self.last),
             started,
@@ -560,12 +716,12 @@
                             let took = self.admitted.arrived.elapsed();
                             let metrics = &self.exchange.inner.metrics;
                             metrics.record_first_event(&self.admitted.class.name, took);
-                            stream.slot.record_start();
+                            stream.lease.record_start();
                         }
                         stream.event_count += count;
-                        stream.slot.record_tokens(stream.event_count);
+                        stream.lease.record_tokens(stream.event_count);
                         self.last = stream.events.last_id();
-                        self.build.get_or_insert_with(|| stream.slot.build.clone());
+                        self.build = self.build.take().or_else(|| stream.lease.build());
                         return Ok(Step::Events(events));
                     }
                     Ok(_) => {}
@@ -586,17 +742,15 @@
     /// Rejects a complete response if events were already passed to the caller.
     fn check_resumed(&self, step: Step) -> Step {
         match step {
-            Step::Whole(answer) if self.last != self.admitted.caller_head.after => {
-                Step::Failed(Problem {
-                    status: StatusCode::BAD_GATEWAY,
-                    kind: "upstream",
-                    detail: format!(
-                        "the runner answered {} to the rest of a stream",
-                        answer.status
-                    ),
-                    retry_after: None,
-                })
-            }
+            Step::Whole(answer) if self.has_events() => Step::Failed(Problem {
+                status: StatusCode::BAD_GATEWAY,
+                kind: "upstream",
+                detail: format!(
+                    "the runner answered {} to the rest of a stream",
+                    answer.status
+                ),
+                retry_after: None,
+            }),
             step => step,
         }
     }
@@ -604,6 +758,9 @@
     /// Handles a broken stream.
     fn on_stream_failure(&mut self, failure: &Failure) -> Result<(), Problem> {
         let end = end_for(failure);
+        if let Some(slot) = self.stream.as_ref().and_then(|it| it.lease.slot()) {
+            self.note_path(&slot.runner, failure, Instant::now());
+        }
         self.release_stream(end);
         self.ran -= 1;
         self.on_failure(failure, end)
@@ -613,7 +770,7 @@
     fn release_stream(&mut self, end: End) {
         if let Some(stream) = self.stream.take() {
             let sample = self.sample(end, stream.started, stream.first_event, stream.event_count);
-            stream.slot.release(sample);
+            stream.lease.release(sample);
         }
     }
 
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -437,6 +437,7 @@
         max_body_bytes: settings.max_body_bytes,
         log_rate: settings.log_rate,
         retry_slack: settings.retry_slack,
+        me: settings.instance.clone(),
         members: core.gossip.members(),
         view: core.follow.view(),
         follow: core.follow.clone(),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod catalogue;
 pub mod crash;
 pub mod declaration;
+pub mod detour;
 pub mod discovery;
 pub mod feed;
 pub mod id;
