arbiter: brittle runners have to turn no more away than they bear

The arbiter granted up to the slots on the list, and each request beyond the room, which shrinks without a word, was turned away.

Daemons report what a runner says; the arbiter keeps the rejections of the last second and the requests that may yet be turned away, over all daemons, within N, and learns the room from rejections. Learning alone was ruled out: a room that halves between two grants turns half of them away at once.

--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -138,6 +138,9 @@
     /// Requests per second that the runner takes from all daemons together, if it names
     /// a limit; not a number if the limit cannot be read.
     pub limit: Option<f64>,
+    /// Requests in a second that the runner can turn away before it falls over, if it
+    /// says so.
+    pub brittle: Option<u32>,
 }
 
 /// A parsed declaration.
--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -332,6 +332,9 @@
     /// says nothing about it.
     fn on_limit(&mut self, slot: &Slot, runner_head: &RunnerHead) {
         self.unlimited = runner_head.sealed && runner_head.limit.is_none();
+        if let Some(most) = runner_head.brittle.filter(|_| !runner_head.misdirected) {
+            slot.record_brittle(most);
+        }
         let Some(limit) = runner_head.limit.filter(|_| !runner_head.misdirected) else {
             return;
         };
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -492,6 +492,13 @@
         self.guard.inner.drive(vec![work]);
     }
 
+    /// Reports how many requests in a second the runner says it can turn away.
+    pub fn record_brittle(&self, most: u32) {
+        let brittle = requester::Event::Brittle(self.guard.ticket, most);
+        let work = Work::Requester(self.guard.service.clone(), brittle);
+        self.guard.inner.drive(vec![work]);
+    }
+
     /// Releases the slot with a sample of the attempt.
     pub fn release(mut self, sample: Sample) {
         self.guard.inner.metrics.on_sample(&sample);
--- a/crates/daemon/src/slots/host.rs
+++ b/crates/daemon/src/slots/host.rs
@@ -525,6 +525,11 @@
                 by = by.as_str(), end:? = end;
                 "runner is put out of use"
             ),
+            Note::Brittle { runner, most, by } => log::info!(
+                event = "CP0315", service = service.as_str(), runner = runner.as_str(), most,
+                by = by.as_str();
+                "runner is brittle"
+            ),
             Note::HeldBack => self.metrics.on_held_back(service),
             Note::Limit { runner, rate, by } => {
                 self.metrics.on_limit(service, runner, *rate);
--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -14,6 +14,7 @@
 
 mod admit;
 mod affinity;
+mod brittle;
 mod continuity;
 mod estimate;
 mod floor;
@@ -190,6 +191,15 @@
         /// The daemon that reported it; empty if the list of runners changed.
         by: InstanceId,
     },
+    /// A runner says that it falls over if it turns more than this away in a second.
+    Brittle {
+        /// The runner.
+        runner: RunnerId,
+        /// Requests turned away in a second that it bears.
+        most: u32,
+        /// The daemon that reported it.
+        by: InstanceId,
+    },
     /// A part of prompts was found to crash runners.
     PartConvicted {
         /// The part.
@@ -428,6 +438,7 @@
                 self.release(now, Key { asker, ticket }, &sample, effects);
             }
             Request::Limit(runner, rate) => self.on_limit(now, from, &runner, rate, effects),
+            Request::Brittle(runner, most) => self.on_brittle(now, from, &runner, most, effects),
             Request::Heartbeat(beat) => self.on_heartbeat(now, from, asker, &beat, effects),
             Request::Inventory(list) => self.on_inventory(now, from, asker, list, effects),
         }
@@ -505,6 +516,24 @@
         }
     }
 
+    /// Records that a runner says that it is brittle.
+    fn on_brittle(
+        &mut self,
+        now: Instant,
+        by: &InstanceId,
+        runner: &RunnerId,
+        most: u32,
+        effects: &mut Vec<Effect>,
+    ) {
+        if self.pool.on_brittle(now, runner, most) {
+            effects.push(Effect::Note(Note::Brittle {
+                runner: runner.clone(),
+                most,
+                by: by.clone(),
+            }));
+        }
+    }
+
     /// Starts granting once every daemon has reported its slots, or on timeout.
     fn end_collecting(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         let ended = self
--- a/crates/policy/src/arbiter/hold.rs
+++ b/crates/policy/src/arbiter/hold.rs
@@ -203,6 +203,7 @@
         let Some(runner) = self.pool.get_mut(&running.runner) else {
             return;
         };
+        runner.on_taken(running.since);
         if let Some(usage) = running.usage.as_mut().filter(|it| !it.answer_started) {
             runner.prompts.finish_prefill(usage);
             if usage.timed {
@@ -230,6 +231,9 @@
                 by: self.instance_of(key.asker),
             }));
         }
+        if let Some(runner) = self.pool.get_mut(&running.runner) {
+            runner.on_brittle_end(now, running.since, sample.end);
+        }
         let read = running.usage.is_some();
         let transition = self.pool.on_end(
             now,
@@ -435,6 +439,9 @@
         for (runner, rate) in &inventory.limits {
             self.on_limit(now, from, runner, *rate, effects);
         }
+        for (runner, most) in &inventory.brittle {
+            self.on_brittle(now, from, runner, *most, effects);
+        }
         for hold in inventory.held {
             self.adopt(now, asker, hold);
         }
--- a/crates/policy/src/arbiter/message.rs
+++ b/crates/policy/src/arbiter/message.rs
@@ -161,6 +161,8 @@
     pub quarantined: Vec<Fingerprint>,
     /// Limits that runners named to this asker lately.
     pub limits: Vec<(RunnerId, Rate)>,
+    /// Runners that said lately that they are brittle.
+    pub brittle: Vec<(RunnerId, u32)>,
     /// Builds that began the streams known to this asker.
     pub streams: Vec<Group>,
 }
@@ -178,6 +180,8 @@
     Release(Ticket, Sample),
     /// Reports the limit that a runner names in an answer.
     Limit(RunnerId, Rate),
+    /// Reports how many requests in a second a runner says it can turn away.
+    Brittle(RunnerId, u32),
     /// Heartbeat.
     Heartbeat(Heartbeat),
     /// Lists all queued tickets and held slots.
--- a/crates/policy/src/arbiter/pool.rs
+++ b/crates/policy/src/arbiter/pool.rs
@@ -200,6 +200,12 @@
         ended
     }
 
+    /// Records that a runner says that it is brittle; true if that is news.
+    pub(super) fn on_brittle(&mut self, now: Instant, id: &RunnerId, most: u32) -> bool {
+        let runner = self.runners.get_mut(id);
+        runner.is_some_and(|it| it.on_brittle(now, most))
+    }
+
     /// Limits of the runners that name one.
     pub(super) fn limits(&self) -> impl Iterator<Item = (RunnerId, Rate)> {
         let runners = self.runners.iter();
--- a/crates/policy/src/arbiter/runner.rs
+++ b/crates/policy/src/arbiter/runner.rs
@@ -6,7 +6,13 @@
     time::{Duration, Instant},
 };
 
-use super::{message::Sample, pace::Pace, path::Sightings, prompt::Load};
+use super::{
+    brittle::Brittle,
+    message::{End, Sample},
+    pace::Pace,
+    path::Sightings,
+    prompt::Load,
+};
 use crate::{
     catalogue::Class,
     id::{DomainId, Fingerprint},
@@ -181,6 +187,8 @@
     paused_until: Option<Instant>,
     /// Limit on requests per second that it names.
     pub(super) pace: Option<Pace>,
+    /// What it says of the requests that it turns away.
+    brittle: Option<Brittle>,
     refusals: u32,
     /// Highest `held` in this and the previous window.
     peaks: [u32; 2],
@@ -217,6 +225,7 @@
             decreased_at: None,
             paused_until: None,
             pace: None,
+            brittle: None,
             refusals: 0,
             peaks: [0; 2],
             peak_at: None,
@@ -270,12 +279,53 @@
         if !self.is_usable() || self.reserved || paused || self.is_held_back(now) {
             return 0;
         }
-        self.limit().saturating_sub(self.load(now))
+        let room = self.brittle(now).and_then(|it| it.room(now));
+        let limit = room.map_or(self.limit(), |room| room.min(self.limit()));
+        limit.saturating_sub(self.load(now))
     }
 
-    /// Whether its limit allows no request yet.
+    /// Whether it must be given no request yet.
     pub(super) fn is_held_back(&self, now: Instant) -> bool {
         self.pace.is_some_and(|pace| pace.holds_back(now))
+            || self.brittle(now).is_some_and(|it| it.holds_back(now))
+    }
+
+    /// What it says of the requests that it turns away, if it did lately.
+    fn brittle(&self, now: Instant) -> Option<&Brittle> {
+        self.brittle.as_ref().filter(|it| it.is_current(now))
+    }
+
+    /// Records that it says that it is brittle; true if that is news.
+    pub(super) fn on_brittle(&mut self, now: Instant, most: u32) -> bool {
+        match &mut self.brittle {
+            Some(brittle) if brittle.is_current(now) => {
+                let changed = brittle.most() != most;
+                brittle.on_named(now, most);
+                changed
+            }
+            none => {
+                *none = Some(Brittle::new(now, most));
+                true
+            }
+        }
+    }
+
+    /// Records that a request granted at `granted` was taken.
+    pub(super) fn on_taken(&mut self, granted: Instant) {
+        if let Some(brittle) = &mut self.brittle {
+            brittle.on_settled(granted);
+        }
+    }
+
+    /// Records the end of a request granted at `granted`, for a brittle runner.
+    pub(super) fn on_brittle_end(&mut self, now: Instant, granted: Instant, end: End) {
+        let held = self.held;
+        if let Some(brittle) = &mut self.brittle {
+            brittle.on_settled(granted);
+            if end == End::Refused {
+                brittle.on_rejected(now, held);
+            }
+        }
     }
 
     /// Whether it may be probed with one request.
@@ -293,6 +343,9 @@
         if let Some(pace) = &mut self.pace {
             pace.on_grant(now);
         }
+        if let Some(brittle) = &mut self.brittle {
+            brittle.on_grant(now);
+        }
         self.on_hold(now);
     }
 
--- a/crates/policy/src/requester.rs
+++ b/crates/policy/src/requester.rs
@@ -64,6 +64,12 @@
 /// runner that takes one request per second from a dozen daemons.
 const LIMIT_MEMORY: Duration = Duration::from_secs(30);
 
+/// Time between two messages that say the same of a brittle runner.
+const BRITTLE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time for which a new arbiter is told of a brittle runner.
+const BRITTLE_MEMORY: Duration = Duration::from_secs(5);
+
 /// Input of a requester.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -80,6 +86,8 @@
     Begun(Ticket),
     /// The answer on a slot names a limit of its runner, in requests per second.
     Limit(Ticket, f64),
+    /// The answer on a slot says how many requests in a second its runner can turn away.
+    Brittle(Ticket, u32),
     /// A slot is released.
     Release(Ticket, Sample),
     /// Observations of the running streams, for the next heartbeat.
@@ -163,6 +171,13 @@
     heard_at: Instant,
 }
 
+/// What a runner said of the requests that it can turn away.
+#[derive(Clone, Copy, Debug)]
+struct Brittle {
+    most: u32,
+    told_at: Instant,
+}
+
 /// Waiting and held tickets of one shard.
 #[derive(Debug)]
 pub struct Requester {
@@ -185,6 +200,8 @@
     streams: Records,
     /// Limits of runners, the newest last.
     limits: IndexMap<RunnerId, Limit>,
+    /// Runners that said that they are brittle, the newest last.
+    brittle: IndexMap<RunnerId, Brittle>,
     progress: Vec<Progress>,
     last_heartbeat: Instant,
     estimator: Estimator,
@@ -209,6 +226,7 @@
             marks: Overlay::default(),
             streams: Records::default(),
             limits: IndexMap::new(),
+            brittle: IndexMap::new(),
             progress: Vec::new(),
             last_heartbeat: now,
             estimator: Estimator::default(),
@@ -261,6 +279,7 @@
                 }
             }
             Event::Limit(ticket, named) => self.on_limit(now, ticket, named, &mut effects),
+            Event::Brittle(ticket, most) => self.on_brittle(now, ticket, most, &mut effects),
             Event::Release(ticket, sample) => self.on_release(ticket, sample, &mut effects),
             Event::Progress(progress) => self.progress = progress,
             Event::Reply { from, epoch, reply } => {
@@ -377,6 +396,28 @@
         self.send(Request::Limit(runner, rate), effects);
     }
 
+    /// Tells the arbiter that a runner says that it is brittle; if nothing changed, once
+    /// per interval.
+    fn on_brittle(&mut self, now: Instant, ticket: Ticket, most: u32, effects: &mut Vec<Effect>) {
+        let Some(held) = self.held.get(&ticket) else {
+            return;
+        };
+        let runner = held.runner.clone();
+        let is_told = |it: &Brittle| {
+            it.most == most && now.saturating_duration_since(it.told_at) < BRITTLE_INTERVAL
+        };
+        if self.brittle.get(&runner).is_some_and(is_told) {
+            return;
+        }
+        self.brittle.shift_remove(&runner);
+        if self.brittle.len() >= MAX_RUNNERS {
+            self.brittle.shift_remove_index(0);
+        }
+        let told = Brittle { most, told_at: now };
+        self.brittle.insert(runner.clone(), told);
+        self.send(Request::Brittle(runner, most), effects);
+    }
+
     /// Exposes or marks a request whose runner's connection broke.
     ///
     /// Other requests on that runner are affected only if their own connections break: a
@@ -704,6 +745,7 @@
             held: self.held.values().map(hold).collect(),
             exposed: self.marks.exposed().collect(),
             limits: self.recent_limits(now),
+            brittle: self.recent_brittle(now),
             streams: self.streams.groups(now),
             ..Inventory::default()
         };
@@ -731,6 +773,16 @@
             .collect()
     }
 
+    /// Runners that said lately that they are brittle.
+    fn recent_brittle(&self, now: Instant) -> Vec<(RunnerId, u32)> {
+        let told = self.brittle.iter();
+        let recent =
+            told.filter(|(_, it)| now.saturating_duration_since(it.told_at) <= BRITTLE_MEMORY);
+        recent
+            .map(|(runner, it)| (runner.clone(), it.most))
+            .collect()
+    }
+
     fn send_ask(&mut self, now: Instant, ticket: Ticket, effects: &mut Vec<Effect>) {
         let Some(waiting) = self.waiting.get_mut(&ticket) else {
             return;
--- a/crates/policy/tests/arbiter_tiers.rs
+++ b/crates/policy/tests/arbiter_tiers.rs
@@ -227,6 +227,7 @@
             | Note::Accused { .. }
             | Note::HeldBack
             | Note::Limit { .. }
+            | Note::Brittle { .. }
             | Note::PartConvicted { .. }
             | Note::PartProbed(_)
             | Note::AskerLost(_) => {}
--- a/crates/wire/src/slot.rs
+++ b/crates/wire/src/slot.rs
@@ -106,6 +106,7 @@
         Request::Begun(ticket) => Out::Begun(ticket),
         Request::Release(ticket, sample) => Out::Release(sample_to_proto(ticket, sample)),
         Request::Limit(runner, rate) => Out::Limit(limit_to_proto((runner, rate))),
+        Request::Brittle(runner, most) => Out::Brittle(proto::Brittle { runner, most }),
         Request::Heartbeat(beat) => Out::Beat(beat_to_proto(beat)),
         Request::Inventory(recital) => Out::Recital(recital_to_proto(recital)),
     };
@@ -127,6 +128,10 @@
             let (runner, rate) = limit_from_proto(limit)?;
             Request::Limit(runner, rate)
         }
+        In::Brittle(brittle) => {
+            let (runner, most) = brittle_from_proto(brittle)?;
+            Request::Brittle(runner, most)
+        }
         In::Beat(beat) => Request::Heartbeat(beat_from_proto(beat)?),
         In::Recital(recital) => Request::Inventory(recital_from_proto(recital)?),
     };
@@ -333,6 +338,10 @@
     Ok((runner, Rate::from_milli(limit.milli)))
 }
 
+fn brittle_from_proto(brittle: proto::Brittle) -> Result<(RunnerId, u32), Error> {
+    Ok((check_name(brittle.runner, "runner")?, brittle.most))
+}
+
 fn recital_to_proto(recital: Inventory) -> proto::Recital {
     let held = recital.held.into_iter().map(|hold| proto::Hold {
         ask: Some(ask_to_proto(hold.ask)),
@@ -340,6 +349,8 @@
         alone: hold.alone,
         age_us: micros(hold.age),
     });
+    let brittle = recital.brittle.into_iter();
+    let brittle = brittle.map(|(runner, most)| proto::Brittle { runner, most });
     proto::Recital {
         waiting: recital.waiting,
         held: held.collect(),
@@ -348,6 +359,7 @@
         exposed: recital.exposed,
         limits: recital.limits.into_iter().map(limit_to_proto).collect(),
         streams: recital.streams.into_iter().map(group_to_proto).collect(),
+        brittle: brittle.collect(),
     }
 }
 
@@ -364,6 +376,8 @@
     )?;
     check_len(recital.limits.len(), "list of limits")?;
     let limits = recital.limits.into_iter().map(limit_from_proto);
+    check_len(recital.brittle.len(), "list of brittle runners")?;
+    let brittle = recital.brittle.into_iter().map(brittle_from_proto);
     let held = recital.held.into_iter().map(|hold| {
         Ok(Hold {
             ask: ask_from_proto(hold.ask.ok_or(Error::Missing { part: "ask" })?)?,
@@ -380,6 +394,7 @@
         exposed: recital.exposed,
         limits: limits.collect::<Result<_, _>>()?,
         streams: groups_from_proto(recital.streams)?,
+        brittle: brittle.collect::<Result<_, _>>()?,
     })
 }
 
--- a/crates/wire/tests/slot.rs
+++ b/crates/wire/tests/slot.rs
@@ -90,8 +90,10 @@
             exposed: vec![5],
             limits: vec![("r1".to_owned(), rate)],
             streams: vec![group()],
+            brittle: vec![("r1".to_owned(), 3)],
         }),
         Request::Limit("r1".to_owned(), rate),
+        Request::Brittle("r1".to_owned(), 3),
     ]
 }
 
