socket: sound runners may be silent for a second and a half

Cause: TCP_USER_TIMEOUT, 1.5 s, also decides when probes give up; the number of probes, which read as 3 s, had no effect and is gone. Runners now have 2.5 s, so that 1.5 s are borne from any moment and a lost one is noticed after 3 s. Connections between daemons keep their 1.5 s.

--- a/crates/daemon/src/peers/link.rs
+++ b/crates/daemon/src/peers/link.rs
@@ -14,7 +14,7 @@
 use tokio::{net::TcpSocket, sync::mpsc};
 
 use super::{Hub, Queued, traffic::Kind};
-use crate::socket::detect_dead_peer;
+use crate::socket::Patience;
 
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -76,7 +76,7 @@
 ) {
     if let Err(error) = stream
         .set_nodelay(true)
-        .and_then(|()| detect_dead_peer(&stream))
+        .and_then(|()| Patience::PEER.apply(&stream))
     {
         log::debug!("CP0903 connection to {peer}: {error}");
     }
--- a/crates/daemon/src/peers/listen.rs
+++ b/crates/daemon/src/peers/listen.rs
@@ -14,7 +14,7 @@
     link::{count_received, count_sent},
     traffic::Kind,
 };
-use crate::socket::detect_dead_peer;
+use crate::socket::Patience;
 
 /// Most answers queued for one connection.
 const ANSWER_QUEUE: usize = 1_024;
@@ -52,7 +52,7 @@
 async fn serve(hub: Hub, stream: TcpStream, address: SocketAddr, handler: Rc<dyn Handler>) {
     if let Err(error) = stream
         .set_nodelay(true)
-        .and_then(|()| detect_dead_peer(&stream))
+        .and_then(|()| Patience::PEER.apply(&stream))
     {
         log::debug!("CP0903 connection from {address}: {error}");
     }
--- a/crates/daemon/src/socket.rs
+++ b/crates/daemon/src/socket.rs
@@ -9,26 +9,40 @@
 use actix_rt::net::TcpStream;
 use socket2::{SockRef, TcpKeepalive};
 
-/// Longest time for sent bytes to be acknowledged: several retransmissions within
-/// a region, and half the time that a daemon may be out of contact.
-const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(1_500);
-
 /// Idle time before the first keepalive probe, and time between two probes.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Unanswered keepalive probes after which the connection is closed.
-const PROBES: u32 = 2;
+/// How long the other side may be silent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Patience {
+    /// Longest time for sent bytes to be acknowledged. It also ends an idle connection:
+    /// with the first unanswered probe that is due later, whatever the number of probes.
+    unacknowledged: Duration,
+}
+
+impl Patience {
+    /// With other daemons: several retransmissions within a region, and half the time
+    /// that a daemon may be out of contact. An idle connection ends after 2 s.
+    pub const PEER: Self = Self {
+        unacknowledged: Duration::from_millis(1_500),
+    };
+
+    /// With runners: sound ones fall silent for a second or so, which may begin just before
+    /// a probe. An idle connection ends after 3 s.
+    pub const RUNNER: Self = Self {
+        unacknowledged: Duration::from_millis(2_500),
+    };
 
-/// Makes a connection fail when its peer does not respond for too long.
-///
-/// # Errors
-/// The system's error when an option cannot be set.
-pub fn detect_dead_peer(stream: &TcpStream) -> io::Result<()> {
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))?;
-    let probes = TcpKeepalive::new()
-        .with_time(PROBE_INTERVAL)
-        .with_interval(PROBE_INTERVAL)
-        .with_retries(PROBES);
-    socket.set_tcp_keepalive(&probes)
+    /// Makes a connection fail when its other side does not respond for too long.
+    ///
+    /// # Errors
+    /// The system's error when an option cannot be set.
+    pub fn apply(self, stream: &TcpStream) -> io::Result<()> {
+        let socket = SockRef::from(stream);
+        socket.set_tcp_user_timeout(Some(self.unacknowledged))?;
+        let probes = TcpKeepalive::new()
+            .with_time(PROBE_INTERVAL)
+            .with_interval(PROBE_INTERVAL);
+        socket.set_tcp_keepalive(&probes)
+    }
 }
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -27,7 +27,7 @@
 use bytes::Bytes;
 use tokio::time::{Instant, timeout, timeout_at};
 
-use crate::socket::detect_dead_peer;
+use crate::socket::Patience;
 
 pub use self::{body::Body, failure::Failure, metrics::Metrics};
 use self::{head::Codec, socket::Socket};
@@ -153,7 +153,7 @@
     // costs time.
     if let Err(error) = stream
         .set_nodelay(true)
-        .and_then(|()| detect_dead_peer(&stream))
+        .and_then(|()| Patience::RUNNER.apply(&stream))
     {
         log::debug!("CP0601 cannot set socket options for {target}: {error}");
     }
