--- a/crates/daemon/src/exchange/attempt.rs
+++ b/crates/daemon/src/exchange/attempt.rs
@@ -21,7 +21,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Largest response body, in bytes.
-pub(super) const MAX_ANSWER_BYTES: u64 = 8 << 20;
+const MAX_ANSWER_BYTES: u64 = 8 << 20;
 
 /// A complete response of a runner.
 #[derive(Clone, Debug)]
@@ -66,13 +66,8 @@
     let ports = exchange.ports();
     let left = admitted.deadline.saturating_duration_since(Instant::now());
     let limits = Limits {
-        connect: CONNECT_TIMEOUT.min(left),
-        head: left,
-        idle: left,
-        whole: left,
-        max_body_bytes: MAX_ANSWER_BYTES,
         unframed: true,
-        ..Limits::default()
+        ..limits(CONNECT_TIMEOUT, left)
     };
     let mut headers = admitted.headers.clone();
     let dispatch = Dispatch {
@@ -83,15 +78,7 @@
         after: last_event.or(admitted.caller_head.after),
     };
     ports.adapter.runners.dispatch(&dispatch, &mut headers);
-    let request = upstream::Request {
-        id: admitted.caller_head.id.clone(),
-        id_header: ports.adapter.runners.id_header(),
-        host: admitted.headers.get(header::HOST).cloned(),
-        method: admitted.method.clone(),
-        path: admitted.path.clone(),
-        headers,
-        body: admitted.body.clone(),
-    };
+    let request = request(exchange, admitted, headers);
     ports.upstream.exchanges.inc();
     let response = upstream::exchange(slot.address, request, &limits).await?;
     let runner_head = ports
@@ -103,3 +90,32 @@
         response,
     })
 }
+
+/// Limits of an exchange, all of which end with the time that is left.
+pub(super) fn limits(connect: Duration, left: Duration) -> Limits {
+    Limits {
+        connect: connect.min(left),
+        head: left,
+        idle: left,
+        whole: left,
+        max_body_bytes: MAX_ANSWER_BYTES,
+        ..Limits::default()
+    }
+}
+
+/// The caller's request with other headers.
+pub(super) fn request(
+    exchange: &Exchange,
+    admitted: &Admitted,
+    headers: HeaderMap,
+) -> upstream::Request {
+    upstream::Request {
+        id: admitted.caller_head.id.clone(),
+        id_header: exchange.ports().adapter.runners.id_header(),
+        host: admitted.headers.get(header::HOST).cloned(),
+        method: admitted.method.clone(),
+        path: admitted.path.clone(),
+        headers,
+        body: admitted.body.clone(),
+    }
+}
--- a/crates/daemon/src/exchange/hop.rs
+++ b/crates/daemon/src/exchange/hop.rs
@@ -12,15 +12,15 @@
 use actix_http::{
     Response, StatusCode,
     body::BoxBody,
-    header::{self, HeaderMap, HeaderName, HeaderValue},
+    header::{HeaderMap, HeaderName, HeaderValue},
 };
 use citron_policy::id::InstanceId;
 use tokio::io::AsyncReadExt as _;
 
-use super::{Exchange, admit::Admitted, attempt::MAX_ANSWER_BYTES, millis};
+use super::{Exchange, admit::Admitted, attempt, millis};
 use crate::{
     edge::{Forward, Problem},
-    upstream::{self, Failure, Limits},
+    upstream::{self, Failure},
 };
 
 /// Marks a request that a peer passed on, and the answer of a peer that cannot serve it.
@@ -83,14 +83,6 @@
 ) -> Result<upstream::Response, Failure> {
     let adapter = &exchange.ports().adapter;
     let left = admitted.deadline.saturating_duration_since(Instant::now());
-    let limits = Limits {
-        connect: CONNECT_TIMEOUT.min(left),
-        head: left,
-        idle: left,
-        whole: left,
-        max_body_bytes: MAX_ANSWER_BYTES,
-        ..Limits::default()
-    };
     let caller_head = &admitted.caller_head;
     let goes_on = after != caller_head.after;
     let first = caller_head.resumes.as_ref().unwrap_or(&caller_head.id);
@@ -102,15 +94,8 @@
     };
     adapter.callers.forward(&forward, &mut headers);
     headers.insert(HOP, HeaderValue::from_static("1"));
-    let request = upstream::Request {
-        id: caller_head.id.clone(),
-        id_header: adapter.runners.id_header(),
-        host: admitted.headers.get(header::HOST).cloned(),
-        method: admitted.method.clone(),
-        path: admitted.path.clone(),
-        headers,
-        body: admitted.body.clone(),
-    };
+    let request = attempt::request(exchange, admitted, headers);
+    let limits = attempt::limits(CONNECT_TIMEOUT, left);
     upstream::exchange(address, request, &limits).await
 }
 
--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -4,8 +4,10 @@
 //! attempt follows is decided by the route and the retry budget
 //! ([`citron_policy::retry`]).
 
+mod peer;
+mod stream;
+
 use std::{
-    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -13,36 +15,32 @@
 use actix_http::{StatusCode, header::HeaderMap};
 use bytes::Bytes;
 use citron_policy::{
-    id::{BuildId, InstanceId, RunnerId, ServiceId, StreamId},
+    id::{BuildId, InstanceId, RunnerId, ServiceId},
     retry::{Attempt, Decision, Fate, Rerun},
     route::Repeat,
     silence::{self, Wait},
-    stream::{NO_STREAM, Origin, Stream as Continuation},
 };
 
 use super::{
     Exchange,
     admit::{self, Admitted},
     attempt::{self, Answer},
-    events::Events,
-    hop::{self, Hop},
     lease::Lease,
     millis,
 };
 use crate::{
     callers::problem,
-    edge::{CallerHead, Problem, RunnerHead},
+    edge::{Problem, RunnerHead},
     fingerprint::format,
     slots::{Demand, End, Refusal, Sample, Slot},
-    upstream::{self, Failure},
+    upstream::Failure,
 };
+use peer::Hopped;
+use stream::Stream;
 
 /// `Retry-After` if every runner that was tried refused the request.
 const REFUSED_RETRY: Duration = Duration::from_millis(300);
 
-/// Most peers that are asked for one request.
-const MAX_HOPS: usize = 4;
-
 /// Next step of a response.
 pub(super) enum Step {
     /// The complete response.
@@ -55,16 +53,6 @@
     Failed(Problem),
 }
 
-/// A stream that is being read.
-struct Stream {
-    lease: Lease,
-    body: upstream::Body,
-    events: Events,
-    started: Instant,
-    first_event: Option<Instant>,
-    event_count: u32,
-}
-
 /// One request and its attempts.
 pub(super) struct Run {
     exchange: Exchange,
@@ -154,10 +142,10 @@
 
     /// Makes one attempt; `None` if another attempt or the events of a stream follow.
     async fn attempt(&mut self) -> Result<Option<Step>, Problem> {
-        if self.may_hop()
-            && let Some(hopped) = self.hop().await?
-        {
-            return Ok(hopped);
+        match self.hop().await? {
+            Hopped::No => {}
+            Hopped::Step(step) => return Ok(Some(step)),
+            Hopped::Follows => return Ok(None),
         }
         let Some(slot) = self.acquire_slot().await? else {
             return Ok(None);
@@ -214,120 +202,6 @@
         }
     }
 
-    /// Whether a peer is to make the attempt, since this instance reaches no runner.
-    fn may_hop(&self) -> bool {
-        !self.admitted.is_hop
-            && self.asked_peers.len() < MAX_HOPS
-            && self.exchange.is_cut_off()
-            && Instant::now() < self.admitted.deadline
-    }
-
-    /// Has a peer make the attempt; `None` if no peer can. The inner `None` means that
-    /// events of a stream, or another attempt, follow.
-    async fn hop(&mut self) -> Result<Option<Option<Step>>, Problem> {
-        while self.may_hop() {
-            let Some((peer, address)) = self.choose_peer() else {
-                // Without a peer the attempt is made from here, for want of a better way.
-                self.asked_peers.resize(MAX_HOPS, InstanceId::new());
-                return Ok(None);
-            };
-            self.asked_peers.push(peer.clone());
-            let lease = Hop::begin(&self.exchange, &peer);
-            let started = Instant::now();
-            let answer = hop::send(&self.exchange, &self.admitted, address, self.last).await;
-            let unable = match &answer {
-                Ok(response) => hop::is_unable(response),
-                Err(failure) => failure.is_unconnected(),
-            };
-            let outcome = match &answer {
-                _ if unable => "unable",
-                Ok(_) => "answered",
-                Err(_) => "failed",
-            };
-            self.log_hop(&peer, outcome, started.elapsed());
-            if unable {
-                let mut detour = self.exchange.inner.detour.borrow_mut();
-                detour.on_unable(Instant::now(), &peer);
-                continue;
-            }
-            // The peer may have used all attempts that the route allows.
-            let ran = self.ran + self.admitted.route.attempts.max(1);
-            let response = match answer {
-                Ok(response) => response,
-                Err(failure) => {
-                    self.ran = ran - 1;
-                    return self
-                        .on_failure(&failure, end_for(&failure))
-                        .map(|()| Some(None));
-                }
-            };
-            let adapter = &self.exchange.ports().adapter;
-            let runner_head = adapter.runners.read(response.status, &response.headers);
-            if !runner_head.sealed {
-                return self.pass_on(response).await.map(|it| Some(Some(it)));
-            }
-            self.ran = ran;
-            let lease = Lease::Hop(lease);
-            if self.admitted.route.stream && response.status.is_success() {
-                self.start_stream(lease, response, started);
-                return Ok(Some(None));
-            }
-            let answer = attempt::Started {
-                runner_head,
-                response,
-            };
-            return self.read_whole(lease, answer, started).await.map(Some);
-        }
-        Ok(None)
-    }
-
-    fn choose_peer(&self) -> Option<(InstanceId, SocketAddr)> {
-        let ports = self.exchange.ports();
-        let members = ports.members.borrow();
-        let detour = self.exchange.inner.detour.borrow();
-        let now = Instant::now();
-        detour.choose(
-            now,
-            &ports.me,
-            &members,
-            &self.asked_peers,
-            rand::random_range(0..usize::MAX),
-        )
-    }
-
-    fn log_hop(&self, peer: &str, outcome: &'static str, took: Duration) {
-        self.exchange.inner.metrics.count_hop(outcome);
-        let skipped = match self.exchange.log_permit() {
-            Some(skipped) => skipped,
-            None if outcome != "answered" => 0,
-            None => return,
-        };
-        log::info!(
-            event = "CP1008", request = self.admitted.caller_head.id.as_str(), peer, outcome,
-            took_ms = millis(took), after = self.last, skipped;
-            "passed on to a peer"
-        );
-    }
-
-    /// Passes a peer's own answer on to the caller: its word counts like this instance's.
-    async fn pass_on(&self, response: upstream::Response) -> Result<Step, Problem> {
-        let (status, headers) = (response.status, response.headers);
-        let body = response.body.whole().await.unwrap_or_default();
-        if self.ran > 0 && promises_not_run(status) {
-            return Err(self.adjust_status(Problem {
-                status,
-                kind: "upstream",
-                detail: format!("a peer answered {status} to the rest of the request"),
-                retry_after: None,
-            }));
-        }
-        Ok(self.check_resumed(Step::Whole(Answer {
-            status,
-            headers,
-            body,
-        })))
-    }
-
     /// Reports and logs the limit that a runner names; another runner at its address
     /// says nothing about it.
     fn on_limit(&mut self, slot: &Slot, runner_head: &RunnerHead) {
@@ -422,31 +296,6 @@
         }
     }
 
-    /// The stream that the answer is, for the choice of a runner.
-    fn continuation(&self) -> Option<Continuation> {
-        let Admitted {
-            caller_head,
-            route,
-            arrived,
-            ..
-        } = &self.admitted;
-        if !route.stream {
-            return None;
-        }
-        let origin = match &self.build {
-            Some(build) => Origin::Build(build.clone()),
-            None if !caller_head.is_continued() => Origin::New,
-            None if route.backends.len() > 1 => Origin::Recorded,
-            None => Origin::Unknown,
-        };
-        let allowed = caller_head.timeout.unwrap_or(route.timeout);
-        Some(Continuation {
-            id: stream_id(caller_head),
-            origin,
-            life: allowed.saturating_sub(arrived.elapsed()),
-        })
-    }
-
     /// Turns to another service of the route, which may know the stream; false if all
     /// were asked.
     fn search_next_service(&mut self) -> Result<bool, Problem> {
@@ -540,6 +389,7 @@
         }
         // Nothing was used up, and a peer may have a path.
         if fate == Fate::NotRun && self.may_hop() {
+            self.log_failure(end, "Hop", &failure.to_string(), self.retries_left());
             return Ok(());
         }
         let status = match failure {
@@ -581,22 +431,33 @@
         };
         let retries = &self.exchange.inner.retries;
         let now = Instant::now();
-        let retries_left = retries.left(&self.admitted.service);
+        let retries_left = self.retries_left();
         let decision = retries.decide(now, &self.admitted.service, &attempt);
-        log::info!(
-            event = "CP1004", request = self.admitted.caller_head.id.as_str(),
-            runner = self.tried.last().map_or("", String::as_str), sent = self.sent, ran = self.ran,
-            left_ms = millis(self.admitted.deadline.saturating_duration_since(now)), retries_left,
-            fingerprint = format(self.admitted.fingerprint), end:? = end,
-            decision:? = decision;
-            "attempt failed: {}", problem.detail
-        );
+        self.log_failure(end, &format!("{decision:?}"), &problem.detail, retries_left);
         match decision {
             Decision::Again => Ok(()),
             Decision::GiveUp(_) => Err(self.adjust_status(problem)),
         }
     }
 
+    /// Retries that the service's budget holds.
+    fn retries_left(&self) -> u64 {
+        self.exchange.inner.retries.left(&self.admitted.service)
+    }
+
+    /// Logs a failed attempt and what follows it.
+    fn log_failure(&self, end: End, decision: &str, detail: &str, retries_left: u64) {
+        let admitted = &self.admitted;
+        let left = admitted.deadline.saturating_duration_since(Instant::now());
+        log::info!(
+            event = "CP1004", request = admitted.caller_head.id.as_str(),
+            runner = self.tried.last().map_or("", String::as_str), sent = self.sent, ran = self.ran,
+            left_ms = millis(left), retries_left,
+            fingerprint = format(admitted.fingerprint), end:? = end, decision;
+            "attempt failed: {detail}"
+        );
+    }
+
     /// Makes the status of a problem match whether an attempt may have run: a status
     /// that promises that nothing ran is replaced if one may have, and the reverse.
     fn adjust_status(&self, problem: Problem) -> Problem {
@@ -684,99 +545,6 @@
         self.decide_retry(Fate::Unknown, End::Late, problem).is_ok()
     }
 
-    /// Starts to read a stream.
-    fn start_stream(&mut self, lease: Lease, response: upstream::Response, started: Instant) {
-        // The caller has the head of the first runner as soon as it has an event.
-        if self.head.is_none() || !self.has_events() {
-            self.head = Some((response.status, response.headers));
-        }
-        self.stream = Some(Stream {
-            lease,
-            body: response.body,
-            events: Events::after(self.last),
-            started,
-            first_event: None,
-            event_count: 0,
-        });
-    }
-
-    /// Reads the stream until there is a step for the caller; resumes it on another
-    /// runner if it breaks.
-    async fn read_stream(&mut self) -> Result<Step, Problem> {
-        loop {
-            let Some(stream) = &mut self.stream else {
-                // The stream broke; another runner resumes it.
-                return match Box::pin(self.attempt()).await? {
-                    Some(step) => Ok(self.check_resumed(step)),
-                    None => continue,
-                };
-            };
-            match stream.body.next().await {
-                Some(Ok(chunk)) => match stream.events.push(&chunk) {
-                    Ok((events, count)) if count > 0 => {
-                        if stream.first_event.is_none() {
-                            stream.first_event = Some(Instant::now());
-                            let took = self.admitted.arrived.elapsed();
-                            let metrics = &self.exchange.inner.metrics;
-                            metrics.record_first_event(&self.admitted.class.name, took);
-                            stream.lease.record_start();
-                        }
-                        stream.event_count += count;
-                        stream.lease.record_tokens(stream.event_count);
-                        self.last = stream.events.last_id();
-                        self.build = self.build.take().or_else(|| stream.lease.build());
-                        return Ok(Step::Events(events));
-                    }
-                    Ok(_) => {}
-                    Err(_) => self
-                        .on_stream_failure(&Failure::Garbled("an event is too long".to_owned()))?,
-                },
-                None if stream.events.is_empty() => {
-                    self.release_stream(End::Done);
-                    self.record_success();
-                    return Ok(Step::Done);
-                }
-                None => self.on_stream_failure(&Failure::Cut)?,
-                Some(Err(failure)) => self.on_stream_failure(&failure)?,
-            }
-        }
-    }
-
-    /// Rejects a complete response if events were already passed to the caller.
-    fn check_resumed(&self, step: Step) -> Step {
-        match step {
-            Step::Whole(answer) if self.has_events() => Step::Failed(Problem {
-                status: StatusCode::BAD_GATEWAY,
-                kind: "upstream",
-                detail: format!(
-                    "the runner answered {} to the rest of a stream",
-                    answer.status
-                ),
-                retry_after: None,
-            }),
-            step => step,
-        }
-    }
-
-    /// Handles a broken stream.
-    fn on_stream_failure(&mut self, failure: &Failure) -> Result<(), Problem> {
-        let end = end_for(failure);
-        if let Some(slot) = self.stream.as_ref().and_then(|it| it.lease.slot()) {
-            self.note_path(&slot.runner, failure, Instant::now());
-        }
-        self.release_stream(end);
-        self.ran -= 1;
-        self.on_failure(failure, end)
-    }
-
-    /// Releases the slot of the stream.
-    fn release_stream(&mut self, end: End) {
-        if let Some(stream) = self.stream.take() {
-            let sample = self.sample(end, stream.started, stream.first_event, stream.event_count);
-            stream.lease.release(sample);
-        }
-    }
-
     /// The sample of this attempt.
     fn sample(&self, end: End, started: Instant, first: Option<Instant>, events: u32) -> Sample {
         let now = Instant::now();
@@ -854,15 +622,6 @@
     prompt.get(1).or(prompt.first()).map_or(0, |it| it.id)
 }
 
-/// Digest of the id of the request that brought the stream's first event.
-fn stream_id(caller_head: &CallerHead) -> StreamId {
-    match &caller_head.resumes {
-        Some(first) => request_number(first),
-        None if caller_head.is_continued() => NO_STREAM,
-        None => request_number(&caller_head.id),
-    }
-}
-
 /// Numeric id under which operators see the request.
 fn request_number(id: &str) -> u64 {
     xxhash_rust::xxh3::xxh3_64(id.as_bytes())
--- /dev/null
+++ b/crates/daemon/src/exchange/run/stream.rs
@@ -0,0 +1,163 @@
+//! The stream of a response: its events, its breaks, and how it goes on.
+
+use std::time::Instant;
+
+use actix_http::StatusCode;
+use citron_policy::{
+    id::StreamId,
+    stream::{NO_STREAM, Origin, Stream as Continuation},
+};
+
+use super::{
+    super::{admit::Admitted, events::Events, lease::Lease},
+    Run, Step, end_for, request_number,
+};
+use crate::{
+    edge::{CallerHead, Problem},
+    slots::End,
+    upstream::{self, Failure},
+};
+
+/// A stream that is being read.
+pub(super) struct Stream {
+    lease: Lease,
+    body: upstream::Body,
+    events: Events,
+    started: Instant,
+    first_event: Option<Instant>,
+    event_count: u32,
+}
+
+impl Run {
+    /// The stream that the answer is, for the choice of a runner.
+    pub(super) fn continuation(&self) -> Option<Continuation> {
+        let Admitted {
+            caller_head,
+            route,
+            arrived,
+            ..
+        } = &self.admitted;
+        if !route.stream {
+            return None;
+        }
+        let origin = match &self.build {
+            Some(build) => Origin::Build(build.clone()),
+            None if !self.is_continued() => Origin::New,
+            None if route.backends.len() > 1 => Origin::Recorded,
+            None => Origin::Unknown,
+        };
+        let allowed = caller_head.timeout.unwrap_or(route.timeout);
+        Some(Continuation {
+            id: stream_id(caller_head),
+            origin,
+            life: allowed.saturating_sub(arrived.elapsed()),
+        })
+    }
+
+    /// Starts to read a stream.
+    pub(super) fn start_stream(
+        &mut self,
+        lease: Lease,
+        response: upstream::Response,
+        started: Instant,
+    ) {
+        // The caller has the head of the first runner as soon as it has an event.
+        if self.head.is_none() || !self.has_events() {
+            self.head = Some((response.status, response.headers));
+        }
+        self.stream = Some(Stream {
+            lease,
+            body: response.body,
+            events: Events::after(self.last),
+            started,
+            first_event: None,
+            event_count: 0,
+        });
+    }
+
+    /// Reads the stream until there is a step for the caller; resumes it on another
+    /// runner if it breaks.
+    pub(super) async fn read_stream(&mut self) -> Result<Step, Problem> {
+        loop {
+            let Some(stream) = &mut self.stream else {
+                // The stream broke; another runner resumes it.
+                return match Box::pin(self.attempt()).await? {
+                    Some(step) => Ok(self.check_resumed(step)),
+                    None => continue,
+                };
+            };
+            match stream.body.next().await {
+                Some(Ok(chunk)) => match stream.events.push(&chunk) {
+                    Ok((events, count)) if count > 0 => {
+                        if stream.first_event.is_none() {
+                            stream.first_event = Some(Instant::now());
+                            let took = self.admitted.arrived.elapsed();
+                            let metrics = &self.exchange.inner.metrics;
+                            metrics.record_first_event(&self.admitted.class.name, took);
+                            stream.lease.record_start();
+                        }
+                        stream.event_count += count;
+                        stream.lease.record_tokens(stream.event_count);
+                        self.last = stream.events.last_id();
+                        self.build = self.build.take().or_else(|| stream.lease.build());
+                        return Ok(Step::Events(events));
+                    }
+                    Ok(_) => {}
+                    Err(_) => self
+                        .on_stream_failure(&Failure::Garbled("an event is too long".to_owned()))?,
+                },
+                None if stream.events.is_empty() => {
+                    self.release_stream(End::Done);
+                    self.record_success();
+                    return Ok(Step::Done);
+                }
+                None => self.on_stream_failure(&Failure::Cut)?,
+                Some(Err(failure)) => self.on_stream_failure(&failure)?,
+            }
+        }
+    }
+
+    /// Rejects a complete response if events were already passed to the caller.
+    pub(super) fn check_resumed(&self, step: Step) -> Step {
+        match step {
+            Step::Whole(answer) if self.has_events() => Step::Failed(Problem {
+                status: StatusCode::BAD_GATEWAY,
+                kind: "upstream",
+                detail: format!(
+                    "the runner answered {} to the rest of a stream",
+                    answer.status
+                ),
+                retry_after: None,
+            }),
+            step => step,
+        }
+    }
+
+    /// Handles a broken stream.
+    pub(super) fn on_stream_failure(&mut self, failure: &Failure) -> Result<(), Problem> {
+        let end = end_for(failure);
+        if let Some(slot) = self.stream.as_ref().and_then(|it| it.lease.slot()) {
+            self.note_path(&slot.runner, failure, Instant::now());
+        }
+        self.release_stream(end);
+        self.ran -= 1;
+        self.on_failure(failure, end)
+    }
+
+    /// Releases the slot of the stream.
+    pub(super) fn release_stream(&mut self, end: End) {
+        if let Some(stream) = self.stream.take() {
+            let sample = self.sample(end, stream.started, stream.first_event, stream.event_count);
+            stream.lease.release(sample);
+        }
+    }
+}
+
+/// Digest of the id of the request that brought the stream's first event.
+fn stream_id(caller_head: &CallerHead) -> StreamId {
+    match &caller_head.resumes {
+        Some(first) => request_number(first),
+        None if caller_head.is_continued() => NO_STREAM,
+        None => request_number(&caller_head.id),
+    }
+}
--- a/crates/policy/src/arbiter/continuity.rs
+++ b/crates/policy/src/arbiter/continuity.rs
@@ -5,16 +5,19 @@
 //! that served the streams. A stream without a record goes on only where one build comes
 //! into question; otherwise it is refused at once, so that its caller can start anew.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use super::{Arbiter, Effect, Key, Refusal, Reply, queue::Item};
 use crate::{
     id::{BuildId, InstanceId, StreamId},
-    stream::{MAX_LIFE, Origin, Records},
+    stream::{Group, MAX_LIFE, Origin, Records},
 };
 
 /// Oldest list of runners that tells which builds there are: a few reads.
-const MAX_LIST_AGE: std::time::Duration = std::time::Duration::from_secs(3);
+const MAX_LIST_AGE: Duration = Duration::from_secs(3);
 
 /// What an arbiter knows of the builds that began streams.
 #[derive(Debug, Default)]
@@ -50,7 +53,7 @@
     }
 
     /// Records what a daemon tells about streams that other arbiters granted.
-    pub(super) fn on_told(&mut self, now: Instant, groups: &[crate::stream::Group]) {
+    pub(super) fn on_told(&mut self, now: Instant, groups: &[Group]) {
         self.told += 1;
         self.records.extend(now, groups);
         let streams = groups.iter().flat_map(|it| &it.streams);
