exchange: a lost path is back when a request is answered, not when a connection opens

Cause: runners were tested by a connection that stays open for 100 ms. Under load the test's resets came later, so the daemon took the path for whole, sent requests there and lost those that may run once. A proxy on the way would do the same.

A test that passes now lets one request that may run again try the path; its answer ends the detour, its failure moves it to a peer without the retry budget.

--- a/crates/daemon/src/exchange/hop.rs
+++ b/crates/daemon/src/exchange/hop.rs
@@ -142,11 +142,11 @@
     async fn test_paths(self, since: Instant) {
         while self.is_cut_off() {
             let due = self.inner.detour.borrow_mut().test(Instant::now());
-            if let Some(address) = due {
-                let began = Instant::now();
-                if is_reached(address).await {
-                    self.inner.detour.borrow_mut().on_answer(began);
-                }
+            if let Some(address) = due
+                && is_reached(address).await
+            {
+                let mut detour = self.inner.detour.borrow_mut();
+                detour.on_test_passed(Instant::now());
             }
             actix_rt::time::sleep(TEST_POLL).await;
         }
--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -72,6 +72,8 @@
     build: Option<BuildId>,
     /// Services whose arbiter does not know the stream.
     searched: Vec<ServiceId>,
+    /// Whether the latest attempt tries a path that was lost.
+    is_trial: bool,
     /// Peers that were asked to make an attempt.
     asked_peers: Vec<InstanceId>,
     /// Whether the runner of this attempt answered without naming a limit.
@@ -91,6 +93,7 @@
             head: None,
             build: None,
             searched: Vec::new(),
+            is_trial: false,
             asked_peers: Vec::new(),
             unlimited: false,
         }
@@ -387,8 +390,10 @@
         if fate != Fate::NotRun {
             self.ran += 1;
         }
-        // Nothing was used up, and a peer may have a path.
-        if fate == Fate::NotRun && self.may_hop() {
+        // Nothing was used up, or a trial, which is rare; and a peer may have a path.
+        let free =
+            fate == Fate::NotRun || (self.is_trial && self.rerun(self.ran) == Rerun::Allowed);
+        if free && self.may_hop() {
             self.log_failure(end, "Hop", &failure.to_string(), self.retries_left());
             return Ok(());
         }
--- a/crates/daemon/src/exchange/run/peer.rs
+++ b/crates/daemon/src/exchange/run/peer.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use citron_policy::id::InstanceId;
+use citron_policy::{id::InstanceId, retry::Rerun};
 
 use super::{
     super::{
@@ -45,6 +45,10 @@
 
     /// Has a peer make the attempt, if this instance reaches no runner.
     pub(super) async fn hop(&mut self) -> Result<Hopped, Problem> {
+        self.is_trial = self.may_hop() && self.takes_trial();
+        if self.is_trial {
+            return Ok(Hopped::No);
+        }
         while self.may_hop() {
             let Some((peer, address)) = self.choose_peer() else {
                 // Without a peer the attempt is made from here, for want of a better way.
@@ -74,6 +78,13 @@
         Ok(Hopped::No)
     }
 
+    /// Whether the attempt shows if the path to the runners is back.
+    fn takes_trial(&self) -> bool {
+        let repeatable = self.rerun(self.ran + 1) == Rerun::Allowed;
+        let mut detour = self.exchange.inner.detour.borrow_mut();
+        repeatable && detour.take_trial(Instant::now())
+    }
+
     fn choose_peer(&self) -> Option<(InstanceId, SocketAddr)> {
         let ports = self.exchange.ports();
         let members = ports.members.borrow();
--- a/crates/policy/src/detour.rs
+++ b/crates/policy/src/detour.rs
@@ -4,7 +4,8 @@
 //! and the other instances still reach them. One runner that cannot be reached may be
 //! dead; several in a row, without an answer in between, show that the path is. Requests
 //! then go to a peer that has a path, which makes the attempt in all respects, and a
-//! runner is tested now and then to notice the end.
+//! runner is tested now and then. A connection that is opened need not let a request
+//! through, so the detour ends only with the answer to one request that may run again.
 
 use std::{
     net::SocketAddr,
@@ -29,6 +30,8 @@
     pub test_interval: Duration,
     /// Time for which a peer that cannot help is not asked.
     pub peer_pause: Duration,
+    /// Time for which the outcome of a trial is awaited.
+    pub trial_time: Duration,
 }
 
 impl Default for Settings {
@@ -38,6 +41,7 @@
             memory: Duration::from_secs(10),
             test_interval: Duration::from_millis(500),
             peer_pause: Duration::from_secs(2),
+            trial_time: Duration::from_secs(2),
         }
     }
 }
@@ -58,9 +62,22 @@
     /// Addresses of the runners that were used last, the next one to test first.
     runners: IndexMap<RunnerId, SocketAddr>,
     tested_at: Option<Instant>,
+    trial: Trial,
     peers: IndexMap<InstanceId, Peer>,
 }
 
+/// The request that shows whether the path is back.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Trial {
+    /// No runner could be connected to since the last one.
+    #[default]
+    Closed,
+    /// The next request that may run again is sent to a runner.
+    Open,
+    /// One was sent then.
+    Sent(Instant),
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Peer {
     in_hand: u32,
@@ -91,6 +108,7 @@
             self.unreached.shift_remove_index(0);
         }
         self.unreached.insert(runner.clone(), at);
+        self.trial = Trial::Closed;
     }
 
     /// Records that a runner answered an attempt that began at `began`.
@@ -119,6 +137,26 @@
         Some(address)
     }
 
+    /// Records that a connection to the runner of a test was opened.
+    pub fn on_test_passed(&mut self, now: Instant) {
+        let awaited = match self.trial {
+            Trial::Sent(at) => now.saturating_duration_since(at) < self.settings.trial_time,
+            Trial::Closed | Trial::Open => false,
+        };
+        if !awaited {
+            self.trial = Trial::Open;
+        }
+    }
+
+    /// Whether a request that may run again is to be sent to a runner, as a trial.
+    pub fn take_trial(&mut self, now: Instant) -> bool {
+        let open = self.trial == Trial::Open;
+        if open {
+            self.trial = Trial::Sent(now);
+        }
+        open
+    }
+
     /// The peer to make an attempt: of those that take work, the one with the fewest in
     /// hand, in the own failure domain first.
     ///
--- a/crates/policy/tests/detour.rs
+++ b/crates/policy/tests/detour.rs
@@ -94,6 +94,31 @@
     expect_that!(detour.is_cut_off(now + Duration::from_secs(11)), eq(false));
 }
 
+/// A path may let connections through and reset them, so one request is risked.
+#[gtest]
+fn one_request_at_a_time_tries_a_path_that_takes_connections_again() {
+    let now = Instant::now();
+    let mut detour = cut_off(now);
+    expect_that!(detour.take_trial(now), eq(false));
+    detour.on_test_passed(now);
+    expect_that!(detour.take_trial(now), eq(true));
+    expect_that!(detour.take_trial(now), eq(false));
+    detour.on_test_passed(now + Duration::from_millis(500));
+    expect_that!(
+        detour.take_trial(now + Duration::from_millis(500)),
+        eq(false)
+    );
+    expect_that!(detour.is_cut_off(now), eq(true));
+    // It fails, and the next one waits for another test.
+    let later = now + Duration::from_millis(600);
+    detour.on_unreached(later, &"r1".to_owned());
+    expect_that!(detour.take_trial(later), eq(false));
+    detour.on_test_passed(later);
+    expect_that!(detour.take_trial(later), eq(true));
+    detour.on_answer(later + Duration::from_millis(1));
+    expect_that!(detour.is_cut_off(later), eq(false));
+}
+
 #[gtest]
 fn peers_of_the_own_failure_domain_go_first_until_they_have_more_in_hand() {
     let now = Instant::now();
