run: a leaving instance refuses with other addresses until it ends

What callers saw: during a planned stop of an instance with a long answer in hand, connections from 2.8 s after the signal on were refused by the system, for as long as the answer lasted, and after the last answer the process ended within a fifth of a second, whoever had just connected. A caller that had cached the address was told nothing, where the guide promises a refusal with the addresses of others.

Cause: listeners closed when new work was no longer taken, not when the process was about to end. Now the callers of the native interface find them open until the end, which comes half a second after the last request in flight. Connections that are established when they close are taken too. Callers of an adapter are told no addresses; for them the port closes as before, and sends them elsewhere without a spent attempt.

The field of the test harness is renamed with the server's.

--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -42,11 +42,12 @@
     /// Limit on open connections; further ones are closed immediately.
     pub max_connections: usize,
     /// Becomes true when the listener is to stop accepting connections.
-    pub closing: Receiver<bool>,
+    pub stopped: Receiver<bool>,
 }
 
 impl Server {
-    /// Accepts connections until `closing`; accepted ones are served until the process exits.
+    /// Accepts connections until `stopped`, and then those that are already established;
+    /// all are served until the process exits.
     pub async fn run(mut self) {
         let handler = Rc::clone(&self.handler);
         let factory = HttpService::<TcpStream, _, _>::build()
@@ -70,8 +71,9 @@
         let open = Rc::new(Cell::new(0));
         loop {
             let accepted = tokio::select! {
+                biased;
                 accepted = self.listener.accept() => accepted,
-                Ok(_) = self.closing.wait_for(|closing| *closing) => return,
+                Ok(_) = self.stopped.wait_for(|stopped| *stopped) => return,
             };
             let stream = match accepted {
                 Ok((stream, _)) => stream,
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -160,7 +160,7 @@
         settings.instance
     );
     let left = Shutdown::new(&parts, &settings).wait(failed).await;
-    parts.closing.send_replace(true);
+    parts.stopped.send_replace(true);
     parts.core.gossip.depart().await;
     parts.finish().await;
     parts.tracer.flush();
@@ -238,8 +238,10 @@
     tracer: Tracer,
     metrics: RefCell<Metrics>,
     draining: watch::Sender<bool>,
-    /// Becomes true shortly before the process ends, when listeners stop accepting.
+    /// Becomes true when new requests might not finish before the process must end.
     closing: watch::Sender<bool>,
+    /// Becomes true just before the process ends, when listeners stop accepting.
+    stopped: watch::Sender<bool>,
     /// Whether a signal told the daemon to leave. A leave requested by the
     /// platform's list reaches membership on its own and can be withdrawn there.
     signalled: Cell<bool>,
@@ -273,6 +275,7 @@
         let (core, failed) = Core::start(settings, addresses, gossip, platform, replica, reader);
         let (draining, drained) = watch::channel(false);
         let (closing, closed) = watch::channel(false);
+        let (stopped, ended) = watch::channel(false);
         let upstream = upstream::Metrics::default();
         let handle = handle(&core, drained.clone());
         let front = match &adapter {
@@ -303,20 +306,24 @@
             callers_listener,
             front.handler(),
             settings.max_connections,
-            &closed,
+            if front.names_others() {
+                &ended
+            } else {
+                &closed
+            },
         );
         if let Some(listener) = metrics_listener {
             let handler = metrics::handler(registry);
-            serve_http(listener, handler, MAX_ADMIN_CONNECTIONS, &closed);
+            serve_http(listener, handler, MAX_ADMIN_CONNECTIONS, &ended);
         }
         if let Some(adapter) = adapter {
-            serve_adapter(&adapter, &handle, management_listeners, &closed);
+            serve_adapter(&adapter, &handle, management_listeners, &ended);
         }
         serve_http(
             admin_listener,
             admin.handler(),
             MAX_ADMIN_CONNECTIONS,
-            &closed,
+            &ended,
         );
         let metrics = RefCell::new(metrics);
         let signalled = Cell::new(false);
@@ -327,6 +334,7 @@
             metrics,
             draining,
             closing,
+            stopped,
             signalled,
         });
         actix_rt::spawn(Rc::clone(&parts).run_updates());
@@ -394,6 +402,11 @@
         }
     }
 
+    /// Whether a refusal tells the caller other addresses.
+    fn names_others(&self) -> bool {
+        matches!(self, Self::Native(_))
+    }
+
     fn in_flight(&self) -> u32 {
         match self {
             Self::Native(callers) => callers.in_flight(),
@@ -453,13 +466,13 @@
     adapter: &Adapter,
     handle: &Handle,
     listeners: Vec<TcpListener>,
-    closing: &watch::Receiver<bool>,
+    stopped: &watch::Receiver<bool>,
 ) {
     adapter.management.started(handle.clone());
     for listener in listeners {
         let (management, handle) = (Rc::clone(&adapter.management), handle.clone());
         let handler: Handler = Rc::new(move |request| management.answer(handle.clone(), request));
-        serve_http(listener, handler, MAX_ADAPTER_CONNECTIONS, closing);
+        serve_http(listener, handler, MAX_ADAPTER_CONNECTIONS, stopped);
     }
 }
 
@@ -513,14 +526,14 @@
     listener: TcpListener,
     handler: Handler,
     max_connections: usize,
-    closing: &watch::Receiver<bool>,
+    stopped: &watch::Receiver<bool>,
 ) {
     actix_rt::spawn(
         Server {
             listener,
             handler,
             max_connections,
-            closing: closing.clone(),
+            stopped: stopped.clone(),
         }
         .run(),
     );
--- a/crates/daemon/src/run/shutdown.rs
+++ b/crates/daemon/src/run/shutdown.rs
@@ -5,6 +5,10 @@
 //! daemons, then finishes the requests in flight, then ends. The list can
 //! withdraw the mark until the end. A signal is final, and a second one ends
 //! the wait.
+//!
+//! Callers may have cached the address of a leaving instance. Until the end those of
+//! the native interface are refused with the addresses of others. Those of an adapter
+//! are not told any: they find the port closed, and try another address.
 
 use std::{
     rc::Rc,
@@ -23,6 +27,10 @@
 /// entry list may be cached.
 const MIN_LEAVE_TIME: Duration = Duration::from_millis(2_800);
 
+/// Time without a request in flight before the process ends. Callers that were waiting
+/// for the last answers send their next request meanwhile, and are sent elsewhere.
+const QUIET_TIME: Duration = Duration::from_millis(500);
+
 /// Time for which the platform's list must mark this instance as leaving before
 /// the process ends.
 const MIN_LISTED_TIME: Duration = Duration::from_mins(1);
@@ -33,6 +41,8 @@
     drain_timeout: Duration,
     signalled_at: Option<Instant>,
     listed_at: Option<Instant>,
+    /// Since when no request has been in flight, once new ones are refused.
+    quiet_since: Option<Instant>,
 }
 
 impl Shutdown {
@@ -42,6 +52,7 @@
             drain_timeout: settings.drain_timeout,
             signalled_at: None,
             listed_at: None,
+            quiet_since: None,
         }
     }
 
@@ -96,7 +107,7 @@
             self.parts
                 .closing
                 .send_if_modified(|it| !std::mem::replace(it, true));
-            if self.parts.front.in_flight() == 0 {
+            if self.is_quiet(now) {
                 return Ok(true);
             }
         }
@@ -107,6 +118,17 @@
         }
     }
 
+    /// Whether no request has been in flight for [`QUIET_TIME`], where one would be sent
+    /// elsewhere.
+    fn is_quiet(&mut self, now: Instant) -> bool {
+        if self.parts.front.in_flight() > 0 {
+            self.quiet_since = None;
+            return false;
+        }
+        let since = *self.quiet_since.get_or_insert(now);
+        !self.parts.front.names_others() || now.saturating_duration_since(since) >= QUIET_TIME
+    }
+
     fn update_from_list(&mut self, now: Instant) {
         match (self.parts.core.gossip.leaving(), self.listed_at) {
             (true, None) if self.signalled_at.is_none() => {
--- a/crates/daemon/tests/admin/mod.rs
+++ b/crates/daemon/tests/admin/mod.rs
@@ -161,7 +161,7 @@
             listener,
             handler: admin.handler(),
             max_connections: 64,
-            closing: tokio::sync::watch::channel(false).1,
+            stopped: tokio::sync::watch::channel(false).1,
         };
         actix_rt::spawn(server.run());
         let (listener, peer) = http::bind(loopback()).await.expect("a port");
--- a/crates/daemon/tests/leaving.rs
+++ b/crates/daemon/tests/leaving.rs
@@ -26,6 +26,17 @@
 /// Engine arguments for answers that take a few seconds.
 const LONG_ANSWERS: [&str; 4] = ["--token-interval-us", "20000", "--mean-tokens", "150"];
 
+/// Engine arguments for answers of five seconds, which outlast the time that a leaving
+/// instance waits for callers with cached addresses.
+const ANSWERS_OF_FIVE_SECONDS: [&str; 6] = [
+    "--token-interval-us",
+    "20000",
+    "--mean-tokens",
+    "250",
+    "--min-tokens",
+    "250",
+];
+
 fn slow_plan(daemons: usize) -> Plan {
     Plan {
         daemons,
@@ -49,10 +60,13 @@
         .collect()
 }
 
-fn begin_chat(callers: SocketAddr, prompt: &str) -> Exchange {
+fn begin(callers: SocketAddr, prompt: &str) -> Option<Exchange> {
     let body = chat_body(prompt, true);
-    let exchange = Exchange::open(callers, "POST", CHAT, &with_key(&[]), body.as_bytes());
-    let exchange = exchange.expect("a streamed answer");
+    Exchange::open(callers, "POST", CHAT, &with_key(&[]), body.as_bytes())
+}
+
+fn begin_chat(callers: SocketAddr, prompt: &str) -> Exchange {
+    let exchange = begin(callers, prompt).expect("a streamed answer");
     assert_eq!(exchange.reply.status, 200, "{}", exchange.reply.text());
     exchange
 }
@@ -101,6 +115,45 @@
     expect_that!(chat(other, "after", false, &[]).status, eq(200));
 }
 
+/// Callers that cached the address must be sent elsewhere, not meet a closed port, for as
+/// long as a long answer keeps the process, and after the last answer.
+#[gtest]
+fn an_instance_refuses_with_other_addresses_until_it_ends() {
+    let mut cluster = Cluster::start(Plan {
+        engine_arguments: ANSWERS_OF_FIVE_SECONDS.to_vec(),
+        waits_ready: false,
+        ..slow_plan(3)
+    });
+    let (victim, other) = (cluster.daemons[2].callers, cluster.daemons[0].callers);
+    eventually("the instance takes work", || {
+        let taken = begin(victim, "ready").is_some_and(|it| it.reply.status == 200);
+        taken.then_some(())
+    });
+    let stream = begin_chat(victim, "a long answer");
+    cluster.daemons[2].process.signal("TERM");
+    eventually("the other daemons no longer list it", || {
+        (!entries(other).contains(&victim)).then_some(())
+    });
+    let ended = thread::spawn(move || is_whole(stream));
+    let (mut refused, mut unanswered) = (0, 0);
+    while !ended.is_finished() {
+        let reply = chat(victim, "new", false, &[]);
+        refused +=
+            u32::from(reply.status == 503 && reply.header("citron-outcome") == Some("not-run"));
+        unanswered += u32::from(reply.status == 0);
+        thread::sleep(Duration::from_millis(50));
+    }
+    expect_true!(
+        ended.join().expect("a stream"),
+        "the answer in flight was cut"
+    );
+    let last = chat(victim, "just after the last answer", false, &[]);
+    expect_that!(last.status, eq(503));
+    expect_that!(refused, ge(10));
+    expect_that!(unanswered, eq(0));
+    expect_that!(cluster.daemons[2].process.wait().code(), some(eq(0)));
+}
+
 #[gtest]
 fn a_leave_on_the_platforms_list_is_followed_and_can_be_withdrawn() {
     let cluster = Cluster::start(slow_plan(3));
