--- a/crates/policy/tests/list_readers.rs
+++ b/crates/policy/tests/list_readers.rs
@@ -95,7 +95,7 @@
             (start, Reading::new(start), None)
         })
         .collect();
-    let mut last = began;
+    let mut end = began;
     while let Some(place) = (0..due.len()).min_by_key(|it| due[*it].0) {
         let (now, reading, token) = &mut due[place];
         let answer = platform.answer(*now, token.as_ref(), runners);
@@ -110,13 +110,13 @@
             }
             Step::Done(list) => {
                 assert_eq!(list.runners.len(), runners);
-                last = last.max(*now + CALL);
+                end = end.max(*now + CALL);
                 due.swap_remove(place);
             }
             Step::Failed(_) => return None,
         }
     }
-    Some(last.saturating_duration_since(began))
+    Some(end.saturating_duration_since(began))
 }
 
 fn member(number: usize) -> Member {
