--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -201,7 +201,7 @@
 
 /// Pages of one runner each; some calls are refused.
 struct Pages {
-    pages: usize,
+    count: usize,
     /// Numbers of the calls that are refused.
     refused: Vec<usize>,
     /// Pages asked for, in order.
@@ -232,7 +232,7 @@
             entries: Vec::new(),
             runners: vec![runner],
         };
-        let next = (page + 1 < self.pages).then(|| (page + 1).to_string());
+        let next = (page + 1 < self.count).then(|| (page + 1).to_string());
         Box::pin(std::future::ready(Ok(Page { list, next })))
     }
 }
@@ -245,7 +245,7 @@
         let platform = Platform::start(Settings {
             schedule: every(TIMEOUT),
             listing: Some(Rc::new(Pages {
-                pages: 4,
+                count: 4,
                 refused: vec![2, 3],
                 asked: Rc::clone(&asked),
             })),
@@ -266,7 +266,7 @@
             needed_by_all: false,
             schedule: every(TIMEOUT),
             listing: Some(Rc::new(Pages {
-                pages: 1,
+                count: 1,
                 refused: Vec::new(),
                 asked: Rc::clone(&asked),
             })),
