--- a/review/standin/lab.py
+++ b/review/standin/lab.py
@@ -33,6 +33,10 @@
 }
 
 
+# A case ends within this time, whatever happens.
+LONGEST_S = 110
+
+
 class CannotRun(Exception):
     """The case could not be played; says nothing about the rule."""
 
@@ -496,9 +500,13 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
     lab = None
-    def stop(_number, _frame):
-        raise CannotRun("ended by a signal")
+
+    def stop(number, _frame):
+        raise CannotRun("out of time" if number == signal.SIGALRM else "ended by a signal")
+
     signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGALRM, stop)
+    signal.alarm(LONGEST_S)
     try:
         lab = Lab(os.path.join(folder, "record.txt"), **deployment)
         broken = play(lab, trouble)
