control: logs and metrics tell why a replacement of a voter waits

Three causes fit: the new replica fell silent, it never catches up, or the leader knows of no other replica. CP0410 now counts voters, silent ones and learners that could take a seat; CP0415 reports a replacement that is three seconds old, with the silence and the lag of the new replica; four gauges show the same on the leader.

No decision changes here.

--- a/crates/daemon/src/control/driver.rs
+++ b/crates/daemon/src/control/driver.rs
@@ -29,7 +29,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::{Role, Settings, Status, metrics::Metrics, outcome, store::Store};
-use crate::clock;
+use crate::{clock, event::millis};
 
 use self::feeder::Feeder;
 pub(super) use self::mailbox::Mailbox;
@@ -63,6 +63,9 @@
     Request(proto::message::Body, Reply),
 }
 
+/// Age from which a replacement in progress is reported.
+const SLOW_REPLACEMENT: Duration = Duration::from_secs(3);
+
 /// A message to another replica.
 #[derive(Debug)]
 pub(super) struct Outgoing {
@@ -128,6 +131,8 @@
     bytes_since_snapshot: usize,
     /// When to check for a lost voter again.
     next_replacement_check: Instant,
+    /// The replacement that was last reported to take long.
+    reported: Option<Replacement>,
 }
 
 impl<F> Driver<F>
@@ -157,6 +162,7 @@
             accepted: IndexMap::new(),
             bytes_since_snapshot: 0,
             next_replacement_check: clock::now(),
+            reported: None,
         }
     }
 
@@ -436,11 +442,14 @@
             return Ok(());
         }
         self.next_replacement_check = now + REPLACEMENT_CHECK_INTERVAL;
+        self.observe_seats(now);
         let Some(Replacement { old, new }) = self.node.due_replacement(now) else {
             return Ok(());
         };
+        let seats = self.node.seats(now).unwrap_or_default();
         log::warn!(
-            event = "CP0410";
+            event = "CP0410", voters = seats.voters, silent = seats.silent,
+            ready_learners = seats.ready_learners;
             "replica {old:016x} is lost: making {new:016x} a voter in its place"
         );
         let token = self.next_token;
@@ -453,6 +462,35 @@
         Ok(())
     }
 
+    /// Updates the metrics of the voters, and reports a replacement that takes long, once.
+    fn observe_seats(&mut self, now: Instant) {
+        let seats = self.node.seats(now).unwrap_or_default();
+        self.metrics.voters.set(gauge(seats.voters as u64));
+        self.metrics.silent_voters.set(gauge(seats.silent as u64));
+        self.metrics
+            .ready_learners
+            .set(gauge(seats.ready_learners as u64));
+        let age = seats.pending.map_or(Duration::ZERO, |it| it.age);
+        self.metrics
+            .replacement_age
+            .set(i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
+        let Some(pending) = seats.pending else {
+            self.reported = None;
+            return;
+        };
+        let replacement = pending.replacement;
+        if age < SLOW_REPLACEMENT || self.reported == Some(replacement) {
+            return;
+        }
+        self.reported = Some(replacement);
+        log::warn!(
+            event = "CP0415", voters = seats.voters, silent = seats.silent,
+            ready_learners = seats.ready_learners, lag = pending.lag,
+            age_ms = millis(age), new_silent_ms = millis(pending.silence);
+            "replacing {:016x} by {:016x} takes long", replacement.old, replacement.new
+        );
+    }
+
     fn snapshot_if_due(&mut self) -> Result<(), JournalError> {
         let index = self.machine.index();
         let entries = index - self.snapshot_index;
--- a/crates/daemon/src/control/metrics.rs
+++ b/crates/daemon/src/control/metrics.rs
@@ -17,6 +17,10 @@
     pub(super) ledger_records: Gauge,
     pub(super) ledger_bytes: Gauge,
     pub(super) kept_answers: Gauge,
+    pub(super) voters: Gauge,
+    pub(super) silent_voters: Gauge,
+    pub(super) ready_learners: Gauge,
+    pub(super) replacement_age: Gauge,
     pub(super) syncs: Counter,
     pub(super) entries: Counter,
     pub(super) dropped_inputs: Counter,
@@ -53,6 +57,26 @@
                 "Answers to change ids kept",
                 &self.kept_answers,
             ),
+            (
+                "voters",
+                "Voters, as the leader counts them; zero elsewhere",
+                &self.voters,
+            ),
+            (
+                "silent_voters",
+                "Voters that do not answer the leader; zero elsewhere",
+                &self.silent_voters,
+            ),
+            (
+                "ready_learners",
+                "Replicas that could become voters, as the leader counts them; zero elsewhere",
+                &self.ready_learners,
+            ),
+            (
+                "replacement_age_ms",
+                "Age of the replacement of a voter that is in progress; zero if none is",
+                &self.replacement_age,
+            ),
         ];
         for (name, help, gauge) in gauges {
             registry.register(format!("citron_control_{name}"), help, gauge.clone());
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -4,7 +4,12 @@
 //! catalogue entry are also kept in a ring buffer of fixed size, which
 //! `citronctl explain` reads. `docs/EVENTS.md` lists the numbers.
 
-use std::{cell::RefCell, collections::VecDeque, rc::Rc, time::SystemTime};
+use std::{
+    cell::RefCell,
+    collections::VecDeque,
+    rc::Rc,
+    time::{Duration, SystemTime},
+};
 
 use citron_policy::{catalogue::Key, id::RequestId};
 use serde::{Deserialize, Serialize};
@@ -85,3 +90,8 @@
 pub fn format_request_id(request: RequestId) -> String {
     format!("{request:016x}")
 }
+
+/// Whole milliseconds, for log lines.
+pub(crate) fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -39,6 +39,7 @@
     callers::{InFlight, Retries, payload},
     clock,
     edge::{Adapter, CallerHead, Problem},
+    event::millis,
     follow::Follow,
     http::{Handler, Watch},
     slots::Slots,
@@ -299,11 +300,6 @@
     proof_age: Option<Duration>,
 }
 
-/// Whole milliseconds, for log lines.
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Resolves when the caller has disconnected; never without a watch.
 async fn caller_disconnected(watch: Option<&Watch>) {
     match watch {
--- a/crates/policy/src/raft/leader.rs
+++ b/crates/policy/src/raft/leader.rs
@@ -1,6 +1,11 @@
 //! The leader: heartbeats, quorum rounds and their proofs, reads, proposals and commits.
 
-use std::{collections::VecDeque, mem, sync::Arc, time::Instant};
+use std::{
+    collections::VecDeque,
+    mem,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use indexmap::IndexMap;
 
@@ -45,6 +50,12 @@
 }
 
 impl Leader {
+    /// Time since a replica last answered, or since this node leads if it never did.
+    pub(super) fn silence(&self, now: Instant, id: ReplicaId) -> Duration {
+        let active = self.progress.get(&id).and_then(|it| it.active);
+        now.saturating_duration_since(active.unwrap_or(self.since))
+    }
+
     /// Tokens of all pending requests.
     pub(super) fn tokens(self) -> impl Iterator<Item = Token> {
         let rounds = self.rounds.into_iter().flat_map(|it| it.reads);
--- a/crates/policy/src/raft/membership.rs
+++ b/crates/policy/src/raft/membership.rs
@@ -46,6 +46,32 @@
     chosen.into_iter().map(|(_, replica)| replica).collect()
 }
 
+/// The voters and learners as their leader sees them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Seats {
+    /// Number of voters.
+    pub voters: usize,
+    /// Voters that have been silent for [`VOTER_SILENCE_LIMIT`].
+    pub silent: usize,
+    /// Learners that respond and have synced every committed entry.
+    pub ready_learners: usize,
+    /// The replacement in progress.
+    pub pending: Option<Pending>,
+}
+
+/// A replacement in progress.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pending {
+    /// What is replaced by what.
+    pub replacement: Replacement,
+    /// Time since it was asked for.
+    pub age: Duration,
+    /// Time since the new replica last answered.
+    pub silence: Duration,
+    /// Committed entries that the new replica has not synced.
+    pub lag: u64,
+}
+
 /// A lost voter and the learner to replace it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Replacement {
@@ -56,6 +82,31 @@
 }
 
 impl Node {
+    /// The voters and learners; none on a node that is not the leader.
+    #[must_use]
+    pub fn seats(&self, now: Instant) -> Option<Seats> {
+        let RoleState::Leader(leader) = &self.role_state else {
+            return None;
+        };
+        let voters = self.log.voters();
+        let others = voters.ids().iter().filter(|id| **id != self.id);
+        let silent = others.filter(|id| leader.silence(now, **id) >= VOTER_SILENCE_LIMIT);
+        let learners = leader.progress.keys().filter(|id| !voters.contains(**id));
+        Some(Seats {
+            voters: voters.ids().len(),
+            silent: silent.count(),
+            ready_learners: learners
+                .filter(|id| self.is_caught_up(now, leader, **id))
+                .count(),
+            pending: leader.replacement.map(|it| Pending {
+                replacement: it.replacement(),
+                age: now.saturating_duration_since(it.since),
+                silence: leader.silence(now, it.replacement().new),
+                lag: self.lag(leader, it.replacement().new),
+            }),
+        })
+    }
+
     /// The replacement to propose now, if any; always none on a node that is not the leader.
     #[must_use]
     pub fn due_replacement(&self, now: Instant) -> Option<Replacement> {
@@ -65,11 +116,7 @@
         if leader.replacement.is_some() || !self.voters_committed(leader) {
             return None;
         }
-        let heard = |id: ReplicaId| {
-            let active = leader.progress.get(&id).and_then(|it| it.active);
-            active.unwrap_or(leader.since)
-        };
-        let silence = |id: ReplicaId| now.saturating_duration_since(heard(id));
+        let silence = |id: ReplicaId| leader.silence(now, id);
         let voters = self.log.voters();
         let silent = voters.ids().iter().copied().filter(|id| *id != self.id);
         let silent = silent.filter(|id| silence(*id) >= VOTER_SILENCE_LIMIT);
--- a/crates/policy/src/raft/replace.rs
+++ b/crates/policy/src/raft/replace.rs
@@ -19,7 +19,9 @@
 
 use crate::id::ReplicaId;
 
-use super::{Node, Payload, Refusal, RoleState, Token, Voters, leader::Leader};
+use super::{
+    Node, Payload, Refusal, RoleState, Token, Voters, leader::Leader, membership::Replacement,
+};
 
 /// Committed entries that a new replica may lack when a replacement starts.
 ///
@@ -32,6 +34,14 @@
     pub(super) token: Token,
     old: ReplicaId,
     new: ReplicaId,
+    pub(super) since: Instant,
+}
+
+impl Request {
+    pub(super) fn replacement(&self) -> Replacement {
+        let Self { old, new, .. } = *self;
+        Replacement { old, new }
+    }
 }
 
 impl Node {
@@ -43,7 +53,13 @@
         let RoleState::Leader(leader) = &mut self.role_state else {
             return;
         };
-        if let Some(superseded) = leader.replacement.replace(Request { token, old, new }) {
+        let request = Request {
+            token,
+            old,
+            new,
+            since: now,
+        };
+        if let Some(superseded) = leader.replacement.replace(request) {
             self.answer(superseded.token, Err(Refusal::Busy));
         }
         self.advance_replacement(now);
@@ -81,7 +97,7 @@
     }
 
     /// Number of committed entries that a replica has not synced.
-    fn lag(&self, leader: &Leader, id: ReplicaId) -> u64 {
+    pub(super) fn lag(&self, leader: &Leader, id: ReplicaId) -> u64 {
         let matched = leader.progress.get(&id).map_or(0, |it| it.matched);
         self.commit.saturating_sub(matched)
     }
