raft: a replacement gives way when its new replica is lost in its turn

Cause: a voter is replaced in two committed changes. Between them the leader waited for one named learner without an end, and proposed nothing else as long as it waited. An emptied folder returns under another id, so the learner that was lost between the changes never answered again: two voters, both needed.

Fix: a replacement whose new replica has been silent for VOTER_SILENCE_LIMIT before it votes no longer counts as in progress, so the next due one takes its place. Every learner lost is found by its silence, the same sign as for voters, so the seat cannot wait longer than for the first loss. If nothing else is due and the replica returns, the replacement goes on, as an operator's must.

Same cause on related paths, mended here: a removed voter could not take back its own seat when the learner in its place was lost, and an open replacement kept other lost voters from being replaced.

--- a/crates/policy/src/raft/membership.rs
+++ b/crates/policy/src/raft/membership.rs
@@ -113,7 +113,9 @@
         let RoleState::Leader(leader) = &self.role_state else {
             return None;
         };
-        if leader.replacement.is_some() || !self.voters_committed(leader) {
+        let ongoing = leader.replacement.as_ref();
+        let is_ongoing = ongoing.is_some_and(|it| self.is_proceeding(now, leader, it));
+        if is_ongoing || !self.voters_committed(leader) {
             return None;
         }
         let silence = |id: ReplicaId| leader.silence(now, id);
@@ -123,9 +125,9 @@
         let old = voters
             .removed()
             .or_else(|| silent.max_by_key(|id| silence(*id)))?;
-        let mut learners = leader.progress.keys().copied().filter(|id| {
-            !voters.contains(*id) && *id != old && self.is_caught_up(now, leader, *id)
-        });
+        let learners = leader.progress.keys().copied();
+        let mut learners =
+            learners.filter(|id| !voters.contains(*id) && self.is_caught_up(now, leader, *id));
         learners.next().map(|new| Replacement { old, new })
     }
 }
--- a/crates/policy/src/raft/replace.rs
+++ b/crates/policy/src/raft/replace.rs
@@ -11,6 +11,10 @@
 //!   and are needed after. Adding first would let the loss of the new replica
 //!   stop the log.
 //!
+//! A replacement whose new replica falls silent before it votes gives way to any other
+//! that is due; an emptied folder returns under another id, so waiting for it could
+//! last forever. If none is due and the replica returns, the replacement goes on.
+//!
 //! In both cases the new replica must hold every committed entry when the change
 //! that makes it a voter is proposed. The caller gets a success only when both
 //! changes are committed.
@@ -20,7 +24,9 @@
 use crate::id::ReplicaId;
 
 use super::{
-    Node, Payload, Refusal, RoleState, Token, Voters, leader::Leader, membership::Replacement,
+    Node, Payload, Refusal, RoleState, Token, Voters,
+    leader::Leader,
+    membership::{Replacement, VOTER_SILENCE_LIMIT},
 };
 
 /// Committed entries that a new replica may lack when a replacement starts.
@@ -73,7 +79,8 @@
             return Err(Refusal::Busy);
         }
         let voters = self.log.voters();
-        if old == new {
+        // A removed voter may return to its own seat.
+        if old == new && voters.removed() != Some(old) {
             return Err(Refusal::NotVoter { replica: old });
         }
         if voters.contains(new) {
@@ -134,6 +141,7 @@
         let voters = self.log.voters();
         match (voters.contains(old), voters.contains(new)) {
             (false, true) => Step::Done,
+            (true, true) if old == new => Step::Done,
             (true, true) => Step::Propose(voters.without(old).with_removed(None)),
             (_, false) if self.lag(leader, new) > 0 => Step::Wait,
             (true, false) if !self.is_responding(now, leader, old) => {
@@ -143,6 +151,12 @@
         }
     }
 
+    /// Whether a replacement can go on: its new replica votes already or is heard from.
+    pub(super) fn is_proceeding(&self, now: Instant, leader: &Leader, request: &Request) -> bool {
+        self.log.voters().contains(request.new)
+            || leader.silence(now, request.new) < VOTER_SILENCE_LIMIT
+    }
+
     fn is_responding(&self, now: Instant, leader: &Leader, id: ReplicaId) -> bool {
         let active = leader.progress.get(&id).and_then(|it| it.active);
         id == self.id
--- a/crates/policy/tests/raft_seats.rs
+++ b/crates/policy/tests/raft_seats.rs
@@ -22,6 +22,9 @@
 /// New id of a replica whose folder was emptied.
 const NEW_REPLICA: ReplicaId = 22;
 
+/// New id of a replica whose folder was emptied again.
+const NEXT_REPLICA: ReplicaId = 23;
+
 /// Time within which the cluster must tolerate the next loss.
 const CATCH_UP: Duration = Duration::from_secs(4);
 
@@ -115,6 +118,89 @@
     }
 }
 
+/// Loses a follower's folder and runs until the replacement of its voter has begun.
+fn begin_replacement(cluster: &mut Cluster) -> ReplicaId {
+    let leader = cluster.leader().expect("a leader");
+    let lost = cluster.others(leader)[0];
+    cluster.destroy(lost);
+    cluster.add(NEW_REPLICA);
+    let begun = cluster.now;
+    while cluster.replicas[&leader].node.voters().contains(lost) {
+        assert!(cluster.now - begun < CATCH_UP, "no replacement began");
+        cluster.step();
+        replace_lost_voters(cluster);
+    }
+    lost
+}
+
+/// The leader waited for good for a learner whose folder was lost after the old voter
+/// had been removed, so that the next lost folder cost the log.
+#[gtest]
+fn a_learner_lost_during_its_replacement_does_not_block_the_next_one() {
+    for seed in 0..10 {
+        let mut cluster = Cluster::formed(seed, &IDS);
+        begin_replacement(&mut cluster);
+        cluster.destroy(NEW_REPLICA);
+        cluster.add(NEXT_REPLICA);
+        let took = run_until_voter(&mut cluster, NEXT_REPLICA);
+        expect_that!(took, lt(CATCH_UP), "seed {seed}");
+        cluster.run(CATCH_UP.saturating_sub(took));
+        // Another old voter is lost: the majority now needs the replica that came last.
+        let leader = cluster.leader().expect("a leader");
+        cluster.destroy(leader);
+        cluster.submit(&Command::Claim(claim("after", 99, 1_000)));
+    }
+}
+
+/// A removed voter that comes back with its folder was no candidate for its own seat.
+#[gtest]
+fn a_voter_that_returns_counts_again_if_the_learner_in_its_place_is_lost() {
+    for seed in 0..10 {
+        let mut cluster = Cluster::formed(seed, &IDS);
+        cluster.add(NEW_REPLICA);
+        cluster.run(Duration::from_secs(1));
+        let leader = cluster.leader().expect("a leader");
+        let silent = *IDS.iter().find(|it| **it != leader).expect("a follower");
+        cluster.kill(silent);
+        let begun = cluster.now;
+        while cluster.replicas[&leader].node.voters().contains(silent) {
+            assert!(cluster.now - begun < CATCH_UP, "no replacement began");
+            cluster.step();
+            replace_lost_voters(&mut cluster);
+        }
+        cluster.destroy(NEW_REPLICA);
+        cluster.restart(silent);
+        let took = run_until_voter(&mut cluster, silent);
+        expect_that!(took, lt(CATCH_UP), "seed {seed}");
+    }
+}
+
+/// A replacement that waits for a lost learner kept other voters from being replaced.
+#[gtest]
+fn a_waiting_replacement_does_not_hold_up_that_of_another_voter() {
+    for seed in 0..10 {
+        let mut cluster = Cluster::formed(seed, &[11, 12, 13, 14, 15]);
+        begin_replacement(&mut cluster);
+        cluster.destroy(NEW_REPLICA);
+        let leader = cluster.leader().expect("a leader");
+        let voters = cluster.replicas[&leader].node.voters().clone();
+        let second = voters.ids().iter().copied().find(|it| *it != leader);
+        cluster.destroy(second.expect("another voter"));
+        cluster.add(NEXT_REPLICA);
+        cluster.add(NEXT_REPLICA + 1);
+        let begun = cluster.now;
+        while cluster.now - begun < CATCH_UP {
+            cluster.step();
+            replace_lost_voters(&mut cluster);
+        }
+        let voters = cluster.replicas[&leader].node.voters().clone();
+        for id in [NEXT_REPLICA, NEXT_REPLICA + 1] {
+            expect_that!(voters.contains(id), eq(true), "seed {seed}: {voters:?}");
+        }
+        expect_that!(voters.ids().len(), eq(5), "seed {seed}: {voters:?}");
+    }
+}
+
 #[gtest]
 fn a_briefly_silent_voter_stays_a_voter() {
     let mut cluster = Cluster::formed(3, &IDS);
