exchange: an answer in tiny chunks without an end silences no daemon

Cause: the buffer of an unfinished event was searched from its start for each chunk, so the cost was quadratic in the chunks. Reading went on in one turn of the shared thread while chunks were at hand, and the deadline was only looked at when none was.

Ruled out: waiting for a disk or a lock (no processor time), a starved machine (the third daemon has no such line).

--- a/crates/daemon/src/exchange/run/stream.rs
+++ b/crates/daemon/src/exchange/run/stream.rs
@@ -103,8 +103,9 @@
                         return Ok(Step::Events(events));
                     }
                     Ok(_) => {}
-                    Err(_) => self
-                        .on_stream_failure(&Failure::Garbled("an event is too long".to_owned()))?,
+                    Err(fault) => {
+                        self.on_stream_failure(&Failure::Garbled(fault.to_string()))?;
+                    }
                 },
                 None if stream.events.is_empty() => {
                     self.release_stream(End::Done);
--- a/crates/daemon/src/upstream/body.rs
+++ b/crates/daemon/src/upstream/body.rs
@@ -13,6 +13,9 @@
     head::{Codec, PayloadCodec},
 };
 
+/// Most chunks read in one turn of the thread.
+const MAX_TURN_CHUNKS: u32 = 32;
+
 /// A body that may still be arriving; dropping it closes the connection.
 #[derive(Debug)]
 pub struct Body {
@@ -20,6 +23,8 @@
     end: Instant,
     limits: Limits,
     received_bytes: u64,
+    /// Chunks read since other tasks last had a turn for sure.
+    turn_chunks: u32,
 }
 
 #[derive(Debug)]
@@ -38,6 +43,7 @@
             end,
             limits: *limits,
             received_bytes: 0,
+            turn_chunks: 0,
         }
     }
 
@@ -49,6 +55,7 @@
             end,
             limits: *limits,
             received_bytes: 0,
+            turn_chunks: 0,
         }
     }
 
@@ -58,13 +65,25 @@
             end: Instant::now(),
             limits: Limits::default(),
             received_bytes: 0,
+            turn_chunks: 0,
         }
     }
 
     /// The next chunk; `None` only after the complete body.
     ///
     /// A failure closes the connection and is repeated by later calls.
+    ///
+    /// Chunks may always be at hand: the other tasks of the thread have a turn, and the end
+    /// of the exchange is checked, after every [`MAX_TURN_CHUNKS`].
     pub async fn next(&mut self) -> Option<Result<Bytes, Failure>> {
+        self.turn_chunks += 1;
+        if self.turn_chunks > MAX_TURN_CHUNKS {
+            self.turn_chunks = 0;
+            tokio::task::yield_now().await;
+            if self.is_arriving() && Instant::now() >= self.end {
+                return Some(self.fail(Failure::Late));
+            }
+        }
         let deadline = self.end.min(Instant::now() + self.limits.idle);
         let next = match &mut self.state {
             State::Open(framed) => timeout_at(deadline, framed_chunk(framed)).await,
@@ -107,6 +126,10 @@
         matches!(self.state, State::Whole)
     }
 
+    fn is_arriving(&self) -> bool {
+        matches!(self.state, State::Open(_) | State::Unframed(_))
+    }
+
     fn fail(&mut self, failure: Failure) -> Result<Bytes, Failure> {
         self.state = State::Failed(failure.clone());
         Err(failure)
