raft: voters stay spread over the failure domains

Cause: only the initial voters are spread. The log knew replicas by their ids alone, so the seat of a silent voter went to the first learner that had caught up, and nothing ever moved it back.

Ruled out: a learner of zone c that lags, a later change of voters (no further CP0404).

Fix: the log is told the failure domain of each replica. A lost seat goes to the domain with the fewest voters; with no voter lost, a seat moves to a domain that has two fewer, added first and removed after. Any domain then holds as few voters as the replicas allow, also after a whole domain was away. The peers are sent to the log when they change instead of with each membership change.

Before: a_failure_domain_may_be_lost_after_a_killed_voter_was_replaced and seats_are_spread_again_once_a_failure_domain_is_back failed (voters in a, a, b; no answer within a minute).

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -33,7 +33,7 @@
 use crate::peers::Hub;
 
 use self::{
-    driver::{Mailbox, Outgoing},
+    driver::{Mailbox, Outgoing, Peers},
     metrics::Metrics,
 };
 pub use self::{form::form, replica::Replica, store::Store};
@@ -386,15 +386,19 @@
     }
 }
 
-/// Tells the replica which other replicas are known, at each membership change.
+/// Tells the replica which replicas are known, when that changes.
 async fn update_peers(mut members: watch::Receiver<Arc<Members>>, mailbox: Mailbox) {
+    let mut told = Peers::new();
     loop {
-        let known = {
+        let known: Peers = {
             let members = members.borrow_and_update();
             let present = members.values().filter(|it| it.state != State::Dead);
-            present.filter_map(|it| it.replica).collect()
+            let replicas = present.filter_map(|it| Some((it.replica?, it.domain.clone())));
+            replicas.collect()
         };
-        mailbox.peers(known);
+        if known != told && mailbox.peers(known.clone()) {
+            told = known;
+        }
         if members.changed().await.is_err() {
             return;
         }
--- a/crates/daemon/src/control/driver.rs
+++ b/crates/daemon/src/control/driver.rs
@@ -16,11 +16,13 @@
 use citron_journal::{Error as JournalError, Files};
 use citron_policy::{
     feed,
-    id::{Index, ReplicaId, Term},
+    id::{DomainId, Index, ReplicaId, Term},
     ledger,
     raft::{
         Effect, Entry, Event, Node, Payload, Proposal, Role as RaftRole, Snapshot, Standing,
-        Stored, Token, membership::Replacement, message::Message,
+        Stored, Token,
+        membership::{Reason, Replacement},
+        message::Message,
     },
     state::{Answer, Command, Machine},
 };
@@ -46,9 +48,12 @@
 /// Most inputs that share one sync.
 const MAX_BATCH: usize = 1_024;
 
-/// Time between two checks for a lost voter.
+/// Time between two checks whether a voter is to be replaced.
 const REPLACEMENT_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Replicas and their failure domains.
+pub(super) type Peers = IndexMap<ReplicaId, DomainId>;
+
 /// Where an answer goes.
 pub(super) type Reply = oneshot::Sender<proto::message::Body>;
 
@@ -58,7 +63,7 @@
     /// A message from another replica.
     Raft(proto::Raft),
     /// The replicas currently known.
-    Peers(Vec<ReplicaId>),
+    Peers(Peers),
     /// A request, and the channel for its answer.
     Request(proto::message::Body, Reply),
 }
@@ -121,7 +126,7 @@
     metrics: Metrics,
     next_token: Token,
     /// The replicas currently known.
-    peers: Vec<ReplicaId>,
+    peers: Peers,
     requests: IndexMap<Token, Request>,
     /// Proposals that are in the log but not committed, by index.
     accepted: IndexMap<Index, (Term, Reply)>,
@@ -129,7 +134,7 @@
     snapshot_index: Index,
     /// Bytes of the entries committed since the latest snapshot.
     bytes_since_snapshot: usize,
-    /// When to check for a lost voter again.
+    /// When to check again whether a voter is to be replaced.
     next_replacement_check: Instant,
     /// The replacement that was last reported to take long.
     reported: Option<Replacement>,
@@ -157,7 +162,7 @@
             outgoing: channels.outgoing,
             metrics: channels.metrics,
             next_token: 1,
-            peers: Vec::new(),
+            peers: Peers::new(),
             requests: IndexMap::new(),
             accepted: IndexMap::new(),
             bytes_since_snapshot: 0,
@@ -248,7 +253,7 @@
         for effect in effects {
             self.carry_out(effect);
         }
-        self.replace_lost_voter()?;
+        self.replace_voter()?;
         self.snapshot_if_due()?;
         self.feeder.flush(&self.machine);
         self.update_metrics();
@@ -435,22 +440,26 @@
         }
     }
 
-    /// Proposes a learner as voter in place of a lost one, if a replacement is due.
-    fn replace_lost_voter(&mut self) -> Result<(), JournalError> {
+    /// Proposes a learner as voter in place of another, if a replacement is due.
+    fn replace_voter(&mut self) -> Result<(), JournalError> {
         let now = clock::now();
         if now < self.next_replacement_check {
             return Ok(());
         }
         self.next_replacement_check = now + REPLACEMENT_CHECK_INTERVAL;
         self.observe_seats(now);
-        let Some(Replacement { old, new }) = self.node.due_replacement(now) else {
+        let Some((Replacement { old, new }, reason)) = self.node.due_replacement(now) else {
             return Ok(());
         };
         let seats = self.node.seats(now).unwrap_or_default();
+        let reason = match reason {
+            Reason::Lost => "is lost",
+            Reason::Crowded => "shares its failure domain with other voters",
+        };
         log::warn!(
             event = "CP0410", voters = seats.voters, silent = seats.silent,
             ready_learners = seats.ready_learners;
-            "replica {old:016x} is lost: making {new:016x} a voter in its place"
+            "replica {old:016x} {reason}: making {new:016x} a voter in its place"
         );
         let token = self.next_token;
         self.next_token += 1;
--- a/crates/daemon/src/control/driver/mailbox.rs
+++ b/crates/daemon/src/control/driver/mailbox.rs
@@ -6,7 +6,7 @@
 use citron_wire::generated::control as proto;
 use tokio::sync::oneshot;
 
-use super::{Input, Metrics, answer, outcome};
+use super::{Input, Metrics, Peers, answer, outcome};
 
 /// Sends inputs to the replica thread; clones share the queue.
 #[derive(Clone, Debug)]
@@ -39,9 +39,9 @@
         self.send(Input::Raft(raft));
     }
 
-    /// Sends the replicas currently known.
-    pub(in crate::control) fn peers(&self, peers: Vec<ReplicaId>) {
-        self.send(Input::Peers(peers));
+    /// Sends the replicas currently known; false if the queue is full.
+    pub(in crate::control) fn peers(&self, peers: Peers) -> bool {
+        self.send(Input::Peers(peers))
     }
 
     /// Sends a request; the receiver fails if the thread has ended.
@@ -54,9 +54,10 @@
         receiver
     }
 
-    fn send(&self, input: Input) {
+    /// Puts an input into the queue; false if it was dropped.
+    fn send(&self, input: Input) -> bool {
         match self.inputs.try_send(input) {
-            Ok(()) => {}
+            Ok(()) => return true,
             Err(TrySendError::Full(input)) => {
                 self.metrics.dropped_inputs.inc();
                 if let Input::Request(_, reply) = input {
@@ -69,5 +70,6 @@
                 }
             }
         }
+        false
     }
 }
--- a/crates/policy/src/raft.rs
+++ b/crates/policy/src/raft.rs
@@ -37,11 +37,11 @@
     time::{Duration, Instant},
 };
 
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 use rand::Rng;
 
 use crate::{
-    id::{Index, ReplicaId, Term},
+    id::{DomainId, Index, ReplicaId, Term},
     state::Command,
 };
 
@@ -200,8 +200,9 @@
     Tick,
     /// A message from another replica arrived.
     Receive(Message),
-    /// The known replicas; those that are not voters become learners.
-    Peers(Vec<ReplicaId>),
+    /// The known replicas and their failure domains; those that are not voters become
+    /// learners.
+    Peers(IndexMap<ReplicaId, DomainId>),
     /// Append these commands to the log.
     Propose(Vec<Proposal>),
     /// Confirm that everything accepted so far is applied on this replica.
@@ -358,6 +359,8 @@
     role_state: RoleState,
     /// Known replicas other than this one.
     peers: IndexSet<ReplicaId>,
+    /// Failure domains of the known replicas and of voters that were known once.
+    domains: IndexMap<ReplicaId, DomainId>,
     /// When a message from a leader last arrived.
     last_heard: Option<Instant>,
     /// When the node campaigns, unless it hears from a leader first.
@@ -389,6 +392,7 @@
             snapshot: stored.snapshot,
             role_state: RoleState::Follower { leader: None },
             peers: IndexSet::new(),
+            domains: IndexMap::new(),
             last_heard: None,
             election_deadline: now,
             incoming: None,
@@ -511,8 +515,12 @@
         }
     }
 
-    fn set_peers(&mut self, now: Instant, peers: Vec<ReplicaId>) {
-        self.peers = peers.into_iter().filter(|it| *it != self.id).collect();
+    fn set_peers(&mut self, now: Instant, peers: IndexMap<ReplicaId, DomainId>) {
+        let others = peers.keys().copied().filter(|it| *it != self.id);
+        self.peers = others.collect();
+        let voters = self.log.voters();
+        self.domains.retain(|id, _| voters.contains(*id));
+        self.domains.extend(peers);
         self.update_progress(now);
     }
 
--- a/crates/policy/src/raft/membership.rs
+++ b/crates/policy/src/raft/membership.rs
@@ -1,10 +1,14 @@
-//! Choice of the initial voters and automatic replacement of lost ones.
+//! Choice of the initial voters, replacement of lost ones, and their spread.
 //!
 //! A replica whose disk was emptied returns as a learner, and a replica that is
 //! gone for good never answers again. Until another replica becomes a voter in
 //! its place, the next loss would stop the log. The leader therefore proposes the
 //! replacement itself as soon as a learner holds every committed entry. A voter
 //! that was only paused or cut off is a learner when it returns; no data is lost.
+//!
+//! The loss of a failure domain must cost as few voters as possible, at any time. A lost
+//! voter's seat therefore goes to the failure domain that has the fewest, and once no
+//! voter is lost, a seat moves from a crowded domain to one with two voters fewer.
 
 use std::time::{Duration, Instant};
 
@@ -21,6 +25,9 @@
 /// Two election timeouts, so that a lost heartbeat or a short pause causes no change.
 pub const VOTER_SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
 
+/// Voters by which two failure domains must differ for a seat to move between them.
+const MIN_MOVE_GAIN: usize = 2;
+
 /// The initial voters, spread over the failure domains.
 ///
 /// The first one asks the others to form the cluster.
@@ -72,15 +79,24 @@
     pub lag: u64,
 }
 
-/// A lost voter and the learner to replace it.
+/// A voter and the learner to replace it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Replacement {
-    /// Voter that is silent or was already removed.
+    /// Voter that loses its seat, or has lost it already.
     pub old: ReplicaId,
-    /// Learner that holds every committed entry.
+    /// Learner that gets the seat.
     pub new: ReplicaId,
 }
 
+/// Why a voter is replaced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// It is silent or was already removed.
+    Lost,
+    /// Its failure domain has more voters than that of the learner.
+    Crowded,
+}
+
 impl Node {
     /// The voters and learners; none on a node that is not the leader.
     #[must_use]
@@ -109,7 +125,7 @@
 
     /// The replacement to propose now, if any; always none on a node that is not the leader.
     #[must_use]
-    pub fn due_replacement(&self, now: Instant) -> Option<Replacement> {
+    pub fn due_replacement(&self, now: Instant) -> Option<(Replacement, Reason)> {
         let RoleState::Leader(leader) = &self.role_state else {
             return None;
         };
@@ -118,16 +134,51 @@
         if is_ongoing || !self.voters_committed(leader) {
             return None;
         }
-        let silence = |id: ReplicaId| leader.silence(now, id);
         let voters = self.log.voters();
         let silent = voters.ids().iter().copied().filter(|id| *id != self.id);
-        let silent = silent.filter(|id| silence(*id) >= VOTER_SILENCE_LIMIT);
-        let old = voters
+        let silent = silent.filter(|id| leader.silence(now, *id) >= VOTER_SILENCE_LIMIT);
+        let lost = voters
             .removed()
-            .or_else(|| silent.max_by_key(|id| silence(*id)))?;
+            .or_else(|| silent.max_by_key(|id| leader.silence(now, *id)));
         let learners = leader.progress.keys().copied();
-        let mut learners =
+        let learners =
             learners.filter(|id| !voters.contains(*id) && self.is_caught_up(now, leader, *id));
-        learners.next().map(|new| Replacement { old, new })
+        let learners: Vec<ReplicaId> = learners.collect();
+        match lost {
+            Some(old) => {
+                let new = learners
+                    .into_iter()
+                    .min_by_key(|id| self.neighbors(*id, Some(old)));
+                new.map(|new| (Replacement { old, new }, Reason::Lost))
+            }
+            None => self.due_move(&learners).map(|it| (it, Reason::Crowded)),
+        }
+    }
+
+    /// The move of a seat to the failure domain of a learner that has at least two voters
+    /// fewer; the leader keeps its own.
+    fn due_move(&self, learners: &[ReplicaId]) -> Option<Replacement> {
+        let voters = self.log.voters().ids().iter().copied();
+        let (old, crowd) = voters
+            .filter(|id| *id != self.id)
+            .map(|id| (id, self.neighbors(id, None)))
+            .max_by_key(|(_, crowd)| *crowd)?;
+        let new = learners.iter().copied();
+        let (new, others) = new
+            .map(|id| (id, self.neighbors(id, None)))
+            .min_by_key(|(_, others)| *others)?;
+        (crowd >= others + MIN_MOVE_GAIN).then_some(Replacement { old, new })
+    }
+
+    /// Voters in the failure domain of a replica, except one; zero if it is not known.
+    fn neighbors(&self, id: ReplicaId, except: Option<ReplicaId>) -> usize {
+        let Some(domain) = self.domains.get(&id) else {
+            return 0;
+        };
+        let voters = self.log.voters().ids().iter();
+        let counted = voters.filter(|it| Some(**it) != except);
+        counted
+            .filter(|it| self.domains.get(*it) == Some(domain))
+            .count()
     }
 }
--- a/crates/policy/tests/cluster/mod.rs
+++ b/crates/policy/tests/cluster/mod.rs
@@ -9,7 +9,7 @@
 };
 
 use citron_policy::{
-    id::{Index, ReplicaId, Term},
+    id::{DomainId, Index, ReplicaId, Term},
     ledger::{Claim, Key},
     raft::{
         Effect, Entry, Event, HardState, Node, Payload, Proposal, Refusal, Role, Settings,
@@ -17,6 +17,7 @@
     },
     state::{Answer, Command, Machine},
 };
+use indexmap::IndexMap;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 pub const STEP: Duration = Duration::from_millis(25);
@@ -77,6 +78,8 @@
     pub now: Instant,
     pub rng: StdRng,
     pub replicas: BTreeMap<ReplicaId, Replica>,
+    /// Failure domains; a replica without one has a domain of its own.
+    pub domains: BTreeMap<ReplicaId, DomainId>,
     pub in_flight: Vec<(Instant, Message)>,
     pub faults: NetworkFaults,
     /// Blocked links, as sender and receiver.
@@ -105,6 +108,7 @@
             now: Instant::now(),
             rng: StdRng::seed_from_u64(seed),
             replicas: BTreeMap::new(),
+            domains: BTreeMap::new(),
             in_flight: Vec::new(),
             faults: NetworkFaults::default(),
             blocked_links: BTreeSet::new(),
@@ -165,8 +169,13 @@
     /// Tells every replica about all others.
     pub fn announce_peers(&mut self) {
         let ids: Vec<ReplicaId> = self.replicas.keys().copied().collect();
+        let domain = |id: &ReplicaId| self.domains.get(id).cloned();
+        let peers: IndexMap<ReplicaId, DomainId> = ids
+            .iter()
+            .map(|id| (*id, domain(id).unwrap_or_else(|| format!("of-{id}"))))
+            .collect();
         for id in &ids {
-            self.event(*id, Event::Peers(ids.clone()));
+            self.event(*id, Event::Peers(peers.clone()));
         }
     }
 
--- a/crates/policy/tests/raft_seats.rs
+++ b/crates/policy/tests/raft_seats.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use citron_policy::{
-    id::ReplicaId,
+    id::{DomainId, ReplicaId},
     member::{Member, Members, State},
     raft::{
         Event, Role,
@@ -52,7 +52,7 @@
     let ids: Vec<ReplicaId> = cluster.replicas.keys().copied().collect();
     for id in ids {
         let replacement = cluster.replicas[&id].node.due_replacement(now);
-        if let Some(replacement) = replacement.filter(|_| cluster.replicas[&id].up) {
+        if let Some((replacement, _)) = replacement.filter(|_| cluster.replicas[&id].up) {
             let (old, new) = (replacement.old, replacement.new);
             cluster.event(id, Event::Replace { token: 0, old, new });
         }
@@ -201,6 +201,120 @@
     }
 }
 
+/// Two replicas in each of three failure domains, one of each a voter.
+const SPREAD: [(ReplicaId, &str); 6] = [
+    (11, "a"),
+    (12, "b"),
+    (13, "c"),
+    (14, "a"),
+    (15, "b"),
+    (16, "c"),
+];
+
+fn formed_over_domains(seed: u64) -> Cluster {
+    let ids: Vec<ReplicaId> = SPREAD.iter().map(|(id, _)| *id).collect();
+    let mut cluster = Cluster::empty(seed, &ids);
+    for (id, domain) in SPREAD {
+        cluster.domains.insert(id, domain.to_owned());
+    }
+    cluster.announce_peers();
+    cluster.init(IDS[0], &IDS);
+    run_seats(&mut cluster, Duration::from_secs(3));
+    cluster
+}
+
+fn run_seats(cluster: &mut Cluster, time: Duration) {
+    let end = cluster.now + time;
+    while cluster.now < end {
+        cluster.step();
+        replace_lost_voters(cluster);
+    }
+}
+
+fn of_domain(domain: &str) -> Vec<ReplicaId> {
+    let members = SPREAD.iter().filter(|(_, it)| *it == domain);
+    members.map(|(id, _)| *id).collect()
+}
+
+/// Failure domains of the voters, sorted.
+fn seats(cluster: &Cluster) -> Vec<DomainId> {
+    let leader = cluster.leader().expect("a leader");
+    let voters = cluster.replicas[&leader].node.voters().ids().to_vec();
+    let mut domains: Vec<DomainId> = voters
+        .iter()
+        .map(|it| cluster.domains[it].clone())
+        .collect();
+    domains.sort_unstable();
+    domains
+}
+
+/// Loses the folders of all replicas of a domain, which return with empty ones.
+fn lose_domain(cluster: &mut Cluster, domain: &str) {
+    let lost = of_domain(domain);
+    for id in &lost {
+        cluster.destroy(*id);
+    }
+    for id in lost {
+        cluster.domains.insert(id + 20, domain.to_owned());
+        cluster.add(id + 20);
+    }
+}
+
+/// A killed voter's seat went to any learner, so that two voters shared a failure domain
+/// from then on, whose loss cost the log.
+#[gtest]
+fn a_failure_domain_may_be_lost_after_a_killed_voter_was_replaced() {
+    for seed in 0..4 {
+        for killed in IDS {
+            for domain in ["a", "b", "c"] {
+                let mut cluster = formed_over_domains(seed);
+                cluster.kill(killed);
+                run_seats(&mut cluster, Duration::from_secs(3));
+                cluster.restart(killed);
+                run_seats(&mut cluster, CATCH_UP);
+                cluster.submit(&Command::Claim(claim("before", 1, 1_000)));
+                expect_that!(seats(&cluster), eq(&["a", "b", "c"]), "{killed} killed");
+                lose_domain(&mut cluster, domain);
+                run_seats(&mut cluster, CATCH_UP);
+                cluster.submit(&Command::Claim(claim("after", 2, 1_000)));
+                expect_that!(seats(&cluster), eq(&["a", "b", "c"]), "{domain} lost");
+            }
+        }
+    }
+}
+
+/// While a whole failure domain is away its seat is filled elsewhere, and nothing moved
+/// it back.
+#[gtest]
+fn seats_are_spread_again_once_a_failure_domain_is_back() {
+    for seed in 0..4 {
+        for (away, lost) in [("c", "a"), ("c", "b"), ("a", "b"), ("b", "a"), ("b", "c")] {
+            let mut cluster = formed_over_domains(seed);
+            for id in of_domain(away) {
+                cluster.kill(id);
+            }
+            run_seats(&mut cluster, Duration::from_secs(6));
+            expect_that!(seats(&cluster).len(), eq(IDS.len()), "{away} away");
+            for id in of_domain(away) {
+                cluster.restart(id);
+            }
+            run_seats(&mut cluster, CATCH_UP);
+            expect_that!(seats(&cluster), eq(&["a", "b", "c"]), "{away} back");
+            lose_domain(&mut cluster, lost);
+            cluster.submit(&Command::Claim(claim("after", 2, 1_000)));
+        }
+    }
+}
+
+#[gtest]
+fn seats_that_are_spread_stay_where_they_are() {
+    let mut cluster = formed_over_domains(5);
+    let leader = cluster.leader().expect("a leader");
+    let before = cluster.replicas[&leader].node.last();
+    run_seats(&mut cluster, Duration::from_secs(30));
+    expect_that!(cluster.replicas[&leader].node.last(), eq(before));
+}
+
 #[gtest]
 fn a_briefly_silent_voter_stays_a_voter() {
     let mut cluster = Cluster::formed(3, &IDS);
