platform: an odd entry of the list of runners takes no other away

The machines that read the list stopped following it: draining runners got bookings until they ended, new ones got nothing.

Cause: a page was parsed as one JSON document and its entries afterwards, so what the parser refuses anywhere refused the page, and with it the reading.

Refused with the whole page: 100,000 levels, 1e999, bytes that are not UTF-8 or not JSON. Left out as they should be: a port out of range, wrong types. No process ended; CP0550 was the only word.

Fix: a page is read element by element. A page whose end can't be read may be cut and fails the reading, so the last list stays. Whatever an entry holds, its neighbours are parsed by themselves. The native list is read in the same way, but there bytes that are not JSON still fail it. CP0556 and a metric count what was left out.

--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -6,6 +6,8 @@
 //! a valid list, the last good list is kept: an old list is better than none, and
 //! the membership protocol checks the state of the daemons independently.
 
+pub mod page;
+
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
@@ -18,7 +20,7 @@
 use citron_policy::{
     id::RunnerId,
     platform::{
-        List, Runner,
+        Instance, List, Runner,
         reader::{self, Role, Schedule},
         reading::{Fault, Page, PageFault, PageToken, Reading, Step},
     },
@@ -105,6 +107,7 @@
     age: Gauge<f64, AtomicU64>,
     entries: Gauge,
     runners: Gauge,
+    odd_entries: Gauge,
 }
 
 impl Metrics {
@@ -145,6 +148,11 @@
             "Runners on the last good list",
             self.runners.clone(),
         );
+        registry.register(
+            "citron_platform_odd_entries",
+            "Entries that the last reading of the list left out, since they could not be read",
+            self.odd_entries.clone(),
+        );
     }
 }
 
@@ -283,6 +291,12 @@
         self.metrics.failures.get()
     }
 
+    /// Number of entries that the last reading left out.
+    #[must_use]
+    pub fn odd_entries(&self) -> i64 {
+        self.metrics.odd_entries.get()
+    }
+
     /// Metrics of the reads.
     #[must_use]
     pub fn metrics(&self) -> &Metrics {
@@ -349,6 +363,7 @@
             .pages
             .inc_by(u64::try_from(pages).unwrap_or(u64::MAX));
         self.metrics.refusals.inc_by(reading.refusals().into());
+        self.observe_odd(&reading);
         if reading.refusals() > 0 || self.need.last_read.get().is_none() {
             log::info!(
                 event = "CP0555", pages, refusals = reading.refusals(),
@@ -359,6 +374,20 @@
         outcome
     }
 
+    /// Counts the entries that a reading left out, and reports them when their number changes.
+    fn observe_odd(&self, reading: &Reading) {
+        let (odd, reason) = reading.odd();
+        let known = self.metrics.odd_entries.get();
+        let count = i64::try_from(odd).unwrap_or(i64::MAX);
+        self.metrics.odd_entries.set(count);
+        if count != known {
+            log::warn!(
+                event = "CP0556", odd, pages = reading.pages(), reason;
+                "entries of the platform's list left out"
+            );
+        }
+    }
+
     fn apply(&self, list: List, sender: &watch::Sender<Arc<List>>) {
         self.need.last_read.set(Some(Instant::now()));
         let count = |len: usize| i64::try_from(len).unwrap_or(i64::MAX);
@@ -403,6 +432,22 @@
     }
 }
 
+/// Members of a list in the native format.
+const ENTRIES: &str = "entries";
+const RUNNERS: &str = "runners";
+
+/// Layout of a list in the native format.
+const LAYOUT: page::Layout = page::Layout {
+    arrays: &[ENTRIES, RUNNERS],
+    last: None,
+};
+
+/// An element of a list in the native format.
+enum Item {
+    Entry(Instance),
+    Runner(Runner),
+}
+
 /// The list in citronpond's native format.
 struct Native {
     client: Client,
@@ -427,17 +472,16 @@
     ) -> LocalBoxFuture<'static, Result<Page, PageFault>> {
         let (client, address) = (self.client.clone(), self.address);
         Box::pin(async move {
-            let list = read(&client, address).await;
-            let list = list.map_err(|failure| PageFault::Failed {
+            let page = read(&client, address).await;
+            page.map_err(|failure| PageFault::Failed {
                 reason: failure.to_string(),
-            })?;
-            Ok(Page { list, next: None })
+            })
         })
     }
 }
 
 /// Reads the list once.
-async fn read(client: &Client, address: SocketAddr) -> Result<List, Failure> {
+async fn read(client: &Client, address: SocketAddr) -> Result<Page, Failure> {
     let request = client.get(format!("http://{address}/v1/list")).send();
     let mut response = request.await.map_err(|error| Failure::NoAnswer {
         address,
@@ -462,12 +506,32 @@
 ///
 /// Each of the two fields is optional, so without this check an error object or
 /// an empty array would parse as a list from which every instance has vanished.
-fn parse(body: &[u8]) -> Result<List, String> {
-    let value: serde_json::Value = serde_json::from_slice(body).map_err(|it| it.to_string())?;
-    if value.get("entries").is_none() && value.get("runners").is_none() {
-        return Err("it has neither \"entries\" nor \"runners\"".to_owned());
+fn parse(body: &[u8]) -> Result<Page, String> {
+    let page = page::read(body, LAYOUT, |array, entry| {
+        let item = if array == ENTRIES {
+            serde_json::from_slice(entry).map(Item::Entry)
+        } else {
+            serde_json::from_slice(entry).map(Item::Runner)
+        };
+        item.map_err(|error| error.to_string())
+    });
+    let page = page.map_err(|fault| fault.to_string())?;
+    if page.arrays.is_empty() {
+        return Err(format!("it has neither \"{ENTRIES}\" nor \"{RUNNERS}\""));
+    }
+    let mut list = List::default();
+    for item in page.entries {
+        match item {
+            Item::Entry(entry) => list.entries.push(entry),
+            Item::Runner(runner) => list.runners.push(runner),
+        }
     }
-    serde_json::from_value(value).map_err(|it| it.to_string())
+    Ok(Page {
+        list,
+        next: None,
+        odd: page.odd,
+        reason: page.reason,
+    })
 }
 
 /// The interval with jitter over a fifth of it, so that daemons do not read in step.
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -120,6 +120,15 @@
             wait_until(what, || platform.failures() >= before + 2).await;
             expect_that!(*platform.list().borrow(), eq(&good), "{what}");
         }
+        // An odd entry among others is left out, and takes none of them away.
+        let nested = "[".repeat(1_000) + &"]".repeat(1_000);
+        let odd = GOOD.replace(
+            "\"runners\":[",
+            &format!("\"runners\":[{nested},1e999,{{\"id\":\"odd\"}},"),
+        );
+        answers.send_replace(answer("200 OK", "", &odd));
+        wait_until("a list with odd entries", || platform.odd_entries() == 3).await;
+        expect_that!(*platform.list().borrow(), eq(&good));
         let read = platform.read_at();
         answers.send_replace(answer("200 OK", "", r#"{"entries":[]}"#));
         wait_until("the next list", || {
@@ -162,7 +171,10 @@
             entries: Vec::new(),
             runners: runners.collect(),
         };
-        Box::pin(std::future::ready(Ok(Page { list, next: None })))
+        Box::pin(std::future::ready(Ok(Page {
+            list,
+            ..Page::default()
+        })))
     }
 }
 
@@ -233,7 +245,11 @@
             runners: vec![runner],
         };
         let next = (page + 1 < self.count).then(|| (page + 1).to_string());
-        Box::pin(std::future::ready(Ok(Page { list, next })))
+        Box::pin(std::future::ready(Ok(Page {
+            list,
+            next,
+            ..Page::default()
+        })))
     }
 }
 
--- a/crates/policy/src/platform/reading.rs
+++ b/crates/policy/src/platform/reading.rs
@@ -36,6 +36,10 @@
     pub list: List,
     /// The page after it, if there is one.
     pub next: Option<PageToken>,
+    /// Number of entries that were left out, since they could not be read.
+    pub odd: usize,
+    /// Why the first of them was left out.
+    pub reason: Option<String>,
 }
 
 /// Why one page was not read.
@@ -105,6 +109,8 @@
     /// Tokens of the pages read.
     read: IndexSet<PageToken>,
     pages: usize,
+    odd: usize,
+    reason: Option<String>,
     refusals: u32,
     pause: Duration,
 }
@@ -120,6 +126,8 @@
             token: None,
             read: IndexSet::new(),
             pages: 0,
+            odd: 0,
+            reason: None,
             refusals: 0,
             pause: MIN_PAUSE,
         }
@@ -131,6 +139,12 @@
         self.pages
     }
 
+    /// Number of entries that were left out so far, and why the first of them was.
+    #[must_use]
+    pub fn odd(&self) -> (usize, Option<&str>) {
+        (self.odd, self.reason.as_deref())
+    }
+
     /// Number of calls that the platform refused.
     #[must_use]
     pub fn refusals(&self) -> u32 {
@@ -148,6 +162,8 @@
             Err(fault) => return Step::Failed(Fault::Page(fault)),
         };
         self.pages += 1;
+        self.odd += page.odd;
+        self.reason = self.reason.take().or(page.reason);
         self.pause = MIN_PAUSE;
         // The list changes while it is read, so an entry may come on two pages.
         let entries = page.list.entries.into_iter();
--- a/crates/policy/tests/list_readers.rs
+++ b/crates/policy/tests/list_readers.rs
@@ -50,6 +50,7 @@
             runners: (first..end).map(runner).collect(),
         },
         next: (end < runners).then(|| end.to_string()),
+        ..Page::default()
     }
 }
 
