exchange: the next runner's failure is no part of a broken stream

Cause: the rest of a stream was told from other answers by its status alone. Any success was split at blank lines and passed on, and an empty one ended the stream. Whether the caller had events already was told by the last id, so events without ids counted as none: the stream began anew, or ended as complete.

Fix: the rest of a stream needs the status and type of an event stream, a first answer no other type. Only events are relayed: blocks with an id or, before any id, of known fields. Having relayed events is recorded as such; without ids the stream isn't resumed. The check is made where any answer becomes a stream, at a runner and through a peer, so no answer of another kind gets to the splitter.

--- a/crates/daemon/src/exchange/events.rs
+++ b/crates/daemon/src/exchange/events.rs
@@ -1,7 +1,9 @@
 //! Splits a byte stream into complete server-sent events.
 //!
 //! Only complete events are relayed, so that a stream that breaks within an event
-//! can resume on another runner after the last event that the caller received.
+//! can resume on another runner after the last event that the caller received. An
+//! event without an id cannot be placed among those that have one, so none is relayed
+//! after them: it is the next runner's failure rather than the stream's next event.
 
 use bytes::{Bytes, BytesMut};
 use derive_more::Display;
@@ -12,6 +14,12 @@
 /// Field that holds an event's numeric id.
 const ID_FIELD: &[u8] = b"id:";
 
+/// Field that holds an event's data.
+const DATA_FIELD: &[u8] = b"data";
+
+/// Fields that dispatch no event by themselves.
+const SILENT_FIELDS: [&[u8]; 3] = [b"event", b"id", b"retry"];
+
 /// Largest event, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
@@ -28,6 +36,24 @@
     /// It exceeds [`MAX_EVENT_PIECES`].
     #[display("an event came in more than {MAX_EVENT_PIECES} pieces")]
     Splintered,
+    /// It has no id, though events before it had one.
+    #[display("an event without an id follows others that have one")]
+    Unnumbered,
+    /// It has neither an id nor data.
+    #[display("text between events is no event")]
+    NoEvent,
+}
+
+/// What a block of lines up to a blank one is.
+enum Block {
+    /// An event with this id.
+    Numbered(u64),
+    /// An event without an id.
+    Unnumbered,
+    /// Comments, or settings of the stream: nothing that the caller's program sees.
+    Silent,
+    /// Anything else.
+    Text,
 }
 
 /// Splitter of one stream.
@@ -67,11 +93,13 @@
         while let Some(end) = find(&self.buffer[self.searched..], BLANK_LINE) {
             let event = self.buffer.split_to(self.searched + end + BLANK_LINE.len());
             (self.searched, self.pieces) = (0, 0);
-            let id = id(&event);
-            if id.is_some() && id <= self.last_id {
-                continue;
+            match block(&event) {
+                Block::Numbered(id) if Some(id) <= self.last_id => continue,
+                Block::Numbered(id) => self.last_id = Some(id),
+                Block::Unnumbered if self.last_id.is_some() => return Err(Fault::Unnumbered),
+                Block::Unnumbered | Block::Silent => {}
+                Block::Text => return Err(Fault::NoEvent),
             }
-            self.last_id = id.or(self.last_id);
             count += 1;
             complete.extend_from_slice(&event);
         }
@@ -96,8 +124,31 @@
     bytes.windows(wanted.len()).position(|it| it == wanted)
 }
 
-fn id(event: &[u8]) -> Option<u64> {
-    let mut lines = event.split(|byte| *byte == b'\n');
-    let value = lines.find_map(|line| line.strip_prefix(ID_FIELD))?;
+fn block(event: &[u8]) -> Block {
+    let lines = || {
+        let lines = event.split(|byte| *byte == b'\n');
+        lines.filter(|line| !line.is_empty())
+    };
+    let mut values = lines().filter_map(|line| line.strip_prefix(ID_FIELD));
+    if let Some(id) = values.next().and_then(number) {
+        return Block::Numbered(id);
+    }
+    let is_field = |line: &[u8], name: &[u8]| {
+        let rest = line.strip_prefix(name);
+        rest.is_some_and(|rest| rest.is_empty() || rest.starts_with(b":"))
+    };
+    let is_silent = |line: &[u8]| {
+        line.starts_with(b":") || SILENT_FIELDS.iter().any(|name| is_field(line, name))
+    };
+    if lines().all(is_silent) {
+        Block::Silent
+    } else if lines().all(|line| is_silent(line) || is_field(line, DATA_FIELD)) {
+        Block::Unnumbered
+    } else {
+        Block::Text
+    }
+}
+
+fn number(value: &[u8]) -> Option<u64> {
     std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
--- a/crates/daemon/src/exchange/relay.rs
+++ b/crates/daemon/src/exchange/relay.rs
@@ -76,7 +76,12 @@
         };
         match step {
             Step::Events(next) => events = next,
-            Step::Done | Step::Whole(_) => break,
+            Step::Done => break,
+            Step::Whole(answer) => {
+                let reason = format!("a whole answer {} follows events", answer.status);
+                drop(sender.send(Err(io::Error::other(reason))).await);
+                break;
+            }
             Step::Failed(problem) => {
                 run.record_failure(&problem);
                 log::info!(
--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -68,6 +68,8 @@
     pub(super) head: Option<(StatusCode, HeaderMap)>,
     /// Id of the last event passed to the caller.
     last: Option<u64>,
+    /// Whether events were passed to the caller.
+    relayed: bool,
     /// Version of the runners that the stream goes on at; none before its first event.
     build: Option<BuildId>,
     /// Services whose arbiter does not know the stream.
@@ -91,6 +93,7 @@
             sent: 0,
             stream: None,
             head: None,
+            relayed: false,
             build: None,
             searched: Vec::new(),
             is_trial: false,
@@ -109,7 +112,7 @@
                 }
             }
             match self.attempt().await {
-                Ok(Some(step)) => return step,
+                Ok(Some(step)) => return self.check_resumed(step),
                 Ok(None) => {}
                 Err(problem) => return Step::Failed(problem),
             }
@@ -128,7 +131,7 @@
 
     /// Whether events were passed to the caller.
     fn has_events(&self) -> bool {
-        self.last != self.admitted.caller_head.after
+        self.relayed
     }
 
     /// Cancels the upstream work after the caller has disconnected.
@@ -186,12 +189,14 @@
             slot.release(self.sample(End::Refused, started, None, 0));
             return self.on_refusal(answer.runner_head).map(|()| None);
         }
-        if let Some(failure) = unusable(&answer) {
+        let is_stream = self.admitted.route.stream && answer.response.status.is_success();
+        let wrong_kind = is_stream.then(|| self.stream_fault(&answer.response));
+        if let Some(failure) = unusable(&answer).or(wrong_kind.flatten()) {
             slot.release(self.sample(End::Late, started, None, 0));
             return self.on_failure(&failure, End::Late).map(|()| None);
         }
         self.ran += 1;
-        if self.admitted.route.stream && answer.response.status.is_success() {
+        if is_stream {
             self.start_stream(Lease::Slot(slot), answer.response, started);
             return Ok(None);
         }
@@ -263,6 +268,10 @@
         match route.repeat {
             Repeat::Never => Rerun::Forbidden,
             Repeat::Resume if !route.stream => Rerun::Forbidden,
+            // Without the id of its last event nobody can go on with the stream.
+            Repeat::Always | Repeat::Resume if self.relayed && self.last.is_none() => {
+                Rerun::Forbidden
+            }
             Repeat::Always | Repeat::Resume if ran < route.attempts => Rerun::Allowed,
             Repeat::Always | Repeat::Resume => Rerun::Spent,
         }
--- a/crates/daemon/src/exchange/run/peer.rs
+++ b/crates/daemon/src/exchange/run/peer.rs
@@ -112,6 +112,11 @@
                 self.ran += attempts;
                 let lease = Lease::Hop(hop);
                 if self.admitted.route.stream && answer.response.status.is_success() {
+                    if let Some(failure) = self.stream_fault(&answer.response) {
+                        self.ran -= 1;
+                        self.on_failure(&failure, end_for(&failure))?;
+                        return Ok(Hopped::Follows);
+                    }
                     self.start_stream(lease, answer.response, started);
                     return Ok(Hopped::Follows);
                 }
--- a/crates/daemon/src/exchange/run/stream.rs
+++ b/crates/daemon/src/exchange/run/stream.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use actix_http::StatusCode;
+use actix_http::{StatusCode, header};
 use citron_policy::{
     id::StreamId,
     stream::{NO_STREAM, Origin, Stream as Continuation},
@@ -18,6 +18,9 @@
     upstream::{self, Failure},
 };
 
+/// Content type of an event stream.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// A stream that is being read.
 pub(super) struct Stream {
     lease: Lease,
@@ -99,6 +102,7 @@
                         stream.event_count += count;
                         stream.lease.record_tokens(stream.event_count);
                         self.last = stream.events.last_id();
+                        self.relayed = true;
                         self.build = self.build.take().or_else(|| stream.lease.build());
                         return Ok(Step::Events(events));
                     }
@@ -118,6 +122,20 @@
         }
     }
 
+    /// Why a response cannot be a stream, or the rest of one, if it cannot.
+    pub(super) fn stream_fault(&self, response: &upstream::Response) -> Option<Failure> {
+        let kind = response.headers.get(header::CONTENT_TYPE);
+        let is_stream = kind.is_some_and(|it| is_event_stream(it.as_bytes()));
+        let first = self.head.as_ref().filter(|_| self.relayed);
+        let fits = match first {
+            None => is_stream || kind.is_none(),
+            Some((status, _)) => is_stream && response.status == *status,
+        };
+        let named = kind.map_or("none", |it| it.to_str().unwrap_or("unreadable"));
+        let reason = format!("{} of type {named} is no event stream", response.status);
+        (!fits).then_some(Failure::Garbled(reason))
+    }
+
     /// Rejects a complete response if events were already passed to the caller.
     pub(super) fn check_resumed(&self, step: Step) -> Step {
         match step {
@@ -154,6 +172,12 @@
     }
 }
 
+/// Whether a content type is that of an event stream, with any parameters.
+fn is_event_stream(kind: &[u8]) -> bool {
+    let kind = kind.split(|it| *it == b';').next().unwrap_or_default();
+    kind.trim_ascii().eq_ignore_ascii_case(EVENT_STREAM)
+}
+
 /// Digest of the id of the request that brought the stream's first event.
 fn stream_id(caller_head: &CallerHead) -> StreamId {
     match &caller_head.resumes {
