platform: a configuration without a key left admits nobody

Cause: a key was asked for if the catalogue held any. Configurations without tenants, whose requests carry none, were told from others by that alone.

Evidence: keys.rs on the code before: 200 for each of four keys with no key left, no list of keys, no tenant left, null in place of the tenants, though each configuration was read back first.

Before: no_request_runs_without_a_sound_key_once_the_last_key_is_gone failed. After: passed.

--- a/crates/daemon/src/exchange/admit.rs
+++ b/crates/daemon/src/exchange/admit.rs
@@ -172,7 +172,7 @@
         let digest = format!("{:x}", Sha256::digest(key.as_bytes()));
         catalogue.account_by_digest(&digest)
     });
-    if known.is_none() && !route.public && catalogue.has_keys() {
+    if known.is_none() && !route.public && !catalogue.keyless {
         return Err(Problem {
             status: StatusCode::UNAUTHORIZED,
             kind: "key",
--- a/crates/policy/src/catalogue.rs
+++ b/crates/policy/src/catalogue.rs
@@ -337,6 +337,9 @@
     /// Routes by name.
     #[serde(default)]
     pub routes: IndexMap<RouteId, Arc<route::Route>>,
+    /// Whether routes admit requests without a key, since the declaration knows no accounts.
+    #[serde(default)]
+    pub keyless: bool,
     /// Account name by SHA-256 digest of each API key.
     #[serde(skip)]
     accounts_by_key: IndexMap<String, AccountId>,
@@ -401,12 +404,6 @@
         urgency.rank(&self.tiers)
     }
 
-    /// Whether any account has an API key.
-    #[must_use]
-    pub fn has_keys(&self) -> bool {
-        !self.accounts_by_key.is_empty()
-    }
-
     /// The route of a request, by longest prefix match on its path.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<route::Route>> {
