exchange: a client's Connection header takes no header of the system away

Cause: the list was applied to the finished request, after the adapter had set its headers.

Evidence: own_headers.rs on the code before: with each of the four listed, alone or together, the runner got none of that name. The request id, Host and the length were kept, as they are written after it.

Fix: the client's list is applied to the client's headers on admission, before anything is added, for opaque requests and for plain calls of the native interface (the latter without a test of its own).

Before: no_header_that_the_system_sets_is_removed_doubled_or_replaced_by_a_client failed. After: passed; the test of a runner's list passed before too.

--- a/crates/daemon/src/callers/plain.rs
+++ b/crates/daemon/src/callers/plain.rs
@@ -171,7 +171,7 @@
 /// The caller's headers to forward to the service, with this request's trace context.
 fn headers(request: &Request, ticket: &Ticket) -> HeaderMap {
     let mut headers = HeaderMap::new();
-    for (name, value) in request.head().headers() {
+    for (name, value) in &upstream::end_to_end(request.head().headers()) {
         if !WITHHELD_HEADERS.contains(&name.as_str()) && *name != upstream::REQUEST_ID {
             headers.append(name.clone(), value.clone());
         }
--- a/crates/daemon/src/exchange/admit.rs
+++ b/crates/daemon/src/exchange/admit.rs
@@ -8,7 +8,10 @@
     time::{Duration, Instant},
 };
 
-use actix_http::{HttpMessage as _, Method, Request, StatusCode, header::HeaderMap};
+use actix_http::{
+    HttpMessage as _, Method, Request, StatusCode,
+    header::{self, HeaderMap},
+};
 use bytes::Bytes;
 use citron_policy::{
     catalogue::{Account, Catalogue, Class, Service},
@@ -23,6 +26,7 @@
     edge::{CallerHead, Problem},
     fingerprint::fingerprint,
     http::Watch,
+    upstream,
 };
 
 /// `Retry-After` while the catalogue is not known to be current: an election of the
@@ -95,8 +99,11 @@
         .map_or_else(|| request.path().to_owned(), ToString::to_string);
     let method = request.method().clone();
     let account = allowed.account.as_ref().map_or("", |it| it.name.as_str());
-    let mut headers = request.headers().clone();
-    let is_hop = hop::is_hop(&headers);
+    let is_hop = hop::is_hop(request.headers());
+    let mut headers = upstream::end_to_end(request.headers());
+    if let Some(host) = request.headers().get(header::HOST) {
+        headers.insert(header::HOST, host.clone());
+    }
     hop::remove_mark(&mut headers);
     let names = [account, &caller_head.host, method.as_str(), &path];
     Ok(Admitted {
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -29,6 +29,7 @@
 
 use crate::socket::Patience;
 
+pub(crate) use self::head::end_to_end;
 pub use self::{body::Body, failure::Failure, metrics::Metrics};
 use self::{head::Codec, socket::Socket};
 
--- a/crates/daemon/src/upstream/head.rs
+++ b/crates/daemon/src/upstream/head.rs
@@ -274,8 +274,11 @@
         .sum()
 }
 
-/// The end-to-end headers.
-fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+/// The end-to-end headers: those that neither HTTP nor the sender's own `Connection` header
+/// makes hop-by-hop.
+///
+/// The list is the sender's, so it is applied before headers of one's own are added.
+pub(crate) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
     let named: Vec<&str> = headers
         .get_all(header::CONNECTION)
         .filter_map(|value| value.to_str().ok())
