exchange: a runner's answer can't pass for a peer's word

What callers could see (TWICE): a daemon without a path to the runners has its attempts made by a peer, and reads a header of the peer's answer as 'not served'. The peer passed a runner's header of that name on, so a request that had run was sent to the next peer and ran again.

Cause: the mark was not removed from runners' answers.

Fix: the mark is removed where a runner's answer comes in, the only way into a daemon for bytes that are not a peer's.

Before: a_runner_cannot_speak_for_a_peer failed, the header reached the caller. After: passed.

--- a/crates/daemon/src/exchange/attempt.rs
+++ b/crates/daemon/src/exchange/attempt.rs
@@ -9,7 +9,7 @@
 };
 use bytes::Bytes;
 
-use super::{Exchange, admit::Admitted};
+use super::{Exchange, admit::Admitted, hop};
 use crate::{
     edge::{Dispatch, RunnerHead},
     slots::Slot,
@@ -80,7 +80,9 @@
     ports.adapter.runners.dispatch(&dispatch, &mut headers);
     let request = request(exchange, admitted, headers);
     ports.upstream.exchanges.inc();
-    let response = upstream::exchange(slot.address, request, &limits).await?;
+    let mut response = upstream::exchange(slot.address, request, &limits).await?;
+    // Only a peer may say that it cannot serve the request.
+    hop::remove_mark(&mut response.headers);
     let runner_head = ports
         .adapter
         .runners
--- a/crates/daemon/src/exchange/hop.rs
+++ b/crates/daemon/src/exchange/hop.rs
@@ -69,7 +69,7 @@
     headers.contains_key(HOP)
 }
 
-/// Removes the mark of a request that a peer passed on.
+/// Removes the mark from a request that a peer passed on, or from a runner's answer.
 pub(super) fn remove_mark(headers: &mut HeaderMap) {
     headers.remove(HOP);
 }
