http: a request is finished once its answer has left for the caller

Cause: a request counted as finished once its answer was handed to the HTTP library, which holds it whole and writes it as fast as the caller reads. The process ended with that buffer.

Evidence: planned_stop.rs on the code before: exit code 0 after 3 s, and 5.4 MB received of 7.3 MB by both callers, which read 640 kB a second. Ruled out: the requests' deadline and the drain timeout, which had not come.

Fix: each connection tells what the system has not taken of its answer, and the library gets bodies in pieces of 32 KiB. A leaving daemon ends when no request is in flight and nothing is in transit, or at the end of its drain timeout, when CP0115 tells what is cut. Answers and streams pass the same place.

Before: a_planned_stop_cuts_no_answer_that_is_still_being_sent failed. After: passed, as do leaving, callers and admin_http of the daemon.

--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -4,17 +4,19 @@
 //! may share state without locks. Each connection has a [`Watch`], because the
 //! library does not notify a waiting handler when its caller disconnects.
 
+mod transit;
 mod watch;
 
 use std::{cell::Cell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_http::{HttpService, KeepAlive, Request, Response, body::BoxBody};
-use actix_rt::net::{TcpListener, TcpStream};
+use actix_rt::net::TcpListener;
 use actix_service::{Service, ServiceFactory, fn_service};
 use futures_util::future::LocalBoxFuture;
 use tokio::sync::watch::Receiver;
 
-pub use watch::Watch;
+use self::transit::{Sending, Stream};
+pub use self::{transit::Transit, watch::Watch};
 
 /// Pause after a failed accept, for example when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
@@ -43,6 +45,8 @@
     pub max_connections: usize,
     /// Becomes true when the listener is to stop accepting connections.
     pub stopped: Receiver<bool>,
+    /// Counts the answers that are still being sent.
+    pub transit: Transit,
 }
 
 impl Server {
@@ -50,21 +54,28 @@
     /// all are served until the process exits.
     pub async fn run(mut self) {
         let handler = Rc::clone(&self.handler);
-        let factory = HttpService::<TcpStream, _, _>::build()
+        let factory = HttpService::<Stream, _, _>::build()
             .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
             .client_request_timeout(HEAD_TIMEOUT)
             .client_disconnect_timeout(DISCONNECT_TIMEOUT)
             .tcp_nodelay(true)
-            .on_connect_ext(|stream: &TcpStream, extensions| {
-                if let Ok(watch) = Watch::of(stream) {
+            .on_connect_ext(|stream: &Stream, extensions| {
+                if let Ok(watch) = Watch::of(stream.inner()) {
                     extensions.insert(watch);
                 }
+                extensions.insert(stream.sending());
             })
-            .h1(fn_service(move |request| {
+            .h1(fn_service(move |request: Request| {
+                let sending = request.conn_data::<Sending>().cloned();
                 let answer = handler(request);
-                async move { Ok::<_, Infallible>(answer.await) }
-            }))
-            .tcp();
+                async move {
+                    let answer = answer.await;
+                    Ok::<_, Infallible>(match sending {
+                        Some(sending) => answer.map_body(|_, body| sending.body(body)),
+                        None => answer,
+                    })
+                }
+            }));
         let Ok(service) = factory.new_service(()).await else {
             return;
         };
@@ -75,8 +86,8 @@
                 accepted = self.listener.accept() => accepted,
                 Ok(_) = self.stopped.wait_for(|stopped| *stopped) => return,
             };
-            let stream = match accepted {
-                Ok((stream, _)) => stream,
+            let (stream, peer) = match accepted {
+                Ok(accepted) => accepted,
                 Err(error) => {
                     log::warn!("CP0110 cannot accept connection: {error}");
                     actix_rt::time::sleep(ACCEPT_PAUSE).await;
@@ -91,7 +102,8 @@
                 continue;
             }
             let counted = OpenConnection::new(&open);
-            let connection = service.call(stream);
+            let stream = Stream::new(stream, &self.transit);
+            let connection = service.call((stream, Some(peer)));
             actix_rt::spawn(async move {
                 if let Err(error) = connection.await {
                     log::debug!("CP0112 connection ended: {error}");
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -50,6 +50,8 @@
     resident_bytes: Gauge,
     log_dropped: Gauge,
     in_flight: Gauge,
+    sending: Gauge,
+    unsent_bytes: Gauge,
     revision: Gauge,
     current: Gauge,
     queued: Gauge,
@@ -67,6 +69,10 @@
 pub struct Sample {
     /// Requests in flight.
     pub in_flight: u32,
+    /// Answers that are still being sent.
+    pub sending: u32,
+    /// Bytes of these answers that are known to be left.
+    pub unsent_bytes: u64,
     /// Catalogue revision in force.
     pub revision: u64,
     /// Whether the catalogue is known to be current.
@@ -96,6 +102,16 @@
             "Requests in hand",
             self.in_flight.clone(),
         );
+        registry.register(
+            "citron_sending",
+            "Answers that are still being sent to callers",
+            self.sending.clone(),
+        );
+        registry.register(
+            "citron_unsent_bytes",
+            "Bytes of these answers that are known to be left",
+            self.unsent_bytes.clone(),
+        );
         registry.register(
             "citron_revision",
             "Catalogue revision in force",
@@ -148,6 +164,9 @@
         let dropped = i64::try_from(output::dropped()).unwrap_or(i64::MAX);
         self.log_dropped.set(dropped);
         self.in_flight.set(i64::from(sample.in_flight));
+        self.sending.set(i64::from(sample.sending));
+        self.unsent_bytes
+            .set(i64::try_from(sample.unsent_bytes).unwrap_or(i64::MAX));
         self.revision
             .set(i64::try_from(sample.revision).unwrap_or(i64::MAX));
         self.current.set(i64::from(sample.current));
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -28,7 +28,7 @@
     exchange::{self, Exchange},
     gossip::LocalStatus,
     handle::Handle,
-    http::{Handler, Server},
+    http::{Handler, Server, Transit},
     loop_lag,
     metrics::{self, Metrics, Sample},
     operators, peers, platform,
@@ -241,6 +241,8 @@
 struct Parts {
     core: Core,
     front: Front,
+    /// Answers to callers that are still being sent.
+    transit: Transit,
     tracer: Tracer,
     metrics: RefCell<Metrics>,
     draining: watch::Sender<bool>,
@@ -308,6 +310,7 @@
         let registry = Rc::new(registry);
         let admin = admin(&core, tokens, admin_metrics, Rc::clone(&registry));
         serve_peers(&core, &admin, peer_listener);
+        let transit = Transit::default();
         serve_http(
             callers_listener,
             front.handler(),
@@ -317,10 +320,17 @@
             } else {
                 &closed
             },
+            &transit,
         );
         if let Some(listener) = metrics_listener {
             let handler = metrics::handler(registry);
-            serve_http(listener, handler, MAX_ADMIN_CONNECTIONS, &ended);
+            serve_http(
+                listener,
+                handler,
+                MAX_ADMIN_CONNECTIONS,
+                &ended,
+                &Transit::default(),
+            );
         }
         if let Some(adapter) = adapter {
             serve_adapter(&adapter, &handle, management_listeners, &ended);
@@ -330,12 +340,14 @@
             admin.handler(),
             MAX_ADMIN_CONNECTIONS,
             &ended,
+            &Transit::default(),
         );
         let metrics = RefCell::new(metrics);
         let signalled = Cell::new(false);
         let parts = Rc::new(Self {
             core,
             front,
+            transit,
             tracer,
             metrics,
             draining,
@@ -347,10 +359,15 @@
         (parts, failed)
     }
 
+    /// Whether a request is in flight, or an answer still being sent.
+    fn is_busy(&self) -> bool {
+        self.front.in_flight() > 0 || self.transit.answers() > 0
+    }
+
     /// Waits briefly for requests that arrived while the daemon announced its end.
     async fn finish(&self) {
         let end = Instant::now() + FINISH_TIMEOUT;
-        while self.front.in_flight() > 0 && Instant::now() < end {
+        while self.is_busy() && Instant::now() < end {
             actix_rt::time::sleep(FINISH_POLL_INTERVAL).await;
         }
         actix_rt::time::sleep(FINISH_POLL_INTERVAL).await;
@@ -383,6 +400,8 @@
     fn sample(&self, now: Instant) -> Sample {
         Sample {
             in_flight: self.front.in_flight(),
+            sending: self.transit.answers(),
+            unsent_bytes: self.transit.bytes(),
             revision: self.core.follow.view().borrow().catalogue.revision,
             current: self.accepts_work(now),
         }
@@ -476,7 +495,14 @@
     for listener in listeners {
         let (management, handle) = (Rc::clone(&adapter.management), handle.clone());
         let handler: Handler = Rc::new(move |request| management.answer(handle.clone(), request));
-        serve_http(listener, handler, MAX_ADAPTER_CONNECTIONS, stopped);
+        let transit = Transit::default();
+        serve_http(
+            listener,
+            handler,
+            MAX_ADAPTER_CONNECTIONS,
+            stopped,
+            &transit,
+        );
     }
 }
 
@@ -531,6 +557,7 @@
     handler: Handler,
     max_connections: usize,
     stopped: &watch::Receiver<bool>,
+    transit: &Transit,
 ) {
     actix_rt::spawn(
         Server {
@@ -538,6 +565,7 @@
             handler,
             max_connections,
             stopped: stopped.clone(),
+            transit: transit.clone(),
         }
         .run(),
     );
--- a/crates/daemon/src/run/shutdown.rs
+++ b/crates/daemon/src/run/shutdown.rs
@@ -112,16 +112,21 @@
             }
         }
         if waited >= self.drain_timeout {
+            log::warn!(
+                event = "CP0115", in_flight = self.parts.front.in_flight(),
+                sending = self.parts.transit.answers(), unsent_bytes = self.parts.transit.bytes();
+                "leaving before every request is finished"
+            );
             Err(Failure::CutShort)
         } else {
             Ok(false)
         }
     }
 
-    /// Whether no request has been in flight for [`QUIET_TIME`], where one would be sent
-    /// elsewhere.
+    /// Whether every answer was sent and no request has been in flight for [`QUIET_TIME`],
+    /// where one would be sent elsewhere.
     fn is_quiet(&mut self, now: Instant) -> bool {
-        if self.parts.front.in_flight() > 0 {
+        if self.parts.is_busy() {
             self.quiet_since = None;
             return false;
         }
--- a/crates/daemon/tests/admin/mod.rs
+++ b/crates/daemon/tests/admin/mod.rs
@@ -162,6 +162,7 @@
             handler: admin.handler(),
             max_connections: 64,
             stopped: tokio::sync::watch::channel(false).1,
+            transit: http::Transit::default(),
         };
         actix_rt::spawn(server.run());
         let (listener, peer) = http::bind(loopback()).await.expect("a port");
