--- a/crates/policy/src/raft/membership.rs
+++ b/crates/policy/src/raft/membership.rs
@@ -9,6 +9,9 @@
 //! The loss of a failure domain must cost as few voters as possible, at any time. A lost
 //! voter's seat therefore goes to the failure domain that has the fewest, and once no
 //! voter is lost, a seat moves from a crowded domain to one with two voters fewer.
+//!
+//! If the settings say how many voters there should be, one is added or removed at a time
+//! until there are as many. A lost voter is replaced before any is added.
 
 use std::time::{Duration, Instant};
 
