arbiter: one lost answer at each runner leaves a service without none

Cause: a runner that loses the only request that it has is taken for dead and put out of use until a probe succeeds, at once. It was done to the last one as well, so four breaks within half a second, one at each runner, emptied the service.

Fix: the last usable runner of a service stays in use until three answers in a row are lost there, and so does the last one of a version for streams that had begun, which have nowhere else to go on. With another runner at hand all is as before.

Before: the three new tests of arbiter_health.rs failed.

--- a/crates/policy/src/arbiter/pool.rs
+++ b/crates/policy/src/arbiter/pool.rs
@@ -519,6 +519,15 @@
         }
     }
 
+    /// Whether no other runner can take its requests; `of_build`: its streams, which
+    /// only go on at the version that began them.
+    fn is_last(&self, id: &RunnerId, of_build: bool) -> bool {
+        let build = self.runners.get(id).filter(|_| of_build);
+        let build = build.map(|it| &*it.build);
+        let mut others = self.runners.iter().filter(|(other, _)| *other != id);
+        !others.any(|(_, it)| it.is_usable() && has_build(it, build))
+    }
+
     /// Records the end of an asker's request; returns the health transition that it causes.
     pub(super) fn on_end(
         &mut self,
@@ -528,6 +537,8 @@
         sample: &Sample,
         read: bool,
     ) -> Option<Transition> {
+        let had_begun = sample.first_token.is_some();
+        let is_needed = sample.end == End::Broken && self.is_last(id, had_begun);
         let runner = self.runners.get_mut(id)?;
         let sightings = &mut runner.sightings;
         match sample.end {
@@ -554,7 +565,7 @@
         match sample.end {
             End::Broken => {
                 runner.note_fault(now, true);
-                if !runner.on_broken() && !was_down {
+                if !runner.on_broken(is_needed) && !was_down {
                     return None;
                 }
                 runner.exclude(now, Cause::Down);
--- a/crates/policy/src/arbiter/runner.rs
+++ b/crates/policy/src/arbiter/runner.rs
@@ -450,10 +450,11 @@
     /// Records a broken connection; true if the runner must be considered dead.
     ///
     /// A single lost answer is no evidence: a runner that dies breaks all its
-    /// connections at once.
-    pub(super) fn on_broken(&mut self) -> bool {
+    /// connections at once. If it was the only request there, it is taken for one as
+    /// long as another runner can do the work, that is unless this one `is_needed`.
+    pub(super) fn on_broken(&mut self, is_needed: bool) -> bool {
         self.consecutive_breaks += 1;
-        self.consecutive_breaks >= MAX_BROKEN || self.held == 0
+        self.consecutive_breaks >= MAX_BROKEN || (self.held == 0 && !is_needed)
     }
 
     /// Records the loss of a request's answer.
--- a/crates/policy/tests/arbiter_health.rs
+++ b/crates/policy/tests/arbiter_health.rs
@@ -166,6 +166,63 @@
     expect_that!(pool.daemons.arbiters[&0].stats().usable, eq(3));
 }
 
+/// Sends one request and loses its answer, or the rest of it if it `had_begun`; `None`
+/// if the request is refused.
+fn lose_answer(daemons: &mut Daemons, ticket: u64, had_begun: bool) -> Option<String> {
+    daemons.acquire(0, ask(ticket, "c0", "a"));
+    daemons.deliver_all();
+    let outcomes = daemons.take_outcomes();
+    let granted = outcomes.into_iter().find_map(|it| match it {
+        Outcome::Granted { runner, .. } => Some(runner),
+        Outcome::Refused { .. } | Outcome::Preempted { .. } => None,
+    });
+    if granted.is_some() {
+        let broken = Sample {
+            first_token: had_begun.then_some(FAST / 10),
+            ..sample(End::Broken, FAST)
+        };
+        daemons.release(0, ticket, broken);
+        daemons.deliver_all();
+    }
+    granted
+}
+
+// Four runners that had each lost one answer left a service without any.
+#[gtest]
+fn one_lost_answer_at_each_runner_does_not_empty_a_service() {
+    let mut daemons = Daemons::new(1, catalogue(2, |_| {}), runners(4));
+    for ticket in 0..5 {
+        expect_that!(lose_answer(&mut daemons, ticket, false), some(anything()));
+    }
+    expect_that!(daemons.arbiters[&0].stats().usable, eq(1));
+}
+
+// A service whose runners are all dead must not send requests to the last one for good.
+#[gtest]
+fn the_last_runner_is_put_out_of_use_once_it_breaks_three_requests_in_a_row() {
+    let mut daemons = Daemons::new(1, catalogue(2, |_| {}), runners(2));
+    let mut lose = |ticket| lose_answer(&mut daemons, ticket, false);
+    let runners: Vec<_> = (0..5).map(&mut lose).collect();
+    expect_that!(runners[..4], each(some(anything())));
+    expect_that!(runners[4], none());
+    expect_that!(daemons.arbiters[&0].stats().usable, eq(0));
+}
+
+// Streams can only go on at the version that began them, which one lost answer at each of
+// its runners took away.
+#[gtest]
+fn one_lost_answer_at_each_runner_leaves_each_build_with_one() {
+    let mut listed = runners(4);
+    for runner in &mut listed[..2] {
+        runner.build = "v2".to_owned();
+    }
+    let mut daemons = Daemons::new(1, catalogue(2, |_| {}), listed);
+    for ticket in 0..4 {
+        expect_that!(lose_answer(&mut daemons, ticket, true), some(anything()));
+    }
+    expect_that!(daemons.arbiters[&0].stats().usable, ge(2));
+}
+
 #[gtest]
 fn a_request_to_a_service_without_runners_is_refused_at_once() {
     let mut daemons = Daemons::new(1, catalogue(2, |_| {}), Vec::new());
