raft: a failing test of the formation that a lost disk stops

Cause, as far as the model shows: a folder promises itself to one formation for ever. If a voter is lost before its promise, the others stay bound to a formation that cannot be completed, and each further request is refused as promised.

Not mended here: what makes it safe to give a formation up, and the messages that say so, are not worked out.

--- a/crates/policy/tests/raft_formation.rs
+++ b/crates/policy/tests/raft_formation.rs
@@ -127,3 +127,41 @@
     cluster.run_until("a leader", |it| it.leader().is_some());
     cluster.submit(&Command::Noop);
 }
+
+/// Steps after which a disk is lost, up to well after the formation.
+const LOSS_STEPS: u32 = 60;
+
+/// Time within which the others form a cluster with the replica that comes in its place.
+const FORMED: Duration = Duration::from_secs(15);
+
+// A folder that was lost while the cluster formed never keeps its promise, and the promises of
+// the others bound them to it.
+#[gtest]
+fn the_loss_of_a_disk_during_the_formation_does_not_stop_it_for_good() {
+    const NEW_REPLICA: u64 = 22;
+
+    let mut stuck = Vec::new();
+    for lost in [11, 12, 13] {
+        for steps in 0..LOSS_STEPS {
+            let mut cluster = Cluster::empty(u64::from(steps), &[11, 12, 13]);
+            cluster.init(11, &[11, 12, 13]);
+            for _ in 0..steps {
+                cluster.step();
+            }
+            cluster.destroy(lost);
+            cluster.add(NEW_REPLICA);
+            // As each daemon does until the cluster is formed: the first of those that are
+            // known asks.
+            let end = cluster.now + FORMED;
+            while cluster.leader().is_none() && cluster.now < end {
+                let known = cluster.others(0);
+                cluster.init(known[0], &known);
+                cluster.run(Duration::from_secs(1));
+            }
+            if cluster.leader().is_none() {
+                stuck.push((lost, steps));
+            }
+        }
+    }
+    expect_that!(stuck, is_empty());
+}
