crash: a failing test of sound requests quarantined by an outage

Cause: a suspect that runs alone and breaks is quarantined, whatever became of others. In the model, two requests that are sent each 100 ms are both suspected and then quarantined; all 60 sent in the 3 s after the outage are refused as Quarantined.

Not mended here. A single request that comes alone cannot be told from one that crashes its runners, so the test sends two: that both break, with nothing served in between, is what tells an outage.

--- a/crates/policy/tests/crash_rule.rs
+++ b/crates/policy/tests/crash_rule.rs
@@ -563,3 +563,46 @@
         ..ask(ticket, "c1", "a")
     }
 }
+
+/// Time for which all runners close their connections without an answer.
+const OUTAGE: Duration = Duration::from_secs(40);
+
+/// Time after the outage within which its requests are served again.
+const RECOVERY: Duration = Duration::from_secs(3);
+
+// An outage of all runners is no evidence against the requests that met it, but those that came
+// again and again in it were quarantined for good.
+#[gtest]
+fn requests_that_are_repeated_through_an_outage_of_all_runners_are_served_after_it() {
+    const SOUND: [u64; 2] = [0x50, 0x51];
+
+    let mut daemons = Daemons::new(2, catalogue(4, |_| {}), runners(3));
+    let outage_end = daemons.now + OUTAGE;
+    let (mut next, mut served) = (0, IndexSet::new());
+    while daemons.now < outage_end + RECOVERY {
+        for fingerprint in SOUND {
+            daemons.acquire(0, resent(next, fingerprint));
+            next += 1;
+        }
+        daemons.deliver_all();
+        for outcome in daemons.take_outcomes() {
+            let Outcome::Granted { daemon, ticket, .. } = outcome else {
+                continue;
+            };
+            let end = if daemons.now < outage_end {
+                End::Broken
+            } else {
+                served.insert(ticket % 2);
+                End::Done
+            };
+            let took = Duration::from_millis(20);
+            daemons.release(daemon, ticket, sample(end, took));
+        }
+        daemons.deliver_all();
+        daemons.commit_marks();
+        daemons.now += Duration::from_millis(100);
+        daemons.tick();
+        daemons.deliver_all();
+    }
+    expect_that!(served.len(), eq(SOUND.len()));
+}
