exchange: requests avoid runners that could not be reached lately

Callers of an instance that had lost its path got up to seven 502 in a row before a peer made their attempts.

Cause: a lost path shows only when two different runners fail, and nothing led a request to a second one: all are idle, so each request went to the same runner, and the retry budget was empty.

Evidence: CP1001 names i-0 for each of the failed requests, CP1009 comes with the first retry.

--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -289,7 +289,7 @@
             fingerprint: admitted.fingerprint,
             prefix: cache_prefix(admitted),
             deadline: admitted.deadline,
-            avoid: self.tried.clone(),
+            avoid: self.avoided(),
             resume: self.head.is_some(),
             tier: Some(admitted.tier()),
             prompt: admitted.caller_head.prompt.clone(),
@@ -308,6 +308,13 @@
         }
     }
 
+    /// Runners that tried this request, and those that could not be reached lately.
+    fn avoided(&self) -> Vec<RunnerId> {
+        let detour = self.exchange.inner.detour.borrow();
+        let unreached = detour.unreached(Instant::now()).cloned();
+        self.tried.iter().cloned().chain(unreached).collect()
+    }
+
     /// Turns to another service of the route, which may know the stream; false if all
     /// were asked.
     fn search_next_service(&mut self) -> Result<bool, Problem> {
--- a/crates/policy/src/detour.rs
+++ b/crates/policy/src/detour.rs
@@ -119,9 +119,17 @@
     /// Whether this instance has lost its paths.
     #[must_use]
     pub fn is_cut_off(&self, now: Instant) -> bool {
+        self.unreached(now).count() >= self.settings.min_unreached
+    }
+
+    /// Runners that failed lately, with no answer to a later attempt.
+    ///
+    /// The next attempts avoid them: another runner shows whether the path is lost.
+    pub fn unreached(&self, now: Instant) -> impl Iterator<Item = &RunnerId> {
         let memory = self.settings.memory;
-        let recent = |at: &&Instant| now.saturating_duration_since(**at) <= memory;
-        self.unreached.values().filter(recent).count() >= self.settings.min_unreached
+        let recent = move |at: &Instant| now.saturating_duration_since(*at) <= memory;
+        let recent = self.unreached.iter().filter(move |(_, at)| recent(at));
+        recent.map(|(runner, _)| runner)
     }
 
     /// The runner to test now, if one is due.
--- a/crates/policy/tests/detour.rs
+++ b/crates/policy/tests/detour.rs
@@ -69,6 +69,21 @@
     expect_that!(cut_off(now).is_cut_off(now), eq(true));
 }
 
+/// Otherwise all requests of a quiet daemon may go to one runner, and the loss of the
+/// path stays unknown.
+#[gtest]
+fn a_runner_that_was_not_reached_is_avoided_until_any_answers() {
+    let now = Instant::now();
+    let mut detour = Detour::new(Settings::default());
+    attempt(&mut detour, now, "r1", 1);
+    let unreached = |detour: &Detour, now| detour.unreached(now).cloned().collect::<Vec<_>>();
+    expect_that!(unreached(&detour, now), elements_are![eq("r1")]);
+    let later = now + Settings::default().memory + Duration::from_millis(1);
+    expect_that!(unreached(&detour, later), is_empty());
+    detour.on_answer(now + Duration::from_millis(1));
+    expect_that!(unreached(&detour, now), is_empty());
+}
+
 /// An answer to what was sent before the loss says nothing about it.
 #[gtest]
 fn only_an_answer_to_a_later_attempt_shows_a_path() {
