arbiter: what waits while no runner is usable is refused

While every runner failed, one caller now and then waited 5 to 12 s longer than the others, who were refused at once.

Cause: admission lets a request in when a probe is due, but scheduling has more conditions on who becomes the probe. Who was let in and not chosen was looked at again only when the health of a runner changed, and a probe that breaks changes nothing.

Evidence: outage_waits.rs, 7 of 60 plays with waits up to 7.09 s, 0.5 s asked; the waits are the times of the probes (0.5, 1.5, 3.5, 7.5 s).

Scheduling now ends by refusing what waits if no runner is usable, so one place decides.

--- a/crates/policy/src/arbiter/grant.rs
+++ b/crates/policy/src/arbiter/grant.rs
@@ -32,6 +32,10 @@
         self.pool.clear_changes();
         self.run_alone(now, effects);
         self.preempt(now, effects);
+        // Who did not become the probe would wait for one probe after the other.
+        if self.pool.is_unusable() {
+            self.refuse_without_runner(now, effects);
+        }
     }
 
     fn grant_next(&mut self, now: Instant, effects: &mut Vec<Effect>) -> bool {
