duties: lease with fencing tokens in the control log, fenced calls to the platform

Some calls to the platform must come from one daemon at a time, and the platform does not check who calls. One lease for all duties is part of the replicated state; its token is the index of the log entry that granted it. Steps are encoded so that builds without leases apply them as commands without effect, and a lease is taken only while all replicas know them.

Interfaces for usage reports and orders of runners (edge::DutyCalls, catalogue::Scaling, wire duty messages) are in place; nothing uses them yet, and without the platform's duties in the settings nothing is started.

--- a/crates/daemon/src/admin/change.rs
+++ b/crates/daemon/src/admin/change.rs
@@ -53,7 +53,7 @@
             Ok(json(&Accepted { revision }))
         }
         Ok(Answer::Change(Err(refusal))) => Err(refused(ports, &change, refusal)),
-        Ok(Answer::Done | Answer::Claim(_) | Answer::Declared(_)) => Err(unknown(ports, &change)),
+        Ok(_) => Err(unknown(ports, &change)),
         Err(error) => {
             let problem = Problem::control(&error);
             record(ports, "CP0803", &change, &error.to_string());
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -18,10 +18,12 @@
 use citron_policy::{
     feed,
     id::{Fingerprint, Index, InstanceId, ReplicaId, Term, Version},
+    lease,
     ledger::{Key, Verdict},
     member::{Members, State},
     raft,
     state::{self, Answer, Command},
+    usage,
 };
 use citron_wire::{Body, generated::control as proto};
 use derive_more::{Display, Error};
@@ -129,6 +131,9 @@
     pub last: Index,
     /// Index of the last committed entry that it knows of.
     pub commit: Index,
+    /// Whether its build applies changes of the lease of the duties.
+    #[serde(default)]
+    pub duties: bool,
 }
 
 /// Result of [`Control::start`].
@@ -255,6 +260,25 @@
         }
     }
 
+    /// What the replica of this daemon knows of the duties, which may be out of date; none
+    /// without a replica.
+    pub async fn duties(&self, within: Duration) -> Option<(Option<lease::Record>, usage::Fixed)> {
+        let mailbox = self.inner.mailbox.as_ref()?;
+        let answer = mailbox.request(proto::message::Body::Duties(proto::Ask {}));
+        match actix_rt::time::timeout(within, answer).await {
+            Ok(Ok(proto::message::Body::KnownDuties(duties))) => {
+                citron_wire::control::decode_duties(duties).ok()
+            }
+            _ => None,
+        }
+    }
+
+    /// Identity of this daemon's replica, if it has one.
+    #[must_use]
+    pub fn replica(&self) -> Option<ReplicaId> {
+        self.inner.mailbox.as_ref().map(Mailbox::replica)
+    }
+
     /// Status of the known replicas; those that do not answer are left out.
     pub async fn status(&self, within: Duration) -> Vec<(InstanceId, Status)> {
         let calls = self
--- a/crates/daemon/src/control/driver.rs
+++ b/crates/daemon/src/control/driver.rs
@@ -302,6 +302,10 @@
                 return self.step(Event::Replace { token, old, new });
             }
             Body::Status(_) => answer(reply, Body::Standing(self.status().into())),
+            Body::Duties(_) => {
+                let duties = control::encode_duties(&self.machine).unwrap_or_default();
+                answer(reply, Body::KnownDuties(duties));
+            }
             _ => answer(reply, outcome::refused("not a question".to_owned())),
         }
         Vec::new()
@@ -556,6 +560,7 @@
             voters: self.node.voters().ids().to_vec(),
             last: self.node.last(),
             commit: self.node.commit(),
+            duties: true,
         }
     }
 
--- a/crates/daemon/src/control/outcome.rs
+++ b/crates/daemon/src/control/outcome.rs
@@ -153,6 +153,7 @@
             voters: it.voters,
             last: it.last,
             commit: it.commit,
+            duties: it.duties,
         }
     }
 }
@@ -172,6 +173,7 @@
             voters: it.voters,
             last: it.last,
             commit: it.commit,
+            duties: it.duties,
         }
     }
 }
--- /dev/null
+++ b/crates/daemon/src/duty.rs
@@ -0,0 +1,372 @@
+//! Duties that one instance at a time carries out.
+//!
+//! Every daemon with a replica of the control log is a candidate for the lease
+//! ([`citron_policy::lease`]). The holder calls the platform through
+//! [`Duty::call`], which adds the fencing token and checks the lease right before
+//! the request is written.
+
+mod call;
+mod metrics;
+mod pace;
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use actix_http::StatusCode;
+use citron_policy::{
+    arbiter::host_order,
+    id::{FencingToken, InstanceId, ReplicaId},
+    lease::{self, Candidate, Step},
+    member::{Members, State},
+    state::{Answer, Command},
+    usage,
+};
+use prometheus_client::registry::Registry;
+use tokio::sync::watch;
+
+use crate::{
+    clock,
+    control::Control,
+    edge::{DutyCall, DutyCalls, Fence},
+    event::millis,
+};
+
+pub use self::call::Failure;
+use self::{metrics::Metrics, pace::Pace};
+
+/// Time between two looks at the lease.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Timeout of a proposal to the control log, and of a question to the local replica.
+const LOG_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Timeout of the question whether all replicas know leases.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Name by which the candidates are ranked.
+const RANK_NAME: &str = "duties";
+
+/// Settings of the duties; none are carried out by default.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Durations of the lease.
+    pub lease: lease::Settings,
+    /// Calls per second that the platform accepts from all daemons together.
+    pub calls_per_second: f64,
+    /// Whether usage is reported, and how.
+    pub usage: Option<usage::Settings>,
+    /// Whether runners are ordered.
+    pub scaling: bool,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            lease: lease::Settings::default(),
+            calls_per_second: 10.0,
+            usage: None,
+            scaling: false,
+        }
+    }
+}
+
+impl Settings {
+    /// Whether there is any duty.
+    #[must_use]
+    pub fn is_enabled(&self) -> bool {
+        self.usage.is_some() || self.scaling
+    }
+}
+
+/// What the duties need of the daemon.
+#[derive(Clone, derive_more::Debug)]
+pub struct Ports {
+    /// This instance.
+    pub me: InstanceId,
+    /// The control log.
+    pub control: Control,
+    /// Daemons of the cluster.
+    pub members: watch::Receiver<Arc<Members>>,
+    /// Whether this daemon is leaving.
+    pub draining: watch::Receiver<bool>,
+    /// Address of the platform's interface.
+    pub address: SocketAddr,
+    /// Encodes the calls.
+    #[debug(skip)]
+    pub calls: Rc<dyn DutyCalls>,
+}
+
+/// The duties of this daemon; clones share them.
+#[derive(Clone, Debug)]
+pub struct Duty {
+    inner: Rc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    settings: Settings,
+    ports: Ports,
+    /// None without a replica, so that the lease can never be held here.
+    candidate: Option<RefCell<Candidate>>,
+    fixed: RefCell<usage::Fixed>,
+    pace: RefCell<Pace>,
+    /// Token under which this daemon was last seen to hold the lease.
+    held: Cell<Option<FencingToken>>,
+    metrics: Metrics,
+}
+
+impl Duty {
+    /// Starts to compete for the lease, if this daemon has a replica.
+    #[must_use]
+    pub fn start(settings: Settings, ports: Ports) -> Self {
+        let candidate = ports
+            .control
+            .replica()
+            .map(|me| RefCell::new(Candidate::new(settings.lease, me, ports.me.clone())));
+        let pace = Pace::new(Instant::now(), settings.calls_per_second);
+        let inner = Inner {
+            settings,
+            ports,
+            candidate,
+            fixed: RefCell::default(),
+            pace: RefCell::new(pace),
+            held: Cell::new(None),
+            metrics: Metrics::default(),
+        };
+        let duty = Self {
+            inner: Rc::new(inner),
+        };
+        if duty.inner.candidate.is_some() {
+            actix_rt::spawn(duty.clone().compete());
+        }
+        duty
+    }
+
+    /// Adds the metrics to a registry.
+    pub fn register(&self, registry: &mut Registry) {
+        self.inner.metrics.register(registry);
+    }
+
+    /// Settings of the duties.
+    #[must_use]
+    pub fn settings(&self) -> &Settings {
+        &self.inner.settings
+    }
+
+    /// The lease, as far as the replica of this daemon knows.
+    #[must_use]
+    pub fn record(&self) -> Option<lease::Record> {
+        let candidate = self.inner.candidate.as_ref()?.borrow();
+        candidate.record().cloned()
+    }
+
+    /// Whether this daemon holds the lease now.
+    #[must_use]
+    pub fn is_holder(&self) -> bool {
+        self.fence(Duration::ZERO).is_some()
+    }
+
+    /// Whether this daemon has a replica, and so may come to hold the lease.
+    #[must_use]
+    pub fn is_candidate(&self) -> bool {
+        self.inner.candidate.is_some()
+    }
+
+    /// Windows of usage whose counts are fixed, as far as the replica of this daemon knows.
+    #[must_use]
+    pub fn fixed(&self) -> usage::Fixed {
+        self.inner.fixed.borrow().clone()
+    }
+
+    /// Fixes the counts of a window of usage; returns those in force, if they are known.
+    pub async fn fix(&self, window: usage::Window) -> Option<Arc<usage::Window>> {
+        let command = Command::Usage(Arc::new(window));
+        match self.inner.ports.control.submit(command, LOG_TIMEOUT).await {
+            Ok(Answer::Usage(window)) => window,
+            Ok(_) => None,
+            Err(error) => {
+                log::info!(event = "CP1201"; "usage not fixed: {error}");
+                None
+            }
+        }
+    }
+
+    /// Calls the platform under the lease.
+    ///
+    /// # Errors
+    /// [`Failure`]; only [`Failure::NoAnswer`] leaves open whether the platform got the call.
+    pub async fn call<F>(&self, encode: F) -> Result<StatusCode, Failure>
+    where
+        F: FnOnce(&dyn DutyCalls, &Fence<'_>) -> DutyCall,
+    {
+        let inner = &self.inner;
+        let wait = inner.pace.borrow_mut().reserve(Instant::now());
+        actix_rt::time::sleep(wait).await;
+        let outcome = self.call_now(encode).await;
+        let answered = match &outcome {
+            Ok(_) => Some(true),
+            Err(Failure::NotHolder) => None,
+            Err(Failure::Unreachable | Failure::NoAnswer) => Some(false),
+        };
+        if let (Some(answered), Some(candidate)) = (answered, &inner.candidate) {
+            candidate.borrow_mut().on_call(clock::now(), answered);
+            let is_accepted = matches!(&outcome, Ok(status) if status.is_success());
+            // An order that cannot be met is an answer, not a fault of the platform.
+            let is_refused = matches!(&outcome, Ok(StatusCode::CONFLICT));
+            let now = Instant::now();
+            let jitter = rand::random();
+            inner
+                .pace
+                .borrow_mut()
+                .on_outcome(now, is_accepted || is_refused, jitter);
+        }
+        inner.metrics.count(&outcome);
+        outcome
+    }
+
+    async fn call_now<F>(&self, encode: F) -> Result<StatusCode, Failure>
+    where
+        F: FnOnce(&dyn DutyCalls, &Fence<'_>) -> DutyCall,
+    {
+        let ports = &self.inner.ports;
+        if !self.is_holder() {
+            return Err(Failure::NotHolder);
+        }
+        let connection = call::connect(ports.address).await?;
+        // Checked after the connection is open, so that nothing but the write follows.
+        let token = self.fence(call::TIMEOUT).ok_or(Failure::NotHolder)?;
+        let fence = Fence {
+            holder: &ports.me,
+            token,
+        };
+        let call = encode(ports.calls.as_ref(), &fence);
+        connection.exchange(call).await
+    }
+
+    fn fence(&self, call: Duration) -> Option<FencingToken> {
+        let candidate = self.inner.candidate.as_ref()?;
+        candidate.borrow().fence(clock::now(), call)
+    }
+
+    /// Competes for the lease and renews it, until the process ends.
+    async fn compete(self) {
+        let Some(candidate) = &self.inner.candidate else {
+            return;
+        };
+        loop {
+            self.observe(candidate).await;
+            let proposed_at = clock::now();
+            if *self.inner.ports.draining.borrow() {
+                candidate.borrow_mut().abstain(proposed_at);
+            }
+            let step = candidate.borrow_mut().propose(proposed_at, self.rank());
+            if let Some(step) = step {
+                let task = self.clone();
+                actix_rt::spawn(async move { task.submit(step, proposed_at).await });
+            }
+            self.note_holder(candidate);
+            actix_rt::time::sleep(TICK).await;
+        }
+    }
+
+    /// Reads the state of the local replica.
+    async fn observe(&self, candidate: &RefCell<Candidate>) {
+        if let Some((record, fixed)) = self.inner.ports.control.duties(LOG_TIMEOUT).await {
+            candidate
+                .borrow_mut()
+                .observe(clock::now(), record.as_ref());
+            self.inner.fixed.replace(fixed);
+        }
+    }
+
+    async fn submit(&self, step: Step, proposed_at: Instant) {
+        let Some(candidate) = &self.inner.candidate else {
+            return;
+        };
+        if matches!(step, Step::Take { .. }) && !self.is_known_by_all().await {
+            candidate.borrow_mut().on_no_answer(proposed_at);
+            return;
+        }
+        let command = Command::Lease(step);
+        match self.inner.ports.control.submit(command, LOG_TIMEOUT).await {
+            Ok(Answer::Lease(record)) => {
+                let now = clock::now();
+                candidate
+                    .borrow_mut()
+                    .on_answer(now, proposed_at, record.as_ref());
+            }
+            Ok(_) | Err(_) => candidate.borrow_mut().on_no_answer(proposed_at),
+        }
+        self.note_holder(candidate);
+    }
+
+    /// Whether all replicas that answer know leases. An older build in their midst would
+    /// replace the steps by commands without effect.
+    async fn is_known_by_all(&self) -> bool {
+        let statuses = self.inner.ports.control.status(STATUS_TIMEOUT).await;
+        let old = statuses.iter().find(|(_, status)| !status.duties);
+        if let Some((instance, _)) = old {
+            log::info!(
+                event = "CP1202", instance = instance.as_str();
+                "lease not taken: a replica of an older build takes part"
+            );
+        }
+        old.is_none() && !statuses.is_empty()
+    }
+
+    /// Place of this candidate among the live ones.
+    fn rank(&self) -> usize {
+        let order = candidates(&self.inner.ports.members.borrow());
+        let place = order.iter().position(|(it, _)| *it == self.inner.ports.me);
+        place.unwrap_or(order.len())
+    }
+
+    /// Logs and counts that this daemon came to hold the lease, or lost it.
+    fn note_holder(&self, candidate: &RefCell<Candidate>) {
+        let token = self.fence(Duration::ZERO);
+        let before = self.inner.held.replace(token);
+        if before == token {
+            return;
+        }
+        let metrics = &self.inner.metrics;
+        match token {
+            Some(token) => {
+                metrics.on_taken(token);
+                log::info!(event = "CP1203", token; "holds the lease of the duties");
+            }
+            None => {
+                metrics.on_lost();
+                let candidate = candidate.borrow();
+                let record = candidate.record();
+                log::info!(
+                    event = "CP1204", token = before,
+                    holder = record.map(|it| it.instance.as_str()),
+                    abstains = candidate.abstains(clock::now()),
+                    term_ms = millis(self.inner.settings.lease.term);
+                    "does not hold the lease of the duties any more"
+                );
+            }
+        }
+    }
+}
+
+/// Instances with a replica that are alive, the preferred receiver of reports first.
+#[must_use]
+pub fn candidates(members: &Members) -> Vec<(InstanceId, ReplicaId)> {
+    let candidates: Members = members
+        .iter()
+        .filter(|(_, it)| it.replica.is_some() && it.state == State::Alive)
+        .map(|(id, it)| (id.clone(), it.clone()))
+        .collect();
+    let order = host_order(RANK_NAME, 0, &candidates);
+    let replica = |id: &InstanceId| candidates.get(id).and_then(|it| it.replica);
+    order
+        .into_iter()
+        .filter_map(|id| replica(&id).map(|replica| (id, replica)))
+        .collect()
+}
--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -11,10 +11,13 @@
     body::BoxBody,
     header::{HeaderMap, HeaderName},
 };
+use bytes::Bytes;
 use citron_policy::{
+    autoscale,
     catalogue::Catalogue,
-    id::{RunnerId, Version},
+    id::{FencingToken, InstanceId, RunnerId, Version},
     platform::reading::{Page, PageFault, PageToken},
+    usage,
 };
 use derive_more::{Display, Error};
 use futures_util::future::LocalBoxFuture;
@@ -205,6 +208,35 @@
     ) -> LocalBoxFuture<'static, Result<Page, PageFault>>;
 }
 
+/// A call of a duty to the platform.
+#[derive(Clone, Debug)]
+pub struct DutyCall {
+    /// Path of the call.
+    pub path: String,
+    /// Headers, without those of the connection.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Under whose lease a call of a duty is made.
+#[derive(Clone, Copy, Debug)]
+pub struct Fence<'a> {
+    /// Instance that holds the lease.
+    pub holder: &'a InstanceId,
+    /// Fencing token of the lease.
+    pub token: FencingToken,
+}
+
+/// Encodes the calls of duties.
+pub trait DutyCalls {
+    /// The report of a window of usage.
+    fn usage(&self, fence: &Fence<'_>, window: &usage::Window) -> DutyCall;
+
+    /// An order of runners.
+    fn order(&self, fence: &Fence<'_>, order: &autoscale::Order) -> DutyCall;
+}
+
 /// Serves everything other than callers' requests: directory, readiness,
 /// operators.
 pub trait Management {
@@ -237,6 +269,9 @@
     /// Directory, readiness and operators.
     #[debug(skip)]
     pub management: Rc<dyn Management>,
+    /// Calls of duties, and the address that takes them; none if the platform has none.
+    #[debug(skip)]
+    pub duties: Option<(SocketAddr, Rc<dyn DutyCalls>)>,
     /// Addresses that `management` is served at.
     pub management_addresses: Vec<SocketAddr>,
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod callers;
 pub mod clock;
 pub mod control;
+pub mod duty;
 pub mod edge;
 pub mod event;
 pub mod exchange;
--- a/crates/daemon/src/peers/traffic.rs
+++ b/crates/daemon/src/peers/traffic.rs
@@ -26,6 +26,8 @@
     Slot,
     /// Feed of the control log.
     Feed,
+    /// Reports to the holder of the duties.
+    Duty,
     /// Status and refusals.
     Other,
 }
@@ -37,6 +39,7 @@
             Some(Body::Control(_)) => Self::Control,
             Some(Body::Slot(_)) => Self::Slot,
             Some(Body::Feed(_)) => Self::Feed,
+            Some(Body::Duty(_)) => Self::Duty,
             Some(Body::Status(_) | Body::Refusal(_)) | None => Self::Other,
         }
     }
@@ -61,6 +64,7 @@
     control: u64,
     slot: u64,
     feed: u64,
+    duty: u64,
     other: u64,
     peers: IndexMap<InstanceId, u64>,
 }
@@ -83,6 +87,7 @@
             Kind::Control => &mut recent.control,
             Kind::Slot => &mut recent.slot,
             Kind::Feed => &mut recent.feed,
+            Kind::Duty => &mut recent.duty,
             Kind::Other => &mut recent.other,
         };
         *total += bytes;
@@ -101,7 +106,7 @@
         };
         log::info!(
             event = "CP0905", control_bytes = recent.control, slot_bytes = recent.slot,
-            feed_bytes = recent.feed, other_bytes = recent.other, peers = recent.peers.len(),
+            feed_bytes = recent.feed, duty_bytes = recent.duty, other_bytes = recent.other, peers = recent.peers.len(),
             top_peer = top.as_str(), top_peer_bytes = top_bytes;
             "bytes sent to peers"
         );
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -25,6 +25,7 @@
     callers::{self, Callers},
     clock,
     control::{self, Replica},
+    duty::{self, Duty},
     edge::Adapter,
     exchange::{self, Exchange},
     gossip::LocalStatus,
@@ -288,6 +289,7 @@
         let upstream = upstream::Metrics::default();
         let buffers = Buffers::new(settings.memory_bytes);
         let handle = handle(&core, drained.clone());
+        let duty = duty(settings, &core, &drained, adapter.as_ref());
         let front = match &adapter {
             Some(adapter) => {
                 let stop = StopSignals {
@@ -312,6 +314,9 @@
         upstream.register(&mut registry);
         buffers.register(&mut registry);
         core.register(&mut registry);
+        if let Some(duty) = &duty {
+            duty.register(&mut registry);
+        }
         let admin_metrics = admin::Metrics::default();
         admin_metrics.register(&mut registry);
         let registry = Rc::new(registry);
@@ -463,6 +468,27 @@
     }
 }
 
+/// Starts the duties, if there are any.
+fn duty(
+    settings: &Settings,
+    core: &Core,
+    draining: &watch::Receiver<bool>,
+    adapter: Option<&Adapter>,
+) -> Option<Duty> {
+    let (address, calls) = adapter?.duties.clone()?;
+    settings.duties.is_enabled().then(|| {
+        let ports = duty::Ports {
+            me: settings.instance.clone(),
+            control: core.control.clone(),
+            members: core.gossip.members(),
+            draining: draining.clone(),
+            address,
+            calls,
+        };
+        Duty::start(settings.duties.clone(), ports)
+    })
+}
+
 /// Channels that tell the parts that the daemon is stopping.
 struct StopSignals {
     draining: watch::Receiver<bool>,
--- a/crates/daemon/src/run/router.rs
+++ b/crates/daemon/src/run/router.rs
@@ -21,7 +21,7 @@
             Body::Control(message) => self.control.on_message(from, message),
             Body::Feed(message) => self.follow.on_message(from, message),
             Body::Slot(message) => self.slots.on_message(from, message),
-            Body::Status(_) | Body::Refusal(_) => {
+            Body::Status(_) | Body::Refusal(_) | Body::Duty(_) => {
                 log::debug!("CP0902 message from {from} dropped: its kind is only valid in a call");
             }
         }
@@ -49,7 +49,7 @@
                 let answer = self.admin.on_call(from, message);
                 Box::pin(async move { answer.await.map(Body::Status) })
             }
-            Body::Refusal(_) => Box::pin(std::future::ready(Err("not a question".to_owned()))),
+            Body::Refusal(_) | Body::Duty(_) => Box::pin(std::future::ready(Err("not a question".to_owned()))),
         }
     }
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -12,6 +12,8 @@
 use gumdrop::{Opt, Parser, ParsingStyle};
 use indexmap::IndexMap;
 
+use crate::duty;
+
 pub use fault::{Fault, Faults};
 use flag::{FLAGS, Flag};
 
@@ -67,6 +69,8 @@
     pub log_rate: usize,
     /// Retries that all daemons together may accumulate for a service.
     pub retry_slack: u32,
+    /// Duties that one daemon at a time carries out.
+    pub duties: duty::Settings,
 }
 
 impl Default for Settings {
@@ -95,6 +99,7 @@
             memory_bytes: 256 << 20,
             log_rate: 100,
             retry_slack: 60,
+            duties: duty::Settings::default(),
         }
     }
 }
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -166,6 +166,7 @@
             standing: Standing::Live,
             build: String::new(),
             slots: 0,
+            reclaimable: false,
         });
         let list = List {
             entries: Vec::new(),
@@ -239,6 +240,7 @@
             standing: Standing::Live,
             build: String::new(),
             slots: 0,
+            reclaimable: false,
         };
         let list = List {
             entries: Vec::new(),
--- a/crates/daemon/tests/regressions.rs
+++ b/crates/daemon/tests/regressions.rs
@@ -125,6 +125,7 @@
         timeout: Duration::from_mins(1),
         max_body_bytes: 1 << 20,
         memory_tokens: 0,
+        scaling: None,
     }
 }
 
--- a/crates/policy/benches/slot_slopes.rs
+++ b/crates/policy/benches/slot_slopes.rs
@@ -164,6 +164,7 @@
         standing: Standing::Live,
         build: String::new(),
         slots: 0,
+        reclaimable: false,
     });
     black_box(arbiter.on_event(now, Event::Runners(listed.collect())));
     black_box(arbiter.on_event(now, Event::Tick));
@@ -208,6 +209,7 @@
         timeout: Duration::from_mins(1),
         max_body_bytes: 1 << 20,
         memory_tokens: 0,
+        scaling: None,
     }));
     let change = Change {
         id: "bench".to_owned(),
--- a/crates/policy/benches/slots/arrivals.rs
+++ b/crates/policy/benches/slots/arrivals.rs
@@ -150,6 +150,7 @@
         timeout: TIMEOUT,
         max_body_bytes: 1 << 20,
         memory_tokens: 0,
+        scaling: None,
     })));
     let change = Change {
         id: "bench".to_owned(),
--- a/crates/policy/benches/slots/model.rs
+++ b/crates/policy/benches/slots/model.rs
@@ -596,6 +596,7 @@
             standing: Standing::Live,
             build: String::new(),
             slots: 0,
+            reclaimable: false,
         });
         let runners = arbiter::Event::Runners(runners.collect());
         self.arbiter_event(host, arbiter::Event::Catalogue(Arc::clone(&self.catalogue)));
--- a/crates/policy/src/catalogue.rs
+++ b/crates/policy/src/catalogue.rs
@@ -16,7 +16,7 @@
 pub use urgency::{URGENCY_LEVELS, Urgency};
 
 use crate::{
-    id::{AccountId, ChangeId, ClassId, OperatorId, Revision, RouteId, ServiceId},
+    id::{AccountId, ChangeId, ClassId, DomainId, OperatorId, Revision, RouteId, ServiceId},
     route,
 };
 
@@ -149,6 +149,31 @@
     /// Memory of one model runner for prompts and outputs, in tokens; zero if unknown.
     #[serde(default)]
     pub memory_tokens: u32,
+    /// Runners that may be ordered; none if their number is not the router's to decide.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub scaling: Option<Scaling>,
+}
+
+/// How many runners of a service may be ordered, and what they cost.
+///
+/// Prices are in thousandths of the price of a runner that is not reclaimable, in a
+/// failure domain without a price of its own.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scaling {
+    /// Fewest runners in each failure domain, of both kinds together.
+    pub min: u32,
+    /// Most runners in each failure domain, of both kinds together.
+    pub max: u32,
+    /// Time from an order until the new runner serves.
+    #[serde(rename = "boot_ms", with = "millis")]
+    pub boot: Duration,
+    /// Price of a reclaimable runner relative to another one; none if there are none.
+    #[serde(default)]
+    pub reclaimable_price: Option<u32>,
+    /// Price in each failure domain.
+    #[serde(default)]
+    pub prices: IndexMap<DomainId, u32>,
 }
 
 impl Service {
--- a/crates/policy/src/id.rs
+++ b/crates/policy/src/id.rs
@@ -51,6 +51,12 @@
 /// Index in the control log, from 1.
 pub type Index = u64;
 
+/// Number that orders the holders of a duty; the platform compares it.
+pub type FencingToken = u64;
+
+/// Number of a window of usage, counted from the start of 1970.
+pub type WindowId = u64;
+
 /// Election term of the control log.
 pub type Term = u64;
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 //! Each module implements one mechanism; its head states what it guarantees.
 
 pub mod arbiter;
+pub mod autoscale;
 pub mod buffer;
 pub mod catalogue;
 pub mod crash;
@@ -17,6 +18,7 @@
 pub mod feed;
 pub mod id;
 pub mod leader_search;
+pub mod lease;
 pub mod ledger;
 pub mod member;
 pub mod platform;
@@ -29,3 +31,4 @@
 pub mod state;
 pub mod stream;
 pub mod swim;
+pub mod usage;
--- a/crates/policy/src/platform.rs
+++ b/crates/policy/src/platform.rs
@@ -56,6 +56,9 @@
     /// Number of concurrent requests; zero if the list does not say.
     #[serde(default)]
     pub slots: u32,
+    /// Whether the platform may take it back at short notice.
+    #[serde(default)]
+    pub reclaimable: bool,
 }
 
 /// The platform's list, as read at one time.
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -14,7 +14,9 @@
     crash,
     declaration::Declaration,
     id::{OperatorId, Revision, Version},
+    lease,
     ledger::{Claim, MAX_ATTEMPT, Settle, Verdict},
+    usage,
 };
 
 pub use machine::{Applied, ChangeRecord, Limits, Machine, Snapshot};
@@ -42,6 +44,10 @@
     Settle(Settle),
     /// An update of the crash marks.
     Crash(crash::Step),
+    /// A change of the lease of the duties.
+    Lease(lease::Step),
+    /// The counts of a window of usage, in force if they are the first for it.
+    Usage(Arc<usage::Window>),
 }
 
 impl Command {
@@ -52,7 +58,11 @@
     #[must_use]
     pub fn stamped(self, now: SystemTime) -> Self {
         match self {
-            Self::Noop | Self::Crash(_) | Self::Declare(_) => self,
+            Self::Noop
+            | Self::Crash(_)
+            | Self::Declare(_)
+            | Self::Lease(_)
+            | Self::Usage(_) => self,
             Self::Change { change, .. } => Self::Change { change, at: now },
             Self::Claim(claim) => {
                 let length = claim.deadline.duration_since(claim.at).unwrap_or_default();
@@ -84,6 +94,10 @@
     Claim(Verdict),
     /// Version of the declaration in force.
     Declared(Version),
+    /// The lease of the duties.
+    Lease(Option<lease::Record>),
+    /// The counts in force for a window of usage; none if it is too old.
+    Usage(Option<Arc<usage::Window>>),
 }
 
 /// Who changed an entry, and when.
--- a/crates/policy/src/state/digest.rs
+++ b/crates/policy/src/state/digest.rs
@@ -131,5 +131,17 @@
         self.time(service.timeout);
         self.number(service.max_body_bytes);
         self.number(service.memory_tokens.into());
+        // Nothing for services without scaling, so that digests of older builds still match.
+        if let Some(scaling) = &service.scaling {
+            self.number(scaling.min.into());
+            self.number(scaling.max.into());
+            self.time(scaling.boot);
+            self.number(scaling.reclaimable_price.map_or(u64::MAX, u64::from));
+            self.count(scaling.prices.len());
+            for (domain, price) in &scaling.prices {
+                self.text(domain);
+                self.number((*price).into());
+            }
+        }
     }
 }
--- a/crates/policy/src/state/machine.rs
+++ b/crates/policy/src/state/machine.rs
@@ -11,7 +11,9 @@
     declaration::Declaration,
     feed::{Step, Update},
     id::{ChangeId, Index, Revision},
+    lease,
     ledger::{self, Ledger},
+    usage,
 };
 
 /// Limits of the state; equal on every replica.
@@ -90,6 +92,8 @@
     answer_bytes: usize,
     authors: VecDeque<Author>,
     ledger: Ledger,
+    lease: Option<lease::Record>,
+    usage: usage::Fixed,
 }
 
 impl Machine {
@@ -113,6 +117,8 @@
             marks: snapshot.marks,
             authors: snapshot.authors.into(),
             ledger: snapshot.ledger,
+            lease: snapshot.lease,
+            usage: snapshot.usage,
             ..Self::new(limits)
         };
         for (id, record) in snapshot.answers {
@@ -151,6 +157,18 @@
         &self.ledger
     }
 
+    /// The lease of the duties.
+    #[must_use]
+    pub fn lease(&self) -> Option<&lease::Record> {
+        self.lease.as_ref()
+    }
+
+    /// Counts of windows of usage that are fixed.
+    #[must_use]
+    pub fn usage(&self) -> &usage::Fixed {
+        &self.usage
+    }
+
     /// Limits of the state.
     #[must_use]
     pub fn limits(&self) -> &Limits {
@@ -199,6 +217,20 @@
                 Arc::make_mut(&mut self.marks).apply(step);
                 Some(Step::Crash(step.clone()))
             }
+            Command::Lease(step) => {
+                step.apply(index, &mut self.lease);
+                return Applied {
+                    answer: Answer::Lease(self.lease.clone()),
+                    update: None,
+                };
+            }
+            Command::Usage(window) => {
+                let fixed = self.usage.fix(window).cloned();
+                return Applied {
+                    answer: Answer::Usage(fixed.map(Arc::new)),
+                    update: None,
+                };
+            }
         };
         Applied {
             answer: Answer::Done,
@@ -325,4 +357,8 @@
     pub authors: Vec<Author>,
     /// The ledger.
     pub ledger: Ledger,
+    /// The lease of the duties.
+    pub lease: Option<lease::Record>,
+    /// Counts of windows of usage that are fixed.
+    pub usage: usage::Fixed,
 }
--- a/crates/policy/src/state/size.rs
+++ b/crates/policy/src/state/size.rs
@@ -4,9 +4,10 @@
 
 use super::Command;
 use crate::{
-    catalogue::{Change, Entry},
+    catalogue::{Change, Entry, MAX_NAME_BYTES},
     crash,
     declaration::Declaration,
+    lease,
     ledger::{Claim, Key, Outcome, Settle},
 };
 
@@ -29,6 +30,11 @@
         }
         Command::Crash(crash::Step::Suspected(marks)) => mem::size_of_val(marks.as_slice()),
         Command::Crash(_) => mem::size_of::<crash::Step>(),
+        Command::Lease(_) => mem::size_of::<lease::Step>() + MAX_NAME_BYTES,
+        Command::Usage(window) => {
+            let names = window.counts.keys().map(String::len);
+            FIXED_BYTES + names.sum::<usize>() + window.counts.len() * mem::size_of::<u64>()
+        }
     }
 }
 
--- /dev/null
+++ b/crates/policy/src/usage.rs
@@ -0,0 +1,38 @@
+//! Usage of accounts: requests that began to run, by window of true time.
+
+mod fixed;
+
+pub use fixed::{Fixed, MAX_FIXED};
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::id::{AccountId, WindowId};
+
+/// Settings of the reports of usage.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Length of a window.
+    pub window: Duration,
+    /// Time after the end of a window at which its report is due.
+    pub due_after: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            window: Duration::from_secs(5),
+            due_after: Duration::from_secs(10),
+        }
+    }
+}
+
+/// The counts of one window.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Window {
+    /// Its number: windows of one length are counted from the start of 1970.
+    pub number: WindowId,
+    /// Requests that began to run, by account.
+    pub counts: IndexMap<AccountId, u64>,
+}
--- a/crates/policy/tests/arbiter_burst.rs
+++ b/crates/policy/tests/arbiter_burst.rs
@@ -86,6 +86,7 @@
     });
     let service = Entry::Service(Arc::new(Service {
         memory_tokens: 300_086,
+        scaling: None,
         ..slots::service(SLOTS)
     }));
     let accounts = (0..ACCOUNTS).map(|number| {
--- a/crates/policy/tests/list_readers.rs
+++ b/crates/policy/tests/list_readers.rs
@@ -39,6 +39,7 @@
         standing: Standing::Live,
         build: String::new(),
         slots: 24,
+        reclaimable: false,
     }
 }
 
--- a/crates/policy/tests/prompt_placement.rs
+++ b/crates/policy/tests/prompt_placement.rs
@@ -48,6 +48,7 @@
 fn catalogue(slots: u32) -> Arc<Catalogue> {
     let service = Service {
         memory_tokens: 220_000,
+        scaling: None,
         ..slots::service(slots)
     };
     let account = Account {
--- a/crates/policy/tests/routes.rs
+++ b/crates/policy/tests/routes.rs
@@ -38,6 +38,7 @@
         timeout: Duration::from_secs(5),
         max_body_bytes: 1_000,
         memory_tokens: 0,
+        scaling: None,
     }))
 }
 
--- a/crates/policy/tests/slots/mod.rs
+++ b/crates/policy/tests/slots/mod.rs
@@ -64,6 +64,7 @@
         timeout: Duration::from_mins(1),
         max_body_bytes: 1 << 20,
         memory_tokens: 0,
+        scaling: None,
     }
 }
 
@@ -95,6 +96,7 @@
             standing: Standing::Live,
             build: "v1".to_owned(),
             slots: 0,
+            reclaimable: false,
         })
         .collect()
 }
--- a/crates/policy/tests/zones.rs
+++ b/crates/policy/tests/zones.rs
@@ -37,6 +37,7 @@
     fn new() -> Self {
         let service = Service {
             memory_tokens: 220_000,
+            scaling: None,
             ..slots::service(32)
         };
         let entries = vec![
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -5,6 +5,7 @@
 //! has exactly the timestamp that the leader assigned.
 
 pub mod catalogue;
+mod duties;
 mod ledger;
 mod machine;
 mod raft;
@@ -17,6 +18,7 @@
 
 use crate::generated::control as proto;
 
+pub use duties::{decode_duties, encode_duties};
 pub use machine::{decode_machine, encode_machine};
 pub use raft::{decode_hard, decode_snapshot, encode_hard, encode_snapshot};
 
--- a/crates/wire/src/control/catalogue.rs
+++ b/crates/wire/src/control/catalogue.rs
@@ -3,7 +3,9 @@
 use std::{sync::Arc, time::Duration};
 
 use citron_policy::{
-    catalogue::{Account, Backend, Call, Change, Class, Entry, Key, Kind, Service},
+    catalogue::{
+        Account, Backend, Call, Change, Class, Entry, Key, Kind, Scaling, Service,
+    },
     route::{self, Repeat, Route},
 };
 
@@ -180,6 +182,7 @@
             timeout: nanos_of(it.timeout),
             max_body_bytes: it.max_body_bytes,
             memory_tokens: it.memory_tokens,
+            scaling: it.scaling.as_ref().map(proto::Scaling::from),
         }
     }
 }
@@ -213,10 +216,40 @@
             timeout: Duration::from_nanos(it.timeout),
             max_body_bytes: it.max_body_bytes,
             memory_tokens: it.memory_tokens,
+            scaling: it.scaling.map(Scaling::from),
         })
     }
 }
 
+impl From<&Scaling> for proto::Scaling {
+    fn from(it: &Scaling) -> Self {
+        let prices = it.prices.iter().map(|(domain, price)| proto::Price {
+            domain: domain.clone(),
+            price: *price,
+        });
+        Self {
+            min: it.min,
+            max: it.max,
+            boot: nanos_of(it.boot),
+            reclaimable_price: it.reclaimable_price,
+            prices: prices.collect(),
+        }
+    }
+}
+
+impl From<proto::Scaling> for Scaling {
+    fn from(it: proto::Scaling) -> Self {
+        let prices = it.prices.into_iter().map(|it| (it.domain, it.price));
+        Self {
+            min: it.min,
+            max: it.max,
+            boot: Duration::from_nanos(it.boot),
+            reclaimable_price: it.reclaimable_price,
+            prices: prices.collect(),
+        }
+    }
+}
+
 impl From<&Route> for proto::Route {
     fn from(it: &Route) -> Self {
         let backends = it.backends.iter().map(|it| proto::Backend {
--- a/crates/wire/src/control/machine.rs
+++ b/crates/wire/src/control/machine.rs
@@ -11,7 +11,11 @@
 };
 use prost::Message as _;
 
-use super::{Error, convert_all, nanos_since_epoch, proto, require, time_from_nanos};
+use super::{
+    Error, convert_all,
+    duties::{decode_duties, encode_duties},
+    nanos_since_epoch, proto, require, time_from_nanos,
+};
 
 /// Encodes a state machine.
 #[must_use]
@@ -41,6 +45,7 @@
         clock: ledger.clock().map(nanos_since_epoch),
         records: ledger.records().map(proto::Record::from).collect(),
         declaration: machine.declaration().map(|it| it.as_ref().into()),
+        duties: encode_duties(machine),
     };
     message.encode_to_vec()
 }
@@ -62,6 +67,7 @@
         (it.fingerprint, mark)
     });
     let clock = message.clock.map(time_from_nanos);
+    let (lease, usage) = decode_duties(message.duties.unwrap_or_default())?;
     let ledger = Ledger::from_records(limits.ledger, clock, convert_all(message.records)?);
     let snapshot = Snapshot {
         index: message.index,
@@ -73,6 +79,8 @@
         answers: convert_all(message.answers)?,
         authors: convert_all(message.authors)?,
         ledger,
+        lease,
+        usage,
     };
     Ok(Machine::restore(limits, snapshot))
 }
--- a/crates/wire/src/control/state.rs
+++ b/crates/wire/src/control/state.rs
@@ -6,7 +6,9 @@
 use citron_policy::{
     crash::Step,
     declaration::Declaration,
+    lease,
     state::{Answer, Author, Command, Refusal},
+    usage,
 };
 
 use super::{Error, convert_all, nanos_since_epoch, nothing, proto, require, time_from_nanos};
@@ -24,9 +26,25 @@
             Command::Settle(settle) => Wire::Settle(settle.into()),
             Command::Crash(step) => Wire::Crash(step.into()),
             Command::Declare(it) => Wire::Declare(it.as_ref().into()),
+            Command::Lease(step) => {
+                return Self {
+                    command: Some(Wire::Nothing(nothing())),
+                    lease: Some(step.into()),
+                    usage: None,
+                };
+            }
+            Command::Usage(window) => {
+                return Self {
+                    command: Some(Wire::Nothing(nothing())),
+                    lease: None,
+                    usage: Some(window.as_ref().into()),
+                };
+            }
         };
         Self {
             command: Some(command),
+            lease: None,
+            usage: None,
         }
     }
 }
@@ -36,6 +54,12 @@
 
     fn try_from(it: proto::Command) -> Result<Self, Error> {
         use proto::command::Command as Wire;
+        if let Some(step) = it.lease {
+            return Ok(Self::Lease(step.try_into()?));
+        }
+        if let Some(usage) = it.usage {
+            return Ok(Self::Usage(Arc::new(usage.try_into()?)));
+        }
         Ok(match require(it.command, "command")? {
             Wire::Nothing(_) => Self::Noop,
             Wire::Change(stamped) => Self::Change {
@@ -171,6 +195,12 @@
             Answer::Change(change) => Wire::Change(change.into()),
             Answer::Claim(verdict) => Wire::Claim(verdict.into()),
             Answer::Declared(version) => Wire::Declared(*version),
+            Answer::Lease(record) => Wire::Leased(proto::Leased {
+                lease: record.as_ref().map(proto::Lease::from),
+            }),
+            Answer::Usage(window) => Wire::Usage(proto::FixedUsage {
+                usage: window.as_deref().map(proto::Usage::from),
+            }),
         };
         Self {
             answer: Some(answer),
@@ -188,6 +218,11 @@
             Wire::Change(change) => Self::Change(change.try_into()?),
             Wire::Claim(verdict) => Self::Claim(verdict.try_into()?),
             Wire::Declared(version) => Self::Declared(version),
+            Wire::Leased(leased) => Self::Lease(leased.lease.map(lease::Record::from)),
+            Wire::Usage(fixed) => {
+                let window = fixed.usage.map(usage::Window::try_from).transpose()?;
+                Self::Usage(window.map(Arc::new))
+            }
         })
     }
 }
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -10,6 +10,16 @@
     include!("generated/citron.control.rs");
 }
 
+#[allow(
+    missing_docs,
+    clippy::all,
+    clippy::pedantic,
+    reason = "generated from the schemas"
+)]
+pub mod duty {
+    include!("generated/citron.duty.rs");
+}
+
 #[allow(
     missing_docs,
     clippy::all,
--- a/crates/wire/tests/control.rs
+++ b/crates/wire/tests/control.rs
@@ -71,6 +71,7 @@
         timeout: Duration::from_mins(1),
         max_body_bytes: 1 << 20,
         memory_tokens: 0,
+        scaling: None,
     };
     Change {
         id: format!("change-{number}"),
