arbiter: the weight of pauses is learned from streams that paused too long

The longest pause of each stream comes with the release of its slot, and the weight of its class follows from it, where hosts are shared (off by default). Ruled out: a larger fixed pause, which would move the earlier deployments.

Not measured yet.

--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -581,6 +581,7 @@
             whole: since(started),
             tokens: events,
             unlimited: self.unlimited,
+            longest_pause: None,
         }
     }
 
--- a/crates/daemon/src/exchange/run/stream.rs
+++ b/crates/daemon/src/exchange/run/stream.rs
@@ -1,6 +1,6 @@
 //! The stream of a response: its events, its breaks, and how it goes on.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use actix_http::{StatusCode, header};
 use bytes::Bytes;
@@ -17,7 +17,7 @@
 use crate::{
     buffers::{Full, Room},
     edge::{CallerHead, Problem},
-    slots::End,
+    slots::{End, Sample},
     upstream::{self, Failure},
 };
 
@@ -33,9 +33,21 @@
     room: Room,
     started: Instant,
     first_event: Option<Instant>,
+    last_event: Option<Instant>,
+    longest_pause: Option<Duration>,
     event_count: u32,
 }
 
+impl Stream {
+    /// Records that an event arrived.
+    fn note_event(&mut self, now: Instant) {
+        if let Some(last) = self.last_event.replace(now) {
+            let pause = now.saturating_duration_since(last);
+            self.longest_pause = self.longest_pause.max(Some(pause));
+        }
+    }
+}
+
 impl Run {
     /// The stream that the answer is, for the choice of a runner.
     pub(super) fn continuation(&self) -> Option<Continuation> {
@@ -80,6 +92,8 @@
             room: self.exchange.ports().buffers.room(Kind::Answer),
             started,
             first_event: None,
+            last_event: None,
+            longest_pause: None,
             event_count: 0,
         });
     }
@@ -132,6 +146,7 @@
                 metrics.record_first_event(&self.admitted.class.name, took);
                 stream.lease.record_start();
             }
+            stream.note_event(Instant::now());
             stream.event_count += count;
             stream.lease.record_tokens(stream.event_count);
             self.last = stream.events.last_id();
@@ -186,7 +201,10 @@
     pub(super) fn release_stream(&mut self, end: End) {
         if let Some(stream) = self.stream.take() {
             let sample = self.sample(end, stream.started, stream.first_event, stream.event_count);
-            stream.lease.release(sample);
+            stream.lease.release(Sample {
+                longest_pause: stream.longest_pause,
+                ..sample
+            });
         }
     }
 }
--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -24,6 +24,7 @@
 mod pace;
 mod part;
 mod path;
+mod pause;
 mod pool;
 mod prompt;
 mod queue;
@@ -88,6 +89,9 @@
     pub preempt_after_share: f64,
     /// Whether streams on a runner set aside as slow are moved to other runners.
     pub move_from_slow: bool,
+    /// Whether runners share their machines with others, so that their speed differs and
+    /// changes.
+    pub shared_hosts: bool,
 }
 
 impl Default for Settings {
@@ -104,6 +108,7 @@
             reserve: 4,
             preempt_after_share: 0.25,
             move_from_slow: true,
+            shared_hosts: false,
         }
     }
 }
@@ -274,6 +279,7 @@
     preempting: usize,
     accounts: IndexMap<Arc<str>, u32>,
     pool: pool::Pool,
+    pauses: pause::Pauses,
     floor: floor::Floor,
     estimate: estimate::Estimate,
     affinity: affinity::Affinity,
@@ -332,6 +338,7 @@
             preempting: 0,
             accounts: IndexMap::new(),
             pool: pool::Pool::default(),
+            pauses: pause::Pauses::default(),
             floor: floor::Floor::new(settings.floor_share),
             estimate: estimate::Estimate::default(),
             affinity: affinity::Affinity::default(),
--- a/crates/policy/src/arbiter/grant.rs
+++ b/crates/policy/src/arbiter/grant.rs
@@ -82,7 +82,7 @@
             build: item.build.as_deref(),
             domain: self.domain_of(key),
             may_wait: item.may_wait_for_slot(now),
-            work: item.work(),
+            work: item.work(self.pauses.weight(&item.class.name)),
         };
         let still_blocks = |it: &Obstacle| !self.pool.is_outdated(now, &query, it);
         if item.obstacle.as_ref().is_some_and(still_blocks) {
@@ -137,11 +137,12 @@
         self.estimate.on_grant(item.urgency_index());
         self.affinity.put(item.prefix, &runner);
         let (mut address, mut usage) = (None, None);
+        let pause_weight = self.pauses.weight(&item.class.name);
         if let Some(runner) = self.pool.get_mut(&runner) {
             runner.on_grant(now);
             address = runner.address;
             if !item.prompt.is_empty() {
-                usage = Some(runner.prompts.begin(now, &item.work()));
+                usage = Some(runner.prompts.begin(now, &item.work(pause_weight)));
             }
         }
         self.pool.touch(&runner);
--- a/crates/policy/src/arbiter/hold.rs
+++ b/crates/policy/src/arbiter/hold.rs
@@ -235,6 +235,9 @@
             runner.on_brittle_end(now, running.since, sample.end);
         }
         let read = running.usage.is_some();
+        if let Some(longest) = sample.longest_pause.filter(|_| self.settings.shared_hosts) {
+            self.pauses.on_stream(&running.class, longest);
+        }
         let transition = self.pool.on_end(
             now,
             (key.asker, &running.runner),
@@ -511,7 +514,7 @@
         let work = Work {
             prompt: &hold.ask.prompt,
             output: hold.ask.output,
-            pause_sensitivity: prompt::pause_sensitivity(&class),
+            pause_sensitivity: self.pauses.weight(&class.name) * prompt::pause_sensitivity(&class),
         };
         let runner = self.pool.get_mut(&hold.runner);
         let mut usage = runner.map(|it| it.prompts.begin(now, &work));
--- a/crates/policy/src/arbiter/message.rs
+++ b/crates/policy/src/arbiter/message.rs
@@ -107,6 +107,8 @@
     pub tokens: u32,
     /// Whether the runner answered without naming a limit on requests per second.
     pub unlimited: bool,
+    /// Longest time between two events of a stream.
+    pub longest_pause: Option<Duration>,
 }
 
 impl Sample {
@@ -120,6 +122,7 @@
             whole: Duration::ZERO,
             tokens: 0,
             unlimited: false,
+            longest_pause: None,
         }
     }
 }
--- a/crates/policy/src/arbiter/queue.rs
+++ b/crates/policy/src/arbiter/queue.rs
@@ -76,12 +76,13 @@
         self.build.as_deref().is_none_or(|it| it == build)
     }
 
-    /// The work of reading its prompt, for the choice of a runner.
-    pub(super) fn work(&self) -> Work<'_> {
+    /// The work of reading its prompt, for the choice of a runner; `pause_weight` is the
+    /// factor on the pause sensitivity of its class.
+    pub(super) fn work(&self, pause_weight: f64) -> Work<'_> {
         Work {
             prompt: &self.prompt,
             output: self.output,
-            pause_sensitivity: prompt::pause_sensitivity(&self.class),
+            pause_sensitivity: pause_weight * prompt::pause_sensitivity(&self.class),
         }
     }
 
--- a/crates/policy/tests/runner_limits.rs
+++ b/crates/policy/tests/runner_limits.rs
@@ -134,6 +134,7 @@
             if now - it.since >= ANSWER[1] {
                 let sample = Sample {
                     unlimited: limit.is_none(),
+                    longest_pause: None,
                     ..done()
                 };
                 events.push((it.daemon, requester::Event::Release(*ticket, sample)));
--- a/crates/policy/tests/slots/mod.rs
+++ b/crates/policy/tests/slots/mod.rs
@@ -121,6 +121,7 @@
         whole,
         tokens: 100,
         unlimited: false,
+        longest_pause: None,
     }
 }
 
--- a/crates/wire/benches/slots.rs
+++ b/crates/wire/benches/slots.rs
@@ -45,6 +45,7 @@
         whole: Duration::from_secs(10),
         tokens: 316,
         unlimited: true,
+        longest_pause: Some(Duration::from_millis(41)),
     };
     Request::Release(TICKET, sample)
 }
--- a/crates/wire/src/slot.rs
+++ b/crates/wire/src/slot.rs
@@ -273,6 +273,7 @@
         whole_us: micros(sample.whole),
         tokens: sample.tokens,
         unlimited: sample.unlimited,
+        longest_pause_us: sample.longest_pause.map(micros),
     }
 }
 
@@ -294,6 +295,7 @@
         whole: duration(release.whole_us),
         tokens: release.tokens,
         unlimited: release.unlimited,
+        longest_pause: release.longest_pause_us.map(duration),
     })
 }
 
--- a/crates/wire/tests/slot.rs
+++ b/crates/wire/tests/slot.rs
@@ -60,6 +60,7 @@
         whole: Duration::from_secs(3),
         tokens: 4,
         unlimited: true,
+        longest_pause: Some(Duration::from_millis(41)),
     };
     let progress = Progress {
         runner: "r1".to_owned(),
