lease: only a renewal under the token in force extends the hold

A candidate whose first take was granted without an answer took the answer to its second, ineffective take as a grant from the time of the second.

The answer to a take no longer counts; the next tick renews, which proves the token. Ruled out: counting from the first take with the same base, which a restarted process does not remember, and a mark in the answer, which needs another field on the wire.

--- a/crates/daemon/src/duty.rs
+++ b/crates/daemon/src/duty.rs
@@ -292,13 +292,13 @@
             candidate.borrow_mut().on_no_answer(proposed_at);
             return;
         }
-        let command = Command::Lease(step);
+        let command = Command::Lease(step.clone());
         match self.inner.ports.control.submit(command, LOG_TIMEOUT).await {
             Ok(Answer::Lease(record)) => {
                 let now = clock::now();
                 candidate
                     .borrow_mut()
-                    .on_answer(now, proposed_at, record.as_ref());
+                    .on_answer(now, proposed_at, &step, record.as_ref());
             }
             Ok(_) | Err(_) => candidate.borrow_mut().on_no_answer(proposed_at),
         }
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -224,10 +224,24 @@
     }
 
     /// Records the answer to a step that was proposed at `proposed_at`.
-    pub fn on_answer(&mut self, now: Instant, proposed_at: Instant, record: Option<&Record>) {
+    ///
+    /// Only a renewal under the token in force is known to have had an effect. A take that
+    /// came too late has the same answer as one that was granted, if an earlier take of
+    /// this candidate was; so a granted lease is used after its first renewal.
+    pub fn on_answer(
+        &mut self,
+        now: Instant,
+        proposed_at: Instant,
+        step: &Step,
+        record: Option<&Record>,
+    ) {
         self.on_no_answer(proposed_at);
         self.observe(now, record);
-        let Some(record) = record.filter(|it| it.holder == self.me) else {
+        let in_force = |it: &&Record| match step {
+            Step::Renew { holder, token } => it.holder == *holder && it.token == *token,
+            Step::Take { .. } => false,
+        };
+        let Some(record) = record.filter(in_force) else {
             return;
         };
         // The answer to an older step may come late; the time counts from the step.
