lease: an answer that comes during an abstention is not used

A renewal in flight when the holder gave the lease up set the hold again, so calls went on for up to two thirds of the term after the platform was found unreachable or the daemon began to leave.

--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -244,6 +244,9 @@
         let Some(record) = record.filter(in_force) else {
             return;
         };
+        if self.abstains(now) {
+            return;
+        }
         // The answer to an older step may come late; the time counts from the step.
         if self.held.is_none_or(|it| it.renewed_at < proposed_at) {
             self.held = Some(Held {
--- a/crates/policy/tests/lease_holders.rs
+++ b/crates/policy/tests/lease_holders.rs
@@ -632,3 +632,26 @@
         "the renewal proves it"
     );
 }
+
+/// A candidate that holds the lease since `start`, under token 5.
+fn holder(start: Instant) -> Candidate {
+    let mut candidate = candidate(7, 7);
+    candidate.observe(start, Some(&record(5, 5)));
+    let step = candidate.propose(start, 0).expect("its own lease is due");
+    candidate.on_answer(start, start, &step, Some(&record(5, 6)));
+    assert_that!(candidate.fence(start, Duration::ZERO), some(eq(5)));
+    candidate
+}
+
+/// Guards against a lease that was given up and is used again, since the answer to a
+/// renewal was on its way.
+#[gtest]
+fn a_late_answer_does_not_end_an_abstention() {
+    let start = Instant::now();
+    let mut candidate = holder(start);
+    let renewed_at = at(start, 800);
+    let step = candidate.propose(renewed_at, 0).expect("a renewal is due");
+    candidate.abstain(renewed_at);
+    candidate.on_answer(at(start, 810), renewed_at, &step, Some(&record(5, 9)));
+    expect_that!(candidate.fence(at(start, 810), Duration::ZERO), none());
+}
