--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -247,6 +247,11 @@
         if self.abstains(now) {
             return;
         }
+        let continues = |it: Held| it.token == record.token && proposed_at <= self.hold_end(it);
+        if !self.held.is_some_and(continues) {
+            // Calls that failed in an earlier hold say nothing about the path in this one.
+            self.unanswered_since = None;
+        }
         // The answer to an older step may come late; the time counts from the step.
         if self.held.is_none_or(|it| it.renewed_at < proposed_at) {
             self.held = Some(Held {
@@ -266,9 +271,13 @@
     /// Token under which a call that takes at most `call` may be sent now.
     #[must_use]
     pub fn fence(&self, now: Instant, call: Duration) -> Option<FencingToken> {
-        let held = self.held.as_ref()?;
-        let until = held.renewed_at + self.settings.term.mul_f64(HOLD_SHARE);
-        (now + call <= until).then_some(held.token)
+        let held = self.held?;
+        (now + call <= self.hold_end(held)).then_some(held.token)
+    }
+
+    /// When the calls under a lease must have ended.
+    fn hold_end(&self, held: Held) -> Instant {
+        held.renewed_at + self.settings.term.mul_f64(HOLD_SHARE)
     }
 
     /// Records whether the platform answered a call at all.
--- a/crates/policy/tests/lease_holders.rs
+++ b/crates/policy/tests/lease_holders.rs
@@ -655,3 +655,22 @@
     candidate.on_answer(at(start, 810), renewed_at, &step, Some(&record(5, 9)));
     expect_that!(candidate.fence(at(start, 810), Duration::ZERO), none());
 }
+
+/// Guards against a holder that gives the lease up at its first failed call, since one had
+/// failed in an earlier hold.
+#[gtest]
+fn failures_of_an_earlier_hold_do_not_count() {
+    let start = Instant::now();
+    let mut candidate = holder(start);
+    candidate.on_call(at(start, 100), false);
+    let later = at(start, 60_000);
+    let step = candidate.propose(later, 0).expect("its lease lapsed");
+    candidate.on_answer(later, later, &step, Some(&record(5, 9)));
+    candidate.on_call(later, false);
+    expect_that!(candidate.fence(later, Duration::ZERO), some(eq(5)));
+    candidate.on_call(later + Settings::default().unreachable_after, false);
+    expect_that!(
+        candidate.abstains(later + Settings::default().unreachable_after),
+        eq(true)
+    );
+}
