lease: a renewal gives the lease to a replica that lacks the grant

A replica of an older build that does not answer the status question in time does not stop a take. As a leader it then answers the holder without a lease and grants a second one, and tokens fall at the next change of leader.

A renewal now carries the instance, and a replica adopts a lease with a higher token than its own. Where no grant is missing there is no such renewal, so nothing else changes. Ruled out: to wait for every known replica before a take, as a lost one would then stop all duties.

--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -64,9 +64,14 @@
         after: Index,
     },
     /// Renews the lease, if it is still held under this token.
+    ///
+    /// A replica that ran a build without leases may lack the grant; it adopts a lease with
+    /// a higher token than its own, as only a grant elsewhere makes one.
     Renew {
         /// Data folder of the holder.
         holder: ReplicaId,
+        /// Instance of the holder.
+        instance: InstanceId,
         /// Token of the holder.
         token: FencingToken,
     },
@@ -91,14 +96,26 @@
                     });
                 }
             }
-            Self::Renew { holder, token } => {
-                if let Some(record) = record
-                    && record.holder == *holder
-                    && record.token == *token
-                {
-                    record.renewed = index;
+            Self::Renew {
+                holder,
+                instance,
+                token,
+            } => match record {
+                Some(record) if record.token > *token => {}
+                Some(record) if record.token == *token => {
+                    if record.holder == *holder {
+                        record.renewed = index;
+                    }
                 }
-            }
+                _ => {
+                    *record = Some(Record {
+                        holder: *holder,
+                        instance: instance.clone(),
+                        token: *token,
+                        renewed: index,
+                    });
+                }
+            },
         }
     }
 }
@@ -203,6 +220,7 @@
                 }
                 Step::Renew {
                     holder: self.me,
+                    instance: self.instance.clone(),
                     token: record.token,
                 }
             }
@@ -238,7 +256,7 @@
         self.on_no_answer(proposed_at);
         self.observe(now, record);
         let in_force = |it: &&Record| match step {
-            Step::Renew { holder, token } => it.holder == *holder && it.token == *token,
+            Step::Renew { holder, token, .. } => it.holder == *holder && it.token == *token,
             Step::Take { .. } => false,
         };
         let Some(record) = record.filter(in_force) else {
--- a/crates/policy/tests/lease_holders.rs
+++ b/crates/policy/tests/lease_holders.rs
@@ -605,7 +605,11 @@
 }
 
 fn renewal(token: FencingToken) -> Step {
-    Step::Renew { holder: 7, token }
+    Step::Renew {
+        holder: 7,
+        instance: "d7".to_owned(),
+        token,
+    }
 }
 
 /// Guards against a lease that is counted from a take that had no effect, since an earlier
@@ -674,3 +678,16 @@
         eq(true)
     );
 }
+
+/// Guards against a replica that lacks the grant for good, since it was applied there by a
+/// build without leases: as a leader it would refuse the holder and grant a second lease.
+#[gtest]
+fn a_replica_without_the_grant_adopts_the_lease_that_is_renewed() {
+    for mut lacking in [None, Some(record(3, 4))] {
+        renewal(5).apply(8, &mut lacking);
+        expect_that!(lacking, some(eq(&record(5, 8))));
+    }
+    let mut newer = Some(record(6, 7));
+    renewal(5).apply(8, &mut newer);
+    expect_that!(newer, some(eq(&record(6, 7))));
+}
--- a/crates/wire/src/control/duties.rs
+++ b/crates/wire/src/control/duties.rs
@@ -55,22 +55,24 @@
 impl From<&Step> for proto::LeaseStep {
     fn from(it: &Step) -> Self {
         use proto::lease_step::Step as Wire;
-        let (holder, step) = match it {
+        let (holder, instance, step) = match it {
             Step::Take {
                 holder,
                 instance,
                 after,
             } => {
-                let take = proto::Take {
-                    instance: instance.clone(),
-                    after: *after,
-                };
-                (*holder, Wire::Take(take))
+                let take = proto::Take { after: *after };
+                (*holder, instance, Wire::Take(take))
             }
-            Step::Renew { holder, token } => (*holder, Wire::Renew(*token)),
+            Step::Renew {
+                holder,
+                instance,
+                token,
+            } => (*holder, instance, Wire::Renew(*token)),
         };
         Self {
             holder,
+            instance: instance.clone(),
             step: Some(step),
         }
     }
@@ -81,14 +83,18 @@
 
     fn try_from(it: proto::LeaseStep) -> Result<Self, Error> {
         use proto::lease_step::Step as Wire;
-        let holder = it.holder;
+        let (holder, instance) = (it.holder, it.instance);
         Ok(match require(it.step, "lease.step")? {
             Wire::Take(take) => Self::Take {
                 holder,
-                instance: take.instance,
+                instance,
                 after: take.after,
             },
-            Wire::Renew(token) => Self::Renew { holder, token },
+            Wire::Renew(token) => Self::Renew {
+                holder,
+                instance,
+                token,
+            },
         })
     }
 }
