--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -64,9 +64,14 @@
         after: Index,
     },
     /// Renews the lease, if it is still held under this token.
+    ///
+    /// A replica that ran a build without leases may lack the grant; it adopts a lease with
+    /// a higher token than its own, as only a grant elsewhere makes one.
     Renew {
         /// Data folder of the holder.
         holder: ReplicaId,
+        /// Instance of the holder.
+        instance: InstanceId,
         /// Token of the holder.
         token: FencingToken,
     },
@@ -91,14 +96,26 @@
                     });
                 }
             }
-            Self::Renew { holder, token } => {
-                if let Some(record) = record
-                    && record.holder == *holder
-                    && record.token == *token
-                {
-                    record.renewed = index;
+            Self::Renew {
+                holder,
+                instance,
+                token,
+            } => match record {
+                Some(record) if record.token > *token => {}
+                Some(record) if record.token == *token => {
+                    if record.holder == *holder {
+                        record.renewed = index;
+                    }
                 }
-            }
+                _ => {
+                    *record = Some(Record {
+                        holder: *holder,
+                        instance: instance.clone(),
+                        token: *token,
+                        renewed: index,
+                    });
+                }
+            },
         }
     }
 }
@@ -203,6 +220,7 @@
                 }
                 Step::Renew {
                     holder: self.me,
+                    instance: self.instance.clone(),
                     token: record.token,
                 }
             }
@@ -224,12 +242,34 @@
     }
 
     /// Records the answer to a step that was proposed at `proposed_at`.
-    pub fn on_answer(&mut self, now: Instant, proposed_at: Instant, record: Option<&Record>) {
+    ///
+    /// Only a renewal under the token in force is known to have had an effect. A take that
+    /// came too late has the same answer as one that was granted, if an earlier take of
+    /// this candidate was; so a granted lease is used after its first renewal.
+    pub fn on_answer(
+        &mut self,
+        now: Instant,
+        proposed_at: Instant,
+        step: &Step,
+        record: Option<&Record>,
+    ) {
         self.on_no_answer(proposed_at);
         self.observe(now, record);
-        let Some(record) = record.filter(|it| it.holder == self.me) else {
+        let in_force = |it: &&Record| match step {
+            Step::Renew { holder, token, .. } => it.holder == *holder && it.token == *token,
+            Step::Take { .. } => false,
+        };
+        let Some(record) = record.filter(in_force) else {
             return;
         };
+        if self.abstains(now) {
+            return;
+        }
+        let continues = |it: Held| it.token == record.token && proposed_at <= self.hold_end(it);
+        if !self.held.is_some_and(continues) {
+            // Calls that failed in an earlier hold say nothing about the path in this one.
+            self.unanswered_since = None;
+        }
         // The answer to an older step may come late; the time counts from the step.
         if self.held.is_none_or(|it| it.renewed_at < proposed_at) {
             self.held = Some(Held {
@@ -249,9 +289,13 @@
     /// Token under which a call that takes at most `call` may be sent now.
     #[must_use]
     pub fn fence(&self, now: Instant, call: Duration) -> Option<FencingToken> {
-        let held = self.held.as_ref()?;
-        let until = held.renewed_at + self.settings.term.mul_f64(HOLD_SHARE);
-        (now + call <= until).then_some(held.token)
+        let held = self.held?;
+        (now + call <= self.hold_end(held)).then_some(held.token)
+    }
+
+    /// When the calls under a lease must have ended.
+    fn hold_end(&self, held: Held) -> Instant {
+        held.renewed_at + self.settings.term.mul_f64(HOLD_SHARE)
     }
 
     /// Records whether the platform answered a call at all.
