autoscale: planner of the runners of a service, and the arbiter's report of demand

Runners are billed by the second and reclaimable ones cost a fraction, but their number was fixed. Sizing on the latest report alone was ruled out: a burst as long as the start of a runner would order runners that come too late.

--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -16,6 +16,7 @@
 mod affinity;
 mod brittle;
 mod continuity;
+mod demand;
 mod estimate;
 mod floor;
 mod grant;
@@ -281,6 +282,8 @@
     suspects: suspect::Suspects,
     /// Crashes that parts of prompts may have caused.
     evidence: Evidence,
+    /// Load since the last report of demand; none before the first one is asked for.
+    sampler: Option<demand::Sampler>,
     started: Instant,
     last_tick: Instant,
 }
@@ -338,6 +341,7 @@
             continuity,
             suspects: suspect::Suspects::default(),
             evidence: Evidence::default(),
+            sampler: None,
             started: now,
             last_tick: now,
             settings,
@@ -406,6 +410,9 @@
         }
         self.end_collecting(now, &mut effects);
         self.schedule(now, &mut effects);
+        if let Some(sampler) = &mut self.sampler {
+            sampler.on_effects(&effects);
+        }
         effects
     }
 
@@ -486,6 +493,7 @@
         let passed = now.saturating_duration_since(self.last_tick);
         self.last_tick = now;
         self.estimate.decay(passed);
+        self.sample_demand();
         if passed > self.settings.lease / 2 {
             self.extend_leases(passed);
         }
--- a/crates/policy/src/arbiter/pool.rs
+++ b/crates/policy/src/arbiter/pool.rs
@@ -162,6 +162,7 @@
             });
             runner.address = Some(it.address);
             runner.domain.clone_from(&it.domain);
+            runner.reclaimable = it.reclaimable;
             if *runner.build != *it.build {
                 runner.build = Arc::from(it.build.as_str());
             }
@@ -230,6 +231,10 @@
             .for_each(|runner| runner.set_max(max));
     }
 
+    pub(super) fn runners(&self) -> impl Iterator<Item = &Runner> {
+        self.runners.values()
+    }
+
     pub(super) fn get(&self, id: &RunnerId) -> Option<&Runner> {
         self.runners.get(id)
     }
--- a/crates/policy/src/arbiter/prompt.rs
+++ b/crates/policy/src/arbiter/prompt.rs
@@ -92,7 +92,7 @@
     /// Whether the time to its first token measures the runner.
     pub(super) timed: bool,
     /// KV-cache tokens that it may fill.
-    size: u64,
+    pub(super) size: u64,
     pause_sensitivity: f64,
 }
 
@@ -194,7 +194,17 @@
         self.sensitivity = (self.sensitivity - usage.pause_sensitivity).max(0.0);
     }
 
-    fn memory(&self) -> u64 {
+    /// Whether a prompt was granted and is not prefilled yet.
+    pub(super) fn is_prefilling(&self) -> bool {
+        self.pending > 0
+    }
+
+    /// KV-cache tokens of the running requests.
+    pub(super) fn used(&self) -> u64 {
+        self.used
+    }
+
+    pub(super) fn memory(&self) -> u64 {
         if self.memory == 0 {
             DEFAULT_MEMORY_TOKENS
         } else {
--- a/crates/policy/src/arbiter/runner.rs
+++ b/crates/policy/src/arbiter/runner.rs
@@ -150,6 +150,8 @@
     pub(super) address: Option<SocketAddr>,
     /// Failure domain on the platform's list.
     pub(super) domain: DomainId,
+    /// Whether the platform may take it back at short notice.
+    pub(super) reclaimable: bool,
     /// Version of its software on the platform's list.
     pub(super) build: Arc<str>,
     /// Whether it is reserved for a request that must run alone.
@@ -204,6 +206,7 @@
             leaving: false,
             address: None,
             domain: DomainId::new(),
+            reclaimable: false,
             build: Arc::from(""),
             reserved: false,
             held: 0,
--- /dev/null
+++ b/crates/policy/src/autoscale/site.rs
@@ -0,0 +1,135 @@
+//! Runners of one kind in one failure domain: what is there, wanted and ordered.
+
+use std::time::{Duration, Instant};
+
+use super::{Count, Outcome};
+
+/// Shortest time between two equal orders.
+const REPEAT_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Runners of one kind in one failure domain.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Cell {
+    pub(super) count: Count,
+    /// Number that is wanted.
+    pub(super) desired: u32,
+    /// Number that the platform was last known to accept.
+    pub(super) accepted: u32,
+    /// When an order was last accepted, or the number was first seen.
+    accepted_at: Option<Instant>,
+    /// Number in the order on its way.
+    sent: Option<u32>,
+    /// Number in an order without an answer, which the platform may have accepted.
+    uncertain: Option<u32>,
+    /// Since when fewer are ready than were accepted.
+    missing_since: Option<Instant>,
+    excluded_until: Option<Instant>,
+}
+
+/// Runners of a service in one failure domain.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Site {
+    pub(super) stable: Cell,
+    pub(super) reclaimable: Cell,
+}
+
+impl Site {
+    pub(super) fn cell(&mut self, reclaimable: bool) -> &mut Cell {
+        if reclaimable {
+            &mut self.reclaimable
+        } else {
+            &mut self.stable
+        }
+    }
+}
+
+impl Cell {
+    /// Records the runners that are listed.
+    pub(super) fn on_count(&mut self, now: Instant, count: Count) {
+        self.count = count;
+        if count.ready >= self.accepted {
+            self.missing_since = None;
+        } else {
+            self.missing_since.get_or_insert(now);
+        }
+    }
+
+    /// Takes a number as ordered that a former holder, or the platform, chose.
+    pub(super) fn adopt(&mut self, now: Instant, number: u32) {
+        self.desired = number;
+        self.accepted = number;
+        self.accepted_at = Some(now);
+        self.uncertain = None;
+        if self.count.ready >= number {
+            self.missing_since = None;
+        }
+    }
+
+    /// Largest number that may come to be, whichever orders arrive.
+    pub(super) fn most(&self) -> u32 {
+        let orders = [self.sent, self.uncertain];
+        let sent = orders.into_iter().flatten().max().unwrap_or_default();
+        self.desired.max(self.accepted).max(sent)
+    }
+
+    pub(super) fn is_excluded(&self, now: Instant) -> bool {
+        self.excluded_until.is_some_and(|until| now < until)
+    }
+
+    pub(super) fn exclude(&mut self, until: Instant) {
+        self.excluded_until = Some(until);
+    }
+
+    /// Whether the platform takes back all runners at once.
+    pub(super) fn is_taken_back(&self) -> bool {
+        self.count.ready == 0 && self.count.leaving > 0 && self.accepted > 0 && self.desired > 0
+    }
+
+    /// Whether runners that were ordered did not come within `allowed`.
+    pub(super) fn is_overdue(&self, now: Instant, allowed: Duration) -> bool {
+        let is_old = |at: Instant| now.saturating_duration_since(at) >= allowed;
+        self.sent.is_none()
+            && self.desired == self.accepted
+            && self.missing_since.is_some_and(is_old)
+            && self.accepted_at.is_none_or(is_old)
+    }
+
+    /// Whether an order is to be sent.
+    pub(super) fn is_due(&self, now: Instant) -> bool {
+        if self.sent.is_some() {
+            return false;
+        }
+        let is_old = |at: Instant| now.saturating_duration_since(at) >= REPEAT_INTERVAL;
+        let repeat = self.count.ready > self.desired && self.accepted_at.is_some_and(is_old);
+        self.desired != self.accepted || self.uncertain.is_some() || repeat
+    }
+
+    /// Records that an order is written; returns the number.
+    pub(super) fn send(&mut self) -> u32 {
+        self.sent = Some(self.desired);
+        self.desired
+    }
+
+    pub(super) fn on_outcome(
+        &mut self,
+        now: Instant,
+        desired: u32,
+        outcome: Outcome,
+        exclusion: Duration,
+    ) {
+        self.sent = None;
+        match outcome {
+            Outcome::Accepted => {
+                self.uncertain = None;
+                self.accepted = desired;
+                self.accepted_at = Some(now);
+            }
+            Outcome::Unavailable => {
+                self.uncertain = None;
+                self.desired = self.desired.min(self.accepted);
+                self.exclude(now + exclusion);
+            }
+            Outcome::Failed => self.uncertain = self.uncertain.max(Some(desired)),
+        }
+    }
+}
