autoscale: reports of demand to the holder, orders under the lease

The host of an arbiter sends the demand every 500 ms to the holder, or to the first two candidates. The answer names the holder and the orders in force, which the host returns with its next report, so that a new holder knows them. An order carries the number wanted when it is written: a queue of numbers would replay old states once the platform answers again. Nothing runs unless the platform's settings name the duty and the service is declared with scaling.

--- a/crates/daemon/src/duty.rs
+++ b/crates/daemon/src/duty.rs
@@ -8,6 +8,7 @@
 mod call;
 mod metrics;
 mod pace;
+pub mod scale;
 
 use std::{
     cell::{Cell, RefCell},
@@ -171,6 +172,12 @@
         self.fence(Duration::ZERO).is_some()
     }
 
+    /// Fencing token under which this daemon holds the lease now, if it does.
+    #[must_use]
+    pub fn token(&self) -> Option<FencingToken> {
+        self.fence(Duration::ZERO)
+    }
+
     /// Whether this daemon has a replica, and so may come to hold the lease.
     #[must_use]
     pub fn is_candidate(&self) -> bool {
@@ -225,7 +232,7 @@
                 .borrow_mut()
                 .on_outcome(now, is_accepted || is_refused, jitter);
         }
-        inner.metrics.count(&outcome);
+        inner.metrics.count(outcome);
         outcome
     }
 
@@ -334,23 +341,20 @@
             return;
         }
         let metrics = &self.inner.metrics;
-        match token {
-            Some(token) => {
-                metrics.on_taken(token);
-                log::info!(event = "CP1203", token; "holds the lease of the duties");
-            }
-            None => {
-                metrics.on_lost();
-                let candidate = candidate.borrow();
-                let record = candidate.record();
-                log::info!(
-                    event = "CP1204", token = before,
-                    holder = record.map(|it| it.instance.as_str()),
-                    abstains = candidate.abstains(clock::now()),
-                    term_ms = millis(self.inner.settings.lease.term);
-                    "does not hold the lease of the duties any more"
-                );
-            }
+        if let Some(token) = token {
+            metrics.on_taken(token);
+            log::info!(event = "CP1203", token; "holds the lease of the duties");
+        } else {
+            metrics.on_lost();
+            let candidate = candidate.borrow();
+            let record = candidate.record();
+            log::info!(
+                event = "CP1204", token = before,
+                holder = record.map(|it| it.instance.as_str()),
+                abstains = candidate.abstains(clock::now()),
+                term_ms = millis(self.inner.settings.lease.term);
+                "does not hold the lease of the duties any more"
+            );
         }
     }
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -25,7 +25,10 @@
     callers::{self, Callers},
     clock,
     control::{self, Replica},
-    duty::{self, Duty},
+    duty::{
+        self, Duty,
+        scale::{self, Scale},
+    },
     edge::Adapter,
     exchange::{self, Exchange},
     gossip::LocalStatus,
@@ -290,6 +293,7 @@
         let buffers = Buffers::new(settings.memory_bytes);
         let handle = handle(&core, drained.clone());
         let duty = duty(settings, &core, &drained, adapter.as_ref());
+        let scale = scale(&core, duty.as_ref());
         let front = match &adapter {
             Some(adapter) => {
                 let stop = StopSignals {
@@ -317,11 +321,14 @@
         if let Some(duty) = &duty {
             duty.register(&mut registry);
         }
+        if let Some(scale) = &scale {
+            scale.register(&mut registry);
+        }
         let admin_metrics = admin::Metrics::default();
         admin_metrics.register(&mut registry);
         let registry = Rc::new(registry);
         let admin = admin(&core, tokens, admin_metrics, Rc::clone(&registry));
-        serve_peers(&core, &admin, peer_listener);
+        serve_peers(&core, &admin, scale, peer_listener);
         let transit = Transit::default();
         serve_http(
             callers_listener,
@@ -336,24 +343,12 @@
         );
         if let Some(listener) = metrics_listener {
             let handler = metrics::handler(registry);
-            serve_http(
-                listener,
-                handler,
-                MAX_ADMIN_CONNECTIONS,
-                &ended,
-                &Transit::default(),
-            );
+            serve_operators(listener, handler, &ended);
         }
         if let Some(adapter) = adapter {
             serve_adapter(&adapter, &handle, management_listeners, &ended);
         }
-        serve_http(
-            admin_listener,
-            admin.handler(),
-            MAX_ADMIN_CONNECTIONS,
-            &ended,
-            &Transit::default(),
-        );
+        serve_operators(admin_listener, admin.handler(), &ended);
         let metrics = RefCell::new(metrics);
         let signalled = Cell::new(false);
         let parts = Rc::new(Self {
@@ -489,6 +484,19 @@
     })
 }
 
+/// Starts the orders of runners, if these are a duty.
+fn scale(core: &Core, duty: Option<&Duty>) -> Option<Scale> {
+    let duty = duty.filter(|it| it.settings().scaling)?;
+    let ports = scale::Ports {
+        duty: duty.clone(),
+        hub: core.hub.clone(),
+        members: core.gossip.members(),
+        slots: core.slots.clone(),
+        view: core.follow.view(),
+    };
+    Some(Scale::start(ports))
+}
+
 /// Channels that tell the parts that the daemon is stopping.
 struct StopSignals {
     draining: watch::Receiver<bool>,
@@ -579,16 +587,22 @@
     })
 }
 
-fn serve_peers(core: &Core, admin: &Admin, listener: TcpListener) {
+fn serve_peers(core: &Core, admin: &Admin, scale: Option<Scale>, listener: TcpListener) {
     let router = Router {
         admin: admin.clone(),
         control: core.control.clone(),
         follow: core.follow.clone(),
         slots: core.slots.clone(),
+        scale,
     };
     actix_rt::spawn(peers::listen(core.hub.clone(), listener, Rc::new(router)));
 }
 
+fn serve_operators(listener: TcpListener, handler: Handler, stopped: &watch::Receiver<bool>) {
+    let transit = Transit::default();
+    serve_http(listener, handler, MAX_ADMIN_CONNECTIONS, stopped, &transit);
+}
+
 fn serve_http(
     listener: TcpListener,
     handler: Handler,
--- a/crates/daemon/src/run/router.rs
+++ b/crates/daemon/src/run/router.rs
@@ -4,7 +4,10 @@
 use citron_wire::Body;
 use futures_util::future::LocalBoxFuture;
 
-use crate::{admin::Admin, control::Control, follow::Follow, peers::Handler, slots::Slots};
+use crate::{
+    admin::Admin, control::Control, duty::scale::Scale, follow::Follow, peers::Handler,
+    slots::Slots,
+};
 
 /// The parts that handle messages from peers.
 #[derive(Debug)]
@@ -13,6 +16,8 @@
     pub(super) control: Control,
     pub(super) follow: Follow,
     pub(super) slots: Slots,
+    /// Orders of runners, if these are a duty.
+    pub(super) scale: Option<Scale>,
 }
 
 impl Handler for Router {
@@ -21,6 +26,9 @@
             Body::Control(message) => self.control.on_message(from, message),
             Body::Feed(message) => self.follow.on_message(from, message),
             Body::Slot(message) => self.slots.on_message(from, message),
+            Body::Duty(message) if let Some(scale) = &self.scale => {
+                scale.on_message(from, message);
+            }
             Body::Status(_) | Body::Refusal(_) | Body::Duty(_) => {
                 log::debug!("CP0902 message from {from} dropped: its kind is only valid in a call");
             }
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -20,6 +20,7 @@
 
 use citron_policy::{
     arbiter::{Ask, Ticket},
+    autoscale,
     catalogue::Backend,
     crash,
     feed::View,
@@ -235,6 +236,13 @@
         self.inner.list_role()
     }
 
+    /// Demand for runners since the last call, of the services that are hosted here and
+    /// whose runners are ordered; it is only sampled once this is called.
+    #[must_use]
+    pub fn demands(&self) -> Vec<autoscale::Demand> {
+        self.inner.demands()
+    }
+
     /// Waits for a slot; dropping the future withdraws the request.
     ///
     /// # Errors
--- a/crates/daemon/src/slots/host.rs
+++ b/crates/daemon/src/slots/host.rs
@@ -14,6 +14,7 @@
     arbiter::{
         self, Arbiter, Asked, Note, Rate, Reply, Request, Ticket, Transition, host_order, standbys,
     },
+    autoscale::Demand,
     catalogue::{Key, Kind},
     crash,
     id::{DomainId, Epoch, InstanceId, ServiceId},
@@ -700,6 +701,19 @@
         self.log_cost(now);
     }
 
+    /// Demand for runners of the hosted services whose runners are ordered.
+    pub(super) fn demands(&self) -> Vec<Demand> {
+        let view = self.inputs.view.borrow().clone();
+        let is_scaled = |service: &ServiceId| {
+            let service = view.catalogue.services.get(service);
+            service.is_some_and(|it| it.scaling.is_some())
+        };
+        let mut host = self.host.borrow_mut();
+        let hosted = host.arbiters.iter_mut();
+        let scaled = hosted.filter(|(service, _)| is_scaled(service));
+        scaled.filter_map(|(_, it)| it.arbiter.demand()).collect()
+    }
+
     pub(super) fn repropose_marks(&self) {
         let host = self.host.borrow();
         let steps = host.requesters.values().flat_map(Requester::unconfirmed);
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod feed;
 pub mod generated;
 pub mod member;
+pub mod scale;
 pub mod slot;
 pub mod status;
 
