duty: the order of connecting, asking the lease and writing is one function

It can be tested at a listener without a control log: the answer does not come, the lease ends while the connection is being opened, bytes wait in the sender's buffers. No fault was found in the calls.

--- a/crates/daemon/src/duty.rs
+++ b/crates/daemon/src/duty.rs
@@ -5,7 +5,7 @@
 //! [`Duty::call`], which adds the fencing token and checks the lease right before
 //! the request is written.
 
-mod call;
+pub mod call;
 mod metrics;
 mod pace;
 
@@ -237,15 +237,15 @@
         if !self.is_holder() {
             return Err(Failure::NotHolder);
         }
-        let connection = call::connect(ports.address).await?;
-        // Checked after the connection is open, so that nothing but the write follows.
-        let token = self.fence(call::TIMEOUT).ok_or(Failure::NotHolder)?;
-        let fence = Fence {
-            holder: &ports.me,
-            token,
+        let encode = || {
+            let token = self.fence(call::TIMEOUT)?;
+            let fence = Fence {
+                holder: &ports.me,
+                token,
+            };
+            Some(encode(ports.calls.as_ref(), &fence))
         };
-        let call = encode(ports.calls.as_ref(), &fence);
-        connection.exchange(call).await
+        call::send(ports.address, encode).await
     }
 
     fn fence(&self, call: Duration) -> Option<FencingToken> {
--- a/crates/daemon/src/duty/call.rs
+++ b/crates/daemon/src/duty/call.rs
@@ -21,10 +21,10 @@
 use crate::edge::DutyCall;
 
 /// Longest time from writing the request to the head of the answer.
-pub(super) const TIMEOUT: Duration = Duration::from_millis(700);
+pub const TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Longest time to open a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 thread_local! {
     // A configuration spawns a clock task, so all calls of a thread share one.
@@ -45,14 +45,27 @@
     NoAnswer,
 }
 
+/// Opens a connection, and writes the call that `encode` then returns.
+///
+/// # Errors
+/// [`Failure`]; `encode` returns none if the lease does not last for [`TIMEOUT`] from now.
+pub async fn send<F>(address: SocketAddr, encode: F) -> Result<StatusCode, Failure>
+where
+    F: FnOnce() -> Option<DutyCall>,
+{
+    let connection = connect(address).await?;
+    // Asked after the connection is open, so that nothing but the write follows.
+    let call = encode().ok_or(Failure::NotHolder)?;
+    connection.exchange(call).await
+}
+
 /// An open connection to the platform.
-pub(super) struct Connection {
+struct Connection {
     address: SocketAddr,
     framed: Framed<TcpStream, ClientCodec>,
 }
 
-/// Opens a connection.
-pub(super) async fn connect(address: SocketAddr) -> Result<Connection, Failure> {
+async fn connect(address: SocketAddr) -> Result<Connection, Failure> {
     let opened = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let Ok(Ok(stream)) = opened else {
         return Err(Failure::Unreachable);
@@ -73,7 +86,7 @@
 
 impl Connection {
     /// Writes the call and waits for the status of the answer.
-    pub(super) async fn exchange(self, call: DutyCall) -> Result<StatusCode, Failure> {
+    async fn exchange(self, call: DutyCall) -> Result<StatusCode, Failure> {
         match timeout(TIMEOUT, self.write_and_read(call)).await {
             Ok(outcome) => outcome,
             Err(_) => Err(Failure::NoAnswer),
