duty: after a failure calls come one at a time

Calls reserved their time before they waited, so those that waited when the platform failed went out at the usual rate, and each of them that failed doubled the pause. With 25 calls a second and 1.1 s for a call, up to 27 could be in flight.

A call now starts only when its turn comes, during a pause only if no other runs, and calls that failed together count as one failure. Ruled out: to cancel the waiting calls, as their callers would make them again at once.

--- a/crates/daemon/src/duty.rs
+++ b/crates/daemon/src/duty.rs
@@ -7,7 +7,7 @@
 
 pub mod call;
 mod metrics;
-mod pace;
+pub mod pace;
 
 use std::{
     cell::{Cell, RefCell},
@@ -27,7 +27,7 @@
     usage,
 };
 use prometheus_client::registry::Registry;
-use tokio::sync::watch;
+use tokio::sync::{Mutex, watch};
 
 use crate::{
     clock,
@@ -115,6 +115,8 @@
     candidate: Option<RefCell<Candidate>>,
     fixed: RefCell<usage::Fixed>,
     pace: RefCell<Pace>,
+    /// Held by the call that waits for its start, so that calls start in the order made.
+    turn: Mutex<()>,
     /// Token under which this daemon was last seen to hold the lease.
     held: Cell<Option<FencingToken>>,
     metrics: Metrics,
@@ -135,6 +137,7 @@
             candidate,
             fixed: RefCell::default(),
             pace: RefCell::new(pace),
+            turn: Mutex::new(()),
             held: Cell::new(None),
             metrics: Metrics::default(),
         };
@@ -205,8 +208,8 @@
         F: FnOnce(&dyn DutyCalls, &Fence<'_>) -> DutyCall,
     {
         let inner = &self.inner;
-        let wait = inner.pace.borrow_mut().reserve(Instant::now());
-        actix_rt::time::sleep(wait).await;
+        let running = self.begin().await;
+        let started = Instant::now();
         let outcome = self.call_now(encode).await;
         let answered = match &outcome {
             Ok(_) => Some(true),
@@ -223,12 +226,26 @@
             inner
                 .pace
                 .borrow_mut()
-                .on_outcome(now, is_accepted || is_refused, jitter);
+                .on_outcome(now, started, is_accepted || is_refused, jitter);
         }
+        drop(running);
         inner.metrics.count(&outcome);
         outcome
     }
 
+    /// Waits until a call may be made.
+    async fn begin(&self) -> Running<'_> {
+        let inner = &self.inner;
+        let _turn = inner.turn.lock().await;
+        loop {
+            let started = inner.pace.borrow_mut().start(Instant::now());
+            match started {
+                Ok(()) => return Running(&inner.pace),
+                Err(wait) => actix_rt::time::sleep(wait).await,
+            }
+        }
+    }
+
     async fn call_now<F>(&self, encode: F) -> Result<StatusCode, Failure>
     where
         F: FnOnce(&dyn DutyCalls, &Fence<'_>) -> DutyCall,
@@ -355,6 +372,15 @@
     }
 }
 
+/// A call that was started; it ends when this is dropped, also if nobody waits for it.
+struct Running<'a>(&'a RefCell<Pace>);
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.borrow_mut().end();
+    }
+}
+
 /// Instances with a replica that are alive, the preferred receiver of reports first.
 #[must_use]
 pub fn candidates(members: &Members) -> Vec<(InstanceId, ReplicaId)> {
