--- a/crates/daemon/src/duty.rs
+++ b/crates/daemon/src/duty.rs
@@ -5,9 +5,9 @@
 //! [`Duty::call`], which adds the fencing token and checks the lease right before
 //! the request is written.
 
-mod call;
+pub mod call;
 mod metrics;
-mod pace;
+pub mod pace;
 pub mod scale;
 
 use std::{
@@ -28,7 +28,7 @@
     usage,
 };
 use prometheus_client::registry::Registry;
-use tokio::sync::watch;
+use tokio::sync::{Mutex, watch};
 
 use crate::{
     clock,
@@ -116,6 +116,8 @@
     candidate: Option<RefCell<Candidate>>,
     fixed: RefCell<usage::Fixed>,
     pace: RefCell<Pace>,
+    /// Held by the call that waits for its start, so that calls start in the order made.
+    turn: Mutex<()>,
     /// Token under which this daemon was last seen to hold the lease.
     held: Cell<Option<FencingToken>>,
     metrics: Metrics,
@@ -136,6 +138,7 @@
             candidate,
             fixed: RefCell::default(),
             pace: RefCell::new(pace),
+            turn: Mutex::new(()),
             held: Cell::new(None),
             metrics: Metrics::default(),
         };
@@ -212,8 +215,8 @@
         F: FnOnce(&dyn DutyCalls, &Fence<'_>) -> DutyCall,
     {
         let inner = &self.inner;
-        let wait = inner.pace.borrow_mut().reserve(Instant::now());
-        actix_rt::time::sleep(wait).await;
+        let running = self.begin().await;
+        let started = Instant::now();
         let outcome = self.call_now(encode).await;
         let answered = match &outcome {
             Ok(_) => Some(true),
@@ -230,12 +233,26 @@
             inner
                 .pace
                 .borrow_mut()
-                .on_outcome(now, is_accepted || is_refused, jitter);
+                .on_outcome(now, started, is_accepted || is_refused, jitter);
         }
+        drop(running);
         inner.metrics.count(outcome);
         outcome
     }
 
+    /// Waits until a call may be made.
+    async fn begin(&self) -> Running<'_> {
+        let inner = &self.inner;
+        let _turn = inner.turn.lock().await;
+        loop {
+            let started = inner.pace.borrow_mut().start(Instant::now());
+            match started {
+                Ok(()) => return Running(&inner.pace),
+                Err(wait) => actix_rt::time::sleep(wait).await,
+            }
+        }
+    }
+
     async fn call_now<F>(&self, encode: F) -> Result<StatusCode, Failure>
     where
         F: FnOnce(&dyn DutyCalls, &Fence<'_>) -> DutyCall,
@@ -244,15 +261,15 @@
         if !self.is_holder() {
             return Err(Failure::NotHolder);
         }
-        let connection = call::connect(ports.address).await?;
-        // Checked after the connection is open, so that nothing but the write follows.
-        let token = self.fence(call::TIMEOUT).ok_or(Failure::NotHolder)?;
-        let fence = Fence {
-            holder: &ports.me,
-            token,
+        let encode = || {
+            let token = self.fence(call::TIMEOUT)?;
+            let fence = Fence {
+                holder: &ports.me,
+                token,
+            };
+            Some(encode(ports.calls.as_ref(), &fence))
         };
-        let call = encode(ports.calls.as_ref(), &fence);
-        connection.exchange(call).await
+        call::send(ports.address, encode).await
     }
 
     fn fence(&self, call: Duration) -> Option<FencingToken> {
@@ -359,6 +376,15 @@
     }
 }
 
+/// A call that was started; it ends when this is dropped, also if nobody waits for it.
+struct Running<'a>(&'a RefCell<Pace>);
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.borrow_mut().end();
+    }
+}
+
 /// Instances with a replica that are alive, the preferred receiver of reports first.
 #[must_use]
 pub fn candidates(members: &Members) -> Vec<(InstanceId, ReplicaId)> {
