--- a/crates/policy/src/autoscale.rs
+++ b/crates/policy/src/autoscale.rs
@@ -10,9 +10,9 @@
 //!
 //! Need. The load is the number of usable runners times the largest of three
 //! utilizations, each divided by its target ([`Settings`]), and raised by the share of
-//! requests that were refused. It is smoothed over 2 s, so that a burst shorter than
-//! that orders little. The need is the maximum of the smoothed load over 10 s: it rises
-//! at once and falls late. For the first 20 s of reports it is at least half of the
+//! requests that were refused. It is smoothed over 2 s. The need is the maximum of the
+//! smoothed load over 10 s, so that it falls late; it rises at once if the load has been
+//! above it for half of the time until a runner serves, and not for shorter bursts. For the first 20 s of reports it is at least half of the
 //! runners that were present at the first one.
 //!
 //! Reclaimable runners first. They are spread evenly, the cheapest domain first, so
--- a/crates/policy/src/autoscale/need.rs
+++ b/crates/policy/src/autoscale/need.rs
@@ -33,6 +33,8 @@
     /// Latest load from each host of an arbiter of the service.
     senders: IndexMap<InstanceId, (Instant, f64)>,
     smoothed: Option<(Instant, f64)>,
+    /// Loads of the time for which a rise must last, the oldest first.
+    latest: VecDeque<(Instant, f64)>,
     /// Smoothed loads of the hold time, the oldest first.
     recent: VecDeque<(Instant, f64)>,
     /// Smoothed share of the urgent tiers.
@@ -41,13 +43,14 @@
 }
 
 impl Need {
-    /// Records a report.
+    /// Records a report; a load above the need counts only as far as it has lasted `sustain`.
     pub(super) fn on_demand(
         &mut self,
         now: Instant,
         from: &InstanceId,
         demand: &Demand,
         settings: &Settings,
+        sustain: Duration,
     ) {
         let last = self.smoothed.map(|(_, load)| load);
         // Without a usable runner there is no load, though there may be need.
@@ -72,12 +75,10 @@
             let urgent = self.urgent.get_or_insert(demand.urgent);
             *urgent += gain * (demand.urgent - *urgent);
         }
-        self.recent.push_back((now, smoothed));
-        while let Some((at, _)) = self.recent.front()
-            && now.saturating_duration_since(*at) > settings.hold
-        {
-            self.recent.pop_front();
-        }
+        push(&mut self.latest, now, load, sustain);
+        let lasting = self.latest.iter().map(|(_, it)| *it).fold(load, f64::min);
+        let counted = smoothed.min(lasting.max(self.runners()));
+        push(&mut self.recent, now, counted, settings.hold);
     }
 
     /// Runners that the load of the hold time needs.
@@ -91,6 +92,16 @@
     }
 }
 
+/// Adds a value to those of a span of time, and drops the ones before it.
+fn push(values: &mut VecDeque<(Instant, f64)>, now: Instant, value: f64, span: Duration) {
+    values.push_back((now, value));
+    while let Some((at, _)) = values.front()
+        && now.saturating_duration_since(*at) > span
+    {
+        values.pop_front();
+    }
+}
+
 /// Runners that the load of one report needs, and what determines them.
 fn load(demand: &Demand, settings: &Settings) -> (f64, Cause) {
     let waiting: f64 = demand.waiting.iter().sum();
--- a/crates/policy/src/autoscale/planner.rs
+++ b/crates/policy/src/autoscale/planner.rs
@@ -20,6 +20,10 @@
 /// Price of a runner that is not reclaimable in a domain without a price, in thousandths.
 const USUAL_PRICE: u32 = 1_000;
 
+/// Part of the start of a runner for which a higher load must last: runners for a shorter
+/// burst would come when it is over.
+const SUSTAIN_SHARE: f64 = 0.5;
+
 /// Runners above the target that a domain keeps: a difference of one is more often
 /// noise than a lower need, and each order that follows it is undone soon.
 const SLACK: u32 = 1;
@@ -160,7 +164,9 @@
         }
         self.last_report = Some(now);
         self.silent = false;
-        self.need.on_demand(now, from, demand, &self.settings);
+        let sustain = self.scaling.boot.mul_f64(SUSTAIN_SHARE);
+        self.need
+            .on_demand(now, from, demand, &self.settings, sustain);
         // A list that was not read yet names no runner either.
         let is_listed = demand.ready() > 0 || self.has_reports(now);
         let is_first = self.first_report.is_none() && is_listed;
