autoscale: runners taken back are recognized beside ones that start; found runners are not ordered away

A domain counted as taken back only with no runner ready, so that one that became ready meanwhile hid the loss for 10 s. Now it counts once more runners leave than stay, which no step down causes. Runners that nobody here ordered are taken as wanted; before, an order of the old number was repeated after 10 s.

--- a/crates/policy/src/autoscale/planner.rs
+++ b/crates/policy/src/autoscale/planner.rs
@@ -200,7 +200,7 @@
             .is_none_or(|at| since(now, at) < self.settings.hold);
         for site in self.sites.values_mut() {
             for cell in [&mut site.stable, &mut site.reclaimable] {
-                if is_new && cell.count.ready > cell.desired {
+                if cell.is_exceeded(is_new) {
                     cell.adopt(now, cell.count.ready);
                 }
             }
@@ -281,12 +281,12 @@
         let mut is_taken_back = false;
         for site in self.sites.values_mut() {
             let cell = &mut site.reclaimable;
-            if cell.is_taken_back() {
-                cell.adopt(now, 0);
-                is_taken_back = true;
-            }
-            if cell.count.ready == 0 && cell.count.leaving > 0 {
+            if cell.is_leaving() {
                 cell.exclude(until);
+                if cell.count.ready < cell.accepted.min(cell.desired) {
+                    cell.adopt(now, cell.count.ready);
+                    is_taken_back = true;
+                }
             }
             for (reclaimable, cell) in [(false, &mut site.stable), (true, &mut site.reclaimable)] {
                 if cell.is_overdue(now, allowed) {
--- a/crates/policy/src/autoscale/site.rs
+++ b/crates/policy/src/autoscale/site.rs
@@ -17,6 +17,8 @@
     pub(super) accepted: u32,
     /// When an order was last accepted, or the number was first seen.
     accepted_at: Option<Instant>,
+    /// Whether that number was ordered here, and not found.
+    is_ordered: bool,
     /// Number in the order on its way.
     sent: Option<u32>,
     /// Number in an order without an answer, which the platform may have accepted.
@@ -59,6 +61,7 @@
         self.desired = number;
         self.accepted = number;
         self.accepted_at = Some(now);
+        self.is_ordered = false;
         self.uncertain = None;
         if self.count.ready >= number {
             self.missing_since = None;
@@ -80,9 +83,15 @@
         self.excluded_until = Some(until);
     }
 
-    /// Whether the platform takes back all runners at once.
-    pub(super) fn is_taken_back(&self) -> bool {
-        self.count.ready == 0 && self.count.leaving > 0 && self.accepted > 0 && self.desired > 0
+    /// Whether there are runners that nobody here ordered; a holder that is new may find
+    /// ready what a former one ordered.
+    pub(super) fn is_exceeded(&self, is_new: bool) -> bool {
+        (is_new || !self.is_ordered) && self.count.ready > self.desired
+    }
+
+    /// Whether the platform takes the runners back: a step down makes fewer leave than stay.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.count.leaving > self.count.ready
     }
 
     /// Whether runners that were ordered did not come within `allowed`.
@@ -100,7 +109,9 @@
             return false;
         }
         let is_old = |at: Instant| now.saturating_duration_since(at) >= REPEAT_INTERVAL;
-        let repeat = self.count.ready > self.desired && self.accepted_at.is_some_and(is_old);
+        let repeat = self.is_ordered
+            && self.count.ready > self.desired
+            && self.accepted_at.is_some_and(is_old);
         self.desired != self.accepted || self.uncertain.is_some() || repeat
     }
 
@@ -123,6 +134,7 @@
                 self.uncertain = None;
                 self.accepted = desired;
                 self.accepted_at = Some(now);
+                self.is_ordered = true;
             }
             Outcome::Unavailable => {
                 self.uncertain = None;
--- a/crates/policy/tests/autoscale.rs
+++ b/crates/policy/tests/autoscale.rs
@@ -225,3 +225,20 @@
     planner.on_outcome(now + Duration::from_secs(1), &order, Outcome::Accepted);
     expect_that!(planner.plan(now + seconds(1.1), usize::MAX), is_empty());
 }
+
+#[gtest]
+fn runners_that_start_while_their_domain_is_taken_back_do_not_hide_it() {
+    // The burst orders runners that become ready after those before them were taken back.
+    let replay = Replay::new(75)
+        .load(|at| load::burst(12.0, 2.0, 30.0..75.0, at))
+        .taken_back(DOMAINS[1], 35.0, 15.0);
+    let run = replay.run();
+    expect_that!(run.urgent_lost, le(MOST_URGENT_LOSS));
+    let others = [DOMAINS[0], DOMAINS[2]];
+    let asked = others.map(|it| {
+        run.orders_of(it, true)
+            .iter()
+            .any(|it| (35.0..37.0).contains(&it.0))
+    });
+    expect_that!(asked, eq([true, true]));
+}
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -346,12 +346,18 @@
         }
     }
 
+    /// The reclaimable runners of a domain that are ready leave; those that start do not.
     fn take_back(&mut self, at: f64, domain: usize) {
-        self.desired[domain][1] = 0;
-        let all = self.runners.iter_mut();
-        for runner in all.filter(|it| it.domain == domain && it.reclaimable) {
-            runner.leaves_at = Some(at + LEAVING);
+        let of_domain = |it: &&mut Runner| it.domain == domain && it.reclaimable;
+        let mut starting = 0;
+        for runner in self.runners.iter_mut().filter(of_domain) {
+            if runner.ready_at <= at {
+                runner.leaves_at = Some(at + LEAVING);
+            } else {
+                starting += 1;
+            }
         }
+        self.desired[domain][1] = starting;
     }
 
     fn ready_in(&self, at: f64, domain: usize) -> u32 {
