usage: record, collect and report starts of requests (decisions)

Cause: the platform wants the starts of requests of each account by window of true time, from one daemon, with the same counts each time, while daemons are killed or suspended, messages are lost and some clocks jump.

Change: policy::usage has a recorder (each daemon), a collector (those that reports are sent to) and a reporter (the holder). Fixed windows are shared instead of copied, as the duties read them ten times a second.

Ruled out: the receiver's own time of day; counting by sender and window, which needs true time at each sender; the least difference since the start, which clocks that run apart make wrong.

--- a/crates/policy/src/id.rs
+++ b/crates/policy/src/id.rs
@@ -57,6 +57,12 @@
 /// Number of a window of usage, counted from the start of 1970.
 pub type WindowId = u64;
 
+/// Random identity of one run of a daemon's process.
+pub type ProcessId = u64;
+
+/// Number of the start of a request, from 1 for each process.
+pub type StartId = u64;
+
 /// Election term of the control log.
 pub type Term = u64;
 
--- a/crates/policy/src/state/machine.rs
+++ b/crates/policy/src/state/machine.rs
@@ -227,7 +227,7 @@
             Command::Usage(window) => {
                 let fixed = self.usage.fix(window).cloned();
                 return Applied {
-                    answer: Answer::Usage(fixed.map(Arc::new)),
+                    answer: Answer::Usage(fixed),
                     update: None,
                 };
             }
--- a/crates/policy/src/usage.rs
+++ b/crates/policy/src/usage.rs
@@ -1,8 +1,21 @@
 //! Usage of accounts: requests that began to run, by window of true time.
+//!
+//! Each daemon records the starts of requests and reports them to the holder of the
+//! duties and to one more candidate. The holder counts them by window, fixes the counts in
+//! the control log and reports them to the platform.
 
+mod collector;
 mod fixed;
+mod names;
+mod recorder;
+mod report;
+mod reporter;
 
+pub use collector::Collector;
 pub use fixed::{Fixed, MAX_FIXED};
+pub use recorder::{KEPT_FOR, MAX_KEPT, Recorder};
+pub use report::{MAX_STARTS, Report, Start};
+pub use reporter::{Proposal, Reason, Reporter, Skipped, Timeliness, View};
 
 use std::time::Duration;
 
@@ -36,3 +49,7 @@
     /// Requests that began to run, by account.
     pub counts: IndexMap<AccountId, u64>,
 }
+
+fn whole_millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/policy/src/usage/fixed.rs
+++ b/crates/policy/src/usage/fixed.rs
@@ -1,6 +1,6 @@
 //! Counts that the control log has fixed, so that every report of a window is the same.
 
-use std::collections::VecDeque;
+use std::{collections::VecDeque, sync::Arc};
 
 use super::Window;
 use crate::id::WindowId;
@@ -11,7 +11,7 @@
 /// The latest windows whose counts are fixed, in the order of their numbers.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Fixed {
-    windows: VecDeque<Window>,
+    windows: VecDeque<Arc<Window>>,
     /// Highest number that was dropped.
     dropped: Option<WindowId>,
 }
@@ -21,14 +21,14 @@
     ///
     /// Returns the counts in force; `None` if the window is older than those kept, so
     /// that its counts are not known any more.
-    pub fn fix(&mut self, window: &Window) -> Option<&Window> {
+    pub fn fix(&mut self, window: &Arc<Window>) -> Option<&Arc<Window>> {
         if self.dropped.is_some_and(|dropped| window.number <= dropped) {
             return None;
         }
         let place = self.windows.partition_point(|it| it.number < window.number);
         let known = self.windows.get(place).map(|it| it.number);
         if known != Some(window.number) {
-            self.windows.insert(place, window.clone());
+            self.windows.insert(place, Arc::clone(window));
         }
         if self.windows.len() > MAX_FIXED {
             self.dropped = self.windows.pop_front().map(|it| it.number);
@@ -38,13 +38,13 @@
 
     /// The counts of a window, if they are fixed and kept.
     #[must_use]
-    pub fn get(&self, number: WindowId) -> Option<&Window> {
+    pub fn get(&self, number: WindowId) -> Option<&Arc<Window>> {
         self.windows.iter().find(|it| it.number == number)
     }
 
     /// The windows kept, oldest first.
     pub fn windows(&self) -> impl Iterator<Item = &Window> {
-        self.windows.iter()
+        self.windows.iter().map(Arc::as_ref)
     }
 
     /// Highest number that was dropped.
@@ -57,7 +57,7 @@
     #[must_use]
     pub fn restore(dropped: Option<WindowId>, windows: Vec<Window>) -> Self {
         Self {
-            windows: windows.into(),
+            windows: windows.into_iter().map(Arc::new).collect(),
             dropped,
         }
     }
