--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admin;
 pub mod codec;
 pub mod control;
+pub mod duty;
 pub mod feed;
 pub mod generated;
 pub mod member;
