duties: usage is recorded, collected and reported

A request is recorded once: at the first event of a stream, or at the head of a whole answer from a runner that ran it. A request that a peer passed on is left to that peer, and one that goes on with a stream to the request that began it. A daemon that leaves sends its last starts. Without the duty nothing is started.

Ruled out: recording at the daemon that makes the attempt for a peer, as a resumption at a third daemon would count again.

Not covered: an error of a runner that reaches the daemon by way of a peer and without proof of origin is taken for the peer's own word, and so not counted.

Tested: real processes with retried, resumed and failed requests at two daemons, requests that a peer runs, and a daemon without the duty (platform tests usage and cut_paths).

--- a/crates/daemon/src/duty.rs
+++ b/crates/daemon/src/duty.rs
@@ -8,6 +8,7 @@
 mod call;
 mod metrics;
 mod pace;
+mod usage;
 
 use std::{
     cell::{Cell, RefCell},
@@ -24,7 +25,7 @@
     lease::{self, Candidate, Step},
     member::{Members, State},
     state::{Answer, Command},
-    usage,
+    usage::{Fixed, Settings as UsageSettings, Window},
 };
 use prometheus_client::registry::Registry;
 use tokio::sync::watch;
@@ -36,7 +37,7 @@
     event::millis,
 };
 
-pub use self::call::Failure;
+pub use self::{call::Failure, usage::Usage};
 use self::{metrics::Metrics, pace::Pace};
 
 /// Time between two looks at the lease.
@@ -59,7 +60,7 @@
     /// Calls per second that the platform accepts from all daemons together.
     pub calls_per_second: f64,
     /// Whether usage is reported, and how.
-    pub usage: Option<usage::Settings>,
+    pub usage: Option<UsageSettings>,
     /// Whether runners are ordered.
     pub scaling: bool,
 }
@@ -113,7 +114,7 @@
     ports: Ports,
     /// None without a replica, so that the lease can never be held here.
     candidate: Option<RefCell<Candidate>>,
-    fixed: RefCell<usage::Fixed>,
+    fixed: RefCell<Fixed>,
     pace: RefCell<Pace>,
     /// Token under which this daemon was last seen to hold the lease.
     held: Cell<Option<FencingToken>>,
@@ -179,12 +180,12 @@
 
     /// Windows of usage whose counts are fixed, as far as the replica of this daemon knows.
     #[must_use]
-    pub fn fixed(&self) -> usage::Fixed {
+    pub fn fixed(&self) -> Fixed {
         self.inner.fixed.borrow().clone()
     }
 
     /// Fixes the counts of a window of usage; returns those in force, if they are known.
-    pub async fn fix(&self, window: usage::Window) -> Option<Arc<usage::Window>> {
+    pub async fn fix(&self, window: Window) -> Option<Arc<Window>> {
         let command = Command::Usage(Arc::new(window));
         match self.inner.ports.control.submit(command, LOG_TIMEOUT).await {
             Ok(Answer::Usage(window)) => window,
@@ -225,7 +226,7 @@
                 .borrow_mut()
                 .on_outcome(now, is_accepted || is_refused, jitter);
         }
-        inner.metrics.count(&outcome);
+        inner.metrics.count(outcome);
         outcome
     }
 
@@ -334,23 +335,20 @@
             return;
         }
         let metrics = &self.inner.metrics;
-        match token {
-            Some(token) => {
-                metrics.on_taken(token);
-                log::info!(event = "CP1203", token; "holds the lease of the duties");
-            }
-            None => {
-                metrics.on_lost();
-                let candidate = candidate.borrow();
-                let record = candidate.record();
-                log::info!(
-                    event = "CP1204", token = before,
-                    holder = record.map(|it| it.instance.as_str()),
-                    abstains = candidate.abstains(clock::now()),
-                    term_ms = millis(self.inner.settings.lease.term);
-                    "does not hold the lease of the duties any more"
-                );
-            }
+        if let Some(token) = token {
+            metrics.on_taken(token);
+            log::info!(event = "CP1203", token; "holds the lease of the duties");
+        } else {
+            metrics.on_lost();
+            let candidate = candidate.borrow();
+            let record = candidate.record();
+            log::info!(
+                event = "CP1204", token = before,
+                holder = record.map(|it| it.instance.as_str()),
+                abstains = candidate.abstains(clock::now()),
+                term_ms = millis(self.inner.settings.lease.term);
+                "does not hold the lease of the duties any more"
+            );
         }
     }
 }
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -39,6 +39,7 @@
     buffers::Buffers,
     callers::{InFlight, Retries, payload},
     clock,
+    duty::Usage,
     edge::{Adapter, CallerHead, Problem},
     event::millis,
     follow::Follow,
@@ -88,6 +89,8 @@
     pub slots: Slots,
     /// Protocol adapter.
     pub adapter: Adapter,
+    /// Reports of usage; none unless this is a duty.
+    pub usage: Option<Usage>,
     /// Counters of the exchanges with runners.
     pub upstream: upstream::Metrics,
 }
--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -53,6 +53,15 @@
     Failed(Problem),
 }
 
+/// Whether a runner began to answer a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Start {
+    /// Not yet.
+    Awaited,
+    /// It did, which was recorded as usage.
+    Recorded,
+}
+
 /// One request and its attempts.
 pub(super) struct Run {
     exchange: Exchange,
@@ -80,6 +89,7 @@
     asked_peers: Vec<InstanceId>,
     /// Whether the runner of this attempt answered without naming a limit.
     unlimited: bool,
+    start: Start,
 }
 
 impl Run {
@@ -99,6 +109,7 @@
             is_trial: false,
             asked_peers: Vec::new(),
             unlimited: false,
+            start: Start::Awaited,
         }
     }
 
@@ -514,6 +525,26 @@
         }
     }
 
+    /// Records as usage that a runner began to answer, once for each request.
+    ///
+    /// The daemon that a peer passes a request on to leaves it to that peer, which sees
+    /// the same answer. A request that goes on with a stream was recorded with the one
+    /// that brought the first event.
+    fn record_start(&mut self) {
+        let admitted = &self.admitted;
+        let is_elsewhere = admitted.is_hop || admitted.caller_head.is_continued();
+        if self.start == Start::Recorded || is_elsewhere {
+            return;
+        }
+        let account = admitted.account.as_ref();
+        // Requests of public routes have an account without a name.
+        let account = account.filter(|it| !it.name.is_empty());
+        if let (Some(usage), Some(account)) = (&self.exchange.ports().usage, account) {
+            usage.record(&account.name);
+        }
+        self.start = Start::Recorded;
+    }
+
     /// Reads a complete response; a failed one may be retried.
     async fn read_whole(
         &mut self,
@@ -521,6 +552,7 @@
         answer: attempt::Started,
         started: Instant,
     ) -> Result<Option<Step>, Problem> {
+        self.record_start();
         let (status, headers) = (answer.response.status, answer.response.headers);
         let body = self.exchange.ports().buffers.answer(status);
         match answer.response.body.whole(body).await {
--- a/crates/daemon/src/exchange/run/stream.rs
+++ b/crates/daemon/src/exchange/run/stream.rs
@@ -124,6 +124,7 @@
 
     /// Records whole events, which the caller gets next.
     fn on_events(&mut self, events: Bytes, count: u32) -> Step {
+        self.record_start();
         if let Some(stream) = &mut self.stream {
             if stream.first_event.is_none() {
                 stream.first_event = Some(Instant::now());
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -25,7 +25,7 @@
     callers::{self, Callers},
     clock,
     control::{self, Replica},
-    duty::{self, Duty},
+    duty::{self, Duty, Usage},
     edge::Adapter,
     exchange::{self, Exchange},
     gossip::LocalStatus,
@@ -162,6 +162,9 @@
     parts.stopped.send_replace(true);
     parts.core.gossip.depart().await;
     parts.finish().await;
+    if let Some(usage) = &parts.usage {
+        usage.flush().await;
+    }
     parts.tracer.flush();
     log::info!("CP0103 instance {} has left", settings.instance);
     left
@@ -243,6 +246,8 @@
 struct Parts {
     core: Core,
     front: Front,
+    /// Reports of usage; none unless this is a duty.
+    usage: Option<Usage>,
     /// Answers to callers that are still being sent.
     transit: Transit,
     tracer: Tracer,
@@ -290,15 +295,16 @@
         let buffers = Buffers::new(settings.memory_bytes);
         let handle = handle(&core, drained.clone());
         let duty = duty(settings, &core, &drained, adapter.as_ref());
+        let usage = duty.as_ref();
+        let usage = usage.and_then(|it| Usage::start(it, core.hub.clone()));
         let front = match &adapter {
             Some(adapter) => {
                 let stop = StopSignals {
                     draining: drained,
                     closing: closed.clone(),
                 };
-                Front::Adapter(exchange(
-                    settings, &core, stop, adapter, &upstream, &buffers,
-                ))
+                let inputs = (adapter, usage.clone());
+                Front::Adapter(exchange(settings, &core, stop, inputs, &upstream, &buffers))
             }
             None => Front::Native(callers(
                 settings, &core, drained, &tracer, &upstream, &buffers,
@@ -314,14 +320,12 @@
         upstream.register(&mut registry);
         buffers.register(&mut registry);
         core.register(&mut registry);
-        if let Some(duty) = &duty {
-            duty.register(&mut registry);
-        }
+        register_duties(&mut registry, duty.as_ref(), usage.as_ref());
         let admin_metrics = admin::Metrics::default();
         admin_metrics.register(&mut registry);
         let registry = Rc::new(registry);
         let admin = admin(&core, tokens, admin_metrics, Rc::clone(&registry));
-        serve_peers(&core, &admin, peer_listener);
+        serve_peers(&core, &admin, usage.clone(), peer_listener);
         let transit = Transit::default();
         serve_http(
             callers_listener,
@@ -335,30 +339,18 @@
             &transit,
         );
         if let Some(listener) = metrics_listener {
-            let handler = metrics::handler(registry);
-            serve_http(
-                listener,
-                handler,
-                MAX_ADMIN_CONNECTIONS,
-                &ended,
-                &Transit::default(),
-            );
+            serve_control(listener, metrics::handler(registry), &ended);
         }
         if let Some(adapter) = adapter {
             serve_adapter(&adapter, &handle, management_listeners, &ended);
         }
-        serve_http(
-            admin_listener,
-            admin.handler(),
-            MAX_ADMIN_CONNECTIONS,
-            &ended,
-            &Transit::default(),
-        );
+        serve_control(admin_listener, admin.handler(), &ended);
         let metrics = RefCell::new(metrics);
         let signalled = Cell::new(false);
         let parts = Rc::new(Self {
             core,
             front,
+            usage,
             transit,
             tracer,
             metrics,
@@ -489,6 +481,15 @@
     })
 }
 
+fn register_duties(registry: &mut Registry, duty: Option<&Duty>, usage: Option<&Usage>) {
+    if let Some(duty) = duty {
+        duty.register(registry);
+    }
+    if let Some(usage) = usage {
+        usage.register(registry);
+    }
+}
+
 /// Channels that tell the parts that the daemon is stopping.
 struct StopSignals {
     draining: watch::Receiver<bool>,
@@ -499,7 +500,7 @@
     settings: &Settings,
     core: &Core,
     stop: StopSignals,
-    adapter: &Adapter,
+    (adapter, usage): (&Adapter, Option<Usage>),
     upstream: &upstream::Metrics,
     buffers: &Buffers,
 ) -> Exchange {
@@ -516,6 +517,7 @@
         closing: stop.closing,
         slots: core.slots.clone(),
         adapter: adapter.clone(),
+        usage,
         upstream: upstream.clone(),
     })
 }
@@ -579,16 +581,23 @@
     })
 }
 
-fn serve_peers(core: &Core, admin: &Admin, listener: TcpListener) {
+fn serve_peers(core: &Core, admin: &Admin, usage: Option<Usage>, listener: TcpListener) {
     let router = Router {
         admin: admin.clone(),
         control: core.control.clone(),
         follow: core.follow.clone(),
         slots: core.slots.clone(),
+        usage,
     };
     actix_rt::spawn(peers::listen(core.hub.clone(), listener, Rc::new(router)));
 }
 
+/// Serves the operators' listener or the metrics listener.
+fn serve_control(listener: TcpListener, handler: Handler, stopped: &watch::Receiver<bool>) {
+    let transit = Transit::default();
+    serve_http(listener, handler, MAX_ADMIN_CONNECTIONS, stopped, &transit);
+}
+
 fn serve_http(
     listener: TcpListener,
     handler: Handler,
--- a/crates/daemon/src/run/router.rs
+++ b/crates/daemon/src/run/router.rs
@@ -4,7 +4,9 @@
 use citron_wire::Body;
 use futures_util::future::LocalBoxFuture;
 
-use crate::{admin::Admin, control::Control, follow::Follow, peers::Handler, slots::Slots};
+use crate::{
+    admin::Admin, control::Control, duty::Usage, follow::Follow, peers::Handler, slots::Slots,
+};
 
 /// The parts that handle messages from peers.
 #[derive(Debug)]
@@ -13,6 +15,8 @@
     pub(super) control: Control,
     pub(super) follow: Follow,
     pub(super) slots: Slots,
+    /// Reports of usage; none unless this is a duty.
+    pub(super) usage: Option<Usage>,
 }
 
 impl Handler for Router {
@@ -49,7 +53,14 @@
                 let answer = self.admin.on_call(from, message);
                 Box::pin(async move { answer.await.map(Body::Status) })
             }
-            Body::Refusal(_) | Body::Duty(_) => Box::pin(std::future::ready(Err("not a question".to_owned()))),
+            Body::Duty(message) => {
+                let answer = match &self.usage {
+                    Some(usage) => usage.on_call(from, message).map(Body::Duty),
+                    None => Err("usage is not reported here: check the settings".to_owned()),
+                };
+                Box::pin(std::future::ready(answer))
+            }
+            Body::Refusal(_) => Box::pin(std::future::ready(Err("not a question".to_owned()))),
         }
     }
 }
