--- a/crates/wire/tests/duty.rs
+++ b/crates/wire/tests/duty.rs
@@ -18,7 +18,7 @@
     Report {
         process: 0xfeed_f00d_0000_0001,
         clock: Duration::from_millis(123_456),
-        wall: Duration::from_millis(1_767_225_600_000),
+        wall: Duration::from_millis(1_767_225_600_001),
         oldest: 3,
         first: 7,
         starts: vec![start(0, 480), start(1, 20), start(0, 0)],
