usage: a leaving daemon's last starts go to two others

Cause: the holder that leaves counted itself among the two receivers of its last report, but its own reports end with it.

Change: the last report goes to the first two candidates other than the sender.

Tested: clippy; the last report itself is only reached by starts in the last 500 ms before the end, which no test aims at.

--- a/crates/daemon/src/duty/usage.rs
+++ b/crates/daemon/src/duty/usage.rs
@@ -130,9 +130,11 @@
         Ok(Received { holder, next }.into())
     }
 
-    /// Sends the last starts of a daemon that leaves.
+    /// Sends the last starts of a daemon that leaves, to others.
     pub async fn flush(&self) {
-        let receivers = self.receivers();
+        let is_other = |it: &InstanceId| it != self.inner.hub.me();
+        let receivers: Vec<InstanceId> =
+            self.receivers().filter(is_other).take(RECEIVERS).collect();
         join_all(receivers.iter().map(|it| self.report(it, FLUSH_TIMEOUT))).await;
     }
 
@@ -146,7 +148,7 @@
         // Daemons that start together do not report together.
         actix_rt::time::sleep(REPORT_INTERVAL.mul_f64(rand::random())).await;
         loop {
-            for receiver in self.receivers() {
+            for receiver in self.receivers().take(RECEIVERS) {
                 if self.inner.waiting.borrow_mut().insert(receiver.clone()) {
                     let usage = self.clone();
                     actix_rt::spawn(async move {
@@ -160,8 +162,8 @@
         }
     }
 
-    /// The holder, if known, and the first other candidates.
-    fn receivers(&self) -> Vec<InstanceId> {
+    /// The holder, if known, and then the other candidates.
+    fn receivers(&self) -> impl Iterator<Item = InstanceId> + use<> {
         let inner = &self.inner;
         let candidates = candidates(&inner.members.borrow());
         let is_candidate = |id: &InstanceId| candidates.iter().any(|(it, _)| it == id);
@@ -174,14 +176,10 @@
             *known = None;
         }
         let holder = known.as_ref().map(|(it, _)| it.clone());
-        let others = candidates.into_iter().map(|(id, _)| id);
-        let others = others.filter(|it| Some(it) != holder.as_ref());
-        holder
-            .iter()
-            .cloned()
-            .chain(others)
-            .take(RECEIVERS)
-            .collect()
+        let order = holder
+            .into_iter()
+            .chain(candidates.into_iter().map(|(id, _)| id));
+        order.collect::<IndexSet<_>>().into_iter()
     }
 
     fn note_holder(&self, instance: InstanceId, token: FencingToken) {
