--- a/crates/daemon/src/duty.rs
+++ b/crates/daemon/src/duty.rs
@@ -9,6 +9,7 @@
 mod metrics;
 pub mod pace;
 pub mod scale;
+mod usage;
 
 use std::{
     cell::{Cell, RefCell},
@@ -25,7 +26,7 @@
     lease::{self, Candidate, Step},
     member::{Members, State},
     state::{Answer, Command},
-    usage,
+    usage::{Fixed, Settings as UsageSettings, Window},
 };
 use prometheus_client::registry::Registry;
 use tokio::sync::{Mutex, watch};
@@ -37,7 +38,7 @@
     event::millis,
 };
 
-pub use self::call::Failure;
+pub use self::{call::Failure, usage::Usage};
 use self::{metrics::Metrics, pace::Pace};
 
 /// Time between two looks at the lease.
@@ -60,7 +61,7 @@
     /// Calls per second that the platform accepts from all daemons together.
     pub calls_per_second: f64,
     /// Whether usage is reported, and how.
-    pub usage: Option<usage::Settings>,
+    pub usage: Option<UsageSettings>,
     /// Whether runners are ordered.
     pub scaling: bool,
 }
@@ -114,7 +115,7 @@
     ports: Ports,
     /// None without a replica, so that the lease can never be held here.
     candidate: Option<RefCell<Candidate>>,
-    fixed: RefCell<usage::Fixed>,
+    fixed: RefCell<Fixed>,
     pace: RefCell<Pace>,
     /// Held by the call that waits for its start, so that calls start in the order made.
     turn: Mutex<()>,
@@ -189,12 +190,12 @@
 
     /// Windows of usage whose counts are fixed, as far as the replica of this daemon knows.
     #[must_use]
-    pub fn fixed(&self) -> usage::Fixed {
+    pub fn fixed(&self) -> Fixed {
         self.inner.fixed.borrow().clone()
     }
 
     /// Fixes the counts of a window of usage; returns those in force, if they are known.
-    pub async fn fix(&self, window: usage::Window) -> Option<Arc<usage::Window>> {
+    pub async fn fix(&self, window: Window) -> Option<Arc<Window>> {
         let command = Command::Usage(Arc::new(window));
         match self.inner.ports.control.submit(command, LOG_TIMEOUT).await {
             Ok(Answer::Usage(window)) => window,
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -26,7 +26,7 @@
     clock,
     control::{self, Replica},
     duty::{
-        self, Duty,
+        self, Duty, Usage,
         scale::{self, Scale},
     },
     edge::Adapter,
@@ -165,6 +165,9 @@
     parts.stopped.send_replace(true);
     parts.core.gossip.depart().await;
     parts.finish().await;
+    if let Some(usage) = &parts.usage {
+        usage.flush().await;
+    }
     parts.tracer.flush();
     log::info!("CP0103 instance {} has left", settings.instance);
     left
@@ -246,6 +249,8 @@
 struct Parts {
     core: Core,
     front: Front,
+    /// Reports of usage; none unless this is a duty.
+    usage: Option<Usage>,
     /// Answers to callers that are still being sent.
     transit: Transit,
     tracer: Tracer,
@@ -294,15 +299,16 @@
         let handle = handle(&core, drained.clone());
         let duty = duty(settings, &core, &drained, adapter.as_ref());
         let scale = scale(&core, duty.as_ref());
+        let usage = duty.as_ref();
+        let usage = usage.and_then(|it| Usage::start(it, core.hub.clone()));
         let front = match &adapter {
             Some(adapter) => {
                 let stop = StopSignals {
                     draining: drained,
                     closing: closed.clone(),
                 };
-                Front::Adapter(exchange(
-                    settings, &core, stop, adapter, &upstream, &buffers,
-                ))
+                let inputs = (adapter, usage.clone());
+                Front::Adapter(exchange(settings, &core, stop, inputs, &upstream, &buffers))
             }
             None => Front::Native(callers(
                 settings, &core, drained, &tracer, &upstream, &buffers,
@@ -318,17 +324,12 @@
         upstream.register(&mut registry);
         buffers.register(&mut registry);
         core.register(&mut registry);
-        if let Some(duty) = &duty {
-            duty.register(&mut registry);
-        }
-        if let Some(scale) = &scale {
-            scale.register(&mut registry);
-        }
+        register_duties(&mut registry, duty.as_ref(), usage.as_ref(), scale.as_ref());
         let admin_metrics = admin::Metrics::default();
         admin_metrics.register(&mut registry);
         let registry = Rc::new(registry);
         let admin = admin(&core, tokens, admin_metrics, Rc::clone(&registry));
-        serve_peers(&core, &admin, scale, peer_listener);
+        serve_peers(&core, &admin, usage.clone(), scale, peer_listener);
         let transit = Transit::default();
         serve_http(
             callers_listener,
@@ -342,18 +343,18 @@
             &transit,
         );
         if let Some(listener) = metrics_listener {
-            let handler = metrics::handler(registry);
-            serve_operators(listener, handler, &ended);
+            serve_control(listener, metrics::handler(registry), &ended);
         }
         if let Some(adapter) = adapter {
             serve_adapter(&adapter, &handle, management_listeners, &ended);
         }
-        serve_operators(admin_listener, admin.handler(), &ended);
+        serve_control(admin_listener, admin.handler(), &ended);
         let metrics = RefCell::new(metrics);
         let signalled = Cell::new(false);
         let parts = Rc::new(Self {
             core,
             front,
+            usage,
             transit,
             tracer,
             metrics,
@@ -497,6 +498,24 @@
     Some(Scale::start(ports))
 }
 
+/// Adds the metrics of the duties to a registry, as far as there are any.
+fn register_duties(
+    registry: &mut Registry,
+    duty: Option<&Duty>,
+    usage: Option<&Usage>,
+    scale: Option<&Scale>,
+) {
+    if let Some(duty) = duty {
+        duty.register(registry);
+    }
+    if let Some(usage) = usage {
+        usage.register(registry);
+    }
+    if let Some(scale) = scale {
+        scale.register(registry);
+    }
+}
+
 /// Channels that tell the parts that the daemon is stopping.
 struct StopSignals {
     draining: watch::Receiver<bool>,
@@ -507,7 +526,7 @@
     settings: &Settings,
     core: &Core,
     stop: StopSignals,
-    adapter: &Adapter,
+    (adapter, usage): (&Adapter, Option<Usage>),
     upstream: &upstream::Metrics,
     buffers: &Buffers,
 ) -> Exchange {
@@ -524,6 +543,7 @@
         closing: stop.closing,
         slots: core.slots.clone(),
         adapter: adapter.clone(),
+        usage,
         upstream: upstream.clone(),
     })
 }
@@ -587,18 +607,26 @@
     })
 }
 
-fn serve_peers(core: &Core, admin: &Admin, scale: Option<Scale>, listener: TcpListener) {
+fn serve_peers(
+    core: &Core,
+    admin: &Admin,
+    usage: Option<Usage>,
+    scale: Option<Scale>,
+    listener: TcpListener,
+) {
     let router = Router {
         admin: admin.clone(),
         control: core.control.clone(),
         follow: core.follow.clone(),
         slots: core.slots.clone(),
         scale,
+        usage,
     };
     actix_rt::spawn(peers::listen(core.hub.clone(), listener, Rc::new(router)));
 }
 
-fn serve_operators(listener: TcpListener, handler: Handler, stopped: &watch::Receiver<bool>) {
+/// Serves the operators' listener or the metrics listener.
+fn serve_control(listener: TcpListener, handler: Handler, stopped: &watch::Receiver<bool>) {
     let transit = Transit::default();
     serve_http(listener, handler, MAX_ADMIN_CONNECTIONS, stopped, &transit);
 }
--- a/crates/daemon/src/run/router.rs
+++ b/crates/daemon/src/run/router.rs
@@ -5,7 +5,11 @@
 use futures_util::future::LocalBoxFuture;
 
 use crate::{
-    admin::Admin, control::Control, duty::scale::Scale, follow::Follow, peers::Handler,
+    admin::Admin,
+    control::Control,
+    duty::{Usage, scale::Scale},
+    follow::Follow,
+    peers::Handler,
     slots::Slots,
 };
 
@@ -18,6 +22,8 @@
     pub(super) slots: Slots,
     /// Orders of runners, if these are a duty.
     pub(super) scale: Option<Scale>,
+    /// Reports of usage; none unless this is a duty.
+    pub(super) usage: Option<Usage>,
 }
 
 impl Handler for Router {
@@ -57,9 +63,14 @@
                 let answer = self.admin.on_call(from, message);
                 Box::pin(async move { answer.await.map(Body::Status) })
             }
-            Body::Refusal(_) | Body::Duty(_) => {
-                Box::pin(std::future::ready(Err("not a question".to_owned())))
+            Body::Duty(message) => {
+                let answer = match &self.usage {
+                    Some(usage) => usage.on_call(from, message).map(Body::Duty),
+                    None => Err("usage is not reported here: check the settings".to_owned()),
+                };
+                Box::pin(std::future::ready(answer))
             }
+            Body::Refusal(_) => Box::pin(std::future::ready(Err("not a question".to_owned()))),
         }
     }
 }
