crash: blame the inner part when it was seen at all crashes of the outer one

Callers with a sound part in their prompts were refused as quarantined for 10 s (up to 40 requests), or a deadly part behind a sound one was convicted only after up to 18 crashes.

Cause: outer and inner part were compared by counts of moments. A request with the outer part alone can give it one more moment at the same crashes, so the inner part was no longer a tie and the outer one was convicted; or the outer part counted as a rival though the inner one explained all of its crashes.

Fix: a part that comes behind another and was seen at all crashes of that one is judged in its place, and the outer part is no rival of it. The inner part explains these crashes too, and refusing it concerns fewer requests. Its own weight still has to suffice for a conviction.

--- a/crates/policy/src/crash/parts.rs
+++ b/crates/policy/src/crash/parts.rs
@@ -303,14 +303,17 @@
             };
             let all = most.clone();
             most.retain(|it| it.0.crashes == crashes);
-            let (weight, part) = innermost(&left, &most)?;
+            let (weight, part) = innermost(&left, &most, &all)?;
             // Few crashes may have another cause, even one seen at fewer moments.
             let is_rival = |it: &Weight| {
-                it.crashes == crashes || (crashes < MIN_CRASHES_OF_FEW && it.all >= weight.all)
+                it.crashes >= weight.crashes
+                    || (weight.crashes < MIN_CRASHES_OF_FEW && it.all >= weight.all)
             };
             let mut rivals = all.iter().filter(|(it, _)| is_rival(it));
             let rivaled = rivals.any(|(_, other)| {
-                share_crashes(&left, *other, part) && !always_beside(&left, *other, part)
+                share_crashes(&left, *other, part)
+                    && !always_beside(&left, *other, part)
+                    && !replaces(&left, part, *other)
             });
             if !rivaled && weight.convicts(now) {
                 return Some((part, true));
@@ -405,17 +408,30 @@
 /// The weightiest part, or the last one behind it in their requests.
 ///
 /// A part comes with those before it, which other requests hold too. Of parts seen at
-/// the same crashes, the last one concerns fewest requests.
-fn innermost(crashes: &[&Crash], most: &[(Weight, PartId)]) -> Option<(Weight, PartId)> {
+/// the same crashes, the last one concerns fewest requests. Requests without the inner
+/// part may give the outer one more moments, so equal weights are not required.
+fn innermost(
+    crashes: &[&Crash],
+    most: &[(Weight, PartId)],
+    all: &[(Weight, PartId)],
+) -> Option<(Weight, PartId)> {
     let mut inner = *most.iter().max()?;
     // A part is behind another in all their requests, so this ends at the last one.
-    for _ in most {
-        let behind = most.iter().find(|it| is_behind(crashes, it.1, inner.1));
+    for _ in all {
+        let equal = most.iter().find(|it| is_behind(crashes, it.1, inner.1));
+        let behind = equal.or_else(|| all.iter().find(|it| replaces(crashes, it.1, inner.1)));
         inner = *behind.unwrap_or(&inner);
     }
     Some(inner)
 }
 
+/// Whether a part comes behind another and was seen at all crashes of that one, so that
+/// it explains them as well and concerns fewer requests.
+fn replaces(crashes: &[&Crash], part: PartId, other: PartId) -> bool {
+    let mut of_other = crashes.iter().filter(|it| it.has(other));
+    is_behind(crashes, part, other) && of_other.all(|it| it.has(part))
+}
+
 /// Whether a part comes behind another in a request.
 fn is_behind(crashes: &[&Crash], part: PartId, other: PartId) -> bool {
     let mut seen = crashes.iter().flat_map(|it| &it.seen);
