arbiter: choose runners by expected completion where hosts are shared

Cause: runners that share their machines differ in speed (0.6 to 1.6) and are slowed for some hundred milliseconds at a time. Utilisation sends as many requests to a runner that takes four times as long.

Change: runners name their load in their answers (a fourth figure is the present service time in percent). The daemon passes it with the release of the slot and its age, in optional fields that older builds ignore. The module speed learns each runner's service time relative to its pool, corrected by that figure, and lets the figure decay to its mean by its age. Plain requests go to the earliest expected completion; prompts are weighted by the same factor. All of it applies only with the setting shared_hosts.

Ruled out: raising utilisation by the figure, which still sends requests to a slow runner as long as it has the same share of free slots.

--- a/crates/daemon/src/callers/chat/generation.rs
+++ b/crates/daemon/src/callers/chat/generation.rs
@@ -461,6 +461,7 @@
             whole: now.saturating_duration_since(exchange.begun),
             tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
             unlimited: false,
+            report: None,
         };
         // The connection must be closed before the slot is released.
         drop(exchange.stream);
@@ -504,6 +505,7 @@
         whole: begun.elapsed(),
         tokens: 0,
         unlimited: false,
+        report: None,
     }
 }
 
--- a/crates/daemon/src/callers/plain.rs
+++ b/crates/daemon/src/callers/plain.rs
@@ -299,6 +299,7 @@
         whole: begun.elapsed(),
         tokens: 0,
         unlimited: false,
+        report: None,
     });
     match outcome {
         Ok(answer) => check_refusal(call, answer),
--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -24,7 +24,7 @@
 
 use crate::{callers::problem, handle::Handle};
 
-pub use citron_policy::arbiter::Part;
+pub use citron_policy::arbiter::{Load, Part};
 
 /// Contents of a caller's request head, apart from method and path.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -144,6 +144,8 @@
     /// Requests in a second that the runner can turn away before it falls over, if it
     /// says so.
     pub brittle: Option<u32>,
+    /// Load of the runner, if it names it.
+    pub load: Option<Load>,
 }
 
 /// A parsed declaration.
--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -32,7 +32,7 @@
     callers::problem,
     edge::{Problem, RunnerHead},
     fingerprint::format,
-    slots::{Demand, End, Refusal, Sample, Slot},
+    slots::{Demand, End, Load, Refusal, Report, Sample, Slot},
     upstream::Failure,
 };
 use peer::Hopped;
@@ -80,6 +80,8 @@
     asked_peers: Vec<InstanceId>,
     /// Whether the runner of this attempt answered without naming a limit.
     unlimited: bool,
+    /// Load that the runner of this attempt named, and when.
+    load: Option<(Load, Instant)>,
 }
 
 impl Run {
@@ -99,6 +101,7 @@
             is_trial: false,
             asked_peers: Vec::new(),
             unlimited: false,
+            load: None,
         }
     }
 
@@ -165,6 +168,7 @@
         self.sent += 1;
         self.tried.push(slot.runner.clone());
         self.unlimited = false;
+        self.load = None;
         let started = Instant::now();
         self.exchange
             .inner
@@ -185,6 +189,7 @@
             }
         };
         self.on_limit(&slot, &answer.runner_head);
+        self.on_load(&answer.runner_head);
         if answer.runner_head.refused || answer.runner_head.misdirected {
             slot.release(self.sample(End::Refused, started, None, 0));
             return self.on_refusal(answer.runner_head).map(|()| None);
@@ -232,6 +237,12 @@
         );
     }
 
+    /// Keeps the load that a runner names until its slot is released.
+    fn on_load(&mut self, runner_head: &RunnerHead) {
+        let load = runner_head.load.filter(|_| !runner_head.misdirected);
+        self.load = load.map(|it| (it, Instant::now()));
+    }
+
     /// Sends the request to the runner of a slot and waits for the response head, or
     /// until the runner has been silent long enough to try another one.
     async fn send(&self, slot: &Slot) -> Result<attempt::Started, Failure> {
@@ -581,6 +592,10 @@
             whole: since(started),
             tokens: events,
             unlimited: self.unlimited,
+            report: self.load.map(|(load, at)| Report {
+                load,
+                age: since(at),
+            }),
         }
     }
 
--- a/crates/daemon/src/run/core.rs
+++ b/crates/daemon/src/run/core.rs
@@ -87,6 +87,7 @@
         let options = slots::Settings {
             poll: !behind_adapter,
             admit_unknown: behind_adapter,
+            shared_hosts: settings.shared_hosts,
         };
         let slots = Slots::new(
             options,
--- a/crates/daemon/src/run/router.rs
+++ b/crates/daemon/src/run/router.rs
@@ -49,7 +49,9 @@
                 let answer = self.admin.on_call(from, message);
                 Box::pin(async move { answer.await.map(Body::Status) })
             }
-            Body::Refusal(_) | Body::Duty(_) => Box::pin(std::future::ready(Err("not a question".to_owned()))),
+            Body::Refusal(_) | Body::Duty(_) => {
+                Box::pin(std::future::ready(Err("not a question".to_owned())))
+            }
         }
     }
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -69,6 +69,9 @@
     pub log_rate: usize,
     /// Retries that all daemons together may accumulate for a service.
     pub retry_slack: u32,
+    /// Whether runners and daemons share their machines with others, so that their speed
+    /// differs and changes.
+    pub shared_hosts: bool,
     /// Duties that one daemon at a time carries out.
     pub duties: duty::Settings,
 }
@@ -99,6 +102,7 @@
             memory_bytes: 256 << 20,
             log_rate: 100,
             retry_slack: 60,
+            shared_hosts: false,
             duties: duty::Settings::default(),
         }
     }
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -37,7 +37,7 @@
 use indexmap::IndexMap;
 use tokio::sync::{Notify, oneshot, watch};
 
-pub use citron_policy::arbiter::{End, Part, Refusal, Sample};
+pub use citron_policy::arbiter::{End, Load, Part, Refusal, Report, Sample};
 pub use metrics::Metrics;
 
 use crate::{event::Ring, peers::Hub, platform::Need};
@@ -92,6 +92,9 @@
     pub poll: bool,
     /// Whether hosted arbiters admit classes and accounts that they do not know yet.
     pub admit_unknown: bool,
+    /// Whether runners share their machines with others, so that their speed differs and
+    /// changes.
+    pub shared_hosts: bool,
 }
 
 impl Default for Settings {
@@ -99,6 +102,7 @@
         Self {
             poll: true,
             admit_unknown: false,
+            shared_hosts: false,
         }
     }
 }
--- a/crates/daemon/src/slots/host.rs
+++ b/crates/daemon/src/slots/host.rs
@@ -398,6 +398,7 @@
         let settings = arbiter::Settings {
             runner_list_timeout: LIST_TIMEOUT,
             admit_unknown: self.settings.admit_unknown,
+            shared_hosts: self.settings.shared_hosts,
             ..arbiter::Settings::default()
         };
         let (mut arbiter, mut effects) = Arbiter::new(now, service.clone(), 1, live, settings);
--- a/crates/daemon/src/slots/metrics.rs
+++ b/crates/daemon/src/slots/metrics.rs
@@ -55,6 +55,14 @@
     runner: String,
 }
 
+/// Labels of a service and an end of the range of its runners' speeds.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SpeedLabel {
+    service: String,
+    /// `fastest` or `slowest`.
+    runner: &'static str,
+}
+
 /// Label of a reason.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ReasonLabel {
@@ -83,6 +91,7 @@
     queued: Family<QueueLabel, Gauge>,
     running: Family<ServiceLabel, Gauge>,
     aside: Family<ServiceLabel, Gauge>,
+    speed: Family<SpeedLabel, Gauge>,
     limited: Family<ServiceLabel, Gauge>,
     limit: Family<RunnerLabel, Gauge<f64, AtomicU64>>,
     held_back: Family<ServiceLabel, Counter>,
@@ -110,6 +119,7 @@
             queued: Family::default(),
             running: Family::default(),
             aside: Family::default(),
+            speed: Family::default(),
             limited: Family::default(),
             limit: Family::default(),
             held_back: Family::default(),
@@ -151,6 +161,11 @@
         );
         registrar.add("running", "Slots in use by arbiters here", &self.running);
         registrar.add("aside_runners", "Runners set aside as slow", &self.aside);
+        registrar.add(
+            "runner_time_percent",
+            "Learned service time of the fastest and the slowest runner, in percent of the mean",
+            &self.speed,
+        );
         registrar.add(
             "limited_runners",
             "Runners that name a limit, at arbiters here",
@@ -278,6 +293,17 @@
         let of = ServiceLabel { service };
         self.running.get_or_create(&of).set(signed(stats.running));
         self.aside.get_or_create(&of).set(signed(stats.aside));
+        for (runner, percent) in stats
+            .speeds
+            .into_iter()
+            .flat_map(|(fastest, slowest)| [("fastest", fastest), ("slowest", slowest)])
+        {
+            let label = SpeedLabel {
+                service: of.service.clone(),
+                runner,
+            };
+            self.speed.get_or_create(&label).set(i64::from(percent));
+        }
         self.limited
             .get_or_create(&of)
             .set(signed(stats.limited.len()));
@@ -290,6 +316,12 @@
         for runner in &last.limited {
             self.on_limit(service, runner, None);
         }
+        for runner in ["fastest", "slowest"] {
+            self.speed.remove(&SpeedLabel {
+                service: service.to_owned(),
+                runner,
+            });
+        }
         self.on_stats(
             service,
             &Stats {
--- a/crates/policy/benches/slot_slopes.rs
+++ b/crates/policy/benches/slot_slopes.rs
@@ -143,6 +143,7 @@
         whole: Duration::from_secs(5),
         tokens: 200,
         unlimited: false,
+        report: None,
     }
 }
 
--- a/crates/policy/benches/slots/model.rs
+++ b/crates/policy/benches/slots/model.rs
@@ -360,6 +360,7 @@
             whole: self.now.saturating_sub(request.attempt_start),
             tokens: request.attempt_tokens,
             unlimited: false,
+            report: None,
         };
         let (daemon, ticket) = (self.arrivals[index].daemon, request.ticket);
         self.tickets.swap_remove(&ticket);
--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -29,6 +29,7 @@
 mod queue;
 mod rendezvous;
 mod runner;
+mod speed;
 mod suspect;
 
 use std::{
@@ -41,8 +42,8 @@
 
 pub use estimate::Lengths;
 pub use message::{
-    Ask, Asked, End, Heartbeat, Hold, Inventory, Part, Progress, Refusal, Reply, Request, Sample,
-    Ticket,
+    Ask, Asked, End, Heartbeat, Hold, Inventory, Load, Part, Progress, Refusal, Reply, Report,
+    Request, Sample, Ticket,
 };
 pub use pace::Rate;
 pub use pool::{MAX_RUNNERS, Transition};
@@ -88,6 +89,9 @@
     pub preempt_after_share: f64,
     /// Whether streams on a runner set aside as slow are moved to other runners.
     pub move_from_slow: bool,
+    /// Whether runners share their machines with others, so that their speed differs and
+    /// changes.
+    pub shared_hosts: bool,
 }
 
 impl Default for Settings {
@@ -104,6 +108,7 @@
             reserve: 4,
             preempt_after_share: 0.25,
             move_from_slow: true,
+            shared_hosts: false,
         }
     }
 }
@@ -247,6 +252,9 @@
     pub usable: usize,
     /// Slots of the usable runners.
     pub slots: u32,
+    /// Learned service times of the fastest and the slowest runner, in percent of the mean,
+    /// where runners share their machines.
+    pub speeds: Option<(u32, u32)>,
     /// Times that a runner was evaluated for a request, since the start.
     pub evaluations: u64,
 }
@@ -331,7 +339,7 @@
             victims: BTreeSet::new(),
             preempting: 0,
             accounts: IndexMap::new(),
-            pool: pool::Pool::default(),
+            pool: pool::Pool::new(settings.shared_hosts),
             floor: floor::Floor::new(settings.floor_share),
             estimate: estimate::Estimate::default(),
             affinity: affinity::Affinity::default(),
@@ -364,6 +372,7 @@
             limited: self.pool.limits().map(|(id, _)| id).collect(),
             usable: self.pool.usable(),
             slots: self.pool.slots(),
+            speeds: self.pool.speeds(self.last_tick),
             evaluations: self.pool.evaluations(),
         }
     }
--- a/crates/policy/src/arbiter/grant.rs
+++ b/crates/policy/src/arbiter/grant.rs
@@ -82,6 +82,7 @@
             build: item.build.as_deref(),
             domain: self.domain_of(key),
             may_wait: item.may_wait_for_slot(now),
+            class: &item.class.name,
             work: item.work(),
         };
         let still_blocks = |it: &Obstacle| !self.pool.is_outdated(now, &query, it);
@@ -137,8 +138,10 @@
         self.estimate.on_grant(item.urgency_index());
         self.affinity.put(item.prefix, &runner);
         let (mut address, mut usage) = (None, None);
+        let work = self.pool.usual_work(class);
         if let Some(runner) = self.pool.get_mut(&runner) {
             runner.on_grant(now);
+            runner.work += work;
             address = runner.address;
             if !item.prompt.is_empty() {
                 usage = Some(runner.prompts.begin(now, &item.work()));
@@ -151,6 +154,7 @@
             address,
             build,
             usage,
+            work,
             exposed: self.marks.is_exposed(item.fingerprint),
             ..Running::new(now, item, runner, kind)
         };
--- a/crates/policy/src/arbiter/hold.rs
+++ b/crates/policy/src/arbiter/hold.rs
@@ -66,6 +66,8 @@
     pub(super) prompt: Arc<[Part]>,
     /// Its use of the runner's prompt capacity; `None` without a prompt.
     pub(super) usage: Option<Usage>,
+    /// Its usual service time in seconds, where runners share their machines.
+    pub(super) work: f64,
     /// Whether it resumes work from an earlier slot; it is not preempted again.
     pub(super) resumed: bool,
     /// Whether it was exposed to a crash when it was granted.
@@ -86,6 +88,7 @@
             preempting: false,
             prompt: Arc::clone(&item.prompt),
             usage: None,
+            work: 0.0,
             resumed: item.resume,
             exposed: false,
         }
@@ -170,6 +173,7 @@
             .remove(&(running.class.tier, running.since, key));
         if let Some(runner) = self.pool.get_mut(&running.runner) {
             runner.on_free(now);
+            runner.work = (runner.work - running.work).max(0.0);
             if let Some(usage) = running.usage {
                 runner.prompts.end(usage);
             }
@@ -234,6 +238,10 @@
         if let Some(runner) = self.pool.get_mut(&running.runner) {
             runner.on_brittle_end(now, running.since, sample.end);
         }
+        let usage = running.usage.as_ref();
+        let class = &running.class.name;
+        self.pool
+            .on_speed(now, &running.runner, class, usage, sample);
         let read = running.usage.is_some();
         let transition = self.pool.on_end(
             now,
@@ -519,7 +527,9 @@
             // Only the other arbiter knew the prefill queued ahead of it.
             usage.timed = false;
         }
+        let work = self.pool.usual_work(&class.name);
         let running = Running {
+            work,
             usage: usage.filter(|_| !hold.ask.prompt.is_empty()),
             class,
             account: self.account(&hold.ask.account),
@@ -540,6 +550,7 @@
         };
         if let Some(runner) = self.pool.get_mut(&running.runner) {
             runner.on_hold(now);
+            runner.work += work;
             runner.reserved |= hold.alone;
         }
         self.pool.touch(&running.runner);
--- a/crates/policy/src/arbiter/message.rs
+++ b/crates/policy/src/arbiter/message.rs
@@ -107,6 +107,30 @@
     pub tokens: u32,
     /// Whether the runner answered without naming a limit on requests per second.
     pub unlimited: bool,
+    /// Load that the runner named in its answer.
+    pub report: Option<Report>,
+}
+
+/// Load of a runner, as it names it itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests running.
+    pub running: u32,
+    /// Requests that wait for a slot there.
+    pub waiting: u32,
+    /// Its slots.
+    pub slots: u32,
+    /// Service time in percent of the usual one of that machine, if it names it.
+    pub percent: Option<u32>,
+}
+
+/// Load of a runner and the time since it was received.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Report {
+    /// The load.
+    pub load: Load,
+    /// Time since it was received.
+    pub age: Duration,
 }
 
 impl Sample {
@@ -120,6 +144,7 @@
             whole: Duration::ZERO,
             tokens: 0,
             unlimited: false,
+            report: None,
         }
     }
 }
--- a/crates/policy/src/arbiter/pool.rs
+++ b/crates/policy/src/arbiter/pool.rs
@@ -18,12 +18,13 @@
     message::{End, Sample},
     pace::{Pace, Rate},
     path::Paths,
-    prompt::Work,
-    runner::{Cause, Health, Runner},
+    prompt::{Usage, Work},
+    runner::{self, Cause, Health, Runner},
+    speed::{self, Usual},
 };
 use crate::{
     catalogue::Class,
-    id::{DomainId, RunnerId},
+    id::{ClassId, DomainId, RunnerId},
     platform::{self, Standing},
 };
 
@@ -63,6 +64,24 @@
 /// Upper bound of the factor on a slow runner's cost.
 const MAX_SLOWDOWN: f64 = 8.0;
 
+/// Least factor on a fast runner's cost, where runners share their machines: half of the
+/// fastest one seen there, of 0.6 of the mean time.
+const MIN_SLOWDOWN: f64 = 0.3;
+
+/// Share of their work that requests in progress have left on average.
+const WORK_LEFT: f64 = 0.5;
+
+/// Service times that an attempt costs on a runner on which every request fails: the attempts
+/// that may follow a failed one, and the wait for them.
+const FAULT_WORK: f64 = 4.0;
+
+/// Service times by which a runner that has the prefix cached may be later than another.
+const AFFINITY_WORK: f64 = 0.25;
+
+/// Seconds added to the expected time of a runner in another failure domain: a round trip and
+/// the opening of a connection, of about a millisecond each.
+const REMOTE_TIME: f64 = 0.002;
+
 /// Retry delay when no runner is excluded, as in an empty pool.
 const NO_RUNNER_RETRY: Duration = Duration::from_secs(1);
 
@@ -91,6 +110,7 @@
     pub(super) domain: Option<&'a DomainId>,
     /// Whether it has time to wait for a slot on a full runner.
     pub(super) may_wait: bool,
+    pub(super) class: &'a ClassId,
     pub(super) work: Work<'a>,
 }
 
@@ -129,6 +149,10 @@
     changed: IndexSet<usize>,
     /// Reference values for the runners, as of the last [`Pool::detect_outliers`].
     baseline: Baseline,
+    /// Whether runners share their machines with others.
+    shared_hosts: bool,
+    /// Service times with which the runners are compared.
+    usual: Usual,
 }
 
 /// Reference values of a pool, with which its runners are compared.
@@ -143,6 +167,13 @@
 }
 
 impl Pool {
+    pub(super) fn new(shared_hosts: bool) -> Self {
+        Self {
+            shared_hosts,
+            ..Self::default()
+        }
+    }
+
     /// Applies the platform's list; runners that remain keep their state.
     pub(super) fn set(&mut self, listed: &[platform::Runner], max: u32) {
         let names: IndexSet<&RunnerId> = listed.iter().map(|it| &it.id).collect();
@@ -379,6 +410,10 @@
             runner.prefill_time.get(MIN_SAMPLES),
             self.baseline.prefill_time,
         ) {
+            _ if self.shared_hosts && runner.speed.is_known() => {
+                let slowness = runner.speed.slowness(now);
+                slowness.clamp(MIN_SLOWDOWN, MAX_SLOWDOWN)
+            }
             (Some(own), Some(median)) if median > 0.0 => (own / median).clamp(1.0, MAX_SLOWDOWN),
             _ => 1.0,
         };
@@ -445,6 +480,9 @@
         query: &Query<'_>,
         warm: Option<&RunnerId>,
     ) -> Result<RunnerId, Obstacle> {
+        if self.shared_hosts {
+            return self.pick_by_time(now, query, warm);
+        }
         let others = self.has_others(now, query);
         let mut best: Option<(f64, &RunnerId)> = None;
         let mut warm_score = None;
@@ -477,6 +515,95 @@
         }
     }
 
+    /// The runner with a free slot that is expected to complete the request first.
+    fn pick_by_time(
+        &self,
+        now: Instant,
+        query: &Query<'_>,
+        warm: Option<&RunnerId>,
+    ) -> Result<RunnerId, Obstacle> {
+        let others = self.has_others(now, query);
+        let work = self.usual.work(query.class);
+        let free = self.runners.iter().filter(|(id, it)| {
+            query.accepts(it) && it.free(now) > 0 && !(others && query.avoid.contains(id))
+        });
+        let times = free.map(|(id, it)| (self.expected_time(now, it, query, work), id));
+        let times: Vec<(f64, &RunnerId)> = times.collect();
+        let best = times.iter().min_by(|a, b| a.0.total_cmp(&b.0));
+        let (least, id) = best.ok_or(self.obstacle(None))?;
+        let is_warm = |(time, id): &&(f64, &RunnerId)| {
+            warm == Some(*id) && *time <= least + AFFINITY_WORK * work
+        };
+        let warm = times.iter().find(is_warm);
+        Ok(warm.map_or(*id, |(_, warm)| *warm).clone())
+    }
+
+    /// Expected time until a runner completes a request of that usual service time, in seconds.
+    fn expected_time(&self, now: Instant, runner: &Runner, query: &Query<'_>, work: f64) -> f64 {
+        self.evaluations.set(self.evaluations.get() + 1);
+        let external = f64::from(runner.load(now) - runner.held) * work;
+        let ahead = WORK_LEFT * (runner.work + external) / f64::from(runner.limit());
+        let faults = (runner.fault_rate(now) - self.baseline.faults) * FAULT_WORK * work;
+        let remote = if is_remote(runner, query.domain) {
+            REMOTE_TIME
+        } else {
+            0.0
+        };
+        runner.speed.slowness(now) * (ahead + work) + faults + remote
+    }
+
+    /// Usual service time of a class in seconds, where runners share their machines.
+    pub(super) fn usual_work(&self, class: &ClassId) -> f64 {
+        if self.shared_hosts {
+            self.usual.work(class)
+        } else {
+            0.0
+        }
+    }
+
+    /// Records what the end of a request tells about the speed of its runner.
+    pub(super) fn on_speed(
+        &mut self,
+        now: Instant,
+        id: &RunnerId,
+        class: &ClassId,
+        usage: Option<&Usage>,
+        sample: &Sample,
+    ) {
+        let Some(runner) = self.runners.get_mut(id).filter(|_| self.shared_hosts) else {
+            return;
+        };
+        let mut slowdown = 1.0;
+        if let Some(report) = &sample.report {
+            slowdown = speed::slowdown(&report.load);
+            runner.on_report(now, report);
+            runner.speed.on_report(now, report);
+        }
+        if sample.end != End::Done {
+            return;
+        }
+        match (usage, sample.first_token) {
+            (None, _) => runner.speed.on_time(now, class, sample.whole, slowdown),
+            (Some(usage), Some(first)) if usage.timed => {
+                let took = runner::scale_prefill(first, usage.ahead);
+                runner.speed.on_time(now, speed::PREFILL, took, slowdown);
+            }
+            (Some(_), _) => {}
+        }
+    }
+
+    /// Learned service times of the fastest and the slowest usable runner, in percent of the
+    /// mean; `None` if runners do not share their machines.
+    pub(super) fn speeds(&self, now: Instant) -> Option<(u32, u32)> {
+        let usable = self.runners.values().filter(|it| it.is_usable());
+        let learned = usable.map(|it| it.speed.learned(now));
+        let (least, most) = learned.fold(None, |seen: Option<(f64, f64)>, it| {
+            let (least, most) = seen.unwrap_or((it, it));
+            Some((least.min(it), most.max(it)))
+        })?;
+        self.shared_hosts.then_some((percent(least), percent(most)))
+    }
+
     /// An excluded runner that is due for a probe with one request.
     pub(super) fn probe(&self, now: Instant) -> Option<RunnerId> {
         self.probe_of(now, None)
@@ -586,7 +713,14 @@
                     runner.note_fault(now, !answered);
                 }
                 if answered {
-                    runner.on_sample(now, class, sample, read);
+                    let report = sample.report.filter(|_| self.shared_hosts);
+                    // A slowdown by other work on the machine passes; it must not set the
+                    // runner aside.
+                    let sample = report.map_or(*sample, |it| Sample {
+                        whole: sample.whole.div_f64(speed::slowdown(&it.load)),
+                        ..*sample
+                    });
+                    runner.on_sample(now, class, &sample, read);
                 }
                 if was_down && answered {
                     runner.restore();
@@ -614,6 +748,10 @@
 
     /// Compares the runners: sets slow ones aside and restores recovered ones.
     pub(super) fn detect_outliers(&mut self, now: Instant) -> Vec<Transition> {
+        if self.shared_hosts {
+            let speeds = self.runners.values_mut().map(|it| &mut it.speed);
+            self.usual.update(speeds);
+        }
         let mut transitions = Vec::new();
         let medians = [
             self.median(|it| it.between.get(MIN_SAMPLES)),
@@ -679,6 +817,15 @@
     }
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a ratio is not negative, and a float is cut to the integer's range"
+)]
+fn percent(ratio: f64) -> u32 {
+    (ratio * 100.0).round() as u32
+}
+
 /// Whether a runner is of a build, if one is given.
 fn has_build(runner: &Runner, build: Option<&str>) -> bool {
     build.is_none_or(|build| *runner.build == *build)
--- a/crates/policy/src/arbiter/runner.rs
+++ b/crates/policy/src/arbiter/runner.rs
@@ -8,10 +8,11 @@
 
 use super::{
     brittle::Brittle,
-    message::{End, Sample},
+    message::{End, Report, Sample},
     pace::Pace,
     path::Sightings,
     prompt::Load,
+    speed::Speed,
 };
 use crate::{
     catalogue::Class,
@@ -177,6 +178,10 @@
     pub(super) whole: Mean,
     /// Time to prefill, scaled to one prompt length.
     pub(super) prefill_time: Mean,
+    /// How long it takes, where runners share their machines.
+    pub(super) speed: Speed,
+    /// Usual service time of all requests that it holds, in seconds.
+    pub(super) work: f64,
     limit: f64,
     max: u32,
     /// Batch size that the runner reports.
@@ -218,6 +223,8 @@
             first: Mean::default(),
             whole: Mean::default(),
             prefill_time: Mean::default(),
+            speed: Speed::default(),
+            work: 0.0,
             limit: f64::from(max),
             max,
             slots: 0,
@@ -412,9 +419,21 @@
     /// It raises the cost of a slow runner but never excludes it: under a burst the
     /// times of healthy runners differ as much, and the pool must not shrink then.
     pub(super) fn on_prefill(&mut self, took: Duration, tokens: u64) {
-        let tokens = f64::from(u32::try_from(tokens).unwrap_or(u32::MAX));
-        self.prefill_time
-            .add(took.mul_f64(PREFILL_UNIT_TOKENS / (tokens + PREFILL_UNIT_TOKENS)));
+        self.prefill_time.add(scale_prefill(took, tokens));
+    }
+
+    /// Records the load that it named in an answer: the requests beyond those granted here.
+    pub(super) fn on_report(&mut self, now: Instant, report: &Report) {
+        let at = now.checked_sub(report.age).unwrap_or(now);
+        if self.reported_at.is_some_and(|known| at < known) {
+            return;
+        }
+        self.roll_peaks(now);
+        // The answer is older than the last grants, so that the most of late is subtracted.
+        let own = self.peaks[0].max(self.peaks[1]).max(self.held);
+        let there = report.load.running.saturating_add(report.load.waiting);
+        self.external = there.saturating_sub(own);
+        self.reported_at = Some(at);
     }
 
     /// Records what running streams observe.
@@ -530,3 +549,9 @@
         }
     }
 }
+
+/// A prefill time, scaled to one prompt length.
+pub(super) fn scale_prefill(took: Duration, tokens: u64) -> Duration {
+    let tokens = f64::from(u32::try_from(tokens).unwrap_or(u32::MAX));
+    took.mul_f64(PREFILL_UNIT_TOKENS / (tokens + PREFILL_UNIT_TOKENS))
+}
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -180,9 +180,8 @@
             return;
         }
         self.seen = Some((record.cloned(), now));
-        let holds = |held: &Held| {
-            record.is_some_and(|it| it.holder == self.me && it.token == held.token)
-        };
+        let holds =
+            |held: &Held| record.is_some_and(|it| it.holder == self.me && it.token == held.token);
         if !self.held.as_ref().is_some_and(holds) {
             self.held = None;
         }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -58,11 +58,9 @@
     #[must_use]
     pub fn stamped(self, now: SystemTime) -> Self {
         match self {
-            Self::Noop
-            | Self::Crash(_)
-            | Self::Declare(_)
-            | Self::Lease(_)
-            | Self::Usage(_) => self,
+            Self::Noop | Self::Crash(_) | Self::Declare(_) | Self::Lease(_) | Self::Usage(_) => {
+                self
+            }
             Self::Change { change, .. } => Self::Change { change, at: now },
             Self::Claim(claim) => {
                 let length = claim.deadline.duration_since(claim.at).unwrap_or_default();
--- a/crates/policy/tests/slots/mod.rs
+++ b/crates/policy/tests/slots/mod.rs
@@ -121,6 +121,7 @@
         whole,
         tokens: 100,
         unlimited: false,
+        report: None,
     }
 }
 
--- /dev/null
+++ b/crates/policy/tests/stale_load.rs
@@ -0,0 +1,350 @@
+//! Balancing on stale load reports: replays of one service whose runners share their machines.
+//!
+//! Each replay compares the expected completion time with the utilisation used where runners
+//! have machines of their own, and with the power of two choices on the same reports.
+
+mod slots;
+
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, VecDeque},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use citron_policy::{
+    arbiter::{
+        self, Arbiter, Ask, Asked, Effect, End, Event, Load, Refusal, Reply, Report, Request,
+        Sample, Ticket,
+    },
+    catalogue::{Backend, Catalogue, Entry, Service},
+};
+use googletest::prelude::*;
+use indexmap::IndexSet;
+use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
+use slots::{SERVICE, account, class, runners, service};
+
+/// Usual service time, and the target for whole answers: five times that.
+const WORK: Duration = Duration::from_millis(60);
+const TARGET: Duration = Duration::from_millis(300);
+
+/// Slots of each runner.
+const SLOTS: u32 = 6;
+
+/// Service times of the runners relative to the mean.
+const SPEEDS: [f64; 6] = [0.6, 1.0, 1.6, 0.6, 1.0, 1.6];
+
+/// How long a machine keeps its slowdown, how large one is, and how much of the time.
+const SLOWDOWN_PERIOD: Duration = Duration::from_millis(600);
+const SLOWDOWN: f64 = 2.5;
+const SLOWDOWN_SHARE: f64 = 0.15;
+
+/// Length of a replay, and its part that is not measured, in which speeds are learned.
+const LENGTH: Duration = Duration::from_secs(30);
+const WARM_UP: Duration = Duration::from_secs(5);
+
+/// Time from the end of an answer until the arbiter knows.
+const RELEASE_DELAY: Duration = Duration::from_millis(2);
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Rule {
+    /// Least utilisation, of the slots that the arbiter granted.
+    Utilisation,
+    /// Earliest expected completion.
+    Completion,
+    /// The better of two random runners by their last reports.
+    TwoChoices,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Step {
+    Arrive,
+    Answer {
+        runner: usize,
+        ticket: Ticket,
+    },
+    Release {
+        ticket: Ticket,
+        report: (u32, u32, u32),
+        whole: Duration,
+    },
+    Tick,
+}
+
+/// A runner: what it runs and queues, and its loads so far for late reports.
+#[derive(Clone, Debug)]
+struct Machine {
+    speed: f64,
+    slowdowns: Vec<f64>,
+    running: Vec<(Ticket, Duration)>,
+    queue: VecDeque<Ticket>,
+    loads: Vec<(Duration, u32, u32)>,
+}
+
+impl Machine {
+    fn slowdown(&self, at: Duration) -> f64 {
+        let period = at.as_nanos() / SLOWDOWN_PERIOD.as_nanos();
+        self.slowdowns[usize::try_from(period).expect("a short replay")]
+    }
+
+    /// Running and waiting requests and the slowdown in percent at a time.
+    fn load(&self, at: Duration) -> (u32, u32, u32) {
+        let known = self.loads.partition_point(|it| it.0 <= at);
+        let (running, waiting) = known.checked_sub(1).map_or((0, 0), |it| {
+            let (_, running, waiting) = self.loads[it];
+            (running, waiting)
+        });
+        let percent = if self.slowdown(at) > 1.0 { 250 } else { 100 };
+        (running, waiting, percent)
+    }
+
+    fn record(&mut self, now: Duration) {
+        let count = |it: usize| u32::try_from(it).expect("few requests");
+        let waiting = count(self.queue.len());
+        self.loads.push((now, count(self.running.len()), waiting));
+    }
+}
+
+/// Result of one replay.
+#[derive(Clone, Copy, Debug)]
+struct Outcome {
+    p99: Duration,
+    /// Share of the requests that missed their target.
+    late: f64,
+}
+
+struct Replay {
+    rule: Rule,
+    lag: Duration,
+    random: StdRng,
+    start: Instant,
+    now: Duration,
+    arbiter: Arbiter,
+    machines: Vec<Machine>,
+    steps: BinaryHeap<Reverse<(Duration, Step)>>,
+    arrivals: Vec<Duration>,
+    took: Vec<Duration>,
+}
+
+/// A new arbiter of a plain service with the runners of the replay.
+fn arbiter(now: Instant, shared_hosts: bool) -> Arbiter {
+    let settings = arbiter::Settings {
+        shared_hosts,
+        ..arbiter::Settings::default()
+    };
+    let name = SERVICE.to_owned();
+    let (mut arbiter, _) = Arbiter::new(now, name, 1, IndexSet::new(), settings);
+    let service = Service {
+        backend: Backend::Plain,
+        ..service(SLOTS)
+    };
+    let entries = vec![
+        Entry::Class(Arc::new(class("c0", 0, |it| it.whole = TARGET))),
+        Entry::Service(Arc::new(service)),
+        Entry::Account(Arc::new(account("a", 'a', 10_000, 10_000))),
+    ];
+    let catalogue = Arc::new(Catalogue::from_entries(1, entries));
+    arbiter.on_event(now, Event::Catalogue(catalogue));
+    arbiter.on_event(now, Event::Runners(runners(SPEEDS.len())));
+    arbiter
+}
+
+impl Replay {
+    fn new(rule: Rule, lag: Duration, seed: u64) -> Self {
+        let mut random = StdRng::seed_from_u64(seed);
+        let periods = 2 * LENGTH.as_millis() / SLOWDOWN_PERIOD.as_millis();
+        let machines = SPEEDS.map(|speed| Machine {
+            speed,
+            slowdowns: (0..periods)
+                .map(|_| {
+                    if random.random_bool(SLOWDOWN_SHARE) {
+                        SLOWDOWN
+                    } else {
+                        1.0
+                    }
+                })
+                .collect(),
+            running: Vec::new(),
+            queue: VecDeque::new(),
+            loads: Vec::new(),
+        });
+        let start = Instant::now();
+        Self {
+            rule,
+            lag,
+            random,
+            start,
+            now: Duration::ZERO,
+            arbiter: arbiter(start, rule == Rule::Completion),
+            machines: machines.to_vec(),
+            steps: BinaryHeap::new(),
+            arrivals: Vec::new(),
+            took: Vec::new(),
+        }
+    }
+
+    fn at(&mut self, after: Duration, step: Step) {
+        self.steps.push(Reverse((self.now + after, step)));
+    }
+
+    /// Serves requests at that share of the runners' capacity.
+    fn run(mut self, load: f64) -> Outcome {
+        let slowdown = 1.0 + (SLOWDOWN - 1.0) * SLOWDOWN_SHARE;
+        let rates = SPEEDS.map(|it| f64::from(SLOTS) / (WORK.as_secs_f64() * it * slowdown));
+        let rate = load * rates.iter().sum::<f64>();
+        self.at(Duration::ZERO, Step::Arrive);
+        self.at(Duration::ZERO, Step::Tick);
+        while let Some(Reverse((at, step))) = self.steps.pop() {
+            self.now = at;
+            if at > LENGTH {
+                break;
+            }
+            match step {
+                Step::Arrive => {
+                    let gap = -self.random.random_range(f64::EPSILON..1.0).ln() / rate;
+                    self.at(Duration::from_secs_f64(gap), Step::Arrive);
+                    self.arrive();
+                }
+                Step::Answer { runner, ticket } => self.answer(runner, ticket),
+                Step::Release {
+                    ticket,
+                    report,
+                    whole,
+                } => self.release(ticket, report, whole),
+                Step::Tick => {
+                    self.at(Duration::from_millis(100), Step::Tick);
+                    self.tell(Event::Tick);
+                }
+            }
+        }
+        self.took.sort();
+        let late = self.took.iter().filter(|it| **it > TARGET).count();
+        Outcome {
+            p99: self.took[self.took.len() * 99 / 100],
+            late: late as f64 / self.took.len() as f64,
+        }
+    }
+
+    fn arrive(&mut self) {
+        let ticket = self.arrivals.len() as Ticket;
+        self.arrivals.push(self.now);
+        if self.rule == Rule::TwoChoices {
+            let seen = self.now.saturating_sub(self.lag);
+            let pair = [(); 2].map(|()| self.random.random_range(0..SPEEDS.len()));
+            let cost = |it: &usize| {
+                let (running, waiting, percent) = self.machines[*it].load(seen);
+                (running + waiting + 1) * percent
+            };
+            let runner = pair.into_iter().min_by_key(cost).expect("two choices");
+            self.begin(runner, ticket);
+            return;
+        }
+        let ask = Ask {
+            fingerprint: 0,
+            remaining: Duration::from_millis(1_500),
+            ..slots::ask(ticket, "c0", "a")
+        };
+        self.request(Request::Ask(ask));
+    }
+
+    fn request(&mut self, request: Request) {
+        let asked = Asked {
+            least: 1,
+            fallback: false,
+            request,
+        };
+        self.tell(Event::Asked {
+            from: "i0".to_owned(),
+            asked,
+        });
+    }
+
+    fn tell(&mut self, event: Event) {
+        for effect in self.arbiter.on_event(self.start + self.now, event) {
+            match effect {
+                Effect::Send(_, Reply::Grant { ticket, runner, .. }) => {
+                    let runner = runner[1..].parse().expect("a runner of the replay");
+                    self.begin(runner, ticket);
+                }
+                Effect::Send(_, Reply::Refused(ticket, Refusal::Shed { .. } | Refusal::Late)) => {
+                    self.finish(ticket, Duration::from_secs(2));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn begin(&mut self, runner: usize, ticket: Ticket) {
+        let work = WORK.mul_f64(self.random.random_range(0.5..1.5));
+        let machine = &mut self.machines[runner];
+        if machine.running.len() >= SLOTS as usize {
+            machine.queue.push_back(ticket);
+            machine.record(self.now);
+            return;
+        }
+        machine.running.push((ticket, self.now));
+        machine.record(self.now);
+        let took = work.mul_f64(machine.speed * machine.slowdown(self.now));
+        self.at(took, Step::Answer { runner, ticket });
+    }
+
+    fn answer(&mut self, runner: usize, ticket: Ticket) {
+        let machine = &mut self.machines[runner];
+        let place = machine.running.iter().position(|it| it.0 == ticket);
+        let (_, began) = machine.running.remove(place.expect("a running request"));
+        machine.record(self.now);
+        let report = machine.load(self.now.saturating_sub(self.lag));
+        let whole = self.now - began;
+        let next = machine.queue.pop_front();
+        self.finish(ticket, self.now - self.arrivals[ticket as usize]);
+        self.at(
+            RELEASE_DELAY,
+            Step::Release {
+                ticket,
+                report,
+                whole,
+            },
+        );
+        if let Some(next) = next {
+            self.begin(runner, next);
+        }
+    }
+
+    fn release(&mut self, ticket: Ticket, report: (u32, u32, u32), whole: Duration) {
+        let (running, waiting, percent) = report;
+        let load = Load {
+            running,
+            waiting,
+            slots: SLOTS,
+            percent: Some(percent),
+        };
+        let sample = Sample {
+            end: End::Done,
+            whole,
+            report: Some(Report {
+                load,
+                age: self.lag + RELEASE_DELAY,
+            }),
+            ..Sample::unused()
+        };
+        self.request(Request::Release(ticket, sample));
+    }
+
+    fn finish(&mut self, ticket: Ticket, took: Duration) {
+        if self.arrivals[ticket as usize] >= WARM_UP {
+            self.took.push(took);
+        }
+    }
+}
+
+#[gtest]
+fn measure() {
+    for lag in [100, 300, 500] {
+        for load in [0.15, 0.3, 0.5, 0.7, 0.85] {
+            for rule in [Rule::Utilisation, Rule::TwoChoices, Rule::Completion] {
+                let out = Replay::new(rule, Duration::from_millis(lag), 1).run(load);
+                println!("{lag} {load} {rule:?} {:?} {:.4}", out.p99, out.late);
+            }
+        }
+    }
+}
--- a/crates/wire/benches/slots.rs
+++ b/crates/wire/benches/slots.rs
@@ -45,6 +45,7 @@
         whole: Duration::from_secs(10),
         tokens: 316,
         unlimited: true,
+        report: None,
     };
     Request::Release(TICKET, sample)
 }
--- a/crates/wire/src/control/catalogue.rs
+++ b/crates/wire/src/control/catalogue.rs
@@ -3,9 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use citron_policy::{
-    catalogue::{
-        Account, Backend, Call, Change, Class, Entry, Key, Kind, Scaling, Service,
-    },
+    catalogue::{Account, Backend, Call, Change, Class, Entry, Key, Kind, Scaling, Service},
     route::{self, Repeat, Route},
 };
 
--- a/crates/wire/src/slot.rs
+++ b/crates/wire/src/slot.rs
@@ -4,8 +4,8 @@
 
 use citron_policy::{
     arbiter::{
-        Ask, Asked, End, Heartbeat, Hold, Inventory, Part, Progress, Rate, Refusal, Reply, Request,
-        Sample,
+        Ask, Asked, End, Heartbeat, Hold, Inventory, Load, Part, Progress, Rate, Refusal, Reply,
+        Report, Request, Sample,
     },
     crash::Step,
     id::{Epoch, RunnerId, ServiceId},
@@ -273,6 +273,13 @@
         whole_us: micros(sample.whole),
         tokens: sample.tokens,
         unlimited: sample.unlimited,
+        load: sample.report.map(|it| proto::Load {
+            running: it.load.running,
+            waiting: it.load.waiting,
+            slots: it.load.slots,
+            percent: it.load.percent,
+            age_us: micros(it.age),
+        }),
     }
 }
 
@@ -294,6 +301,15 @@
         whole: duration(release.whole_us),
         tokens: release.tokens,
         unlimited: release.unlimited,
+        report: release.load.as_ref().map(|it| Report {
+            load: Load {
+                running: it.running,
+                waiting: it.waiting,
+                slots: it.slots,
+                percent: it.percent,
+            },
+            age: duration(it.age_us),
+        }),
     })
 }
 
--- a/crates/wire/tests/slot.rs
+++ b/crates/wire/tests/slot.rs
@@ -1,8 +1,8 @@
 //! Slot messages: round trips, and generated garbage.
 
 use citron_policy::arbiter::{
-    Ask, Asked, End, Heartbeat, Hold, Inventory, Part, Progress, Rate, Refusal, Reply, Request,
-    Sample,
+    Ask, Asked, End, Heartbeat, Hold, Inventory, Load, Part, Progress, Rate, Refusal, Reply,
+    Report, Request, Sample,
 };
 use citron_policy::crash::Step;
 use citron_policy::stream::{Group, Origin, Stream};
@@ -60,6 +60,15 @@
         whole: Duration::from_secs(3),
         tokens: 4,
         unlimited: true,
+        report: Some(Report {
+            load: Load {
+                running: 3,
+                waiting: 1,
+                slots: 8,
+                percent: Some(250),
+            },
+            age: Duration::from_millis(40),
+        }),
     };
     let progress = Progress {
         runner: "r1".to_owned(),
