retry: full budgets at the start where daemons share their machines

Change: with shared_hosts a budget starts with, and holds at most, the daemon's part of the slack that the platform allows beyond the percentage of requests. One part in nine is kept back for daemons that restart with a full budget.

Ruled out: half of the slack at the start and half over the window.

--- a/crates/daemon/src/callers/retries.rs
+++ b/crates/daemon/src/callers/retries.rs
@@ -8,7 +8,7 @@
 use citron_policy::{
     catalogue::Service,
     id::ServiceId,
-    retry::{self, Attempt, Budget, DEFAULT_BURST, Decision},
+    retry::{self, Allowance, Attempt, Budget, DEFAULT_BURST, Decision},
 };
 use indexmap::IndexMap;
 use prometheus_client::{
@@ -22,6 +22,8 @@
 pub(crate) struct Retries {
     /// Largest number of unused retries that a budget keeps.
     burst: Cell<u32>,
+    /// What budgets start with and hold at most, instead of being earned alone.
+    allowance: Cell<Option<Allowance>>,
     budgets: RefCell<IndexMap<ServiceId, Budget>>,
     made: Counter,
     refused: Counter,
@@ -46,6 +48,7 @@
     pub(crate) fn new(burst: u32) -> Self {
         Self {
             burst: Cell::new(burst),
+            allowance: Cell::new(None),
             budgets: RefCell::default(),
             made: Counter::default(),
             refused: Counter::default(),
@@ -58,6 +61,11 @@
         self.burst.set(burst);
     }
 
+    /// Sets what budgets start with and hold at most.
+    pub(crate) fn set_allowance(&self, allowance: Allowance) {
+        self.allowance.set(Some(allowance));
+    }
+
     /// Adds the counters to a registry.
     pub(crate) fn register(&self, registry: &mut Registry) {
         registry.register(
@@ -105,7 +113,10 @@
         let budget = budgets
             .entry(service.name.clone())
             .or_insert_with(|| Budget::new(service.retry_percent));
-        budget.set_burst(self.burst.get());
+        match self.allowance.get() {
+            Some(allowance) => budget.allow(&allowance),
+            None => budget.set_burst(self.burst.get()),
+        }
         budget.set_percent(service.retry_percent);
         let outcome = act(budget);
         let labels = Labels {
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -72,6 +72,8 @@
     pub log_rate: usize,
     /// Retries that all daemons together may accumulate for a service.
     pub retry_slack: u32,
+    /// Whether daemons share their machines with others, so that many see few requests each.
+    pub shared_hosts: bool,
     /// This instance.
     pub me: InstanceId,
     /// Daemons of the cluster.
@@ -254,7 +256,12 @@
         let daemons = ports.members.borrow();
         let live = daemons.values().filter(|it| it.state != State::Dead);
         let retries = &self.inner.retries;
-        retries.set_burst(retry::burst_per_daemon(ports.retry_slack, live.count()));
+        let live = live.count();
+        if ports.shared_hosts {
+            retries.set_allowance(retry::Allowance::of(ports.retry_slack, live));
+        } else {
+            retries.set_burst(retry::burst_per_daemon(ports.retry_slack, live));
+        }
         retries.earn(&admitted.service);
     }
 
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -508,6 +508,7 @@
         buffers: buffers.clone(),
         log_rate: settings.log_rate,
         retry_slack: settings.retry_slack,
+        shared_hosts: settings.shared_hosts,
         me: settings.instance.clone(),
         members: core.gossip.members(),
         view: core.follow.view(),
--- a/crates/policy/src/arbiter/speed.rs
+++ b/crates/policy/src/arbiter/speed.rs
@@ -61,7 +61,7 @@
 
 /// Time constant by which a learned slowness decays to [`UNTRIED`] without new samples, so that
 /// a runner which got no requests because it was slow is tried again after some minutes.
-const FORGET_AFTER: Duration = Duration::from_secs(60);
+const FORGET_AFTER: Duration = Duration::from_mins(1);
 
 /// Mean of service times in seconds, corrected by the slowdowns at those times.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -7,6 +7,10 @@
 //! Each request earns a fraction of a retry, so that an outage of all runners
 //! adds at most that fraction of load. A budget starts empty, so the bound holds
 //! from the first request.
+//!
+//! Load pattern: many daemons each see a few requests per second, so that a budget takes
+//! seconds to earn its first retry while runners fail single requests all the time. Where
+//! that is so, a budget starts full, with the daemon's [`Allowance`].
 
 use std::time::{Duration, Instant};
 
@@ -38,6 +42,43 @@
     (slack / daemons).clamp(1, MAX_BURST_PER_DAEMON)
 }
 
+/// Time over which the retries of all daemons together are bounded.
+pub const SLACK_WINDOW: Duration = Duration::from_secs(10);
+
+/// One in so many daemons may restart within [`SLACK_WINDOW`], each with a full budget, without
+/// the retries of all daemons exceeding the slack.
+const RESTART_RESERVE: usize = 8;
+
+/// A daemon's part of the retries that a service absorbs beyond the percentage of its requests.
+///
+/// Within any [`SLACK_WINDOW`] a daemon makes at most the retries that its budget held and those
+/// that its requests earn there. A budget holds at most the daemon's part of the slack, so that
+/// all of them together stay within it. The part is given out as a full budget rather than over
+/// time: requests earn a retry sooner than a part of the slack would.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Allowance {
+    /// Credit at the start.
+    start: u64,
+    /// Most credit.
+    most: u64,
+}
+
+impl Allowance {
+    /// The part of one of so many daemons.
+    #[must_use]
+    pub fn of(slack: u32, daemons: usize) -> Self {
+        let daemons = daemons.max(1);
+        let parts = daemons.saturating_add(daemons.div_ceil(RESTART_RESERVE));
+        let part = u64::from(slack) * RETRY_COST / u64::try_from(parts).unwrap_or(u64::MAX);
+        // Below a whole retry, earned fractions would never add up to one.
+        let most = part.clamp(RETRY_COST, u64::from(MAX_BURST_PER_DAEMON) * RETRY_COST);
+        Self {
+            start: if part >= RETRY_COST { most } else { 0 },
+            most,
+        }
+    }
+}
+
 /// Whether a request was executed upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fate {
@@ -172,8 +213,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Budget {
     percent: u32,
-    burst: u32,
+    /// Most credit.
+    most: u64,
     credit: u64,
+    /// Whether the credit at the start of an [`Allowance`] was added.
+    started: bool,
 }
 
 impl Budget {
@@ -182,21 +226,33 @@
     pub fn new(percent: u32) -> Self {
         Self {
             percent,
-            burst: DEFAULT_BURST,
+            most: u64::from(DEFAULT_BURST) * RETRY_COST,
             credit: 0,
+            started: false,
         }
     }
 
     /// Replaces the maximum number of accumulated retries.
     #[must_use]
     pub fn with_burst(self, burst: u32) -> Self {
-        Self { burst, ..self }
+        Self {
+            most: u64::from(burst) * RETRY_COST,
+            ..self
+        }
     }
 
     /// Changes the maximum number of accumulated retries; credit above it is lost.
     pub fn set_burst(&mut self, burst: u32) {
-        self.burst = burst;
-        self.credit = self.credit.min(u64::from(burst) * RETRY_COST);
+        self.most = u64::from(burst) * RETRY_COST;
+        self.credit = self.credit.min(self.most);
+    }
+
+    /// Applies an allowance: the credit of its start once, and its bound each time.
+    pub fn allow(&mut self, allowance: &Allowance) {
+        let start = if self.started { 0 } else { allowance.start };
+        self.started = true;
+        self.most = allowance.most;
+        self.credit = self.most.min(self.credit + start);
     }
 
     /// Changes the percentage; earned credit is kept.
@@ -206,8 +262,7 @@
 
     /// Adds the credit of one request.
     pub fn earn(&mut self) {
-        let cap = u64::from(self.burst) * RETRY_COST;
-        self.credit = cap.min(self.credit + u64::from(self.percent));
+        self.credit = self.most.min(self.credit + u64::from(self.percent));
     }
 
     /// Number of whole retries left.
--- a/crates/policy/tests/retry.rs
+++ b/crates/policy/tests/retry.rs
@@ -3,14 +3,15 @@
 use std::time::{Duration, Instant};
 
 use citron_policy::retry::{
-    Attempt, Budget, DEFAULT_BURST, Decision, Ending, Fate, MAX_ATTEMPTS, MIN_REMAINING, Reason,
-    Rerun, burst_per_daemon, decide,
+    Allowance, Attempt, Budget, DEFAULT_BURST, Decision, Ending, Fate, MAX_ATTEMPTS, MIN_REMAINING,
+    Reason, Rerun, SLACK_WINDOW, burst_per_daemon, decide,
 };
 use googletest::prelude::*;
 use proptest::{
     prelude::*,
     test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
 };
+use rand::{SeedableRng as _, rngs::StdRng};
 
 fn attempt(now: Instant) -> Attempt {
     Attempt {
@@ -248,3 +249,159 @@
         expect_that!(made, gt(requests / 10), "{daemons} daemons");
     }
 }
+
+/// A daemon's budget, and whether it has failures to retry.
+#[derive(Clone, Copy, Debug)]
+enum Rule {
+    /// Earned from requests only.
+    Earned,
+    /// With a part of the slack.
+    Allowed,
+}
+
+/// Many daemons in front of one service; times of their requests and retries.
+struct Fleet {
+    rule: Rule,
+    slack: u32,
+    random: StdRng,
+    start: Instant,
+    budgets: Vec<Budget>,
+    requests: Vec<Duration>,
+    retries: Vec<Duration>,
+    failures: usize,
+}
+
+impl Fleet {
+    fn new(rule: Rule, daemons: usize, slack: u32, seed: u64) -> Self {
+        let mut fleet = Self {
+            rule,
+            slack,
+            random: StdRng::seed_from_u64(seed),
+            start: Instant::now(),
+            budgets: Vec::new(),
+            requests: Vec::new(),
+            retries: Vec::new(),
+            failures: 0,
+        };
+        fleet.budgets = vec![fleet.budget(daemons); daemons];
+        fleet
+    }
+
+    fn budget(&self, daemons: usize) -> Budget {
+        Budget::new(15).with_burst(burst_per_daemon(self.slack, daemons))
+    }
+
+    fn restart(&mut self, daemon: usize) {
+        self.budgets[daemon] = self.budget(self.budgets.len());
+    }
+
+    /// One request at a random daemon, which fails with that probability until it is given up.
+    fn request(&mut self, at: Duration, failing: f64) {
+        let now = self.start + at;
+        let allowance = Allowance::of(self.slack, self.budgets.len());
+        let daemon = self.random.random_range(0..self.budgets.len());
+        let budget = &mut self.budgets[daemon];
+        if matches!(self.rule, Rule::Allowed) {
+            budget.allow(&allowance);
+        }
+        budget.earn();
+        self.requests.push(at);
+        let mut made = 1;
+        while self.random.random_bool(failing) {
+            self.failures += 1;
+            let failed = Attempt {
+                made,
+                ..attempt(now)
+            };
+            if decide(now, &failed, budget) != Decision::Again {
+                break;
+            }
+            made += 1;
+            self.retries.push(at);
+        }
+    }
+
+    /// Most retries in a window beyond the percentage of the requests there.
+    fn worst_excess(&self) -> f64 {
+        let count = |times: &[Duration], from: Duration| {
+            let end = times.partition_point(|it| *it <= from + SLACK_WINDOW);
+            (end - times.partition_point(|it| *it < from)) as f64
+        };
+        let excess =
+            |from: &Duration| count(&self.retries, *from) - 0.15 * count(&self.requests, *from);
+        self.retries.iter().map(excess).fold(0.0, f64::max)
+    }
+}
+
+/// Budgets that start with a part of the slack must not add up to more than all of it, whether
+/// an outage finds them full or daemons restart in it.
+#[gtest]
+fn allowances_of_all_daemons_stay_within_the_slack() {
+    for (daemons, rate, slack) in [
+        (74, 150, 180),
+        (66, 800, 160),
+        (11, 30, 62),
+        (300, 900, 700),
+    ] {
+        for seed in 0..6 {
+            let mut fleet = Fleet::new(Rule::Allowed, daemons, slack, seed);
+            for number in 0..40 * rate {
+                let at = Duration::from_secs(1) * number / rate;
+                // An outage of all runners after budgets have filled up.
+                let failing = if at.as_secs() < 12 { 0.0 } else { 1.0 };
+                // One in eight daemons restarts within each window.
+                if number % (10 * rate * 8 / daemons as u32) == 0 {
+                    let daemon = fleet.random.random_range(0..daemons);
+                    fleet.restart(daemon);
+                }
+                fleet.request(at, failing);
+            }
+            let excess = fleet.worst_excess();
+            expect_that!(
+                excess,
+                le(f64::from(slack)),
+                "{daemons} daemons, seed {seed}"
+            );
+            expect_that!(
+                excess,
+                gt(f64::from(slack) * 0.1),
+                "{daemons} daemons, seed {seed}"
+            );
+        }
+    }
+}
+
+/// Of the requests that failed with a runner's own error, most were not retried: each of many
+/// daemons saw too few requests to have earned a retry in time.
+#[gtest]
+fn single_failures_at_many_daemons_are_retried_from_the_start() {
+    let share_retried = |rule| {
+        let mut fleet = Fleet::new(rule, 74, 180, 1);
+        // 98 of 137 requests per second may run only once; 14 % of the others fail.
+        for number in 0..20 * 137 {
+            let at = Duration::from_secs(1) * number / 137;
+            let failing = if number % 7 < 2 { 0.14 } else { 0.0 };
+            fleet.request(at, failing);
+        }
+        fleet.retries.len() as f64 / fleet.failures as f64
+    };
+    let (earned, allowed) = (share_retried(Rule::Earned), share_retried(Rule::Allowed));
+    println!("share retried: earned {earned:.3}, with an allowance {allowed:.3}");
+    expect_that!(allowed, gt(0.9));
+    expect_that!(earned, lt(0.8));
+}
+
+/// A slack of less than a retry for each daemon must not be rounded up, nor handed out twice.
+#[gtest]
+fn the_slack_is_handed_out_once_and_not_rounded_up() {
+    let mut budget = Budget::new(0);
+    budget.allow(&Allowance::of(60, 74));
+    expect_that!(budget.left(), eq(0));
+    let mut budget = Budget::new(0);
+    budget.allow(&Allowance::of(180, 74));
+    budget.allow(&Allowance::of(180, 74));
+    expect_that!(budget.left(), eq(2));
+    // More daemons are known now, so that the part of each is smaller.
+    budget.allow(&Allowance::of(180, 150));
+    expect_that!(budget.left(), eq(1));
+}
