--- a/crates/policy/tests/retry.rs
+++ b/crates/policy/tests/retry.rs
@@ -250,7 +250,11 @@
     }
 }
 
-/// A daemon's budget, and whether it has failures to retry.
+fn as_f64(count: usize) -> f64 {
+    f64::from(u32::try_from(count).expect("a small count"))
+}
+
+/// How budgets are filled.
 #[derive(Clone, Copy, Debug)]
 enum Rule {
     /// Earned from requests only.
@@ -325,7 +329,7 @@
     fn worst_excess(&self) -> f64 {
         let count = |times: &[Duration], from: Duration| {
             let end = times.partition_point(|it| *it <= from + SLACK_WINDOW);
-            (end - times.partition_point(|it| *it < from)) as f64
+            as_f64(end - times.partition_point(|it| *it < from))
         };
         let excess =
             |from: &Duration| count(&self.retries, *from) - 0.15 * count(&self.requests, *from);
@@ -350,7 +354,7 @@
                 // An outage of all runners after budgets have filled up.
                 let failing = if at.as_secs() < 12 { 0.0 } else { 1.0 };
                 // One in eight daemons restarts within each window.
-                if number % (10 * rate * 8 / daemons as u32) == 0 {
+                if number % (10 * rate * 8 / u32::try_from(daemons).expect("some daemons")) == 0 {
                     let daemon = fleet.random.random_range(0..daemons);
                     fleet.restart(daemon);
                 }
@@ -383,7 +387,7 @@
             let failing = if number % 7 < 2 { 0.14 } else { 0.0 };
             fleet.request(at, failing);
         }
-        fleet.retries.len() as f64 / fleet.failures as f64
+        as_f64(fleet.retries.len()) / as_f64(fleet.failures)
     };
     let (earned, allowed) = (share_retried(Rule::Earned), share_retried(Rule::Allowed));
     println!("share retried: earned {earned:.3}, with an allowance {allowed:.3}");
--- a/crates/policy/tests/stale_load.rs
+++ b/crates/policy/tests/stale_load.rs
@@ -128,6 +128,10 @@
     percent: Option<u32>,
 }
 
+fn place(ticket: Ticket) -> usize {
+    usize::try_from(ticket).expect("a small ticket")
+}
+
 /// A new arbiter of a plain service with the runners of the replay.
 fn arbiter(now: Instant, shared_hosts: bool) -> Arbiter {
     let settings = arbiter::Settings {
@@ -288,13 +292,14 @@
 
     fn answer(&mut self, runner: usize, ticket: Ticket) {
         let machine = &mut self.machines[runner];
-        let place = machine.running.iter().position(|it| it.0 == ticket);
-        let (_, began) = machine.running.remove(place.expect("a running request"));
+        let index = machine.running.iter().position(|it| it.0 == ticket);
+        let (_, began) = machine.running.remove(index.expect("a running request"));
         machine.record(self.now);
         let report = machine.load(self.now.saturating_sub(self.lag));
-        let whole = self.now - began;
+        let whole = self.now.saturating_sub(began);
         let next = machine.queue.pop_front();
-        self.finish(ticket, self.now - self.arrivals[ticket as usize]);
+        let took = self.now.saturating_sub(self.arrivals[place(ticket)]);
+        self.finish(ticket, took);
         self.at(
             RELEASE_DELAY,
             Step::Release {
@@ -329,12 +334,16 @@
     }
 
     fn finish(&mut self, ticket: Ticket, took: Duration) {
-        if self.arrivals[ticket as usize] >= WARM_UP {
+        if self.arrivals[place(ticket)] >= WARM_UP {
             self.took.push(took);
         }
     }
 }
 
+fn as_f64(count: usize) -> f64 {
+    f64::from(u32::try_from(count).expect("a small count"))
+}
+
 /// Lags of the reports, loads and seeds that are replayed.
 const LAGS: [u64; 3] = [100, 300, 500];
 const LOADS: [f64; 5] = [0.15, 0.3, 0.5, 0.7, 0.85];
@@ -348,7 +357,7 @@
     let late = took.iter().filter(|it| **it > TARGET).count();
     Outcome {
         p99: took[took.len() * 99 / 100],
-        late: late as f64 / took.len() as f64,
+        late: as_f64(late) / as_f64(took.len()),
     }
 }
 
@@ -479,7 +488,7 @@
     desk.now += SLOWDOWN_PERIOD;
     let again = desk.serve(5, [100, 100, 100, 250, 100, 100]);
     expect_that!(again[0], ge(4), "{again:?}");
-    desk.now += Duration::from_secs(300);
+    desk.now += Duration::from_mins(5);
     let later = desk.serve(300, [100; SPEEDS.len()]);
     expect_that!(later[2] + later[5], ge(2), "{later:?}");
 }
