--- a/crates/daemon/src/callers/chat/generation.rs
+++ b/crates/daemon/src/callers/chat/generation.rs
@@ -462,6 +462,7 @@
             tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
             unlimited: false,
             longest_pause: None,
+            report: None,
         };
         // The connection must be closed before the slot is released.
         drop(exchange.stream);
@@ -506,6 +507,7 @@
         tokens: 0,
         unlimited: false,
         longest_pause: None,
+        report: None,
     }
 }
 
--- a/crates/daemon/src/callers/plain.rs
+++ b/crates/daemon/src/callers/plain.rs
@@ -300,6 +300,7 @@
         tokens: 0,
         unlimited: false,
         longest_pause: None,
+        report: None,
     });
     match outcome {
         Ok(answer) => check_refusal(call, answer),
--- a/crates/policy/benches/slot_slopes.rs
+++ b/crates/policy/benches/slot_slopes.rs
@@ -144,6 +144,7 @@
         tokens: 200,
         unlimited: false,
         longest_pause: None,
+        report: None,
     }
 }
 
--- a/crates/policy/benches/slots/model.rs
+++ b/crates/policy/benches/slots/model.rs
@@ -361,6 +361,7 @@
             tokens: request.attempt_tokens,
             unlimited: false,
             longest_pause: None,
+            report: None,
         };
         let (daemon, ticket) = (self.arrivals[index].daemon, request.ticket);
         self.tickets.swap_remove(&ticket);
--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -32,6 +32,7 @@
 mod queue;
 mod rendezvous;
 mod runner;
+mod speed;
 mod suspect;
 
 use std::{
@@ -44,8 +45,8 @@
 
 pub use estimate::Lengths;
 pub use message::{
-    Ask, Asked, End, Heartbeat, Hold, Inventory, Part, Progress, Refusal, Reply, Request, Sample,
-    Ticket,
+    Ask, Asked, End, Heartbeat, Hold, Inventory, Load, Part, Progress, Refusal, Reply, Report,
+    Request, Sample, Ticket,
 };
 pub use pace::Rate;
 pub use pool::{MAX_RUNNERS, Transition};
@@ -254,6 +255,9 @@
     pub usable: usize,
     /// Slots of the usable runners.
     pub slots: u32,
+    /// Learned service times of the fastest and the slowest runner, in percent of the mean,
+    /// where runners share their machines.
+    pub speeds: Option<(u32, u32)>,
     /// Times that a runner was evaluated for a request, since the start.
     pub evaluations: u64,
 }
@@ -342,7 +346,7 @@
             victims: BTreeSet::new(),
             preempting: 0,
             accounts: IndexMap::new(),
-            pool: pool::Pool::default(),
+            pool: pool::Pool::new(settings.shared_hosts),
             pauses: pause::Pauses::default(),
             floor: floor::Floor::new(settings.floor_share),
             estimate: estimate::Estimate::default(),
@@ -378,6 +382,7 @@
             limited: self.pool.limits().map(|(id, _)| id).collect(),
             usable: self.pool.usable(),
             slots: self.pool.slots(),
+            speeds: self.pool.speeds(self.last_tick),
             evaluations: self.pool.evaluations(),
         }
     }
--- a/crates/policy/src/arbiter/grant.rs
+++ b/crates/policy/src/arbiter/grant.rs
@@ -82,6 +82,7 @@
             build: item.build.as_deref(),
             domain: self.domain_of(key),
             may_wait: item.may_wait_for_slot(now),
+            class: &item.class.name,
             work: item.work(self.pauses.weight(&item.class.name)),
         };
         let still_blocks = |it: &Obstacle| !self.pool.is_outdated(now, &query, it);
@@ -138,8 +139,10 @@
         self.affinity.put(item.prefix, &runner);
         let (mut address, mut usage) = (None, None);
         let pause_weight = self.pauses.weight(&item.class.name);
+        let work = self.pool.usual_work(class);
         if let Some(runner) = self.pool.get_mut(&runner) {
             runner.on_grant(now);
+            runner.work += work;
             address = runner.address;
             if !item.prompt.is_empty() {
                 usage = Some(runner.prompts.begin(now, &item.work(pause_weight)));
@@ -152,6 +155,7 @@
             address,
             build,
             usage,
+            work,
             exposed: self.marks.is_exposed(item.fingerprint),
             ..Running::new(now, item, runner, kind)
         };
--- a/crates/policy/src/arbiter/message.rs
+++ b/crates/policy/src/arbiter/message.rs
@@ -109,6 +109,30 @@
     pub unlimited: bool,
     /// Longest time between two events of a stream.
     pub longest_pause: Option<Duration>,
+    /// Load that the runner named in its answer.
+    pub report: Option<Report>,
+}
+
+/// Load of a runner, as it names it itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests running.
+    pub running: u32,
+    /// Requests that wait for a slot there.
+    pub waiting: u32,
+    /// Its slots.
+    pub slots: u32,
+    /// Service time in percent of the usual one of that machine, if it names it.
+    pub percent: Option<u32>,
+}
+
+/// Load of a runner and the time since it was received.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Report {
+    /// The load.
+    pub load: Load,
+    /// Time since it was received.
+    pub age: Duration,
 }
 
 impl Sample {
@@ -123,6 +147,7 @@
             tokens: 0,
             unlimited: false,
             longest_pause: None,
+            report: None,
         }
     }
 }
--- a/crates/policy/src/arbiter/pool.rs
+++ b/crates/policy/src/arbiter/pool.rs
@@ -18,12 +18,13 @@
     message::{End, Sample},
     pace::{Pace, Rate},
     path::Paths,
-    prompt::Work,
-    runner::{Cause, Health, Runner},
+    prompt::{Usage, Work},
+    runner::{self, Cause, Health, Runner},
+    speed::{self, Usual},
 };
 use crate::{
     catalogue::Class,
-    id::{DomainId, RunnerId},
+    id::{ClassId, DomainId, RunnerId},
     platform::{self, Standing},
 };
 
@@ -33,6 +34,14 @@
 /// Multiple of the median latency above which a runner is slow.
 const SLOW_RATIO: f64 = 3.0;
 
+/// The same where runners share their machines: the slowest of 1.6 times the mean is slowed 2.5
+/// times now and then, beside a median of 0.6 of the mean. Requests are placed by that anyway.
+const SHARED_SLOW_RATIO: f64 = 8.0;
+
+/// Multiple of the median latency up to which a probed runner has recovered, where runners
+/// share their machines: the slowest beside a median of the fastest, with some slowdown.
+const SHARED_RECOVERED_RATIO: f64 = 4.0;
+
 /// Multiple of the median latency up to which a probed runner has recovered.
 const RECOVERED_RATIO: f64 = 1.8;
 
@@ -63,6 +72,24 @@
 /// Upper bound of the factor on a slow runner's cost.
 const MAX_SLOWDOWN: f64 = 8.0;
 
+/// Least factor on a fast runner's cost, where runners share their machines: half of the
+/// fastest one seen there, of 0.6 of the mean time.
+const MIN_SLOWDOWN: f64 = 0.3;
+
+/// Share of their work that requests in progress have left on average.
+const WORK_LEFT: f64 = 0.5;
+
+/// Service times that an attempt costs on a runner on which every request fails: the attempts
+/// that may follow a failed one, and the wait for them.
+const FAULT_WORK: f64 = 4.0;
+
+/// Service times by which a runner that has the prefix cached may be later than another.
+const AFFINITY_WORK: f64 = 0.25;
+
+/// Seconds added to the expected time of a runner in another failure domain: a round trip and
+/// the opening of a connection, of about a millisecond each.
+const REMOTE_TIME: f64 = 0.002;
+
 /// Retry delay when no runner is excluded, as in an empty pool.
 const NO_RUNNER_RETRY: Duration = Duration::from_secs(1);
 
@@ -91,6 +118,7 @@
     pub(super) domain: Option<&'a DomainId>,
     /// Whether it has time to wait for a slot on a full runner.
     pub(super) may_wait: bool,
+    pub(super) class: &'a ClassId,
     pub(super) work: Work<'a>,
 }
 
@@ -129,6 +157,10 @@
     changed: IndexSet<usize>,
     /// Reference values for the runners, as of the last [`Pool::detect_outliers`].
     baseline: Baseline,
+    /// Whether runners share their machines with others.
+    shared_hosts: bool,
+    /// Service times with which the runners are compared.
+    usual: Usual,
 }
 
 /// Reference values of a pool, with which its runners are compared.
@@ -143,6 +175,13 @@
 }
 
 impl Pool {
+    pub(super) fn new(shared_hosts: bool) -> Self {
+        Self {
+            shared_hosts,
+            ..Self::default()
+        }
+    }
+
     /// Applies the platform's list; runners that remain keep their state.
     pub(super) fn set(&mut self, listed: &[platform::Runner], max: u32) {
         let names: IndexSet<&RunnerId> = listed.iter().map(|it| &it.id).collect();
@@ -384,6 +423,10 @@
             runner.prefill_time.get(MIN_SAMPLES),
             self.baseline.prefill_time,
         ) {
+            _ if self.shared_hosts && runner.speed.is_measured() => {
+                let slowness = runner.speed.slowness(now);
+                slowness.clamp(MIN_SLOWDOWN, MAX_SLOWDOWN)
+            }
             (Some(own), Some(median)) if median > 0.0 => (own / median).clamp(1.0, MAX_SLOWDOWN),
             _ => 1.0,
         };
@@ -450,6 +493,9 @@
         query: &Query<'_>,
         warm: Option<&RunnerId>,
     ) -> Result<RunnerId, Obstacle> {
+        if self.shared_hosts {
+            return self.pick_by_time(now, query, warm);
+        }
         let others = self.has_others(now, query);
         let mut best: Option<(f64, &RunnerId)> = None;
         let mut warm_score = None;
@@ -482,6 +528,99 @@
         }
     }
 
+    /// The runner with a free slot that is expected to complete the request first.
+    fn pick_by_time(
+        &self,
+        now: Instant,
+        query: &Query<'_>,
+        warm: Option<&RunnerId>,
+    ) -> Result<RunnerId, Obstacle> {
+        let others = self.has_others(now, query);
+        let work = self.usual.work(query.class);
+        let free = self.runners.iter().filter(|(id, it)| {
+            query.accepts(it) && it.free(now) > 0 && !(others && query.avoid.contains(id))
+        });
+        let times = free.map(|(id, it)| (self.expected_time(now, it, query, work), id));
+        let times: Vec<(f64, &RunnerId)> = times.collect();
+        let best = times.iter().min_by(|a, b| a.0.total_cmp(&b.0));
+        let (least, id) = best.ok_or(self.obstacle(None))?;
+        let is_warm = |(time, id): &&(f64, &RunnerId)| {
+            warm == Some(*id) && *time <= least + AFFINITY_WORK * work
+        };
+        let warm = times.iter().find(is_warm);
+        Ok(warm.map_or(*id, |(_, warm)| *warm).clone())
+    }
+
+    /// Expected time until a runner completes a request of that usual service time, in seconds.
+    fn expected_time(&self, now: Instant, runner: &Runner, query: &Query<'_>, work: f64) -> f64 {
+        self.evaluations.set(self.evaluations.get() + 1);
+        let granted = WORK_LEFT * runner.work;
+        let ahead = (granted + runner.work_beyond(now, work)) / f64::from(runner.limit());
+        let faults = (runner.fault_rate(now) - self.baseline.faults) * FAULT_WORK * work;
+        let remote = if is_remote(runner, query.domain) {
+            REMOTE_TIME
+        } else {
+            0.0
+        };
+        runner.speed.slowness(now) * (ahead + work) + faults + remote
+    }
+
+    /// Usual service time of a class in seconds, where runners share their machines.
+    pub(super) fn usual_work(&self, class: &ClassId) -> f64 {
+        if self.shared_hosts {
+            self.usual.work(class)
+        } else {
+            0.0
+        }
+    }
+
+    /// Records what the end of a request tells about the speed of its runner.
+    pub(super) fn on_speed(
+        &mut self,
+        now: Instant,
+        id: &RunnerId,
+        class: &ClassId,
+        usage: Option<&Usage>,
+        sample: &Sample,
+    ) {
+        let Some(runner) = self.runners.get_mut(id).filter(|_| self.shared_hosts) else {
+            return;
+        };
+        let report = sample.report.unwrap_or_default();
+        if sample.report.is_some() {
+            runner.on_report(now, &report);
+            runner.speed.on_report(now, &report);
+        }
+        if sample.end != End::Done {
+            return;
+        }
+        match (usage, sample.first_token) {
+            (None, _) => {
+                let slowdown = runner.speed.slowdown_at(&report);
+                runner.speed.on_time(now, class, sample.whole, slowdown);
+            }
+            (Some(usage), Some(first)) if usage.timed => {
+                // The report came with the first token.
+                let slowdown = speed::slowdown(&report.load);
+                let took = runner::scale_prefill(first, usage.ahead);
+                runner.speed.on_time(now, speed::PREFILL, took, slowdown);
+            }
+            (Some(_), _) => {}
+        }
+    }
+
+    /// Learned service times of the fastest and the slowest usable runner, in percent of the
+    /// mean; `None` if runners do not share their machines.
+    pub(super) fn speeds(&self, now: Instant) -> Option<(u32, u32)> {
+        let usable = self.runners.values().filter(|it| it.is_usable());
+        let learned = usable.map(|it| it.speed.learned(now));
+        let (least, most) = learned.fold(None, |seen: Option<(f64, f64)>, it| {
+            let (least, most) = seen.unwrap_or((it, it));
+            Some((least.min(it), most.max(it)))
+        })?;
+        self.shared_hosts.then_some((percent(least), percent(most)))
+    }
+
     /// An excluded runner that is due for a probe with one request.
     pub(super) fn probe(&self, now: Instant) -> Option<RunnerId> {
         self.probe_of(now, None)
@@ -619,6 +758,10 @@
 
     /// Compares the runners: sets slow ones aside and restores recovered ones.
     pub(super) fn detect_outliers(&mut self, now: Instant) -> Vec<Transition> {
+        if self.shared_hosts {
+            let speeds = self.runners.values_mut().map(|it| &mut it.speed);
+            self.usual.update(speeds);
+        }
         let mut transitions = Vec::new();
         let medians = [
             self.median(|it| it.between.get(MIN_SAMPLES)),
@@ -633,6 +776,11 @@
             faults: faults.unwrap_or(0.0),
         };
         self.invalidate_obstacles();
+        let (slow_ratio, recovered_ratio) = if self.shared_hosts {
+            (SHARED_SLOW_RATIO, SHARED_RECOVERED_RATIO)
+        } else {
+            (SLOW_RATIO, RECOVERED_RATIO)
+        };
         for (id, runner) in &mut self.runners {
             let Health::Excluded {
                 cause: Cause::Slow,
@@ -643,7 +791,7 @@
                 continue;
             };
             match slowness(runner, medians, 1) {
-                Some(slowness) if slowness <= RECOVERED_RATIO => {
+                Some(slowness) if slowness <= recovered_ratio => {
                     runner.restore();
                     transitions.push(Transition::Back(id.clone()));
                 }
@@ -658,7 +806,7 @@
             .iter()
             .filter(|(_, it)| it.is_usable())
             .filter_map(|(id, it)| Some((slowness(it, medians, MIN_SAMPLES)?, id.clone())))
-            .filter(|(slowness, _)| *slowness > SLOW_RATIO)
+            .filter(|(slowness, _)| *slowness > slow_ratio)
             .collect();
         slow.sort_by(|a, b| b.0.total_cmp(&a.0));
         for (_, id) in slow.into_iter().take(room) {
@@ -684,6 +832,15 @@
     }
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a ratio is not negative, and a float is cut to the integer's range"
+)]
+fn percent(ratio: f64) -> u32 {
+    (ratio * 100.0).round() as u32
+}
+
 /// Whether a runner is of a build, if one is given.
 fn has_build(runner: &Runner, build: Option<&str>) -> bool {
     build.is_none_or(|build| *runner.build == *build)
--- a/crates/policy/tests/slots/mod.rs
+++ b/crates/policy/tests/slots/mod.rs
@@ -122,6 +122,7 @@
         tokens: 100,
         unlimited: false,
         longest_pause: None,
+        report: None,
     }
 }
 
--- a/crates/wire/benches/slots.rs
+++ b/crates/wire/benches/slots.rs
@@ -46,6 +46,7 @@
         tokens: 316,
         unlimited: true,
         longest_pause: Some(Duration::from_millis(41)),
+        report: None,
     };
     Request::Release(TICKET, sample)
 }
--- a/crates/wire/src/slot.rs
+++ b/crates/wire/src/slot.rs
@@ -4,8 +4,8 @@
 
 use citron_policy::{
     arbiter::{
-        Ask, Asked, End, Heartbeat, Hold, Inventory, Part, Progress, Rate, Refusal, Reply, Request,
-        Sample,
+        Ask, Asked, End, Heartbeat, Hold, Inventory, Load, Part, Progress, Rate, Refusal, Reply,
+        Report, Request, Sample,
     },
     crash::Step,
     id::{Epoch, RunnerId, ServiceId},
@@ -274,6 +274,13 @@
         tokens: sample.tokens,
         unlimited: sample.unlimited,
         longest_pause_us: sample.longest_pause.map(micros),
+        load: sample.report.map(|it| proto::Load {
+            running: it.load.running,
+            waiting: it.load.waiting,
+            slots: it.load.slots,
+            percent: it.load.percent,
+            age_us: micros(it.age),
+        }),
     }
 }
 
@@ -296,6 +303,15 @@
         tokens: release.tokens,
         unlimited: release.unlimited,
         longest_pause: release.longest_pause_us.map(duration),
+        report: release.load.as_ref().map(|it| Report {
+            load: Load {
+                running: it.running,
+                waiting: it.waiting,
+                slots: it.slots,
+                percent: it.percent,
+            },
+            age: duration(it.age_us),
+        }),
     })
 }
 
