status: the holder of the duties, its token and the last fixed window

citronctl status reads them from the statuses of the replicas, which carry the lease and the latest window in new optional fields; the record with the highest token counts. It is absent where no lease was ever taken, so messages of and to older builds are as before.

Tested: crates/daemon/tests/admin_http.rs, crates/ctl/tests/tool.rs.

--- a/crates/ctl/src/command/render.rs
+++ b/crates/ctl/src/command/render.rs
@@ -95,6 +95,16 @@
             text.push_str(&line);
         }
     }
+    if let Some(it) = &status.duties {
+        let line = format!(
+            "duties held by {} under token {}, renewed at {}",
+            it.holder, it.token, it.renewed
+        );
+        text.push_str(&line);
+        if let Some(fixed) = it.fixed {
+            text.push_str(&format!(", usage fixed up to window {fixed}"));
+        }
+    }
     text.trim_end().to_owned()
 }
 
--- a/crates/ctl/tests/fake/mod.rs
+++ b/crates/ctl/tests/fake/mod.rs
@@ -246,5 +246,6 @@
             "voter": true, "term": 1, "last": 9, "commit": 9,
         }],
         "voters": ["0000000000000abc", "0000000000000def"],
+        "duties": {"holder": "a", "token": 17, "renewed": 23, "fixed": 353_445_120},
     })
 }
--- a/crates/ctl/tests/tool.rs
+++ b/crates/ctl/tests/tool.rs
@@ -211,6 +211,12 @@
         run.out,
         contains_substring("replica 0000000000000def counts and does not answer")
     );
+    expect_that!(
+        run.out,
+        contains_substring(
+            "duties held by a under token 17, renewed at 23, usage fixed up to window 353445120"
+        )
+    );
     let run = tool(&addresses(&daemons), &["explain", "class/repair"]);
     expect_that!(run.out, contains_substring("class/repair, owner desk"));
     expect_that!(
--- a/crates/daemon/src/admin/status.rs
+++ b/crates/daemon/src/admin/status.rs
@@ -4,7 +4,7 @@
 
 use actix_http::{Response, body::BoxBody};
 use citron_policy::{id::InstanceId, member};
-use citron_wire::admin::{Catalogue, Member, Replica, Status, format_replica};
+use citron_wire::admin::{Catalogue, Duties, Member, Replica, Status, format_replica};
 
 use super::{Ports, problem::json};
 use crate::control::{self, Role};
@@ -34,6 +34,19 @@
         members: members.values().map(describe).collect(),
         replicas: replicas.iter().map(replica).collect(),
         voters: voters.iter().map(|id| format_replica(*id)).collect(),
+        duties: duties(&replicas),
+    })
+}
+
+/// The lease that was renewed last, as far as any replica knows.
+fn duties(replicas: &[(InstanceId, control::Status)]) -> Option<Duties> {
+    let leases = replicas.iter().filter_map(|(_, it)| it.lease.as_ref());
+    let lease = leases.max_by_key(|it| (it.token, it.renewed))?;
+    Some(Duties {
+        holder: lease.instance.clone(),
+        token: lease.token,
+        renewed: lease.renewed,
+        fixed: replicas.iter().filter_map(|(_, it)| it.fixed).max(),
     })
 }
 
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -17,7 +17,7 @@
 
 use citron_policy::{
     feed,
-    id::{Fingerprint, Index, InstanceId, ReplicaId, Term, Version},
+    id::{Fingerprint, Index, InstanceId, ReplicaId, Term, Version, WindowId},
     lease,
     ledger::{Key, Verdict},
     member::{Members, State},
@@ -134,6 +134,12 @@
     /// Whether its build applies changes of the lease of the duties.
     #[serde(default)]
     pub duties: bool,
+    /// The lease of the duties that it knows of.
+    #[serde(default)]
+    pub lease: Option<lease::Record>,
+    /// Latest window of usage whose counts it knows to be fixed.
+    #[serde(default)]
+    pub fixed: Option<WindowId>,
 }
 
 /// Result of [`Control::start`].
--- a/crates/daemon/src/control/driver.rs
+++ b/crates/daemon/src/control/driver.rs
@@ -561,6 +561,8 @@
             last: self.node.last(),
             commit: self.node.commit(),
             duties: true,
+            lease: self.machine.lease().cloned(),
+            fixed: self.machine.usage().windows().last().map(|it| it.number),
         }
     }
 
--- a/crates/daemon/src/control/outcome.rs
+++ b/crates/daemon/src/control/outcome.rs
@@ -1,6 +1,6 @@
 //! Outcomes of calls to the control log and their wire format.
 
-use citron_policy::{id::ReplicaId, raft::Refusal};
+use citron_policy::{id::ReplicaId, lease, raft::Refusal};
 use citron_wire::{control, generated::control as proto};
 
 use super::{Error, Role, Status};
@@ -154,6 +154,8 @@
             last: it.last,
             commit: it.commit,
             duties: it.duties,
+            lease: it.lease.as_ref().map(proto::Lease::from),
+            fixed: it.fixed,
         }
     }
 }
@@ -174,6 +176,8 @@
             last: it.last,
             commit: it.commit,
             duties: it.duties,
+            lease: it.lease.map(lease::Record::from),
+            fixed: it.fixed,
         }
     }
 }
--- a/crates/daemon/tests/admin/mod.rs
+++ b/crates/daemon/tests/admin/mod.rs
@@ -19,7 +19,8 @@
     catalogue::{Catalogue, Change, Class, Entry},
     crash,
     feed::View,
-    id::{InstanceId, ReplicaId, Revision},
+    id::{InstanceId, ReplicaId, Revision, WindowId},
+    lease,
     member::{Member, Members, State},
     platform::{self, List},
     state::{Answer, Command},
@@ -52,6 +53,8 @@
     pub marks: RefCell<Vec<crash::Step>>,
     /// Instances whose replica answers, each with whether it belongs to a cluster.
     pub standing: RefCell<Vec<(&'static str, bool)>>,
+    /// Lease of the duties, and latest fixed window of usage, that the replicas know of.
+    pub duties: RefCell<(Option<lease::Record>, Option<WindowId>)>,
     /// Whether the replicas join once the cluster is formed.
     pub joins: Cell<bool>,
     /// Replicas named when forming or replacing.
@@ -75,8 +78,11 @@
 
     fn status(&self, _within: Duration) -> LocalBoxFuture<'static, Vec<(InstanceId, Status)>> {
         let standing = self.standing.borrow();
+        let (lease, fixed) = self.duties.borrow().clone();
         let all = standing.iter().map(|(instance, formed)| {
             let status = Status {
+                lease: lease.clone(),
+                fixed,
                 replica: REPLICA,
                 formed: *formed,
                 role: Role::Leader,
--- a/crates/daemon/tests/admin_http.rs
+++ b/crates/daemon/tests/admin_http.rs
@@ -4,7 +4,7 @@
 mod admin;
 
 use actix_http::StatusCode;
-use admin::{Daemon, TOKEN, class, join};
+use admin::{Daemon, REPLICA, TOKEN, class, join};
 use citron_daemon::{
     admin::{TokenFault, Tokens},
     control::Error,
@@ -12,6 +12,7 @@
 use citron_policy::{
     catalogue::{Change, Fault, Key, Kind},
     crash::{Step, Table},
+    lease,
     state::{Answer, Author, Refusal},
 };
 use googletest::prelude::*;
@@ -315,6 +316,19 @@
             eq(&json!("0000000000000abc"))
         );
         expect_that!(reply.body["voters"], eq(&json!(["0000000000000abc"])));
+        expect_that!(reply.body.get("duties"), none(), "never held");
+        let record = lease::Record {
+            holder: REPLICA,
+            instance: "a".to_owned(),
+            token: 17,
+            renewed: 23,
+        };
+        a.script.duties.replace((Some(record), Some(7)));
+        let reply = get(&a, "/v1/status").await;
+        expect_that!(
+            reply.body["duties"],
+            eq(&json!({"holder": "a", "token": 17, "renewed": 23, "fixed": 7}))
+        );
     });
 }
 
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -20,6 +20,8 @@
 
 use std::time::{Duration, Instant};
 
+use serde::{Deserialize, Serialize};
+
 use crate::id::{FencingToken, Index, InstanceId, ReplicaId};
 
 /// Part of the lease time for which a holder may call after a renewal.
@@ -39,7 +41,7 @@
 const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The lease, as recorded in the control log.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
     /// Data folder of the holder; a machine that lost its disk is another holder.
     pub holder: ReplicaId,
--- a/crates/wire/src/admin.rs
+++ b/crates/wire/src/admin.rs
@@ -6,7 +6,9 @@
 
 use citron_policy::{
     catalogue::{Entry, Key},
-    id::{DomainId, Index, InstanceId, OperatorId, ReplicaId, Revision, Term},
+    id::{
+        DomainId, FencingToken, Index, InstanceId, OperatorId, ReplicaId, Revision, Term, WindowId,
+    },
     member::State,
 };
 use derive_more::{Display, Error};
@@ -154,6 +156,23 @@
     pub replicas: Vec<Replica>,
     /// Identities of the voters.
     pub voters: Vec<String>,
+    /// Who carries out the duties; absent if they were never held.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub duties: Option<Duties>,
+}
+
+/// The lease of the duties that one daemon at a time carries out.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Duties {
+    /// Instance that took it last.
+    pub holder: InstanceId,
+    /// Its fencing token.
+    pub token: FencingToken,
+    /// Index of the entry that last renewed it; it grows while there is a holder.
+    pub renewed: Index,
+    /// Latest window of usage whose counts are fixed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fixed: Option<WindowId>,
 }
 
 /// A daemon where a revision is not in force, or not known to be.
