lease: a failed take waits for its timeout, a failed renewal for 250 ms

A step that failed at once was proposed again at the next look, ten times a second. While there was no leader, or a replica of an older build (CP1202), every candidate asked all replicas at that rate and logged each time.

The wait of a renewal is shorter, so that three still fit into a hold after a failure. CP1202 is logged once for each instance that it names.

--- a/crates/daemon/src/duty.rs
+++ b/crates/daemon/src/duty.rs
@@ -119,6 +119,8 @@
     turn: Mutex<()>,
     /// Token under which this daemon was last seen to hold the lease.
     held: Cell<Option<FencingToken>>,
+    /// Instance whose build did not know leases at the last look.
+    old: RefCell<Option<InstanceId>>,
     metrics: Metrics,
 }
 
@@ -139,6 +141,7 @@
             pace: RefCell::new(pace),
             turn: Mutex::new(()),
             held: Cell::new(None),
+            old: RefCell::default(),
             metrics: Metrics::default(),
         };
         let duty = Self {
@@ -335,7 +338,11 @@
     async fn is_known_by_all(&self) -> bool {
         let statuses = self.inner.ports.control.status(STATUS_TIMEOUT).await;
         let old = statuses.iter().find(|(_, status)| !status.duties);
-        if let Some((instance, _)) = old {
+        let old = old.map(|(instance, _)| instance.clone());
+        let before = self.inner.old.replace(old.clone());
+        if let Some(instance) = &old
+            && before != old
+        {
             log::info!(
                 event = "CP1202", instance = instance.as_str();
                 "lease not taken: a replica of an older build takes part"
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -40,6 +40,10 @@
 /// Time without a result after which a proposal is made again.
 const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time from a renewal that is known to have failed to the next. A take waits for the whole
+/// timeout, as each asks all replicas and nothing is lost by a later one.
+const RENEWAL_RETRY: Duration = Duration::from_millis(250);
+
 /// The lease, as recorded in the control log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
@@ -162,8 +166,8 @@
     /// Record with the latest renewal known, and when it was first seen.
     seen: Option<(Option<Record>, Instant)>,
     held: Option<Held>,
-    /// When the proposal without a result was made.
-    proposed_at: Option<Instant>,
+    /// When the proposal without a result was made, and the wait until the next.
+    pending: Option<(Instant, Duration)>,
     /// Start of the calls without any answer.
     unanswered_since: Option<Instant>,
     abstains_until: Option<Instant>,
@@ -179,7 +183,7 @@
             instance,
             seen: None,
             held: None,
-            proposed_at: None,
+            pending: None,
             unanswered_since: None,
             abstains_until: None,
         }
@@ -208,8 +212,8 @@
 
     /// The step to propose now, if any; `rank` is this candidate's place among all.
     pub fn propose(&mut self, now: Instant, rank: usize) -> Option<Step> {
-        let pending = self.proposed_at;
-        if pending.is_some_and(|at| since(now, at) < PROPOSAL_TIMEOUT) || self.abstains(now) {
+        let waits = |(at, wait)| since(now, at) < wait;
+        if self.pending.is_some_and(waits) || self.abstains(now) {
             return None;
         }
         let (record, seen_at) = self.seen.as_ref()?;
@@ -239,7 +243,7 @@
                 }
             }
         };
-        self.proposed_at = Some(now);
+        self.pending = Some((now, PROPOSAL_TIMEOUT));
         Some(step)
     }
 
@@ -255,7 +259,10 @@
         step: &Step,
         record: Option<&Record>,
     ) {
-        self.on_no_answer(proposed_at);
+        let is_own = record.is_some_and(|it| it.holder == self.me);
+        if is_own && self.is_pending(proposed_at) {
+            self.pending = None;
+        }
         self.observe(now, record);
         let in_force = |it: &&Record| match step {
             Step::Renew { holder, token, .. } => it.holder == *holder && it.token == *token,
@@ -283,11 +290,16 @@
 
     /// Records that the outcome of a step is unknown, or that it was not proposed.
     pub fn on_no_answer(&mut self, proposed_at: Instant) {
-        if self.proposed_at == Some(proposed_at) {
-            self.proposed_at = None;
+        let is_own = self.record().is_some_and(|it| it.holder == self.me);
+        if is_own && self.is_pending(proposed_at) {
+            self.pending = Some((proposed_at, RENEWAL_RETRY));
         }
     }
 
+    fn is_pending(&self, proposed_at: Instant) -> bool {
+        self.pending.is_some_and(|(at, _)| at == proposed_at)
+    }
+
     /// Token under which a call that takes at most `call` may be sent now.
     #[must_use]
     pub fn fence(&self, now: Instant, call: Duration) -> Option<FencingToken> {
--- a/crates/policy/tests/lease_holders.rs
+++ b/crates/policy/tests/lease_holders.rs
@@ -691,3 +691,24 @@
     renewal(5).apply(8, &mut newer);
     expect_that!(newer, some(eq(&record(6, 7))));
 }
+
+/// Guards against a candidate that asks all replicas at each look while no take succeeds,
+/// and against a holder that renews too late to keep the lease after one lost renewal.
+#[gtest]
+fn a_take_that_failed_waits_longer_than_a_renewal() {
+    let start = Instant::now();
+    let mut taker = candidate(7, 7);
+    taker.observe(start, None);
+    let taken_at = at(start, 4_000);
+    assert_that!(taker.propose(taken_at, 0), some(anything()));
+    taker.on_no_answer(taken_at);
+    expect_that!(taker.propose(at(start, 4_900), 0), none());
+    expect_that!(taker.propose(at(start, 5_000), 0), some(anything()));
+
+    let mut holder = holder(start);
+    let renewed_at = at(start, 800);
+    assert_that!(holder.propose(renewed_at, 0), some(anything()));
+    holder.on_no_answer(renewed_at);
+    expect_that!(holder.propose(at(start, 1_000), 0), none());
+    expect_that!(holder.propose(at(start, 1_050), 0), some(eq(&renewal(5))));
+}
