--- a/crates/daemon/src/duty.rs
+++ b/crates/daemon/src/duty.rs
@@ -121,6 +121,8 @@
     turn: Mutex<()>,
     /// Token under which this daemon was last seen to hold the lease.
     held: Cell<Option<FencingToken>>,
+    /// Instance whose build did not know leases at the last look.
+    old: RefCell<Option<InstanceId>>,
     metrics: Metrics,
 }
 
@@ -141,6 +143,7 @@
             pace: RefCell::new(pace),
             turn: Mutex::new(()),
             held: Cell::new(None),
+            old: RefCell::default(),
             metrics: Metrics::default(),
         };
         let duty = Self {
@@ -301,11 +304,19 @@
 
     /// Reads the state of the local replica.
     async fn observe(&self, candidate: &RefCell<Candidate>) {
-        if let Some((record, fixed)) = self.inner.ports.control.duties(LOG_TIMEOUT).await {
+        let known = self
+            .inner
+            .fixed
+            .borrow()
+            .windows()
+            .map(|it| it.number)
+            .collect();
+        let control = &self.inner.ports.control;
+        if let Some((record, fixed)) = control.duties(known, LOG_TIMEOUT).await {
             candidate
                 .borrow_mut()
                 .observe(clock::now(), record.as_ref());
-            self.inner.fixed.replace(fixed);
+            self.inner.fixed.borrow_mut().update(fixed);
         }
     }
 
@@ -335,7 +346,11 @@
     async fn is_known_by_all(&self) -> bool {
         let statuses = self.inner.ports.control.status(STATUS_TIMEOUT).await;
         let old = statuses.iter().find(|(_, status)| !status.duties);
-        if let Some((instance, _)) = old {
+        let old = old.map(|(instance, _)| instance.clone());
+        let before = self.inner.old.replace(old.clone());
+        if let Some(instance) = &old
+            && before != old
+        {
             log::info!(
                 event = "CP1202", instance = instance.as_str();
                 "lease not taken: a replica of an older build takes part"
