arbiter: the time to come back counts runners that are ordered and will serve

A burst fills the queue some seconds before the runners ordered for it serve, and refused callers were sent away by the present capacity alone. The host tells the arbiter the number ordered; runners that are late count for nothing. Passing the capacity to the estimate of waits at admission was ruled out: requests would be queued for runners that may be refused. Tested with arbiter_demand.

--- a/crates/daemon/src/duty/scale.rs
+++ b/crates/daemon/src/duty/scale.rs
@@ -181,6 +181,8 @@
         let mut known = self.inner.known.borrow_mut();
         let last = known.get(&plan.service).map_or(0, |it| it.token);
         if plan.token > 0 && plan.token >= last {
+            let ordered = plan.orders.iter().map(|(_, _, number)| number).sum();
+            self.inner.ports.slots.set_ordered(&plan.service, ordered);
             known.insert(plan.service.clone(), plan);
         }
     }
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -19,7 +19,7 @@
 };
 
 use citron_policy::{
-    arbiter::{Ask, Ticket},
+    arbiter::{self, Ask, Ticket},
     autoscale,
     catalogue::Backend,
     crash,
@@ -243,6 +243,13 @@
         self.inner.demands()
     }
 
+    /// Tells the arbiter of a service, if it is hosted here, how many runners are ordered.
+    pub fn set_ordered(&self, service: &ServiceId, runners: u32) {
+        let event = arbiter::Event::Ordered(runners);
+        self.inner
+            .drive(vec![Work::Arbiter(service.clone(), event)]);
+    }
+
     /// Waits for a slot; dropping the future withdraws the request.
     ///
     /// # Errors
--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -14,6 +14,7 @@
 
 mod admit;
 mod affinity;
+mod arrivals;
 mod brittle;
 mod continuity;
 mod demand;
@@ -142,6 +143,8 @@
         /// Batch size of the runner, or zero if unknown.
         slots: u32,
     },
+    /// Runners of the service that are ordered, as the holder of the duties told.
+    Ordered(u32),
     /// Runs the timers; expected about every 100 ms.
     Tick,
 }
@@ -284,6 +287,8 @@
     evidence: Evidence,
     /// Load since the last report of demand; none before the first one is asked for.
     sampler: Option<demand::Sampler>,
+    /// Runners that are ordered and do not serve yet.
+    arrivals: arrivals::Arrivals,
     started: Instant,
     last_tick: Instant,
 }
@@ -342,6 +347,7 @@
             suspects: suspect::Suspects::default(),
             evidence: Evidence::default(),
             sampler: None,
+            arrivals: arrivals::Arrivals::default(),
             started: now,
             last_tick: now,
             settings,
@@ -406,6 +412,7 @@
                     self.pool.touch(&runner);
                 }
             }
+            Event::Ordered(runners) => self.arrivals.on_ordered(now, runners),
             Event::Tick => self.on_tick(now, &mut effects),
         }
         self.end_collecting(now, &mut effects);
--- a/crates/policy/src/arbiter/admit.rs
+++ b/crates/policy/src/arbiter/admit.rs
@@ -17,9 +17,6 @@
     id::Fingerprint,
 };
 
-/// Shortest and longest retry delay in a refusal.
-const RETRY_AFTER_BOUNDS: [Duration; 2] = [Duration::from_millis(250), Duration::from_secs(30)];
-
 /// Retry delay when the catalogue here lacks the class or account.
 const STALE_CATALOGUE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -174,7 +171,7 @@
             return Err(Refusal::Late);
         }
         if self.collecting.is_none() && self.pool.is_unusable() && self.pool.probe(now).is_none() {
-            let retry_after = self.pool.retry_after(now);
+            let retry_after = self.without_runner(now);
             return Err(Refusal::NoRunner { retry_after });
         }
         if self.suspects.waiting() >= self.settings.max_queue {
@@ -254,7 +251,7 @@
     }
 
     pub(super) fn retry_after(&self, item: &Item) -> Duration {
-        retry_after(self.estimated_wait(item))
+        self.with_arrivals(self.estimated_wait(item))
     }
 
     /// Refuses requests whose deadline has passed or that can't meet their target.
@@ -296,7 +293,7 @@
             let Some(item) = self.queue.get(key).filter(|it| !self.is_exempt(it)) else {
                 continue;
             };
-            let retry_after = retry_after(self.estimated_wait_with(capacity, item));
+            let retry_after = self.with_arrivals(self.estimated_wait_with(capacity, item));
             if let Some(item) = self.take_waiting(key) {
                 self.refuse_item(&item, Refusal::Shed { retry_after }, effects);
             }
@@ -316,7 +313,7 @@
             self.refuse_without_build(now, effects);
             return;
         }
-        let retry_after = self.pool.retry_after(now);
+        let retry_after = self.without_runner(now);
         let mut keys: Vec<Key> = self.queue.items().map(|it| it.key).collect();
         keys.extend(self.suspects.keys());
         for key in keys {
@@ -366,8 +363,3 @@
         effects.push(Effect::Send(self.instance_of(key.asker), reply));
     }
 }
-
-/// Retry delay for an estimated wait.
-fn retry_after(wait: Duration) -> Duration {
-    wait.clamp(RETRY_AFTER_BOUNDS[0], RETRY_AFTER_BOUNDS[1])
-}
--- a/crates/policy/tests/arbiter_demand.rs
+++ b/crates/policy/tests/arbiter_demand.rs
@@ -2,15 +2,16 @@
 
 mod slots;
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use citron_policy::{
-    arbiter::{Ask, Event, Part},
+    arbiter::{Ask, Event, Part, Refusal},
     autoscale::{Count, Demand, Fleet},
+    catalogue::{Change, Entry, Scaling, Service},
     platform::{Runner, Standing},
 };
 use googletest::prelude::*;
-use slots::{Daemons, ask, catalogue, done, runners};
+use slots::{Daemons, Outcome, ask, catalogue, done, runners};
 
 /// Four runners of four slots: two stable ones in one domain, two reclaimable in another,
 /// one of which is leaving.
@@ -131,3 +132,49 @@
     let third = demand(&mut daemons).expect("a report");
     expect_that!(third.refused, eq(0));
 }
+
+#[gtest]
+fn callers_without_a_runner_are_told_when_ordered_ones_serve() {
+    let boot = Duration::from_secs(4);
+    let scaling = Scaling {
+        min: 1,
+        max: 40,
+        boot,
+        reclaimable_price: None,
+        prices: indexmap::IndexMap::new(),
+    };
+    let service = Service {
+        scaling: Some(scaling),
+        ..slots::service(4)
+    };
+    let change = Change {
+        id: "c2".to_owned(),
+        base: catalogue(4, |_| ()).revision,
+        operator: "ann".to_owned(),
+        puts: vec![Entry::Service(Arc::new(service))],
+        ..Change::default()
+    };
+    let scaled = catalogue(4, |_| ()).apply(&change).expect("a catalogue");
+    let mut daemons = Daemons::new(1, Arc::new(scaled), fleet());
+    daemons.acquire(0, prompt(1, "c0"));
+    daemons.deliver_all();
+    daemons.set_runners(Vec::new());
+    daemons.arbiter_event(0, Event::Ordered(3));
+    daemons.take_outcomes();
+    let mut refusal = |wait: Duration, ticket| {
+        daemons.now += wait;
+        daemons.acquire(0, prompt(ticket, "c0"));
+        daemons.deliver_all();
+        daemons.take_outcomes().pop()
+    };
+    let told = |retry_after, ticket| Outcome::Refused {
+        daemon: 0,
+        ticket,
+        refusal: Refusal::NoRunner { retry_after },
+    };
+    let first = refusal(Duration::from_secs(1), 2);
+    expect_that!(first, some(eq(&told(Duration::from_secs(3), 2))));
+    // Runners that are late say nothing of the time.
+    let late = refusal(Duration::from_secs(4), 3);
+    expect_that!(late, some(eq(&told(Duration::from_secs(1), 3))));
+}
