--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -33,32 +33,13 @@
 }
 
 pub fn scaling() -> Scaling {
-    let prices = DOMAINS
-        .into_iter()
-        .map(str::to_owned)
-        .zip([1_000, 800, 1_250]);
+    let prices = DOMAINS.map(str::to_owned).into_iter();
     Scaling {
         min: 1,
         max: 40,
         boot: seconds(BOOT),
         reclaimable_price: Some(150),
-        prices: prices.collect(),
-    }
-}
-
-pub mod load {
-    use std::ops::Range;
-
-    pub fn wave(mean: f64, depth: f64, period: f64, at: f64) -> f64 {
-        mean * (1.0 + depth * (at * std::f64::consts::TAU / period).sin())
-    }
-
-    pub fn burst(base: f64, factor: f64, during: Range<f64>, at: f64) -> f64 {
-        if during.contains(&at) {
-            base * factor
-        } else {
-            base
-        }
+        prices: prices.zip([1_000, 800, 1_250]).collect(),
     }
 }
 
@@ -83,9 +64,10 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Sample {
     pub at: f64,
-    pub ready: u32,
-    ready_by_domain: [u32; 3],
-    stable: u32,
+    /// Runners that are ready, by domain.
+    pub ready: [u32; 3],
+    /// Stable runners in force.
+    pub stable: u32,
     wanted: u32,
 }
 
@@ -99,18 +81,9 @@
 }
 
 impl Run {
-    fn sample(&self, at: f64) -> &Sample {
+    pub fn at(&self, at: f64) -> Sample {
         let found = self.samples.iter().find(|it| it.at >= at);
-        found.expect("a sample of that time")
-    }
-
-    pub fn stable_at(&self, at: f64) -> u32 {
-        self.sample(at).stable
-    }
-
-    pub fn ready_at(&self, at: f64, domain: &str) -> u32 {
-        let place = DOMAINS.iter().position(|it| *it == domain);
-        self.sample(at).ready_by_domain[place.expect("a domain")]
+        *found.expect("a sample of that time")
     }
 
     /// Largest number wanted in a span.
@@ -120,32 +93,37 @@
     }
 
     /// Times and numbers of the orders of a domain.
-    pub fn orders_of(&self, domain: &str, reclaimable: bool) -> Vec<(f64, u32)> {
-        let of_cell = |it: &&Placed| DOMAINS[it.domain] == domain && it.reclaimable == reclaimable;
+    pub fn orders_of(&self, domain: usize, reclaimable: bool) -> Vec<(f64, u32)> {
+        let of_cell = |it: &&Placed| it.domain == domain && it.reclaimable == reclaimable;
         let orders = self.orders.iter().filter(of_cell);
         orders.map(|it| (it.at, it.desired)).collect()
     }
 }
 
-type Profile = Box<dyn Fn(f64) -> f64>;
-
+/// What happens in a replay; domains are given by their index.
+#[derive(Clone)]
 pub struct Replay {
-    seconds: u32,
-    load: Profile,
-    stable: u32,
-    scaling: Scaling,
-    refused: Vec<(usize, Range<f64>)>,
-    taken_back: Vec<(usize, f64)>,
-    down: Range<f64>,
-    silent: Range<f64>,
-    new_holder: Option<(f64, bool)>,
+    pub seconds: u32,
+    /// Runners that the load keeps busy at a time.
+    pub load: fn(f64) -> f64,
+    /// Stable runners in each domain at the start.
+    pub stable: u32,
+    pub scaling: Scaling,
+    /// Domains that refuse reclaimable runners.
+    pub refused: Vec<(usize, Range<f64>)>,
+    /// Domains whose reclaimable runners are taken back, at the start of the refusal.
+    pub taken_back: Vec<usize>,
+    pub down: Range<f64>,
+    pub silent: Range<f64>,
+    /// When another daemon comes to hold the duties, and whether it is told the orders.
+    pub new_holder: Option<(f64, bool)>,
 }
 
-impl Replay {
-    pub fn new(seconds: u32) -> Self {
+impl Default for Replay {
+    fn default() -> Self {
         Self {
-            seconds,
-            load: Box::new(|_| 20.0),
+            seconds: 75,
+            load: |_| 20.0,
             stable: 20,
             scaling: scaling(),
             refused: Vec::new(),
@@ -155,47 +133,9 @@
             new_holder: None,
         }
     }
+}
 
-    pub fn load(self, load: impl Fn(f64) -> f64 + 'static) -> Self {
-        let load = Box::new(load);
-        Self { load, ..self }
-    }
-
-    pub fn stable(self, stable: u32) -> Self {
-        Self { stable, ..self }
-    }
-
-    pub fn scaling(self, scaling: Scaling) -> Self {
-        Self { scaling, ..self }
-    }
-
-    pub fn refused(mut self, domain: &str, during: Range<f64>) -> Self {
-        let place = DOMAINS.iter().position(|it| *it == domain);
-        self.refused.push((place.expect("a domain"), during));
-        self
-    }
-
-    /// The reclaimable runners of a domain go, and none are available for a time.
-    pub fn taken_back(mut self, domain: &str, at: f64, absent: f64) -> Self {
-        let place = DOMAINS.iter().position(|it| *it == domain);
-        self.taken_back.push((place.expect("a domain"), at));
-        self.refused(domain, at..at + absent)
-    }
-
-    pub fn down(self, down: Range<f64>) -> Self {
-        Self { down, ..self }
-    }
-
-    pub fn silent(self, silent: Range<f64>) -> Self {
-        Self { silent, ..self }
-    }
-
-    /// Another daemon comes to hold the duties; the reporter may know the orders.
-    pub fn new_holder(self, at: f64, knows_orders: bool) -> Self {
-        let new_holder = Some((at, knows_orders));
-        Self { new_holder, ..self }
-    }
-
+impl Replay {
     pub fn fixed(&self) -> Run {
         self.play(false)
     }
@@ -216,8 +156,10 @@
         for tick in 0..self.seconds * 10 {
             let at = f64::from(tick) * STEP;
             let now = origin + seconds(at);
-            for (domain, _) in self.taken_back.iter().filter(|it| (it.1 - at).abs() < 0.01) {
-                model.take_back(at, *domain);
+            for (domain, during) in &self.refused {
+                if (during.start - at).abs() < 0.01 && self.taken_back.contains(domain) {
+                    model.take_back(at, *domain);
+                }
             }
             model
                 .runners
@@ -266,8 +208,7 @@
             }
             run.samples.push(Sample {
                 at,
-                ready: model.ready(at),
-                ready_by_domain: [0, 1, 2].map(|it| model.ready_in(at, it)),
+                ready: [0, 1, 2].map(|it| model.ready_in(at, it)),
                 stable: model.desired.iter().map(|it| it[0]).sum(),
                 wanted: planner.runners().map(|it| it.2).sum(),
             });
