--- a/crates/policy/src/usage/fixed.rs
+++ b/crates/policy/src/usage/fixed.rs
@@ -56,7 +56,7 @@
     /// Takes over a newer state, in which windows that are known here may lack their counts.
     pub fn update(&mut self, newer: Self) {
         let mut known = mem::take(&mut self.windows);
-        let take = |window: Window| {
+        let take = |window: Arc<Window>| {
             let place = known.iter().position(|it| it.number == window.number);
             place.and_then(|it| known.remove(it)).unwrap_or(window)
         };
