discovery: spread callers by capacity where daemons share their machines

Cause: daemons have 0.09 to 0.32 of a core, and callers were spread by requests in progress alone, so that the weakest used up their share of the CPU.

Change: with shared_hosts the weight of an address is the declared capacity, divided by the load for that capacity, if all capacities are declared and differ. Daemons report the load raised by the mean delay of their event loop, since requests in progress mostly wait for runners and hardly show a slow daemon. Both are fields that were gossiped before.

--- a/crates/daemon/src/callers/entries.rs
+++ b/crates/daemon/src/callers/entries.rs
@@ -28,6 +28,7 @@
     let caller = Caller {
         domain,
         seed: rand::random(),
+        by_capacity: false,
     };
     match discovery::list(&ports.members.borrow(), current, &caller) {
         Ok(answer) => {
@@ -84,6 +85,7 @@
     let caller = Caller {
         domain: None,
         seed: rand::random(),
+        by_capacity: false,
     };
     let Ok(answer) = discovery::list(members, true, &caller) else {
         return Vec::new();
--- a/crates/daemon/src/handle.rs
+++ b/crates/daemon/src/handle.rs
@@ -41,6 +41,9 @@
     pub members: watch::Receiver<Arc<Members>>,
     /// Becomes true when the daemon stops accepting new work.
     pub draining: watch::Receiver<bool>,
+    /// Whether daemons share their machines with others, so that callers are spread by
+    /// capacity.
+    pub shared_hosts: bool,
 }
 
 impl Handle {
@@ -59,6 +62,7 @@
         let caller = Caller {
             domain,
             seed: rand::random(),
+            by_capacity: self.shared_hosts,
         };
         let current = self.follow.may_take_work(clock::now());
         let answer = discovery::list(&self.members.borrow(), current, &caller);
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -14,7 +14,7 @@
 };
 
 use actix_rt::net::TcpListener;
-use citron_policy::{platform::reader, raft};
+use citron_policy::{discovery, platform::reader, raft};
 use derive_more::{Display, Error, From};
 use prometheus_client::registry::Registry;
 use tokio::sync::{oneshot, watch};
@@ -255,6 +255,8 @@
     /// Whether a signal told the daemon to leave. A leave requested by the
     /// platform's list reaches membership on its own and can be withdrawn there.
     signalled: Cell<bool>,
+    /// Delays of the event loop, where daemons share their machines with others.
+    lag: Option<loop_lag::Metrics>,
 }
 
 impl Parts {
@@ -288,7 +290,7 @@
         let (stopped, ended) = watch::channel(false);
         let upstream = upstream::Metrics::default();
         let buffers = Buffers::new(settings.memory_bytes);
-        let handle = handle(&core, drained.clone());
+        let handle = handle(settings, &core, drained.clone());
         let duty = duty(settings, &core, &drained, adapter.as_ref());
         let front = match &adapter {
             Some(adapter) => {
@@ -309,7 +311,7 @@
         metrics.register(&mut registry);
         let lag = loop_lag::Metrics::default();
         lag.register(&mut registry);
-        actix_rt::spawn(loop_lag::measure(lag));
+        actix_rt::spawn(loop_lag::measure(lag.clone()));
         front.register(&mut registry);
         upstream.register(&mut registry);
         buffers.register(&mut registry);
@@ -366,6 +368,7 @@
             closing,
             stopped,
             signalled,
+            lag: settings.shared_hosts.then_some(lag),
         });
         actix_rt::spawn(Rc::clone(&parts).run_updates());
         (parts, failed)
@@ -394,7 +397,7 @@
             self.core.gossip.set_self(LocalStatus {
                 leaving: self.signalled.get(),
                 revision: sample.revision,
-                load: sample.in_flight,
+                load: self.reported_load(sample.in_flight),
                 current: sample.current,
             });
             self.metrics.borrow_mut().update(&sample, &self.core.hub);
@@ -402,6 +405,14 @@
         }
     }
 
+    /// Load that the other daemons order callers' addresses by.
+    fn reported_load(&self, in_flight: u32) -> u32 {
+        match &self.lag {
+            Some(lag) => discovery::delayed_load(in_flight, lag.mean()),
+            None => in_flight,
+        }
+    }
+
     /// Whether this daemon accepts requests of callers.
     fn accepts_work(&self, now: Instant) -> bool {
         let declared = self.core.follow.view().borrow().declaration.is_some();
@@ -457,7 +468,7 @@
     }
 }
 
-fn handle(core: &Core, draining: watch::Receiver<bool>) -> Handle {
+fn handle(settings: &Settings, core: &Core, draining: watch::Receiver<bool>) -> Handle {
     Handle {
         control: core.control.clone(),
         follow: core.follow.clone(),
@@ -465,6 +476,7 @@
         view: core.follow.view(),
         members: core.gossip.members(),
         draining,
+        shared_hosts: settings.shared_hosts,
     }
 }
 
--- a/crates/policy/src/discovery.rs
+++ b/crates/policy/src/discovery.rs
@@ -5,6 +5,12 @@
 //! weighted random one for each request, by load and failure domain, so that
 //! callers spread over all instances instead of flooding the newest one: an idle
 //! instance is chosen at most twice as often as one with the mean load.
+//!
+//! Load pattern: daemons with 0.09 to 0.32 of a core, some slowed for a while by what else runs on
+//! their machines. With as many callers at each, the weak ones use up their share of the CPU and
+//! their requests wait. Where daemons share their machines, the weight of an instance is therefore
+//! its declared capacity, lowered by the requests in progress there for that capacity: more
+//! than elsewhere are the sign of a daemon that is slow now.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -26,6 +32,14 @@
 /// Weight of an instance in the caller's failure domain; in others it is 1.
 const SAME_DOMAIN_WEIGHT: f64 = 2.0;
 
+/// Delay of an instance's event loop at which its reported load is twice its requests in progress.
+/// In the replays of `uneven_daemons.rs` a daemon slowed five times had half the added latency
+/// with it that it had with 5 ms.
+const DELAY_UNIT: Duration = Duration::from_micros(500);
+
+/// Largest factor on the requests in progress of a delayed instance.
+const MAX_DELAY_FACTOR: f64 = 50.0;
+
 /// One instance that a caller may connect to.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Choice {
@@ -64,6 +78,9 @@
     pub domain: Option<&'a str>,
     /// Seed of the random order, such as a digest of the caller's address and request.
     pub seed: u64,
+    /// Whether daemons share their machines with others, so that callers are spread by
+    /// capacity.
+    pub by_capacity: bool,
 }
 
 /// The instances that a caller should connect to, in order of preference.
@@ -90,12 +107,31 @@
     })
 }
 
+/// Load that an instance reports where daemons share their machines: its requests in progress,
+/// raised by the mean delay of its event loop. Most requests in progress wait for their runners, so
+/// that their number alone hardly shows a slow daemon before it is overloaded.
+#[must_use]
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a float is cut to the integer's range"
+)]
+pub fn delayed_load(in_progress: u32, delay: Duration) -> u32 {
+    let factor = 1.0 + delay.as_secs_f64() / DELAY_UNIT.as_secs_f64();
+    ((f64::from(in_progress) + 1.0) * factor.min(MAX_DELAY_FACTOR)) as u32
+}
+
 /// A weighted random order, deterministic for a seed.
 fn weighted_order(candidates: &[&Member], caller: &Caller<'_>) -> Vec<Choice> {
     let load_offset = mean_load(candidates) + 1.0;
+    let capacity = mean_capacity(candidates).filter(|_| caller.by_capacity);
+    let weight = |member: &Member| match capacity {
+        Some(mean) => capacity_weight(member, load_offset, mean),
+        None => 1.0 / (load_offset + f64::from(member.load)),
+    };
     let mut sampled: Vec<(f64, &Member)> = candidates
         .iter()
-        .map(|member| (sample(member, load_offset, caller), *member))
+        .map(|member| (sample(member, weight(member), caller), *member))
         .collect();
     sampled.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.id.cmp(&b.1.id)));
     sampled
@@ -105,11 +141,27 @@
 }
 
 /// An exponential variate whose rate is the member's weight; the smallest is listed first.
-fn sample(member: &Member, load_offset: f64, caller: &Caller<'_>) -> f64 {
+fn sample(member: &Member, weight: f64, caller: &Caller<'_>) -> f64 {
     let same_domain = caller.domain.is_some_and(|domain| domain == member.domain);
-    let weight =
-        if same_domain { SAME_DOMAIN_WEIGHT } else { 1.0 } / (load_offset + f64::from(member.load));
-    -uniform(&member.id, caller.seed).ln() / weight
+    let factor = if same_domain { SAME_DOMAIN_WEIGHT } else { 1.0 };
+    -uniform(&member.id, caller.seed).ln() / (factor * weight)
+}
+
+/// Capacity of an instance relative to the mean, lowered by its load for that capacity.
+fn capacity_weight(member: &Member, load_offset: f64, mean: f64) -> f64 {
+    let capacity = f64::from(member.capacity) / mean;
+    let load = f64::from(member.load) / capacity;
+    capacity / (load_offset + load)
+}
+
+/// Mean capacity, if all instances declare one and they differ.
+fn mean_capacity(candidates: &[&Member]) -> Option<f64> {
+    let first = candidates.first()?.capacity;
+    let differ = candidates.iter().any(|it| it.capacity != first);
+    let declared = candidates.iter().all(|it| it.capacity > 0);
+    let sum: f64 = candidates.iter().map(|it| f64::from(it.capacity)).sum();
+    let count = u32::try_from(candidates.len()).unwrap_or(u32::MAX);
+    (differ && declared).then(|| sum / f64::from(count))
 }
 
 /// A uniform variate in (0, 1], derived from a name and a seed.
--- a/crates/policy/tests/entry_list.rs
+++ b/crates/policy/tests/entry_list.rs
@@ -33,14 +33,26 @@
 }
 
 fn caller(seed: u64) -> Caller<'static> {
-    Caller { domain: None, seed }
+    Caller {
+        seed,
+        ..Caller::default()
+    }
 }
 
 /// How often each instance is the first choice, for seeds `0..callers`.
 fn first_choices(members: &Members, domain: Option<&str>, callers: u64) -> IndexMap<String, u64> {
     let mut counts = IndexMap::new();
     for seed in 0..callers {
-        let answer = list(members, true, &Caller { domain, seed }).expect("a list");
+        let answer = list(
+            members,
+            true,
+            &Caller {
+                domain,
+                seed,
+                ..Caller::default()
+            },
+        )
+        .expect("a list");
         *counts.entry(answer.choices[0].id.clone()).or_default() += 1;
     }
     counts
