usage: replays check missed windows and windows ahead of time

Cause: with true time taken from the largest clock instead of the median, the replays still passed: the windows in question were not looked at.

Change: the replay with clocks that step bounds missed windows, and a window reported before its end is a fault. Two more tests: a restarted receiver is sent what it lacks, and true time is unknown until half of the daemons report. The bench compiles.

--- a/crates/policy/tests/usage_replay.rs
+++ b/crates/policy/tests/usage_replay.rs
@@ -304,6 +304,10 @@
                 .push(format!("two counts for window {}", window.number));
         }
         let due_ms = (window.number + 1) * WINDOW_MS + DUE_MS;
+        if (window.number + 1) * WINDOW_MS > EPOCH_MS + self.now {
+            self.faults
+                .push(format!("window {} sent before its end", window.number));
+        }
         if EPOCH_MS + self.now > due_ms + 20 {
             self.faults
                 .push(format!("window {} sent past its due time", window.number));
@@ -484,9 +488,58 @@
         restarts: true,
         ..Trouble::default()
     };
+    let (mut due, mut missed) = (0, 0);
     for seed in 0..SEEDS {
         let run = replay(seed, trouble);
+        due += run.due().count();
+        missed += run.missed().len();
         expect_that!(run.faults, is_empty(), "seed {seed}");
         expect_that!(run.worst_error(MIN_CHECKED), le(0.05), "seed {seed}");
     }
+    println!("missed {missed} of {due}");
+    expect_that!(missed * 10, le(due));
+}
+
+/// A daemon that begins to collect counted only what came after.
+#[gtest]
+fn a_receiver_that_was_restarted_is_sent_what_it_lacks() {
+    let base = Instant::now();
+    let wall = Duration::from_millis(EPOCH_MS);
+    let members: Members = [(name(0), member(0))].into();
+    let mut recorder = Recorder::new(base, 1);
+    let mut before = Collector::new(base);
+    for _ in 0..10 {
+        recorder.record(base, "busy");
+    }
+    let report = recorder.report(base, wall, "r");
+    let next = before.on_report(base, &name(0), &report);
+    recorder.on_received("r", next);
+    recorder.record(base, "busy");
+    let mut after = Collector::new(base);
+    for _ in 0..2 {
+        let report = recorder.report(base, wall, "r");
+        let next = after.on_report(base, &name(0), &report);
+        recorder.on_received("r", next);
+    }
+    let length = Duration::from_millis(WINDOW_MS);
+    let window = after.count(base, &members, EPOCH_MS / WINDOW_MS, length);
+    let counts = window.expect("true time is known").counts;
+    expect_that!(counts.get("busy"), some(eq(&11)));
+}
+
+/// One wrong clock named windows that do not exist yet, which pushed the true ones out of
+/// those that are kept.
+#[gtest]
+fn true_time_is_unknown_until_half_of_the_daemons_report() {
+    let base = Instant::now();
+    let members: Members = (0..4).map(|it| (name(it), member(it))).collect();
+    let mut collector = Collector::new(base);
+    for place in 0..3 {
+        let known = collector.true_time(base, &members);
+        let is_known = known.map(|it| it.as_millis() >= u128::from(EPOCH_MS));
+        expect_that!(is_known, eq((place >= 2).then_some(true)));
+        let mut recorder = Recorder::new(base, place as u64 + 1);
+        let report = recorder.report(base, Duration::from_millis(EPOCH_MS), "r");
+        collector.on_report(base, &name(place), &report);
+    }
 }
--- a/crates/wire/benches/usage_slopes.rs
+++ b/crates/wire/benches/usage_slopes.rs
@@ -49,8 +49,8 @@
     let names: Vec<String> = (0..accounts).map(|it| format!("account{it:05}")).collect();
     let before = resident_bytes();
     let mut collector = Collector::new(base);
-    let (mut recording, mut sending, mut receiving) = Default::default();
-    let (mut starts, mut bytes, mut seed) = (0_u32, 0, 1_u32);
+    let [mut recording, mut sending, mut receiving] = [Duration::ZERO; 3];
+    let (mut starts, mut bytes, mut seed) = (0_u32, 0_usize, 1_u32);
     for round in 1..=ROUNDS {
         let now = base + INTERVAL * round;
         for (place, recorder) in recorders.iter_mut().enumerate() {
