--- a/crates/daemon/src/duty/scale.rs
+++ b/crates/daemon/src/duty/scale.rs
@@ -40,6 +40,10 @@
 /// Time between two reports of demand.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Wait before the first report: right after a start an instance knows few others, and
+/// would take itself for the host of all arbiters.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+
 /// Time between two plans.
 const PLAN_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -215,6 +219,7 @@
 
     /// Reports the demand of the services hosted here, until the process ends.
     async fn report(self) {
+        actix_rt::time::sleep(SETTLE_TIME).await;
         loop {
             actix_rt::time::sleep(REPORT_INTERVAL).await;
             for demand in self.inner.ports.slots.demands() {
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -44,6 +44,7 @@
     event::millis,
     follow::Follow,
     http::{Handler, Watch},
+    shared_hosts::SharedHosts,
     slots::Slots,
     upstream,
 };
@@ -74,7 +75,7 @@
     /// Retries that all daemons together may accumulate for a service.
     pub retry_slack: u32,
     /// Whether daemons share their machines with others, so that many see few requests each.
-    pub shared_hosts: bool,
+    pub shared_hosts: SharedHosts,
     /// This instance.
     pub me: InstanceId,
     /// Daemons of the cluster.
@@ -260,7 +261,7 @@
         let live = daemons.values().filter(|it| it.state != State::Dead);
         let retries = &self.inner.retries;
         let live = live.count();
-        if ports.shared_hosts {
+        if ports.shared_hosts.get() {
             retries.set_allowance(retry::Allowance::of(ports.retry_slack, live));
         } else {
             retries.set_burst(retry::burst_per_daemon(ports.retry_slack, live));
--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -251,6 +251,9 @@
     /// Keeps the load that a runner names until its slot is released.
     fn on_load(&mut self, runner_head: &RunnerHead) {
         let load = runner_head.load.filter(|_| !runner_head.misdirected);
+        if load.is_some_and(|it| it.percent.is_some()) {
+            self.exchange.ports().shared_hosts.note();
+        }
         self.load = load.map(|it| (it, Instant::now()));
     }
 
--- a/crates/daemon/src/handle.rs
+++ b/crates/daemon/src/handle.rs
@@ -21,6 +21,7 @@
     control::{self, Control},
     follow::Follow,
     gossip::Gossip,
+    shared_hosts::SharedHosts,
 };
 
 /// Polling interval of the local view while it catches up with the log.
@@ -43,7 +44,7 @@
     pub draining: watch::Receiver<bool>,
     /// Whether daemons share their machines with others, so that callers are spread by
     /// capacity.
-    pub shared_hosts: bool,
+    pub shared_hosts: SharedHosts,
 }
 
 impl Handle {
@@ -62,7 +63,7 @@
         let caller = Caller {
             domain,
             seed: rand::random(),
-            by_capacity: self.shared_hosts,
+            by_capacity: self.shared_hosts.get(),
         };
         let current = self.follow.may_take_work(clock::now());
         let answer = discovery::list(&self.members.borrow(), current, &caller);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod platform;
 pub mod run;
 pub mod settings;
+pub mod shared_hosts;
 pub mod slots;
 pub mod socket;
 pub mod trace;
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -263,8 +263,8 @@
     /// Whether a signal told the daemon to leave. A leave requested by the
     /// platform's list reaches membership on its own and can be withdrawn there.
     signalled: Cell<bool>,
-    /// Delays of the event loop, where daemons share their machines with others.
-    lag: Option<loop_lag::Metrics>,
+    /// Delays of the event loop.
+    lag: loop_lag::Metrics,
 }
 
 impl Parts {
@@ -298,7 +298,7 @@
         let (stopped, ended) = watch::channel(false);
         let upstream = upstream::Metrics::default();
         let buffers = Buffers::new(settings.memory_bytes);
-        let handle = handle(settings, &core, drained.clone());
+        let handle = handle(&core, drained.clone());
         let duty = duty(settings, &core, &drained, adapter.as_ref());
         let scale = scale(&core, duty.as_ref());
         let usage = duty.as_ref();
@@ -364,7 +364,7 @@
             closing,
             stopped,
             signalled,
-            lag: settings.shared_hosts.then_some(lag),
+            lag,
         });
         actix_rt::spawn(Rc::clone(&parts).run_updates());
         (parts, failed)
@@ -403,9 +403,10 @@
 
     /// Load that the other daemons order callers' addresses by.
     fn reported_load(&self, in_flight: u32) -> u32 {
-        match &self.lag {
-            Some(lag) => discovery::delayed_load(in_flight, lag.mean()),
-            None => in_flight,
+        if self.core.shared_hosts.get() {
+            discovery::delayed_load(in_flight, self.lag.mean())
+        } else {
+            in_flight
         }
     }
 
@@ -464,7 +465,7 @@
     }
 }
 
-fn handle(settings: &Settings, core: &Core, draining: watch::Receiver<bool>) -> Handle {
+fn handle(core: &Core, draining: watch::Receiver<bool>) -> Handle {
     Handle {
         control: core.control.clone(),
         follow: core.follow.clone(),
@@ -472,7 +473,7 @@
         view: core.follow.view(),
         members: core.gossip.members(),
         draining,
-        shared_hosts: settings.shared_hosts,
+        shared_hosts: core.shared_hosts.clone(),
     }
 }
 
@@ -547,7 +548,7 @@
         buffers: buffers.clone(),
         log_rate: settings.log_rate,
         retry_slack: settings.retry_slack,
-        shared_hosts: settings.shared_hosts,
+        shared_hosts: core.shared_hosts.clone(),
         me: settings.instance.clone(),
         members: core.gossip.members(),
         view: core.follow.view(),
--- a/crates/daemon/src/run/core.rs
+++ b/crates/daemon/src/run/core.rs
@@ -18,6 +18,7 @@
     peers::Hub,
     platform::{self, Platform},
     settings::Settings,
+    shared_hosts::SharedHosts,
     slots::{self, Slots},
 };
 
@@ -34,6 +35,7 @@
     pub(super) follow: Follow,
     pub(super) slots: Slots,
     pub(super) ring: Ring,
+    pub(super) shared_hosts: SharedHosts,
 }
 
 impl Core {
@@ -68,10 +70,12 @@
             local,
         );
         let ring = Ring::default();
+        let shared_hosts = SharedHosts::new(settings.shared_hosts);
         let inputs = slots::Inputs {
             members: gossip.members(),
             platform: platform.list(),
             need: platform.need(),
+            shared_hosts: shared_hosts.clone(),
             view: follow.view(),
         };
         let control = started.control;
@@ -87,7 +91,6 @@
         let options = slots::Settings {
             poll: !behind_adapter,
             admit_unknown: behind_adapter,
-            shared_hosts: settings.shared_hosts,
         };
         let slots = Slots::new(
             options,
@@ -106,6 +109,7 @@
             follow,
             slots,
             ring,
+            shared_hosts,
         };
         (core, started.failed)
     }
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -41,7 +41,7 @@
 pub use citron_policy::arbiter::{End, Load, Part, Refusal, Report, Sample};
 pub use metrics::Metrics;
 
-use crate::{event::Ring, peers::Hub, platform::Need};
+use crate::{event::Ring, peers::Hub, platform::Need, shared_hosts::SharedHosts};
 use host::{Host, Work};
 use progress::Stream as RunningStream;
 
@@ -93,9 +93,6 @@
     pub poll: bool,
     /// Whether hosted arbiters admit classes and accounts that they do not know yet.
     pub admit_unknown: bool,
-    /// Whether runners share their machines with others, so that their speed differs and
-    /// changes.
-    pub shared_hosts: bool,
 }
 
 impl Default for Settings {
@@ -103,7 +100,6 @@
         Self {
             poll: true,
             admit_unknown: false,
-            shared_hosts: false,
         }
     }
 }
@@ -117,6 +113,8 @@
     pub platform: watch::Receiver<Arc<List>>,
     /// What this daemon needs that list for.
     pub need: Need,
+    /// Whether runners share their machines with others.
+    pub shared_hosts: SharedHosts,
     /// Catalogue and crash marks.
     pub view: watch::Receiver<Arc<View>>,
 }
--- a/crates/daemon/src/slots/host.rs
+++ b/crates/daemon/src/slots/host.rs
@@ -15,7 +15,7 @@
         self, Arbiter, Asked, Note, Rate, Reply, Request, Ticket, Transition, host_order, standbys,
     },
     autoscale::Demand,
-    catalogue::{Key, Kind},
+    catalogue::{Catalogue, Key, Kind},
     crash,
     id::{DomainId, Epoch, InstanceId, ServiceId},
     member::State,
@@ -387,6 +387,18 @@
         false
     }
 
+    /// Starts the arbiters of scaled services that this daemon is to host, so that their
+    /// runners are known before the first request comes.
+    fn host_scaled(&self, catalogue: &Catalogue) {
+        let services = catalogue.services.values();
+        for service in services.filter(|it| it.scaling.is_some()) {
+            let is_hosted = self.host.borrow().arbiters.contains_key(&service.name);
+            if !is_hosted && self.ranks(&service.name).first() == Some(self.hub.me()) {
+                self.start_arbiter(Instant::now(), &service.name, false);
+            }
+        }
+    }
+
     fn start_arbiter(&self, now: Instant, service: &ServiceId, fallback: bool) {
         // The list is read while the arbiter collects the slots that askers hold.
         let is_fresh = self.inputs.need.is_fresh(now);
@@ -399,7 +411,7 @@
         let settings = arbiter::Settings {
             runner_list_timeout: LIST_TIMEOUT,
             admit_unknown: self.settings.admit_unknown,
-            shared_hosts: self.settings.shared_hosts,
+            shared_hosts: self.inputs.shared_hosts.get(),
             ..arbiter::Settings::default()
         };
         let (mut arbiter, mut effects) = Arbiter::new(now, service.clone(), 1, live, settings);
@@ -709,6 +721,7 @@
             let service = view.catalogue.services.get(service);
             service.is_some_and(|it| it.scaling.is_some())
         };
+        self.host_scaled(&view.catalogue);
         let mut host = self.host.borrow_mut();
         let hosted = host.arbiters.iter_mut();
         let scaled = hosted.filter(|(service, _)| is_scaled(service));
--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -94,7 +94,7 @@
     /// Whether streams on a runner set aside as slow are moved to other runners.
     pub move_from_slow: bool,
     /// Whether runners share their machines with others, so that their speed differs and
-    /// changes.
+    /// changes; runners that say so themselves switch it on too.
     pub shared_hosts: bool,
 }
 
--- a/crates/policy/src/arbiter/pool.rs
+++ b/crates/policy/src/arbiter/pool.rs
@@ -565,6 +565,11 @@
         runner.speed.slowness(now) * (ahead + work) + faults + remote
     }
 
+    /// Whether runners share their machines with others.
+    pub(super) fn has_shared_hosts(&self) -> bool {
+        self.shared_hosts
+    }
+
     /// Usual service time of a class in seconds, where runners share their machines.
     pub(super) fn usual_work(&self, class: &ClassId) -> f64 {
         if self.shared_hosts {
@@ -583,10 +588,12 @@
         usage: Option<&Usage>,
         sample: &Sample,
     ) {
+        let report = sample.report.unwrap_or_default();
+        // Only runners that share their machines name their present service time.
+        self.shared_hosts |= report.load.percent.is_some();
         let Some(runner) = self.runners.get_mut(id).filter(|_| self.shared_hosts) else {
             return;
         };
-        let report = sample.report.unwrap_or_default();
         if sample.report.is_some() {
             runner.on_report(now, &report);
             runner.speed.on_report(now, &report);
--- a/crates/policy/src/autoscale.rs
+++ b/crates/policy/src/autoscale.rs
@@ -12,15 +12,17 @@
 //! utilizations, each divided by its target ([`Settings`]), and raised by the share of
 //! requests that were refused. It is smoothed over 2 s. The need is the maximum of the
 //! smoothed load over 10 s, so that it falls late; it rises at once if the load has been
-//! above it for half of the time until a runner serves, and not for shorter bursts. For the first 20 s of reports it is at least half of the
-//! runners that were present at the first one.
+//! above it for half of the time until a runner serves, and not for shorter bursts. It is
+//! what was present at the first report until load is seen, and at least half of that for
+//! 20 s more.
 //!
 //! Reclaimable runners first. They are spread evenly, the cheapest domain first, so
 //! that without the domain that has the most, the others still carry the need beyond
 //! the stable runners that are kept in any case.
 //!
 //! Stable runners are dropped, to no less than the minimum of each domain, as far as
-//! reclaimable ones are listed as ready, at most a quarter per 1.5 s. They are added
+//! reclaimable ones that are ready carry the need, and what is left of these without the
+//! domain that has the most carries the urgent tiers; at most a quarter per 1.5 s. They are added
 //! only for the need of the urgent tiers that reclaimable ones cannot carry, since those
 //! are refused, taken back or at the maximum; the cheapest domain comes first.
 //!
@@ -69,8 +71,9 @@
 /// Targets and durations of the planner.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
-    /// Share of runners with a prompt to prefill. At one half, a prompt finds an idle
-    /// runner as often as not, so that first tokens rarely wait for another prompt.
+    /// Share of runners with a prompt to prefill. A prompt counts until its first event
+    /// arrives, about twice as long as its prefill, so at three quarters a prompt still
+    /// finds an idle runner as often as not.
     pub prefill_target: f64,
     /// Share of slots in use. The rest takes a wave until new runners serve.
     pub slot_target: f64,
@@ -101,7 +104,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            prefill_target: 0.5,
+            prefill_target: 0.75,
             slot_target: 0.6,
             memory_target: 0.6,
             smoothing: Duration::from_secs(2),
--- a/crates/policy/src/autoscale/planner.rs
+++ b/crates/policy/src/autoscale/planner.rs
@@ -73,6 +73,8 @@
     present: u32,
     first_report: Option<Instant>,
     last_report: Option<Instant>,
+    /// When load was first seen.
+    first_load: Option<Instant>,
     /// Whether the present gap in the reports was noted.
     silent: bool,
     /// Start of the reports without a gap.
@@ -99,6 +101,7 @@
             present: 0,
             first_report: None,
             last_report: None,
+            first_load: None,
             silent: false,
             steady_since: None,
             replaced: false,
@@ -125,13 +128,13 @@
     /// Runners that the load of the last seconds needs.
     #[must_use]
     pub fn need(&self, now: Instant) -> f64 {
-        let is_early = self
-            .first_report
-            .is_some_and(|at| since(now, at) < self.settings.cautious);
-        let least = if is_early {
-            to_f64(self.present) * self.settings.cautious_share
-        } else {
-            0.0
+        let present = to_f64(self.present);
+        let least = match self.first_load {
+            None => present,
+            Some(at) if since(now, at) < self.settings.cautious => {
+                present * self.settings.cautious_share
+            }
+            Some(_) => 0.0,
         };
         self.need.runners().max(least)
     }
@@ -169,6 +172,9 @@
             .on_demand(now, from, demand, &self.settings, sustain);
         // A list that was not read yet names no runner either.
         let is_listed = demand.ready() > 0 || self.has_reports(now);
+        if demand.granted > 0 || demand.held > 0.0 {
+            self.first_load.get_or_insert(now);
+        }
         let is_first = self.first_report.is_none() && is_listed;
         if is_first {
             self.present = demand.ready();
@@ -454,8 +460,10 @@
         if !self.may_step(now, self.stable_step) {
             return;
         }
-        let carried = survivors(&self.ready_reclaimable());
-        let keep = whole(need).saturating_sub(carried).max(self.kept());
+        let ready = self.ready_reclaimable();
+        let urgent = whole(need * self.need.urgent()).saturating_sub(survivors(&ready));
+        let all = whole(need).saturating_sub(ready.iter().sum());
+        let keep = all.max(urgent).max(self.kept());
         let step = whole(to_f64(self.most_stable) * self.settings.step_share);
         let drop = self.wanted(false).saturating_sub(keep).min(step);
         for _ in 0..drop {
