--- a/crates/policy/src/arbiter/hold.rs
+++ b/crates/policy/src/arbiter/hold.rs
@@ -243,7 +243,10 @@
         self.pool
             .on_speed(now, &running.runner, class, usage, sample);
         let read = running.usage.is_some();
-        if let Some(longest) = sample.longest_pause.filter(|_| self.pool.has_shared_hosts()) {
+        if let Some(longest) = sample
+            .longest_pause
+            .filter(|_| self.pool.has_shared_hosts())
+        {
             self.pauses.on_stream(&running.class, longest);
         }
         let transition = self.pool.on_end(
