autoscale: each domain keeps the minimum of reclaimable runners too

With none wanted, a domain whose runners the platform took back looks like one that was ordered to none, and an order of none is below the minimum by itself. The cost is the minimum at the price of reclaimable runners.

--- a/crates/policy/src/autoscale.rs
+++ b/crates/policy/src/autoscale.rs
@@ -17,7 +17,7 @@
 //!
 //! Reclaimable runners first. They are spread evenly, the cheapest domain first, so
 //! that without the domain that has the most, the others still carry the need beyond
-//! the stable runners that are kept in any case.
+//! the stable runners that are kept in any case. Each domain keeps the minimum of them.
 //!
 //! Stable runners are dropped, to no less than the minimum of each domain, as far as
 //! reclaimable ones are listed as ready, at most a quarter per 1.5 s. They are added
--- a/crates/policy/src/autoscale/planner.rs
+++ b/crates/policy/src/autoscale/planner.rs
@@ -370,7 +370,8 @@
             room
         };
         Place {
-            least: self.scaling.min.saturating_sub(site.stable.desired),
+            // So that a domain whose runners were taken back differs from one without any.
+            least: self.scaling.min,
             most,
             price: self.price(domain),
         }
