arbiter: an outage of all runners quarantines no request for good

Cause, either of which is enough: a request that broke alone was quarantined whatever befell the others; and probes of runners were up to 8 s apart also while no runner was usable, so callers were refused for that long after the outage.

Fix: two or more requests that break alone with no answer begun in between are taken for an outage. Their quarantines are lifted, also when marks arrive later from a daemon or the control log, by the list of excused requests. A daemon drops a quarantine of its own when its arbiter clears it; a committed one is lifted by the control log only. While no runner is usable, probes of a runner are at most 2 s apart. Messages and stored data are unchanged.

Requests that crash runners are still stopped: until an answer begins, excused requests run alone, rest for 500 ms after a break and take a probe only if it has been due for 500 ms; after two outages without an own answer they stay quarantined. On a service without any other request they go on as probes.

Ruled out: the waits for probes alone (with the lift and probes 8 s apart nobody is served within 3 s).

New: an_outage_leaves_no_quarantine_however_slow_the_control_log_is (1 to 9 runners, 2 to 20 requests), two_requests_that_crash_runners_are_quarantined_beside_few_answers.

--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -22,6 +22,7 @@
 mod grant;
 mod hold;
 pub mod message;
+mod outage;
 mod pace;
 mod part;
 mod path;
@@ -281,6 +282,7 @@
     continuity: continuity::Continuity,
     suspects: suspect::Suspects,
     excused: excuse::Excused,
+    outage: outage::Outage,
     /// Crashes that parts of prompts may have caused.
     evidence: Evidence,
     started: Instant,
@@ -340,6 +342,7 @@
             continuity,
             suspects: suspect::Suspects::default(),
             excused: excuse::Excused::default(),
+            outage: outage::Outage::default(),
             evidence: Evidence::default(),
             started: now,
             last_tick: now,
--- a/crates/policy/src/arbiter/admit.rs
+++ b/crates/policy/src/arbiter/admit.rs
@@ -10,7 +10,9 @@
     time::{Duration, Instant},
 };
 
-use super::{Arbiter, Ask, Effect, Key, Note, Refusal, Reply, estimate::Capacity, queue::Item};
+use super::{
+    Arbiter, Ask, Effect, Key, Note, Refusal, Reply, estimate::Capacity, outage::REST, queue::Item,
+};
 use crate::{
     catalogue::{Account, Class, MAX_TIER, URGENCY_LEVELS},
     crash::{Mark, NO_FINGERPRINT, Step},
@@ -60,7 +62,7 @@
             && item.fingerprint != NO_FINGERPRINT
             && self.marks.get(item.fingerprint).is_none()
         {
-            if self.excused.covers(now, item.fingerprint) {
+            if self.excused.covers(now, item.fingerprint, Mark::Suspected) {
                 self.send_cleared(key.asker, item.fingerprint, effects);
             } else {
                 self.mark(Step::Suspected(vec![item.fingerprint]), effects);
@@ -71,7 +73,7 @@
             self.refuse_item(&item, refusal, effects);
             return;
         }
-        if self.marks.get(item.fingerprint) == Some(Mark::Suspected) {
+        if self.must_run_alone(item.fingerprint) {
             self.suspects.push(item);
         } else {
             self.push_copy(item);
@@ -173,6 +175,9 @@
         if self.marks.get(item.fingerprint) == Some(Mark::Quarantined) {
             return Err(Refusal::Quarantined);
         }
+        if self.outage.rests(now, item.fingerprint) {
+            return Err(Refusal::NoRunner { retry_after: REST });
+        }
         self.admit_parts(now, &item.prompt, effects)?;
         if ask.remaining.is_zero() {
             return Err(Refusal::Late);
@@ -330,6 +335,20 @@
         }
     }
 
+    /// Refuses what waits and has to rest in an outage: waits would add up, as one runs
+    /// at a time.
+    pub(super) fn refuse_resting(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        let waiting = self.queue.items().chain(self.suspects.items());
+        let resting = waiting.filter(|it| self.outage.rests(now, it.fingerprint));
+        let keys: Vec<Key> = resting.map(|it| it.key).collect();
+        for key in keys {
+            if let Some(item) = self.take_waiting(key) {
+                let refusal = Refusal::NoRunner { retry_after: REST };
+                self.refuse_item(&item, refusal, effects);
+            }
+        }
+    }
+
     /// Removes a waiting request from the queue or from the suspects.
     pub(super) fn take_waiting(&mut self, key: Key) -> Option<Item> {
         let item = match self.queue.remove(key) {
--- a/crates/policy/src/arbiter/continuity.rs
+++ b/crates/policy/src/arbiter/continuity.rs
@@ -137,7 +137,12 @@
 
     /// Whether a stream of a build can go on, now or soon.
     fn check_build(&self, now: Instant, build: &Arc<str>) -> Result<(), Refusal> {
-        if self.pool.is_usable_for(build) || self.pool.probe_of(now, Some(build)).is_some() {
+        if self.pool.is_usable_for(build)
+            || self
+                .pool
+                .probe_of(now, Duration::ZERO, Some(build))
+                .is_some()
+        {
             return Ok(());
         }
         if self.pool.has_build(build) {
--- a/crates/policy/src/arbiter/excuse.rs
+++ b/crates/policy/src/arbiter/excuse.rs
@@ -18,41 +18,69 @@
 /// unconfirmed marks again.
 const EXCUSE_TIME: Duration = Duration::from_secs(10);
 
+/// Time after which a quarantine that is still committed is lifted again: a proposal to
+/// the control log may be lost.
+const PROPOSAL_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Maximum number of excused requests; the oldest are dropped first.
 const MAX_EXCUSED: usize = 4_096;
 
-/// Requests that are excused from a suspicion, and since when; the newest last.
+/// Excused requests, the newest last.
 #[derive(Debug, Default)]
 pub(super) struct Excused {
-    requests: IndexMap<Fingerprint, Instant>,
+    requests: IndexMap<(Fingerprint, Mark), Excuse>,
+}
+
+#[derive(Debug)]
+struct Excuse {
+    at: Instant,
+    proposed_at: Option<Instant>,
 }
 
 impl Excused {
-    fn insert(&mut self, now: Instant, request: Fingerprint) {
+    /// Excuses a request from a mark, and from no other one.
+    fn insert(&mut self, now: Instant, request: Fingerprint, mark: Mark) {
         if request == NO_FINGERPRINT {
             return;
         }
-        self.requests.shift_remove(&request);
+        let old = self.requests.shift_remove(&(request, mark));
         if self.requests.len() >= MAX_EXCUSED {
             self.requests.shift_remove_index(0);
         }
-        self.requests.insert(request, now);
+        let excuse = Excuse {
+            at: now,
+            proposed_at: old.and_then(|it| it.proposed_at),
+        };
+        self.requests.insert((request, mark), excuse);
     }
 
-    /// Whether a suspicion that arrives now does not apply.
-    pub(super) fn covers(&self, now: Instant, request: Fingerprint) -> bool {
-        let at = self.requests.get(&request);
-        at.is_some_and(|at| now.saturating_duration_since(*at) < EXCUSE_TIME)
+    /// Whether a mark that arrives now does not apply.
+    pub(super) fn covers(&self, now: Instant, request: Fingerprint, mark: Mark) -> bool {
+        let excuse = self.requests.get(&(request, mark));
+        excuse.is_some_and(|it| now.saturating_duration_since(it.at) < EXCUSE_TIME)
     }
 
-    /// Ends an excuse: a crash that nothing explains is new evidence.
-    pub(super) fn on_broken(&mut self, request: Fingerprint) {
-        self.requests.shift_remove(&request);
+    /// Ends an excuse, as a crash that nothing explains is new evidence.
+    pub(super) fn remove(&mut self, request: Fingerprint, mark: Mark) {
+        self.requests.shift_remove(&(request, mark));
     }
 
     fn expire(&mut self, now: Instant) {
         self.requests
-            .retain(|_, at| now.saturating_duration_since(*at) < EXCUSE_TIME);
+            .retain(|_, it| now.saturating_duration_since(it.at) < EXCUSE_TIME);
+    }
+
+    /// Whether a lift of a quarantine is to be proposed now.
+    fn propose(&mut self, now: Instant, request: Fingerprint) -> bool {
+        let Some(excuse) = self.requests.get_mut(&(request, Mark::Quarantined)) else {
+            return true;
+        };
+        let is_due = |at| now.saturating_duration_since(at) >= PROPOSAL_INTERVAL;
+        let due = excuse.proposed_at.is_none_or(is_due);
+        if due {
+            excuse.proposed_at = Some(now);
+        }
+        due
     }
 }
 
@@ -64,19 +92,37 @@
         request: Fingerprint,
         effects: &mut Vec<Effect>,
     ) {
-        self.excused.insert(now, request);
+        self.excused.insert(now, request, Mark::Suspected);
         if let Some(step) = self.marks.on_innocent(request) {
             self.mark(step, effects);
         }
     }
 
+    /// Lifts the quarantine of a request that broke alone while no runner answered.
+    pub(super) fn lift(&mut self, now: Instant, request: Fingerprint, effects: &mut Vec<Effect>) {
+        self.excused.insert(now, request, Mark::Quarantined);
+        self.propose_lift(now, request, effects);
+    }
+
+    fn propose_lift(&mut self, now: Instant, request: Fingerprint, effects: &mut Vec<Effect>) {
+        if !self.excused.propose(now, request) {
+            return;
+        }
+        self.marks.lift(request);
+        self.mark(Step::Cleared(request), effects);
+    }
+
     /// Clears the marks of excused requests that have arrived since.
     pub(super) fn clear_excused(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         self.excused.expire(now);
-        let excused = self.excused.requests.keys().copied();
-        let marked = excused.filter(|it| self.marks.get(*it) == Some(Mark::Suspected));
-        for request in marked.collect::<Vec<_>>() {
-            self.mark(Step::Cleared(request), effects);
+        let marks = &self.marks;
+        let marked = self.excused.requests.keys();
+        let marked = marked.filter(|(request, mark)| marks.get(*request) == Some(*mark));
+        for (request, mark) in marked.copied().collect::<Vec<_>>() {
+            match mark {
+                Mark::Suspected => self.mark(Step::Cleared(request), effects),
+                Mark::Quarantined => self.propose_lift(now, request, effects),
+            }
         }
     }
 
--- a/crates/policy/src/arbiter/grant.rs
+++ b/crates/policy/src/arbiter/grant.rs
@@ -1,10 +1,11 @@
 //! Grants slots: floor first, then by tier, then to suspects; preempts last.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::{
     Arbiter, Effect, Key, Note, Reply,
     hold::{GrantKind, Running},
+    outage::REST,
     pool::{Obstacle, Query},
     queue::Item,
     suspect::Alone,
@@ -250,6 +251,9 @@
         let Some(item) = self.suspects.next() else {
             return;
         };
+        if self.outage.rests(now, item.fingerprint) {
+            return;
+        }
         let waited = now.saturating_duration_since(item.arrived);
         let higher = !self.queue.next(now, item.urgency_index(), 1).is_empty();
         let account_full = self.queue.is_blocked(&item.account);
@@ -259,7 +263,12 @@
         // If no runner is usable, the suspect serves as the probe of one out of use.
         let build = item.build.as_deref();
         let usable = self.pool.least_loaded(now, &item.avoid, build);
-        let Some(runner) = usable.or_else(|| self.pool.probe_of(now, build)) else {
+        let due_for = if self.outage.includes(item.fingerprint) {
+            REST
+        } else {
+            Duration::ZERO
+        };
+        let Some(runner) = usable.or_else(|| self.pool.probe_of(now, due_for, build)) else {
             return;
         };
         let key = item.key;
--- a/crates/policy/src/arbiter/hold.rs
+++ b/crates/policy/src/arbiter/hold.rs
@@ -199,6 +199,7 @@
         let Some(running) = self.running.get_mut(&key) else {
             return;
         };
+        self.outage.on_answer();
         self.pool.on_answer(now, key.asker, &running.runner);
         let Some(runner) = self.pool.get_mut(&running.runner) else {
             return;
@@ -274,6 +275,8 @@
     }
 
     fn on_done(&mut self, running: &Running, sample: &Sample, effects: &mut Vec<Effect>) {
+        self.outage.on_answer();
+        self.outage.on_done(running.fingerprint);
         let class = &running.class.name;
         self.estimate.on_done(class, sample.whole, sample.tokens);
         if let Some(step) = self.marks.on_innocent(running.fingerprint) {
@@ -317,8 +320,21 @@
             has_copy: others.any(|it| it.fingerprint == fingerprint && it.runner != running.runner),
         };
         self.suspects.on_crash(fingerprint);
-        self.excused.on_broken(fingerprint);
-        if let Some(step) = self.marks.on_crash(in_flight) {
+        self.excused.remove(fingerprint, Mark::Suspected);
+        let excused = if running.is_alone() {
+            self.outage.on_broken_alone(now, fingerprint)
+        } else {
+            Vec::new()
+        };
+        if excused.contains(&fingerprint) {
+            for request in excused {
+                self.lift(now, request, effects);
+            }
+            self.refuse_resting(now, effects);
+        } else if let Some(step) = self.marks.on_crash(in_flight) {
+            if running.is_alone() {
+                self.excused.remove(fingerprint, Mark::Quarantined);
+            }
             self.mark(step, effects);
         }
         self.end_copy(fingerprint);
@@ -346,10 +362,9 @@
 
     /// Moves waiting requests between the queues, as their marks require.
     fn requeue_marked(&mut self, effects: &mut Vec<Effect>) {
-        let marked = self
-            .queue
-            .items()
-            .filter(|it| self.marks.get(it.fingerprint).is_some());
+        let marked = self.queue.items().filter(|it| {
+            self.marks.get(it.fingerprint).is_some() || self.outage.includes(it.fingerprint)
+        });
         let keys: Vec<Key> = marked.map(|it| it.key).collect();
         for key in keys {
             let Some(item) = self.queue.remove(key) else {
@@ -368,7 +383,7 @@
             }
         }
         for fingerprint in self.suspects.fingerprints() {
-            if self.marks.get(fingerprint) != Some(Mark::Suspected) {
+            if !self.must_run_alone(fingerprint) {
                 let waiting = self.suspects.take_waiting(fingerprint);
                 for item in waiting {
                     self.requeue_item(item, effects);
@@ -377,11 +392,15 @@
         }
     }
 
+    pub(super) fn must_run_alone(&self, request: Fingerprint) -> bool {
+        self.marks.get(request) == Some(Mark::Suspected) || self.outage.includes(request)
+    }
+
     pub(super) fn requeue_item(&mut self, item: Item, effects: &mut Vec<Effect>) {
         match self.marks.get(item.fingerprint) {
             Some(Mark::Quarantined) => self.refuse_item(&item, Refusal::Quarantined, effects),
-            Some(Mark::Suspected) => self.suspects.push(item),
-            None => self.push_copy(item),
+            _ if self.must_run_alone(item.fingerprint) => self.suspects.push(item),
+            _ => self.push_copy(item),
         }
     }
 
@@ -471,14 +490,16 @@
         }
         let new = inventory.suspected.iter().copied();
         let new = new.filter(|it| *it != NO_FINGERPRINT && self.marks.get(*it).is_none());
-        let is_excused = |it: &Fingerprint| self.excused.covers(now, *it);
+        let is_excused = |it: &Fingerprint| self.excused.covers(now, *it, Mark::Suspected);
         let (excused, new): (Vec<_>, Vec<_>) = new.partition(is_excused);
         for it in excused {
             self.send_cleared(asker, it, effects);
         }
         self.mark(Step::Suspected(new), effects);
         for it in &inventory.quarantined {
-            if *it != NO_FINGERPRINT && self.marks.get(*it) != Some(Mark::Quarantined) {
+            if self.excused.covers(now, *it, Mark::Quarantined) {
+                self.send_cleared(asker, *it, effects);
+            } else if *it != NO_FINGERPRINT && self.marks.get(*it) != Some(Mark::Quarantined) {
                 self.mark(Step::Quarantined(*it), effects);
             }
         }
--- a/crates/policy/src/arbiter/pool.rs
+++ b/crates/policy/src/arbiter/pool.rs
@@ -479,13 +479,24 @@
 
     /// An excluded runner that is due for a probe with one request.
     pub(super) fn probe(&self, now: Instant) -> Option<RunnerId> {
-        self.probe_of(now, None)
+        self.probe_of(now, Duration::ZERO, None)
     }
 
-    /// The same among the runners of a build, if one is given.
-    pub(super) fn probe_of(&self, now: Instant, build: Option<&str>) -> Option<RunnerId> {
+    /// The same among the runners of a build, if one is given, whose probe has been due
+    /// for some time.
+    pub(super) fn probe_of(
+        &self,
+        now: Instant,
+        due_for: Duration,
+        build: Option<&str>,
+    ) -> Option<RunnerId> {
+        let outage = self.is_unusable();
         let mut runners = self.runners.iter();
-        let due = runners.find(|(_, it)| it.is_probe_due(now) && has_build(it, build));
+        let is_due = |it: &Runner| {
+            let at = it.probe_at(outage);
+            it.may_be_probed(now) && at.is_some_and(|at| at + due_for <= now)
+        };
+        let due = runners.find(|(_, it)| is_due(it) && has_build(it, build));
         due.map(|(id, _)| id.clone())
     }
 
@@ -505,11 +516,10 @@
 
     /// Delay after which a request that finds no runner should be retried.
     pub(super) fn retry_after(&self, now: Instant) -> Duration {
-        let probes = self.runners.values().filter_map(|it| match it.health {
-            Health::Excluded { probe_at, .. } => Some(probe_at.saturating_duration_since(now)),
-            Health::Healthy => None,
-        });
-        probes.min().unwrap_or(NO_RUNNER_RETRY).max(MIN_RETRY)
+        let outage = self.is_unusable();
+        let probes = self.runners.values().filter_map(|it| it.probe_at(outage));
+        let waits = probes.map(|at| at.saturating_duration_since(now));
+        waits.min().unwrap_or(NO_RUNNER_RETRY).max(MIN_RETRY)
     }
 
     /// Records that a runner answered an asker.
--- a/crates/policy/src/arbiter/runner.rs
+++ b/crates/policy/src/arbiter/runner.rs
@@ -72,6 +72,10 @@
 /// Upper bound of the probe delay.
 const MAX_PROBE_DELAY: Duration = Duration::from_secs(8);
 
+/// The same while no runner of the service is usable: with 8 s callers were refused for
+/// that long after the end of an outage.
+const MAX_OUTAGE_PROBE_DELAY: Duration = Duration::from_secs(2);
+
 /// Why a runner is excluded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Cause {
@@ -333,10 +337,21 @@
         }
     }
 
-    /// Whether it may be probed with one request.
-    pub(super) fn is_probe_due(&self, now: Instant) -> bool {
-        let due = matches!(self.health, Health::Excluded { probe_at, probing: false, .. } if probe_at <= now);
-        due && !self.leaving && !self.reserved && self.held == 0 && !self.is_held_back(now)
+    /// Whether nothing but the time of its probe keeps it from one.
+    pub(super) fn may_be_probed(&self, now: Instant) -> bool {
+        let idle = matches!(self.health, Health::Excluded { probing: false, .. });
+        idle && !self.leaving && !self.reserved && self.held == 0 && !self.is_held_back(now)
+    }
+
+    /// When it may be probed, if it is excluded; `outage`: no runner is usable.
+    pub(super) fn probe_at(&self, outage: bool) -> Option<Instant> {
+        match self.health {
+            Health::Excluded {
+                since, probe_at, ..
+            } if outage => Some(probe_at.min(since + MAX_OUTAGE_PROBE_DELAY)),
+            Health::Excluded { probe_at, .. } => Some(probe_at),
+            Health::Healthy => None,
+        }
     }
 
     /// Whether its probe has waited too long for a request of the lowest class.
--- a/crates/policy/src/crash.rs
+++ b/crates/policy/src/crash.rs
@@ -30,7 +30,7 @@
 const MAX_EXPOSED: usize = 4_096;
 
 /// Status of a marked request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Mark {
     /// Was in flight on two runners that crashed; runs alone from now on.
     Suspected,
@@ -229,6 +229,12 @@
         }
     }
 
+    /// Drops a quarantine that is not committed; one that is can only be cleared there.
+    pub fn lift(&mut self, fingerprint: Fingerprint) {
+        self.exposed.shift_remove(&fingerprint);
+        self.local.marks.shift_remove(&fingerprint);
+    }
+
     /// Mark of a request, if any.
     #[must_use]
     pub fn get(&self, fingerprint: Fingerprint) -> Option<Mark> {
--- a/crates/policy/src/requester.rs
+++ b/crates/policy/src/requester.rs
@@ -458,7 +458,14 @@
     ) {
         self.highest_epoch = self.highest_epoch.max(epoch);
         match &reply {
-            Reply::Mark(step) => self.marks.apply(step),
+            Reply::Mark(step) => {
+                // The arbiter sees the other requests too, so its word overrides a
+                // quarantine that was only concluded here.
+                if let Step::Cleared(it) = step {
+                    self.marks.lift(*it);
+                }
+                self.marks.apply(step);
+            }
             // Copies come from an arbiter that need not be the one asked.
             Reply::Streams(groups) => return self.streams.extend(now, groups),
             _ => {}
--- a/crates/policy/tests/crash_rule.rs
+++ b/crates/policy/tests/crash_rule.rs
@@ -606,3 +606,117 @@
     }
     expect_that!(served.len(), eq(SOUND.len()));
 }
+
+/// Requests that are repeated while all runners close their connections for 10 s, and how
+/// many of them are served within [`RECOVERY`] and two commits after it.
+fn served_after_outage(runner_count: usize, requests: u64, commit_every: u64) -> usize {
+    let mut daemons = Daemons::new(3, catalogue(4, |_| {}), runners(runner_count));
+    let outage_end = daemons.now + Duration::from_secs(10);
+    // A mark of the outage and its lift may take one commit each.
+    let commits = Duration::from_millis(100 * 2 * commit_every);
+    let (mut asked, mut served) = (IndexMap::new(), IndexSet::new());
+    let mut round = 0;
+    while daemons.now < outage_end + RECOVERY + commits {
+        for fingerprint in 1..=requests {
+            let ticket = u64::try_from(asked.len()).expect("few");
+            asked.insert(ticket, fingerprint);
+            let daemon = usize::try_from(ticket % 3).expect("small");
+            daemons.acquire(daemon, resent(ticket, fingerprint));
+        }
+        daemons.deliver_all();
+        for outcome in daemons.take_outcomes() {
+            let Outcome::Granted { daemon, ticket, .. } = outcome else {
+                continue;
+            };
+            let end = if daemons.now < outage_end {
+                End::Broken
+            } else {
+                served.insert(asked[&ticket]);
+                End::Done
+            };
+            daemons.release(daemon, ticket, sample(end, Duration::from_millis(20)));
+        }
+        daemons.deliver_all();
+        round += 1;
+        if round % commit_every == 0 {
+            daemons.commit_marks();
+        }
+        daemons.now += Duration::from_millis(100);
+        daemons.tick();
+        daemons.deliver_all();
+    }
+    served.len()
+}
+
+// Marks of an outage reach the control log late and several at once, from daemons that do not
+// see each other's requests; none may outlast the outage.
+#[gtest]
+fn an_outage_leaves_no_quarantine_however_slow_the_control_log_is() {
+    for runner_count in [1, 3, 9] {
+        for requests in [2, 5, 20] {
+            for commit_every in [1, 7, 30] {
+                expect_that!(
+                    served_after_outage(runner_count, requests, commit_every),
+                    eq(usize::try_from(requests).expect("few")),
+                    "{runner_count} runners, {requests} requests, a commit each {commit_every}"
+                );
+            }
+        }
+    }
+}
+
+// Two requests that crash their runners, one after the other with no answer in between, look
+// like an outage; the answers of others must end that, however few they are.
+#[gtest]
+fn two_requests_that_crash_runners_are_quarantined_beside_few_answers() {
+    const DEADLY: [u64; 2] = [0xdead, 0xdeae];
+    /// Three crashes until a request is quarantined, at first and after each of two lifts.
+    const MAX_CRASHES: usize = 9;
+    /// Rounds between two more that a request may cause while nobody is answered.
+    const REST: u64 = 10;
+
+    for answer_every in [5, 20, 100] {
+        let unanswered = usize::try_from(2 * answer_every / REST).expect("few");
+        let mut daemons = Daemons::new(2, catalogue(4, |_| {}), runners(4));
+        let (mut asked, mut crashes) = (IndexMap::new(), IndexMap::new());
+        let mut last_crash = 0;
+        for round in 0..1_000_u64 {
+            let sound = (round % answer_every == 0).then_some(round + 1);
+            for fingerprint in DEADLY.into_iter().chain(sound) {
+                let ticket = u64::try_from(asked.len()).expect("few");
+                asked.insert(ticket, fingerprint);
+                daemons.acquire(0, resent(ticket, fingerprint));
+            }
+            daemons.deliver_all();
+            for outcome in daemons.take_outcomes() {
+                let Outcome::Granted { daemon, ticket, .. } = outcome else {
+                    continue;
+                };
+                let fingerprint = asked[&ticket];
+                let end = if DEADLY.contains(&fingerprint) {
+                    *crashes.entry(fingerprint).or_insert(0_usize) += 1;
+                    last_crash = round;
+                    End::Broken
+                } else {
+                    End::Done
+                };
+                daemons.release(daemon, ticket, sample(end, Duration::from_millis(20)));
+            }
+            daemons.deliver_all();
+            daemons.commit_marks();
+            daemons.now += Duration::from_millis(100);
+            daemons.tick();
+            daemons.deliver_all();
+        }
+        expect_that!(last_crash, lt(500), "an answer each {answer_every} rounds");
+        for fingerprint in DEADLY {
+            expect_that!(
+                crashes[&fingerprint],
+                le(MAX_CRASHES + unanswered),
+                "an answer each {answer_every} rounds"
+            );
+            let mark = daemons.marks.get(fingerprint);
+            expect_that!(mark, some(eq(Mark::Quarantined)));
+        }
+    }
+}
