--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -24,6 +24,7 @@
 mod grant;
 mod hold;
 pub mod message;
+mod outage;
 mod pace;
 mod part;
 mod path;
@@ -295,6 +296,7 @@
     continuity: continuity::Continuity,
     suspects: suspect::Suspects,
     excused: excuse::Excused,
+    outage: outage::Outage,
     /// Crashes that parts of prompts may have caused.
     evidence: Evidence,
     /// Load since the last report of demand; none before the first one is asked for.
@@ -359,6 +361,7 @@
             continuity,
             suspects: suspect::Suspects::default(),
             excused: excuse::Excused::default(),
+            outage: outage::Outage::default(),
             evidence: Evidence::default(),
             sampler: None,
             arrivals: arrivals::Arrivals::default(),
