--- a/crates/ctl/src/command/render.rs
+++ b/crates/ctl/src/command/render.rs
@@ -96,14 +96,15 @@
         }
     }
     if let Some(it) = &status.duties {
+        let usage = |fixed| format!(", usage fixed up to window {fixed}");
         let line = format!(
-            "duties held by {} under token {}, renewed at {}",
-            it.holder, it.token, it.renewed
+            "duties held by {} under token {}, renewed at {}{}",
+            it.holder,
+            it.token,
+            it.renewed,
+            it.fixed.map(usage).unwrap_or_default()
         );
         text.push_str(&line);
-        if let Some(fixed) = it.fixed {
-            text.push_str(&format!(", usage fixed up to window {fixed}"));
-        }
     }
     text.trim_end().to_owned()
 }
--- a/crates/daemon/src/control/client.rs
+++ b/crates/daemon/src/control/client.rs
@@ -26,7 +26,7 @@
 /// What one replica replied to the request.
 enum Reply {
     /// It is the leader, and this is the outcome.
-    Final(proto::message::Body),
+    Final(Box<proto::message::Body>),
     /// It is not the leader, and may have named another one.
     NotLeader(Option<ReplicaId>),
     /// It may have executed the request.
@@ -70,7 +70,7 @@
                     Response::Reply(replica, Reply::Final(body)) => {
                         leader.set(Some(replica));
                         let unsure = unsure || search.is_pending_except(Some(replica));
-                        return outcome::resolve(body, unsure);
+                        return outcome::resolve(*body, unsure);
                     }
                     Response::Reply(replica, Reply::NotLeader(leader)) => {
                         Some(Event::Declined { replica, leader })
@@ -155,9 +155,9 @@
         Ok(proto::message::Body::Failure(failure)) => match failure.kind {
             outcome::NOT_LEADER => Reply::NotLeader(failure.leader),
             outcome::UNSURE => Reply::Unsure,
-            _ => Reply::Final(proto::message::Body::Failure(failure)),
+            _ => Reply::Final(Box::new(proto::message::Body::Failure(failure))),
         },
-        Ok(body) => Reply::Final(body),
+        Ok(body) => Reply::Final(Box::new(body)),
         Err(Failed::Unknown { .. } | Failed::Full { .. } | Failed::Refused { .. }) => Reply::NotRun,
         Err(Failed::Lost { .. } | Failed::Late { .. }) => Reply::Unsure,
     }
--- a/crates/daemon/src/duty.rs
+++ b/crates/daemon/src/duty.rs
@@ -232,7 +232,7 @@
                 .on_outcome(now, started, is_accepted || is_refused, jitter);
         }
         drop(running);
-        inner.metrics.count(&outcome);
+        inner.metrics.count(outcome);
         outcome
     }
 
@@ -366,24 +366,21 @@
             return;
         }
         let metrics = &self.inner.metrics;
-        match token {
-            Some(token) => {
-                metrics.on_taken(token);
-                log::info!(event = "CP1203", token; "holds the lease of the duties");
-            }
-            None => {
-                metrics.on_lost();
-                let candidate = candidate.borrow();
-                let record = candidate.record();
-                log::info!(
-                    event = "CP1204", token = before,
-                    holder = record.map(|it| it.instance.as_str()),
-                    abstains = candidate.abstains(clock::now()),
-                    term_ms = millis(self.inner.settings.lease.term);
-                    "does not hold the lease of the duties any more"
-                );
-            }
+        if let Some(token) = token {
+            metrics.on_taken(token);
+            log::info!(event = "CP1203", token; "holds the lease of the duties");
+            return;
         }
+        metrics.on_lost();
+        let candidate = candidate.borrow();
+        let record = candidate.record();
+        log::info!(
+            event = "CP1204", token = before,
+            holder = record.map(|it| it.instance.as_str()),
+            abstains = candidate.abstains(clock::now()),
+            term_ms = millis(self.inner.settings.lease.term);
+            "does not hold the lease of the duties any more"
+        );
     }
 }
 
--- a/crates/daemon/src/duty/metrics.rs
+++ b/crates/daemon/src/duty/metrics.rs
@@ -59,7 +59,7 @@
         self.holds.set(0);
     }
 
-    pub(super) fn count(&self, outcome: &Result<StatusCode, Failure>) {
+    pub(super) fn count(&self, outcome: Result<StatusCode, Failure>) {
         let outcome = match outcome {
             Ok(status) if status.is_success() => "accepted",
             Ok(StatusCode::TOO_MANY_REQUESTS) => "too-many",
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -307,16 +307,12 @@
         let metrics = Metrics::default();
         let mut registry = Registry::default();
         metrics.register(&mut registry);
-        let lag = loop_lag::Metrics::default();
-        lag.register(&mut registry);
-        actix_rt::spawn(loop_lag::measure(lag));
+        measure_lag(&mut registry);
         front.register(&mut registry);
         upstream.register(&mut registry);
         buffers.register(&mut registry);
         core.register(&mut registry);
-        if let Some(duty) = &duty {
-            duty.register(&mut registry);
-        }
+        register_duty(duty.as_ref(), &mut registry);
         let admin_metrics = admin::Metrics::default();
         admin_metrics.register(&mut registry);
         let registry = Rc::new(registry);
@@ -468,6 +464,19 @@
     }
 }
 
+/// Starts to measure how late the event loop is.
+fn measure_lag(registry: &mut Registry) {
+    let lag = loop_lag::Metrics::default();
+    lag.register(registry);
+    actix_rt::spawn(loop_lag::measure(lag));
+}
+
+fn register_duty(duty: Option<&Duty>, registry: &mut Registry) {
+    if let Some(duty) = duty {
+        duty.register(registry);
+    }
+}
+
 /// Starts the duties, if there are any.
 fn duty(
     settings: &Settings,
--- a/crates/daemon/tests/duty_call.rs
+++ b/crates/daemon/tests/duty_call.rs
@@ -67,7 +67,7 @@
 fn headers_and_body_arrive_whole() {
     System::new().block_on(async {
         let (listener, address) = listen().await;
-        let body = Bytes::from([&[b'a'; 299_997][..], b"end"].concat());
+        let body = Bytes::from("a".repeat(299_997) + "end");
         let server = async {
             let mut stream = accept(&listener).await;
             let mut bytes = Vec::new();
--- a/crates/policy/tests/lease_holders.rs
+++ b/crates/policy/tests/lease_holders.rs
@@ -286,7 +286,7 @@
     }
 
     /// Sends a message to or from the register; it may be lost or doubled.
-    fn send(&mut self, event: Event) {
+    fn send(&mut self, event: &Event) {
         let lost = self.chance(80);
         let copies = if self.chance(80) { 2 } else { 1 };
         for _ in 0..copies {
@@ -380,7 +380,7 @@
             };
             self.schedule(ANSWER_TIMEOUT, lost);
             if !cut {
-                self.send(Event::Proposal {
+                self.send(&Event::Proposal {
                     from: machine,
                     life,
                     at,
@@ -407,7 +407,7 @@
         }
         self.history.push((self.now, record.clone()));
         if self.hosts[from].register_cut_until <= self.now {
-            self.send(Event::Answer {
+            self.send(&Event::Answer {
                 to: from,
                 life,
                 at,
@@ -619,10 +619,12 @@
     let start = Instant::now();
     let mut candidate = candidate(7, 7);
     candidate.observe(start, None);
-    let first = candidate.propose(at(start, 4_000), 0);
-    assert!(matches!(first, Some(Step::Take { .. })));
+    let first = candidate
+        .propose(at(start, 4_000), 0)
+        .expect("nobody holds");
+    assert!(matches!(first, Step::Take { .. }));
     let mut register = None;
-    first.iter().for_each(|it| it.apply(5, &mut register));
+    first.apply(5, &mut register);
     let second = candidate
         .propose(at(start, 6_000), 0)
         .expect("no answer came");
