--- a/crates/daemon/src/duty.rs
+++ b/crates/daemon/src/duty.rs
@@ -377,18 +377,18 @@
         if let Some(token) = token {
             metrics.on_taken(token);
             log::info!(event = "CP1203", token; "holds the lease of the duties");
-        } else {
-            metrics.on_lost();
-            let candidate = candidate.borrow();
-            let record = candidate.record();
-            log::info!(
-                event = "CP1204", token = before,
-                holder = record.map(|it| it.instance.as_str()),
-                abstains = candidate.abstains(clock::now()),
-                term_ms = millis(self.inner.settings.lease.term);
-                "does not hold the lease of the duties any more"
-            );
+            return;
         }
+        metrics.on_lost();
+        let candidate = candidate.borrow();
+        let record = candidate.record();
+        log::info!(
+            event = "CP1204", token = before,
+            holder = record.map(|it| it.instance.as_str()),
+            abstains = candidate.abstains(clock::now()),
+            term_ms = millis(self.inner.settings.lease.term);
+            "does not hold the lease of the duties any more"
+        );
     }
 }
 
--- a/crates/policy/tests/usage_fixed.rs
+++ b/crates/policy/tests/usage_fixed.rs
@@ -1,6 +1,6 @@
 //! Counts of usage windows: the first proposal for a window stays in force.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use citron_policy::{
     id::WindowId,
@@ -15,6 +15,10 @@
 /// Proposals in each run.
 const PROPOSALS: u64 = 200;
 
+fn shared(number: WindowId, count: u64) -> Arc<Window> {
+    Arc::new(window(number, count))
+}
+
 fn window(number: WindowId, count: u64) -> Window {
     Window {
         number,
@@ -84,21 +88,21 @@
 fn a_dropped_window_has_no_counts_any_more() {
     let mut fixed = Fixed::default();
     for number in 1..=MAX_FIXED as u64 + 1 {
-        expect_that!(fixed.fix(&window(number, 1)), some(anything()));
+        expect_that!(fixed.fix(&shared(number, 1)), some(anything()));
     }
     expect_that!(fixed.dropped(), some(eq(1)));
     let windows = fixed.windows().cloned().collect();
     let mut fixed = Fixed::restore(fixed.dropped(), windows);
-    expect_that!(fixed.fix(&window(1, 2)), none());
-    expect_that!(fixed.fix(&window(2, 2)), some(eq(&window(2, 1))));
+    expect_that!(fixed.fix(&shared(1, 2)), none());
+    expect_that!(fixed.fix(&shared(2, 2)), some(eq(&shared(2, 1))));
 }
 
 /// Guards against a window that is fixed anew after an upgrade to a build that keeps more.
 #[gtest]
 fn a_snapshot_of_a_build_that_keeps_fewer_windows_is_enough() {
     let mut fixed = Fixed::restore(Some(5), vec![window(6, 1)]);
-    expect_that!(fixed.fix(&window(4, 2)), none());
-    expect_that!(fixed.fix(&window(5, 2)), none());
-    expect_that!(fixed.fix(&window(6, 2)), some(eq(&window(6, 1))));
-    expect_that!(fixed.fix(&window(7, 2)), some(eq(&window(7, 2))));
+    expect_that!(fixed.fix(&shared(4, 2)), none());
+    expect_that!(fixed.fix(&shared(5, 2)), none());
+    expect_that!(fixed.fix(&shared(6, 2)), some(eq(&shared(6, 1))));
+    expect_that!(fixed.fix(&shared(7, 2)), some(eq(&shared(7, 2))));
 }
