--- a/crates/daemon/src/shared_hosts.rs
+++ b/crates/daemon/src/shared_hosts.rs
@@ -20,7 +20,7 @@
     /// Records that a runner named its present service time.
     pub fn note(&self) {
         if !self.0.replace(true) {
-            log::info!(event = "CP1012"; "runners share their machines with others");
+            log::info!(event = "CP1011"; "runners share their machines with others");
         }
     }
 
--- a/crates/daemon/tests/regressions.rs
+++ b/crates/daemon/tests/regressions.rs
@@ -145,6 +145,7 @@
         members: watch::channel(Arc::new(members)).1,
         platform: watch::channel(Arc::new(List::default())).1,
         need: Need::new(Instant::now(), &platform::Settings::default()),
+        shared_hosts: citron_daemon::shared_hosts::SharedHosts::default(),
         view: watch::channel(Arc::new(view)).1,
     };
     let hub = Hub::new(&me, "one");
