autoscale: a wave's low tide is not taken for the load; prompts follow the lasting speed of runners

Arbiters are told of shared hosts by an event, so that replays with reports and without the switch stay the baseline.

--- a/crates/daemon/src/slots/host.rs
+++ b/crates/daemon/src/slots/host.rs
@@ -708,6 +708,9 @@
             if let Some(at) = self.inputs.need.read_at() {
                 works.push(Work::Arbiter(service.clone(), arbiter::Event::Listed(at)));
             }
+            if self.inputs.shared_hosts.get() {
+                works.push(Work::Arbiter(service.clone(), arbiter::Event::SharedHosts));
+            }
             works.push(Work::Arbiter(service, arbiter::Event::Tick));
         }
         self.drive(works);
--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -95,7 +95,7 @@
     /// Whether streams on a runner set aside as slow are moved to other runners.
     pub move_from_slow: bool,
     /// Whether runners share their machines with others, so that their speed differs and
-    /// changes; runners that say so themselves switch it on too.
+    /// changes; see also [`Event::SharedHosts`].
     pub shared_hosts: bool,
 }
 
@@ -153,6 +153,8 @@
     },
     /// Runners of the service that are ordered, as the holder of the duties told.
     Ordered(u32),
+    /// Runners say that they share their machines with others.
+    SharedHosts,
     /// Runs the timers; expected about every 100 ms.
     Tick,
 }
@@ -431,6 +433,7 @@
                 }
             }
             Event::Ordered(runners) => self.arrivals.on_ordered(now, runners),
+            Event::SharedHosts => self.pool.on_shared_hosts(),
             Event::Tick => self.on_tick(now, &mut effects),
         }
         self.end_collecting(now, &mut effects);
--- a/crates/policy/src/arbiter/pool.rs
+++ b/crates/policy/src/arbiter/pool.rs
@@ -424,7 +424,8 @@
             self.baseline.prefill_time,
         ) {
             _ if self.shared_hosts && runner.speed.is_measured() => {
-                let slowness = runner.speed.slowness(now);
+                // A prompt and its answer outlast the present slowdown.
+                let slowness = runner.speed.learned(now);
                 slowness.clamp(MIN_SLOWDOWN, MAX_SLOWDOWN)
             }
             (Some(own), Some(median)) if median > 0.0 => (own / median).clamp(1.0, MAX_SLOWDOWN),
@@ -565,6 +566,11 @@
         runner.speed.slowness(now) * (ahead + work) + faults + remote
     }
 
+    /// Records that runners share their machines with others.
+    pub(super) fn on_shared_hosts(&mut self) {
+        self.shared_hosts = true;
+    }
+
     /// Whether runners share their machines with others.
     pub(super) fn has_shared_hosts(&self) -> bool {
         self.shared_hosts
@@ -588,12 +594,10 @@
         usage: Option<&Usage>,
         sample: &Sample,
     ) {
-        let report = sample.report.unwrap_or_default();
-        // Only runners that share their machines name their present service time.
-        self.shared_hosts |= report.load.percent.is_some();
         let Some(runner) = self.runners.get_mut(id).filter(|_| self.shared_hosts) else {
             return;
         };
+        let report = sample.report.unwrap_or_default();
         if sample.report.is_some() {
             runner.on_report(now, &report);
             runner.speed.on_report(now, &report);
--- a/crates/policy/src/autoscale.rs
+++ b/crates/policy/src/autoscale.rs
@@ -13,8 +13,8 @@
 //! requests that were refused. It is smoothed over 2 s. The need is the maximum of the
 //! smoothed load over 10 s, so that it falls late; it rises at once if the load has been
 //! above it for half of the time until a runner serves, and not for shorter bursts. It is
-//! what was present at the first report until load is seen, and at least half of that for
-//! 20 s more.
+//! what was present until load is seen, and at least three quarters of that for 20 s more:
+//! the load of a few seconds does not tell that of a wave.
 //!
 //! Reclaimable runners first. They are spread evenly, the cheapest domain first, so
 //! that without the domain that has the most, the others still carry the need beyond
@@ -22,9 +22,9 @@
 //!
 //! Stable runners are dropped, to no less than the minimum of each domain, as far as
 //! reclaimable ones that are ready carry the need, and what is left of these without the
-//! domain that has the most carries the urgent tiers; at most a quarter per 1.5 s. They are added
-//! only for the need of the urgent tiers that reclaimable ones cannot carry, since those
-//! are refused, taken back or at the maximum; the cheapest domain comes first.
+//! domain that has the most carries the urgent tiers; at most a quarter per 1.5 s. They
+//! are added only for the need of the urgent tiers that reclaimable ones cannot carry,
+//! since those are refused, taken back or at the maximum; the cheapest domain comes first.
 //!
 //! Nothing is ordered down before reports have come for 10 s without a gap, nor while
 //! none come. A kind that a domain refuses or takes back is left out there for 5 s. What
@@ -71,9 +71,8 @@
 /// Targets and durations of the planner.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
-    /// Share of runners with a prompt to prefill. A prompt counts until its first event
-    /// arrives, about twice as long as its prefill, so at three quarters a prompt still
-    /// finds an idle runner as often as not.
+    /// Share of runners with a prompt to prefill. At one half, a prompt finds an idle
+    /// runner as often as not, so that first tokens rarely wait for another prompt.
     pub prefill_target: f64,
     /// Share of slots in use. The rest takes a wave until new runners serve.
     pub slot_target: f64,
@@ -85,9 +84,9 @@
     /// Time for which the highest load counts, and for which reports must have come
     /// before anything is ordered down.
     pub hold: Duration,
-    /// Time after the first report in which the need is at least `cautious_share`.
+    /// Time after load was first seen in which the need is at least `cautious_share`.
     pub cautious: Duration,
-    /// Share of the runners present at the first report.
+    /// Share of the runners present before load was seen.
     pub cautious_share: f64,
     /// Shortest time between two steps down.
     pub step_interval: Duration,
@@ -104,13 +103,13 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            prefill_target: 0.75,
+            prefill_target: 0.5,
             slot_target: 0.6,
             memory_target: 0.6,
             smoothing: Duration::from_secs(2),
             hold: Duration::from_secs(10),
             cautious: Duration::from_secs(20),
-            cautious_share: 0.5,
+            cautious_share: 0.75,
             step_interval: Duration::from_millis(1_500),
             step_share: 0.25,
             exclusion: Duration::from_secs(5),
--- a/crates/policy/src/autoscale/planner.rs
+++ b/crates/policy/src/autoscale/planner.rs
@@ -69,7 +69,7 @@
     settings: Settings,
     sites: IndexMap<DomainId, Site>,
     need: Need,
-    /// Runners that were ready at the first report.
+    /// Most runners that were ready before load was seen.
     present: u32,
     first_report: Option<Instant>,
     last_report: Option<Instant>,
@@ -172,12 +172,16 @@
             .on_demand(now, from, demand, &self.settings, sustain);
         // A list that was not read yet names no runner either.
         let is_listed = demand.ready() > 0 || self.has_reports(now);
+        // The list may be read in part at first; later, ordered runners come to those present.
+        let is_early = |at: Instant| since(now, at) < self.scaling.boot;
+        if self.first_load.is_none() && self.first_report.is_none_or(is_early) {
+            self.present = self.present.max(demand.ready());
+        }
         if demand.granted > 0 || demand.held > 0.0 {
             self.first_load.get_or_insert(now);
         }
         let is_first = self.first_report.is_none() && is_listed;
         if is_first {
-            self.present = demand.ready();
             self.first_report = Some(now);
         }
         for domain in self.scaling.prices.keys().chain(demand.fleets.keys()) {
--- a/crates/policy/tests/autoscale.rs
+++ b/crates/policy/tests/autoscale.rs
@@ -9,10 +9,10 @@
 };
 
 use citron_policy::{
-    autoscale::{Demand, Order, Outcome, Planner},
+    autoscale::{Demand, Order, Outcome, Planner, Settings},
     catalogue::Scaling,
 };
-use fleet::{DOMAINS, Replay, Run, scaling, seconds, settings};
+use fleet::{DOMAINS, Replay, Run, scaling, seconds};
 use googletest::prelude::*;
 
 /// Largest cost against the fixed fleet, for any replay of a minute.
@@ -241,7 +241,7 @@
 #[gtest]
 fn an_order_is_not_sent_twice_while_its_outcome_is_unknown() {
     let now = Instant::now();
-    let mut planner = Planner::new("chat".to_owned(), scaling(), settings());
+    let mut planner = Planner::new("chat".to_owned(), scaling(), Settings::default());
     let mut demand = Demand {
         service: "chat".to_owned(),
         usable: 3,
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -135,15 +135,6 @@
     }
 }
 
-/// Settings for the model: a prompt counts as busy there only until it is prefilled, not
-/// until its first event arrives.
-pub fn settings() -> Settings {
-    Settings {
-        prefill_target: 0.5,
-        ..Settings::default()
-    }
-}
-
 impl Replay {
     pub fn fixed(&self) -> Run {
         self.play(false)
@@ -155,7 +146,7 @@
 
     fn play(&self, scaled: bool) -> Run {
         let origin = Instant::now();
-        let new = || Planner::new("chat".to_owned(), self.scaling.clone(), settings());
+        let new = || Planner::new("chat".to_owned(), self.scaling.clone(), Settings::default());
         let mut planner = new();
         let mut model = Model::new(self.stable);
         let mut run = Run::default();
