--- a/crates/policy/src/arbiter/pool.rs
+++ b/crates/policy/src/arbiter/pool.rs
@@ -72,10 +72,6 @@
 /// Upper bound of the factor on a slow runner's cost.
 const MAX_SLOWDOWN: f64 = 8.0;
 
-/// Least factor on a fast runner's cost, where runners share their machines: half of the
-/// fastest one seen there, of 0.6 of the mean time.
-const MIN_SLOWDOWN: f64 = 0.3;
-
 /// Share of their work that requests in progress have left on average.
 const WORK_LEFT: f64 = 0.5;
 
@@ -423,11 +419,6 @@
             runner.prefill_time.get(MIN_SAMPLES),
             self.baseline.prefill_time,
         ) {
-            _ if self.shared_hosts && runner.speed.is_measured() => {
-                // A prompt and its answer outlast the present slowdown.
-                let slowness = runner.speed.learned(now);
-                slowness.clamp(MIN_SLOWDOWN, MAX_SLOWDOWN)
-            }
             (Some(own), Some(median)) if median > 0.0 => (own / median).clamp(1.0, MAX_SLOWDOWN),
             _ => 1.0,
         };
--- a/crates/policy/src/arbiter/speed.rs
+++ b/crates/policy/src/arbiter/speed.rs
@@ -160,11 +160,6 @@
             .map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
     }
 
-    /// Whether its service times were compared with those of others.
-    pub(super) fn is_measured(&self) -> bool {
-        self.learned.is_some()
-    }
-
     /// Learned service time relative to the mean over the pool.
     pub(super) fn learned(&self, now: Instant) -> f64 {
         let learned = self.learned.unwrap_or(UNTRIED);
