--- a/crates/policy/tests/prompt_placement.rs
+++ b/crates/policy/tests/prompt_placement.rs
@@ -9,7 +9,9 @@
 };
 
 use citron_policy::{
-    arbiter::{Ask, Asked, End, Event, Heartbeat, Note, Part, Progress, Request, Transition},
+    arbiter::{
+        Ask, Asked, End, Event, Heartbeat, Note, Part, Progress, Request, Sample, Transition,
+    },
     catalogue::{Account, Catalogue, Class, Entry, Service},
     requester,
 };
@@ -44,7 +46,7 @@
     Entry::Class(Arc::new(class))
 }
 
-/// Two classes: chats with short allowed pauses, and drafts with long prompts.
+/// Chats with short allowed pauses, help with longer ones, and drafts with long prompts.
 fn catalogue(slots: u32) -> Arc<Catalogue> {
     let service = Service {
         memory_tokens: 220_000,
@@ -57,6 +59,7 @@
     };
     let entries = vec![
         class("chat", 0, 800, 150),
+        class("help", 0, 800, 300),
         class("draft", 2, 1_500, 600),
         Entry::Service(Arc::new(service)),
         Entry::Account(Arc::new(account)),
@@ -114,6 +117,11 @@
         self.offer("chat", vec![own])
     }
 
+    fn help(&mut self) -> u64 {
+        let own = part(1 << 44 | self.next, CHAT_TOKENS);
+        self.offer("help", vec![own])
+    }
+
     fn draft(&mut self, subject: u64) -> u64 {
         let prompt = vec![
             part(1, BASE_TOKENS),
@@ -485,3 +493,34 @@
     println!("{share:.3} of the prefill is shared parts");
     expect_that!(share, le(0.2));
 }
+
+/// Long prompts kept joining streams whose class allows longer pauses than a usual chunk takes,
+/// on runners whose chunks take longer still.
+#[gtest]
+fn long_prompts_avoid_streams_that_have_paused_too_long() {
+    let joined = |late: usize| {
+        let mut pool = Pool::new(2);
+        pool.daemons.settings.shared_hosts = true;
+        for _ in 0..late {
+            let help = pool.help();
+            pool.begin(help);
+            let sample = Sample {
+                longest_pause: Some(Duration::from_millis(600)),
+                ..sample(End::Done, Duration::from_millis(500))
+            };
+            pool.daemons.release(0, help, sample);
+            pool.daemons.deliver_all();
+        }
+        let help = pool.help();
+        let with_stream = pool.granted()[&help].clone();
+        pool.begin(help);
+        // Some prefill on the other runner makes that one the costlier place.
+        let short = pool.offer("draft", vec![part(1 << 43, 3_000)]);
+        let with_prefill = pool.granted()[&short].clone();
+        expect_that!(with_prefill, not(eq(&with_stream)));
+        let long = pool.unshared_draft();
+        pool.granted()[&long] == with_stream
+    };
+    expect_that!(joined(0), eq(true));
+    expect_that!(joined(40), eq(false));
+}
