--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -254,6 +254,8 @@
         if load.is_some_and(|it| it.percent.is_some()) {
             self.exchange.ports().shared_hosts.note();
         }
+        // Elsewhere the arbiter has no use for it, and it would only cost bytes.
+        let load = load.filter(|_| self.exchange.ports().shared_hosts.get());
         self.load = load.map(|it| (it, Instant::now()));
     }
 
--- a/crates/daemon/src/exchange/run/stream.rs
+++ b/crates/daemon/src/exchange/run/stream.rs
@@ -202,8 +202,9 @@
     pub(super) fn release_stream(&mut self, end: End) {
         if let Some(stream) = self.stream.take() {
             let sample = self.sample(end, stream.started, stream.first_event, stream.event_count);
+            let is_shared = self.exchange.ports().shared_hosts.get();
             stream.lease.release(Sample {
-                longest_pause: stream.longest_pause,
+                longest_pause: stream.longest_pause.filter(|_| is_shared),
                 ..sample
             });
         }
