observability: who left a stream and how, and what told the end of an answer

The three hypotheses of the incident could not be told apart from logs and metrics. CP1003 says whether the caller closed or read nothing for too long (`cause`), as do the outcomes of citron_exchange_duration; CP1005 says what told the end of the answer (`framing`) and the last event, always for an answer that ended with its connection, and citron_exchange_whole_total counts both. No decision changes.

--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -101,6 +101,16 @@
             retry_after: None,
         }
     }
+
+    /// The caller has stopped reading, so the rest of its answer was given up.
+    #[must_use]
+    pub fn caller_stalled() -> Self {
+        Self {
+            kind: "stalled",
+            detail: "the caller read nothing for too long".to_owned(),
+            ..Self::caller_disconnected()
+        }
+    }
 }
 
 /// Information sent to a runner along with the caller's request.
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -51,7 +51,7 @@
 use admit::Admitted;
 use log_limit::Limiter;
 use metrics::Metrics;
-use run::{Run, Step};
+use run::{Departure, Run, Step};
 
 /// Longest wait of a request for this daemon's catalogue to become current; long
 /// enough to elect a leader of the control log after a restart of all its replicas.
@@ -237,7 +237,7 @@
         let first = tokio::select! {
             step = run.next() => step,
             () = caller_disconnected(watch.as_ref()) => {
-                run.abandon();
+                run.abandon(Departure::Closed);
                 let problem = Problem::caller_disconnected();
                 return self.refuse(&id, &problem, Some(&run.admitted));
             }
--- a/crates/daemon/src/exchange/metrics.rs
+++ b/crates/daemon/src/exchange/metrics.rs
@@ -14,6 +14,8 @@
     registry::{Registry, Unit},
 };
 
+use crate::upstream::Framing;
+
 /// Upper bound of the first bucket, in seconds.
 const LEAST_SECONDS: f64 = 0.004;
 
@@ -40,6 +42,12 @@
     status: u16,
 }
 
+/// Label of a complete answer.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Whole {
+    framing: &'static str,
+}
+
 /// Label of an attempt passed on to a peer.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct HopLabel {
@@ -62,6 +70,7 @@
     refused: Family<Refused, Counter>,
     continued: Family<Continued, Counter>,
     hops: Family<HopLabel, Counter>,
+    whole: Family<Whole, Counter>,
     cut_off: Gauge,
 }
 
@@ -74,6 +83,7 @@
             refused: Family::default(),
             continued: Family::default(),
             hops: Family::default(),
+            whole: Family::default(),
             cut_off: Gauge::default(),
         }
     }
@@ -115,6 +125,11 @@
             "Attempts passed on to peers, by outcome",
             self.hops.clone(),
         );
+        registry.register(
+            "citron_exchange_whole",
+            "Complete answers of runners, by what told their end",
+            self.whole.clone(),
+        );
         registry.register(
             "citron_exchange_cut_off",
             "Whether this instance reaches no runner",
@@ -131,6 +146,15 @@
         ended.observe(took.as_secs_f64());
     }
 
+    /// Counts a complete answer.
+    pub(super) fn count_whole(&self, framing: Framing) {
+        let framing = match framing {
+            Framing::Stated => "stated",
+            Framing::Close => "close",
+        };
+        self.whole.get_or_create_owned(&Whole { framing }).inc();
+    }
+
     /// Records the time from arrival to the first event of a stream.
     pub(super) fn record_first_event(&self, class: &ClassId, took: Duration) {
         let class = class.clone();
--- a/crates/daemon/src/exchange/relay.rs
+++ b/crates/daemon/src/exchange/relay.rs
@@ -14,11 +14,11 @@
 };
 use bytes::Bytes;
 use futures_util::stream;
-use tokio::sync::mpsc;
+use tokio::sync::mpsc::{self, error::SendTimeoutError};
 
 use super::{
     attempt, caller_disconnected, millis,
-    run::{Run, Step},
+    run::{Departure, Run, Step},
 };
 use crate::callers::InFlight;
 
@@ -54,22 +54,22 @@
     let mut events = first;
     loop {
         if !events.is_empty()
-            && sender
-                .send_timeout(Ok(events), STALL_TIMEOUT)
-                .await
-                .is_err()
+            && let Err(error) = sender.send_timeout(Ok(events), STALL_TIMEOUT).await
         {
-            run.abandon();
+            run.abandon(match error {
+                SendTimeoutError::Timeout(_) => Departure::Stalled,
+                SendTimeoutError::Closed(_) => Departure::Closed,
+            });
             break;
         }
         let step = tokio::select! {
             biased;
             () = sender.closed() => {
-                run.abandon();
+                run.abandon(Departure::Closed);
                 break;
             }
             () = caller_disconnected(watch.as_ref()) => {
-                run.abandon();
+                run.abandon(Departure::Closed);
                 break;
             }
             step = run.next() => step,
--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -20,6 +20,7 @@
     route::Repeat,
     silence::{self, Wait},
 };
+use derive_more::Display;
 
 use super::{
     Exchange,
@@ -33,7 +34,7 @@
     edge::{Problem, RunnerHead},
     fingerprint::format,
     slots::{Demand, End, Load, Refusal, Report, Sample, Slot},
-    upstream::Failure,
+    upstream::{Failure, Framing},
 };
 use peer::Hopped;
 use stream::Stream;
@@ -53,6 +54,17 @@
     Failed(Problem),
 }
 
+/// Why the work for a caller was ended.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub(super) enum Departure {
+    /// It closed its connection, or its sending side.
+    #[display("closed")]
+    Closed,
+    /// It read nothing for too long.
+    #[display("stalled")]
+    Stalled,
+}
+
 /// Whether a runner began to answer a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Start {
@@ -148,15 +160,18 @@
         self.relayed
     }
 
-    /// Cancels the upstream work after the caller has disconnected.
-    pub(super) fn abandon(&mut self) {
+    /// Cancels the upstream work for a caller that has left.
+    pub(super) fn abandon(&mut self, departure: Departure) {
         log::info!(
             event = "CP1003", request = self.admitted.caller_head.id.as_str(), sent = self.sent,
-            after_ms = millis(self.admitted.arrived.elapsed()),
+            after_ms = millis(self.admitted.arrived.elapsed()), cause:% = departure,
             last_event = self.last.unwrap_or(0);
             "caller disconnected"
         );
-        self.record_failure(&Problem::caller_disconnected());
+        match departure {
+            Departure::Closed => self.record_failure(&Problem::caller_disconnected()),
+            Departure::Stalled => self.record_failure(&Problem::caller_stalled()),
+        }
         self.release_stream(End::Cancelled);
     }
 
@@ -570,6 +585,7 @@
     ) -> Result<Option<Step>, Problem> {
         self.record_start();
         let (status, headers) = (answer.response.status, answer.response.headers);
+        let framing = answer.response.body.framing();
         let body = self.exchange.ports().buffers.answer(status);
         match answer.response.body.whole(body).await {
             Ok(body) => {
@@ -585,7 +601,7 @@
                     body,
                 };
                 if status.is_success() {
-                    self.record_success();
+                    self.record_success(framing);
                 }
                 if status.is_server_error() && self.retries_status(status) {
                     return Ok(None);
@@ -638,7 +654,7 @@
     }
 
     /// Records and logs that the request was answered in full.
-    fn record_success(&self) {
+    fn record_success(&self, framing: Framing) {
         let admitted = &self.admitted;
         let took = admitted.arrived.elapsed();
         let exchange = &self.exchange;
@@ -646,15 +662,17 @@
             .inner
             .metrics
             .record_end(&admitted.class.name, "done", took);
+        exchange.inner.metrics.count_whole(framing);
         let skipped = match exchange.log_permit() {
             Some(skipped) => skipped,
-            None if self.sent > 1 => 0,
+            None if self.sent > 1 || framing == Framing::Close => 0,
             None => return,
         };
         log::info!(
             event = "CP1005", request = admitted.caller_head.id.as_str(),
             runner = self.tried.last().map_or("", String::as_str), took_ms = millis(took),
-            sent = self.sent, ran = self.ran, skipped;
+            sent = self.sent, ran = self.ran, framing:% = framing,
+            last_event = self.last.unwrap_or(0), skipped;
             "answered"
         );
     }
--- a/crates/daemon/src/exchange/run/stream.rs
+++ b/crates/daemon/src/exchange/run/stream.rs
@@ -126,8 +126,9 @@
                     }
                 },
                 None if stream.events.is_empty() => {
+                    let framing = stream.body.framing();
                     self.release_stream(End::Done);
-                    self.record_success();
+                    self.record_success(framing);
                     return Ok(Step::Done);
                 }
                 None => self.on_stream_failure(&Failure::Cut)?,
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -30,7 +30,11 @@
 use crate::socket::Patience;
 
 pub(crate) use self::head::end_to_end;
-pub use self::{body::Body, failure::Failure, metrics::Metrics};
+pub use self::{
+    body::{Body, Framing},
+    failure::Failure,
+    metrics::Metrics,
+};
 use self::{head::Codec, socket::Socket};
 
 /// Header with the request id, which the response must repeat.
--- a/crates/daemon/src/upstream/body.rs
+++ b/crates/daemon/src/upstream/body.rs
@@ -5,6 +5,7 @@
 use actix_codec::{BytesCodec, Framed};
 use actix_http::error::PayloadError;
 use bytes::Bytes;
+use derive_more::Display;
 use futures_util::StreamExt;
 use tokio::time::{Instant, timeout_at};
 
@@ -17,10 +18,22 @@
 /// Most chunks read in one turn of the thread.
 const MAX_TURN_CHUNKS: u32 = 32;
 
+/// What tells the end of a body.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Framing {
+    /// A stated length, or the last of its chunks.
+    #[display("stated")]
+    Stated,
+    /// The orderly close of the connection.
+    #[display("close")]
+    Close,
+}
+
 /// A body that may still be arriving; dropping it closes the connection.
 #[derive(Debug)]
 pub struct Body {
     state: State,
+    framing: Framing,
     end: Instant,
     limits: Limits,
     received_bytes: u64,
@@ -41,6 +54,7 @@
     pub(super) fn new(framed: Framed<Socket, Codec>, end: Instant, limits: &Limits) -> Self {
         Self {
             state: State::Open(Box::new(framed.into_map_codec(Codec::into_payload))),
+            framing: Framing::Stated,
             end,
             limits: *limits,
             received_bytes: 0,
@@ -53,6 +67,7 @@
         let framed = framed.into_map_codec(|_| BytesCodec);
         Self {
             state: State::Unframed(Box::new(framed)),
+            framing: Framing::Close,
             end,
             limits: *limits,
             received_bytes: 0,
@@ -63,6 +78,7 @@
     pub(super) fn empty() -> Self {
         Self {
             state: State::Whole,
+            framing: Framing::Stated,
             end: Instant::now(),
             limits: Limits::default(),
             received_bytes: 0,
@@ -132,6 +148,12 @@
         start.into()
     }
 
+    /// What tells the end of the body.
+    #[must_use]
+    pub fn framing(&self) -> Framing {
+        self.framing
+    }
+
     /// Whether the body is complete.
     #[must_use]
     pub fn is_whole(&self) -> bool {
