relay: a stream is complete only when its writer says so

What callers saw: a stream that ended early looked complete. A caller that closed its sending side got 5 of 10 events and the last chunk; one that read nothing for 6 s got 994 of 3,000 events and the last chunk.

Cause: the task that reads from the runner fed the body through a channel, and a closed channel was the end of the body. Each way out of that task but one closes the channel in the same manner: the caller's departure, the caller's stall of 2 s, a panic, a cancellation. The own interface's relay had the same construction.

Change: http::written is the one way to write a body from a task.

Ruled out: the caller's close as such, since an untouched caller and one that leaves at once see no difference.

--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -43,7 +43,7 @@
     edge::{Adapter, CallerHead, Problem},
     event::millis,
     follow::Follow,
-    http::{Handler, Watch},
+    http::{Handler, Watch, written::Departure},
     shared_hosts::SharedHosts,
     slots::Slots,
     upstream,
@@ -51,7 +51,7 @@
 use admit::Admitted;
 use log_limit::Limiter;
 use metrics::Metrics;
-use run::{Departure, Run, Step};
+use run::{Run, Step};
 
 /// Longest wait of a request for this daemon's catalogue to become current; long
 /// enough to elect a leader of the control log after a restart of all its replicas.
--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -20,7 +20,6 @@
     route::Repeat,
     silence::{self, Wait},
 };
-use derive_more::Display;
 
 use super::{
     Exchange,
@@ -33,6 +32,7 @@
     callers::problem,
     edge::{Problem, RunnerHead},
     fingerprint::format,
+    http::written::Departure,
     slots::{Demand, End, Load, Refusal, Report, Sample, Slot},
     upstream::{Failure, Framing},
 };
@@ -54,17 +54,6 @@
     Failed(Problem),
 }
 
-/// Why the work for a caller was ended.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub(super) enum Departure {
-    /// It closed its connection, or its sending side.
-    #[display("closed")]
-    Closed,
-    /// It read nothing for too long.
-    #[display("stalled")]
-    Stalled,
-}
-
 /// Whether a runner began to answer a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Start {
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -6,6 +6,7 @@
 
 mod transit;
 mod watch;
+pub mod written;
 
 use std::{cell::Cell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 
