upstream: an answer without a length is complete only while its runner lives

What callers saw: a stream whose runner was killed between two events ended with the last chunk (5 of 10 events), and a body whose runner was killed in the middle came as 200 with the half of it.

Cause: an answer with neither a length nor chunks ends with its connection, and the kernel closes the connections of a killed process as orderly as the process itself would at the end of a complete answer. Only a reset was taken for a cut.

Change: after such a close the runner's address is tried once more. A refusal proves that nothing listens there any more, and the attempt failed like any that was cut: a stream that may be resumed goes on at another runner, others are visibly cut, bodies give a second attempt or 502. Silence or an accepted connection proves nothing, and the answer stays whole. It costs one connection for an answer without a length, and none for others.

Weighed and left out: a health check at that moment, which waits for a slot or is turned away like a request and counts against a runner's limit; another runner that is asked to go on, which costs a run for each complete stream.

--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -141,7 +141,7 @@
     Ok(head::response(
         &answer,
         framed,
-        &request.method,
+        (target, &request.method),
         end,
         limits,
     ))
--- a/crates/daemon/src/upstream/body.rs
+++ b/crates/daemon/src/upstream/body.rs
@@ -1,13 +1,18 @@
 //! Response bodies, which end only when they are complete.
+//!
+//! A body without a length ends with its connection. The system closes the connections of
+//! a killed process in the same orderly way, so that such an end counts only if the runner
+//! still accepts connections.
 
-use std::io::ErrorKind;
+use std::{io::ErrorKind, net::SocketAddr, time::Duration};
 
 use actix_codec::{BytesCodec, Framed};
 use actix_http::error::PayloadError;
+use actix_rt::net::TcpStream;
 use bytes::Bytes;
 use derive_more::Display;
 use futures_util::StreamExt;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use super::{
     Failure, Limits, Socket,
@@ -18,6 +23,9 @@
 /// Most chunks read in one turn of the thread.
 const MAX_TURN_CHUNKS: u32 = 32;
 
+/// Longest wait for a runner to accept or refuse a connection.
+const GONE_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// What tells the end of a body.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Framing {
@@ -45,7 +53,7 @@
 enum State {
     Open(Box<Framed<Socket, PayloadCodec>>),
     /// Without a length; an orderly close of the connection ends it.
-    Unframed(Box<Framed<Socket, BytesCodec>>),
+    Unframed(Box<Framed<Socket, BytesCodec>>, SocketAddr),
     Whole,
     Failed(Failure),
 }
@@ -62,11 +70,16 @@
         }
     }
 
-    /// A body delimited by the close of the connection.
-    pub(super) fn unframed(framed: Framed<Socket, Codec>, end: Instant, limits: &Limits) -> Self {
+    /// A body delimited by the close of the connection to `runner`.
+    pub(super) fn unframed(
+        framed: Framed<Socket, Codec>,
+        runner: SocketAddr,
+        end: Instant,
+        limits: &Limits,
+    ) -> Self {
         let framed = framed.into_map_codec(|_| BytesCodec);
         Self {
-            state: State::Unframed(Box::new(framed)),
+            state: State::Unframed(Box::new(framed), runner),
             framing: Framing::Close,
             end,
             limits: *limits,
@@ -104,7 +117,9 @@
         let deadline = self.end.min(Instant::now() + self.limits.idle);
         let next = match &mut self.state {
             State::Open(framed) => timeout_at(deadline, framed_chunk(framed)).await,
-            State::Unframed(framed) => timeout_at(deadline, unframed_chunk(framed)).await,
+            State::Unframed(framed, runner) => {
+                timeout_at(deadline, unframed_chunk(framed, *runner)).await
+            }
             State::Whole => return None,
             State::Failed(failure) => return Some(Err(failure.clone())),
         };
@@ -161,7 +176,7 @@
     }
 
     fn is_arriving(&self) -> bool {
-        matches!(self.state, State::Open(_) | State::Unframed(_))
+        matches!(self.state, State::Open(_) | State::Unframed(..))
     }
 
     fn fail(&mut self, failure: Failure) -> Result<Bytes, Failure> {
@@ -178,14 +193,26 @@
     }
 }
 
-async fn unframed_chunk(framed: &mut Framed<Socket, BytesCodec>) -> Result<Option<Bytes>, Failure> {
+async fn unframed_chunk(
+    framed: &mut Framed<Socket, BytesCodec>,
+    runner: SocketAddr,
+) -> Result<Option<Bytes>, Failure> {
     match framed.next().await {
         Some(Ok(chunk)) => Ok(Some(chunk.freeze())),
         Some(Err(_)) => Err(Failure::Cut),
+        None if is_gone(runner).await => Err(Failure::Gone),
         None => Ok(None),
     }
 }
 
+/// Whether nothing listens at the runner's address any more.
+///
+/// Silence proves nothing: a busy runner drops connections too.
+async fn is_gone(runner: SocketAddr) -> bool {
+    let tried = timeout(GONE_TIMEOUT, TcpStream::connect(runner)).await;
+    matches!(tried, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+}
+
 /// Distinguishes a malformed chunk from a lost connection.
 fn failure_of(error: &PayloadError) -> Failure {
     let cause = match error {
--- a/crates/daemon/src/upstream/failure.rs
+++ b/crates/daemon/src/upstream/failure.rs
@@ -35,6 +35,9 @@
     /// The response was truncated.
     #[display("the answer ended before it was whole: see the runner's log")]
     Cut,
+    /// The response ended with its connection, and the runner with it.
+    #[display("the runner is gone, so its answer may lack a part: see its log")]
+    Gone,
     /// The response violates the protocol.
     #[display("the answer is not valid: {_0}; check the runner's version")]
     Garbled(#[error(not(source))] String),
@@ -62,7 +65,7 @@
             Self::PartlyWritten => Ending::PartlyWritten,
             Self::Unanswered => Ending::Unanswered,
             Self::Late | Self::Silent => Ending::Late,
-            Self::Cut => Ending::Cut,
+            Self::Cut | Self::Gone => Ending::Cut,
             Self::Garbled(_) => Ending::Garbled,
             Self::Crossed => Ending::Crossed,
             Self::TooLarge { .. } | Self::NoMemory => Ending::TooLarge,
@@ -84,6 +87,9 @@
     /// Whether the connection was lost, as happens when the runner crashes.
     #[must_use]
     pub fn is_disconnect(&self) -> bool {
-        matches!(self, Self::PartlyWritten | Self::Unanswered | Self::Cut)
+        matches!(
+            self,
+            Self::PartlyWritten | Self::Unanswered | Self::Cut | Self::Gone
+        )
     }
 }
--- a/crates/daemon/src/upstream/head.rs
+++ b/crates/daemon/src/upstream/head.rs
@@ -240,7 +240,7 @@
 pub(super) fn response(
     head: &ResponseHead,
     framed: Framed<Socket, Codec>,
-    method: &Method,
+    (target, method): (SocketAddr, &Method),
     end: Instant,
     limits: &Limits,
 ) -> Response {
@@ -250,7 +250,7 @@
     let body = if empty || !has_body(head.status, method) {
         Body::empty()
     } else if length.is_none() && !chunked {
-        Body::unframed(framed, end, limits)
+        Body::unframed(framed, target, end, limits)
     } else {
         Body::new(framed, end, limits)
     };
