load driver: requests that have not begun are waited for too

Cause: a request counted as in flight only once its task was polled.

Change: a request counts from the moment at which it is spawned.

--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -178,8 +178,17 @@
     }
 
     /// Sends one request and its retries, and counts the final outcome.
-    async fn run_request(self: Rc<Self>, arrival: Arrival, at: Instant) {
+    ///
+    /// The request counts as in flight from this call on, before the future is first polled.
+    fn run_request(self: Rc<Self>, arrival: Arrival, at: Instant) -> impl Future<Output = ()> {
         self.in_flight.set(self.in_flight.get() + 1);
+        async move {
+            self.answer_request(arrival, at).await;
+            self.in_flight.set(self.in_flight.get() - 1);
+        }
+    }
+
+    async fn answer_request(&self, arrival: Arrival, at: Instant) {
         let item = &self.settings.items[arrival.item];
         let deadline = at + item.timeout();
         let mut retries = 0;
@@ -200,7 +209,6 @@
         if arrival.at >= self.settings.warmup {
             self.tally.borrow_mut().count(&item.name, &outcome, retries);
         }
-        self.in_flight.set(self.in_flight.get() - 1);
     }
 
     async fn attempt(&self, arrival: &Arrival, at: Instant, to: Option<SocketAddr>) -> Outcome {
--- a/crates/standin/tests/load.rs
+++ b/crates/standin/tests/load.rs
@@ -51,6 +51,22 @@
     expect_that!(one.count("tokens"), eq(other.count("tokens")));
 }
 
+/// The run ended before it had begun the request that arrived last.
+#[gtest]
+fn the_last_request_of_a_load_is_waited_for() {
+    let engine = engine();
+    let mix = json!([{"name": "desk", "kind": "chat", "service": "m"}]);
+    let run = ["--rate", "2", "--seconds", "0.5", "--seed", "3"];
+    let report = drive(&engine.address.to_string(), &run, &mix).expect("a report");
+    let counts = &report["items"]["desk"]["counts"];
+    expect_that!(counts["offered"], eq(&json!(2)), "{report}");
+    expect_that!(counts["answered"], eq(&counts["offered"]));
+    expect_that!(
+        engine.count("requests"),
+        eq(counts["offered"].as_u64().unwrap_or(0))
+    );
+}
+
 #[gtest]
 fn faulty_streams_are_detected() {
     let engine = engine();
