http: a cut stream resets the connection of an HTTP/1.0 caller

HTTP/1.0 has no chunks, so a stream ends with its connection. A stream that was cut, by its runner's reset or because the daemon was killed, ended in an orderly close, and the caller took the part for the whole.

The close of the connection was orderly unless someone asked for a reset. Now it is the other way round for HTTP/1.0 streams: the connection has a linger time of zero from the first byte, so that any close resets it, also the system's after a SIGKILL; when the body has ended and the system has taken its last byte, the linger time is taken away. Answers with a length and HTTP/1.1 connections are closed as before.

The tests before the change:

a_cut_stream_resets_the_connection_of_an_http_1_0_caller, a_killed_daemon_resets_the_streams_of_http_1_0_callers Expected: is an error which is equal to ConnectionReset Actual: Ok(())

Ruled out: a reset only when the body fails. It leaves out a killed or panicking process, whose connections the system closes in order.

--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -68,11 +68,12 @@
             })
             .h1(fn_service(move |request: Request| {
                 let sending = request.conn_data::<Sending>().cloned();
+                let version = request.version();
                 let answer = handler(request);
                 async move {
                     let answer = answer.await;
                     Ok::<_, Infallible>(match sending {
-                        Some(sending) => answer.map_body(|_, body| sending.body(body)),
+                        Some(sending) => answer.map_body(|_, body| sending.body(version, body)),
                         None => answer,
                     })
                 }
--- a/crates/daemon/src/http/transit.rs
+++ b/crates/daemon/src/http/transit.rs
@@ -4,6 +4,11 @@
 //! daemon that ends as soon as it has handed over its last answer cuts off what the library
 //! still holds. An answer is in transit from the moment at which a handler returns it until
 //! the system has taken its last byte.
+//!
+//! In HTTP/1.0 a body without a length ends with its connection. While such a body is in
+//! transit, its connection is set up to be reset when it is closed, whoever closes it: also
+//! the system, after the process was killed. Only the end of the body makes it an orderly
+//! close.
 
 use std::{
     cell::Cell,
@@ -11,11 +16,16 @@
     pin::Pin,
     rc::Rc,
     task::{Context, Poll, ready},
+    time::Duration,
 };
 
-use actix_http::body::{BodySize, BoxBody, MessageBody};
+use actix_http::{
+    Version,
+    body::{BodySize, BoxBody, MessageBody},
+};
 use actix_rt::net::TcpStream;
 use bytes::Bytes;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// Most bytes that the library is given at once: what it holds is not seen here.
@@ -60,6 +70,10 @@
     pending: Cell<bool>,
     /// What this connection has added to the totals.
     counted: Cell<(bool, u64)>,
+    /// Whether only the end of the connection tells the end of the body.
+    unframed: Cell<bool>,
+    /// Whether the body has come to its end, rather than been given up.
+    ended: Cell<bool>,
 }
 
 impl Sending {
@@ -70,11 +84,16 @@
             unwritten: Cell::new(0),
             pending: Cell::new(false),
             counted: Cell::new((false, 0)),
+            unframed: Cell::new(false),
+            ended: Cell::new(false),
         }))
     }
 
-    /// The body of an answer that a handler returned.
-    pub(super) fn body(&self, body: BoxBody) -> BoxBody {
+    /// The body of an answer that a handler returned to a request of this version.
+    pub(super) fn body(&self, version: Version, body: BoxBody) -> BoxBody {
+        let is_stream = matches!(body.size(), BodySize::Stream);
+        self.0.unframed.set(is_stream && version < Version::HTTP_11);
+        self.0.ended.set(false);
         let left = match body.size() {
             BodySize::Sized(length) => length,
             BodySize::None | BodySize::Stream => 0,
@@ -91,10 +110,20 @@
 }
 
 impl State {
+    /// Whether an answer is in transit.
+    fn is_active(&self) -> bool {
+        self.body_left.get().is_some() || self.pending.get() || self.unwritten.get() > 0
+    }
+
+    /// Whether an orderly close would make a part of an answer look whole.
+    fn must_reset(&self) -> bool {
+        self.unframed.get() && (self.is_active() || !self.ended.get())
+    }
+
     /// Updates the totals.
     fn count(&self) {
         let body = self.body_left.get();
-        let active = body.is_some() || self.pending.get() || self.unwritten.get() > 0;
+        let active = self.is_active();
         let left = body.unwrap_or(0) + self.unwritten.get() as u64;
         let (was_active, was_left) = self.counted.replace((active, left));
         let Totals { answers, bytes } = &*self.transit.0;
@@ -155,6 +184,7 @@
             match ready!(Pin::new(&mut this.inner).poll_next(cx)) {
                 Some(Ok(chunk)) => this.rest = chunk,
                 last => {
+                    this.sending.0.ended.set(last.is_none());
                     this.end();
                     return Poll::Ready(last);
                 }
@@ -183,6 +213,8 @@
 pub(super) struct Stream {
     inner: TcpStream,
     sending: Sending,
+    /// Whether a close of the connection resets it.
+    resets: bool,
 }
 
 impl Stream {
@@ -190,6 +222,7 @@
         Self {
             inner,
             sending: Sending::new(transit),
+            resets: false,
         }
     }
 
@@ -200,6 +233,26 @@
     pub(super) fn sending(&self) -> Sending {
         self.sending.clone()
     }
+
+    /// Sets what a close of the connection does from now on.
+    fn prepare_close(&mut self) {
+        let resets = self.sending.0.must_reset();
+        if resets == self.resets {
+            return;
+        }
+        // A linger time of zero makes the close send a reset.
+        let linger = resets.then_some(Duration::ZERO);
+        match SockRef::from(&self.inner).set_linger(linger) {
+            Ok(()) => self.resets = resets,
+            Err(error) => log::debug!("CP0116 cannot set what a close does: {error}"),
+        }
+    }
+}
+
+impl Drop for Stream {
+    fn drop(&mut self) {
+        self.prepare_close();
+    }
 }
 
 impl AsyncRead for Stream {
@@ -219,16 +272,26 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
+        this.prepare_close();
         let outcome = Pin::new(&mut this.inner).poll_write(cx, bytes);
         this.sending.0.on_write(bytes.len(), &outcome);
+        this.prepare_close();
         outcome
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().inner).poll_flush(cx)
+        let this = self.get_mut();
+        this.prepare_close();
+        Pin::new(&mut this.inner).poll_flush(cx)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().inner).poll_shutdown(cx)
+        let this = self.get_mut();
+        this.prepare_close();
+        if this.resets {
+            // The shutdown is an orderly close too.
+            return Poll::Ready(Ok(()));
+        }
+        Pin::new(&mut this.inner).poll_shutdown(cx)
     }
 }
