http: a stream to an HTTP/1.0 caller that keeps its connection has an end

An HTTP/1.0 caller that sent `Connection: keep-alive` got all events of a stream and then waited for its end until it gave up, as nothing told it: the stream has no chunks, and the connection was kept open for a next request.

An answer without a length to an HTTP/1.0 caller now closes its connection, whatever the caller asked for.

--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -10,7 +10,10 @@
 
 use std::{cell::Cell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 
-use actix_http::{HttpService, KeepAlive, Request, Response, body::BoxBody};
+use actix_http::{
+    ConnectionType, HttpService, KeepAlive, Request, Response, Version,
+    body::{BodySize, BoxBody, MessageBody as _},
+};
 use actix_rt::net::TcpListener;
 use actix_service::{Service, ServiceFactory, fn_service};
 use futures_util::future::LocalBoxFuture;
@@ -71,7 +74,10 @@
                 let version = request.version();
                 let answer = handler(request);
                 async move {
-                    let answer = answer.await;
+                    let mut answer = answer.await;
+                    if is_unframed(version, answer.body()) {
+                        answer.head_mut().set_connection_type(ConnectionType::Close);
+                    }
                     Ok::<_, Infallible>(match sending {
                         Some(sending) => answer.map_body(|_, body| sending.body(version, body)),
                         None => answer,
@@ -126,6 +132,11 @@
     Ok((listener, bound))
 }
 
+/// Whether only the end of the connection tells the end of a body.
+fn is_unframed(version: Version, body: &BoxBody) -> bool {
+    version < Version::HTTP_11 && matches!(body.size(), BodySize::Stream)
+}
+
 /// Counts one open connection until it is dropped.
 struct OpenConnection(Rc<Cell<usize>>);
 
--- a/crates/daemon/src/http/transit.rs
+++ b/crates/daemon/src/http/transit.rs
@@ -28,6 +28,8 @@
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use super::is_unframed;
+
 /// Most bytes that the library is given at once: what it holds is not seen here.
 const MAX_PIECE_BYTES: usize = 32 << 10;
 
@@ -91,8 +93,7 @@
 
     /// The body of an answer that a handler returned to a request of this version.
     pub(super) fn body(&self, version: Version, body: BoxBody) -> BoxBody {
-        let is_stream = matches!(body.size(), BodySize::Stream);
-        self.0.unframed.set(is_stream && version < Version::HTTP_11);
+        self.0.unframed.set(is_unframed(version, &body));
         self.0.ended.set(false);
         let left = match body.size() {
             BodySize::Sized(length) => length,
