chats: a caller that leaves a silent stream ends its work

A runner that was silent in the middle of a streamed chat went on working for a caller that had closed its connection, until its next token came or the deadline passed, as nothing was written to the caller meanwhile and the HTTP library does not tell a body that its reader is gone.

The relay of chats now watches the caller's connection while it waits for the runner, as the relay of opaque streams does. Like there, and like chats before their first token, a caller that closes its sending side counts as gone, since the two cannot be told apart; its stream ends without [DONE] and without the last chunk.

a_caller_that_leaves_a_silent_stream_ends_its_work Value of: engine.count("running") Expected: is equal to 0 Actual: 1

The other tests of the file held before: a half-close after some tokens, a caller that reads nothing for 8 s, and calls, chats and changes whose body is cut although the part is itself a valid body.

--- a/crates/daemon/src/callers/chat/relay.rs
+++ b/crates/daemon/src/callers/chat/relay.rs
@@ -1,8 +1,11 @@
 //! Forwards a streamed answer to the caller.
 //!
 //! A separate task reads from the runner into a buffer, so that a slow caller
-//! does not hold a slot. A caller whose buffer stays full is disconnected. An
-//! incomplete answer has neither the `[DONE]` event nor the final chunk.
+//! does not hold a slot. A caller whose buffer stays full, or that closes its
+//! connection or its sending side, is disconnected. An incomplete answer has
+//! neither the `[DONE]` event nor the final chunk.
+
+use std::pin::pin;
 
 use actix_http::{Response, StatusCode, body::BoxBody, header};
 use bytes::{Bytes, BytesMut};
@@ -34,6 +37,8 @@
 
 /// Reads from the runner until the answer ends or the caller disconnects.
 async fn forward(mut generation: Generation, first: Step, writer: Writer, guard: InFlight) {
+    // A runner may be silent for long, and nothing is written to the caller meanwhile.
+    let mut disconnected = pin!(generation.caller_disconnected());
     let mut step = first;
     loop {
         let (event, last) = match step {
@@ -55,6 +60,10 @@
                 generation.abandon(Mark::Abandoned);
                 break;
             }
+            () = &mut disconnected => {
+                generation.abandon(Mark::Abandoned);
+                break;
+            }
             step = generation.next() => step,
         };
     }
