exchange: a peer's failure whose body is cut is not passed on as whole

A daemon without a path to the runners passes on a peer's failure as the peer sent it. If the connection to the peer ended within the body, the caller got the peer's status with an empty body, framed as whole.

The error of the body was replaced by an empty body. It is now a failure of the attempt, like a peer that closes without an answer: the request goes on elsewhere if its route allows, or is answered 502. A promise that nothing ran is lost with it, which errs on the safe side.

--- a/crates/daemon/src/exchange/run/peer.rs
+++ b/crates/daemon/src/exchange/run/peer.rs
@@ -124,23 +124,32 @@
                 Ok(step.map_or(Hopped::Follows, Hopped::Step))
             }
             Ok(answer) if !answer.response.status.is_success() => {
-                self.pass_on(answer.response).await.map(Hopped::Step)
+                self.pass_on(answer.response).await
             }
             answer => {
                 let reason = "a peer's success does not prove its origin".to_owned();
                 let failure = answer.err().unwrap_or(Failure::Garbled(reason));
-                self.ran += attempts - 1;
-                self.on_failure(&failure, end_for(&failure))?;
-                Ok(Hopped::Follows)
+                self.on_peer_failure(&failure)
             }
         }
     }
 
+    /// Handles a peer without a usable answer; it may have used all attempts that the route
+    /// allows.
+    fn on_peer_failure(&mut self, failure: &Failure) -> Result<Hopped, Problem> {
+        self.ran += self.admitted.route.attempts.max(1) - 1;
+        self.on_failure(failure, end_for(failure))?;
+        Ok(Hopped::Follows)
+    }
+
     /// Passes a peer's own answer on to the caller: its word counts like this instance's.
-    async fn pass_on(&self, response: upstream::Response) -> Result<Step, Problem> {
+    async fn pass_on(&mut self, response: upstream::Response) -> Result<Hopped, Problem> {
         let (status, headers) = (response.status, response.headers);
         let body = self.exchange.ports().buffers.answer(status);
-        let body = response.body.whole(body).await.unwrap_or_default();
+        let body = match response.body.whole(body).await {
+            Ok(body) => body,
+            Err(failure) => return self.on_peer_failure(&failure),
+        };
         if self.ran > 0 && promises_not_run(status) {
             return Err(self.adjust_status(Problem {
                 status,
@@ -149,11 +158,12 @@
                 retry_after: None,
             }));
         }
-        Ok(self.check_resumed(Step::Whole(Answer {
+        let answer = Answer {
             status,
             headers,
             body,
-        })))
+        };
+        Ok(Hopped::Step(self.check_resumed(Step::Whole(answer))))
     }
 
     fn log_hop(&self, peer: &str, outcome: &'static str, took: Duration) {
