listing: a page of the runner list that is cut is not read as whole

A page that was cut where its text looks complete counted as the whole page: all runners behind the cut were dropped, and requests got 503. An entry of another writer that ends like a page (`"next":null}`) is enough; in the native format, any list whose text ends before its stated length.

awc ends a body as whole at a close, whatever the length or the chunks say, so that only the text told the end. Pages are now fetched like runners' answers, on a connection of their own and without an id: a body ends with its length or its last chunk. A page with neither still ends with its connection; there the text decides, and its server must still accept connections.

Ruled out: comparing the stated length with what awc returns, which leaves out pages in chunks.

--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -16,7 +16,7 @@
     time::{Duration, Instant},
 };
 
-use awc::Client;
+use actix_http::StatusCode;
 use citron_policy::{
     id::RunnerId,
     platform::{
@@ -35,7 +35,10 @@
 use rand::{Rng, RngExt};
 use tokio::sync::{Notify, watch};
 
-use crate::edge::Listing;
+use crate::{
+    edge::Listing,
+    upstream::{self, Limits},
+};
 
 /// Largest list accepted, in bytes; 8,000 entries take about 1.2 MB.
 pub const MAX_LIST_BYTES: usize = 8 << 20;
@@ -71,12 +74,12 @@
 /// Why one read failed.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 pub enum Failure {
-    /// The platform did not answer.
+    /// The platform did not answer, or not wholly.
     #[display("no answer from {address}: {reason}: check --platform and the platform itself")]
     NoAnswer {
         /// Address that was queried.
         address: SocketAddr,
-        /// Error of the HTTP client.
+        /// How the exchange failed.
         reason: String,
     },
     /// The platform answered with a status other than 200.
@@ -305,7 +308,8 @@
 
     async fn run(self, settings: Settings, sender: watch::Sender<Arc<List>>) {
         let listing = settings.listing.clone().unwrap_or_else(|| {
-            Rc::new(Native::new(settings.address, settings.timeout)) as Rc<dyn Listing>
+            let (address, timeout) = (settings.address, settings.timeout);
+            Rc::new(Native { address, timeout }) as Rc<dyn Listing>
         });
         let mut failing = false;
         loop {
@@ -450,18 +454,8 @@
 
 /// The list in citronpond's native format.
 struct Native {
-    client: Client,
     address: SocketAddr,
-}
-
-impl Native {
-    fn new(address: SocketAddr, timeout: Duration) -> Self {
-        let client = Client::builder()
-            .timeout(timeout)
-            .disable_redirects()
-            .finish();
-        Self { client, address }
-    }
+    timeout: Duration,
 }
 
 impl Listing for Native {
@@ -470,9 +464,9 @@
         &self,
         _token: Option<PageToken>,
     ) -> LocalBoxFuture<'static, Result<Page, PageFault>> {
-        let (client, address) = (self.client.clone(), self.address);
+        let (address, timeout) = (self.address, self.timeout);
         Box::pin(async move {
-            let page = read(&client, address).await;
+            let page = read(address, timeout).await;
             page.map_err(|failure| PageFault::Failed {
                 reason: failure.to_string(),
             })
@@ -481,24 +475,24 @@
 }
 
 /// Reads the list once.
-async fn read(client: &Client, address: SocketAddr) -> Result<Page, Failure> {
-    let request = client.get(format!("http://{address}/v1/list")).send();
-    let mut response = request.await.map_err(|error| Failure::NoAnswer {
+async fn read(address: SocketAddr, timeout: Duration) -> Result<Page, Failure> {
+    let limits = Limits {
+        connect: timeout,
+        head: timeout,
+        whole: timeout,
+        unframed: true,
+        max_body_bytes: MAX_LIST_BYTES as u64,
+        ..Limits::default()
+    };
+    let fetched = upstream::fetch(address, "/v1/list", &limits).await;
+    let (status, body) = fetched.map_err(|failure| Failure::NoAnswer {
         address,
-        reason: error.to_string(),
+        reason: failure.to_string(),
     })?;
-    if response.status() != awc::http::StatusCode::OK {
-        let status = response.status().as_u16();
+    if status != StatusCode::OK {
+        let status = status.as_u16();
         return Err(Failure::Status { address, status });
     }
-    let body = response
-        .body()
-        .limit(MAX_LIST_BYTES)
-        .await
-        .map_err(|error| Failure::Invalid {
-            address,
-            reason: error.to_string(),
-        })?;
     parse(&body).map_err(|reason| Failure::Invalid { address, reason })
 }
 
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -20,11 +20,11 @@
 
 use actix_codec::Framed;
 use actix_http::{
-    Method, StatusCode,
+    Method, RequestHead, ResponseHead, StatusCode,
     header::{HeaderMap, HeaderName, HeaderValue},
 };
 use actix_rt::net::TcpStream;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::socket::Patience;
@@ -126,25 +126,79 @@
     request: Request,
     limits: &Limits,
 ) -> Result<Response, Failure> {
-    let end = Instant::now() + limits.whole;
     let request_head = head::request(target, &request)?;
+    let opened = open(target, request_head, request.body.clone(), limits).await?;
+    head::check_id(&opened.head, &request)?;
+    opened.response(target, &request.method, limits)
+}
+
+/// Reads what `path` names at `target`, which repeats no request id.
+///
+/// # Errors
+/// [`Failure`] if nothing, or not all of it, was read.
+pub async fn fetch(
+    target: SocketAddr,
+    path: &str,
+    limits: &Limits,
+) -> Result<(StatusCode, Bytes), Failure> {
+    let request = Request {
+        path: path.to_owned(),
+        ..Request::default()
+    };
+    let mut request_head = head::request(target, &request)?;
+    request_head.headers.remove(&request.id_header);
+    let opened = open(target, request_head, Bytes::new(), limits).await?;
+    let mut response = opened.response(target, &request.method, limits)?;
+    let mut whole = BytesMut::new();
+    while let Some(chunk) = response.body.next().await {
+        whole.extend_from_slice(&chunk?);
+    }
+    Ok((response.status, whole.freeze()))
+}
+
+/// An exchange whose response head has arrived.
+struct Opened {
+    head: ResponseHead,
+    framed: Framed<Socket, Codec>,
+    end: Instant,
+}
+
+impl Opened {
+    fn response(
+        self,
+        target: SocketAddr,
+        method: &Method,
+        limits: &Limits,
+    ) -> Result<Response, Failure> {
+        head::check(&self.head, method, limits)?;
+        let origin = (target, method);
+        Ok(head::response(
+            &self.head,
+            self.framed,
+            origin,
+            self.end,
+            limits,
+        ))
+    }
+}
+
+async fn open(
+    target: SocketAddr,
+    request_head: RequestHead,
+    body: Bytes,
+    limits: &Limits,
+) -> Result<Opened, Failure> {
+    let end = Instant::now() + limits.whole;
     let stream = connect(target, limits).await?;
     let mut framed = Framed::new(Socket::new(stream), Codec::new());
     let head_end = end.min(Instant::now() + limits.head);
-    let exchanged = head::exchange(&mut framed, request_head, request.body.clone());
-    let answer = match timeout_at(head_end, exchanged).await {
+    let exchanged = head::exchange(&mut framed, request_head, body);
+    let head = match timeout_at(head_end, exchanged).await {
         Ok(outcome) => outcome?,
         Err(_) if framed.io_ref().wrote() => return Err(Failure::Late),
         Err(_) => return Err(Failure::Unwritten),
     };
-    head::check(&answer, &request, limits)?;
-    Ok(head::response(
-        &answer,
-        framed,
-        (target, &request.method),
-        end,
-        limits,
-    ))
+    Ok(Opened { head, framed, end })
 }
 
 async fn connect(target: SocketAddr, limits: &Limits) -> Result<TcpStream, Failure> {
--- a/crates/daemon/src/upstream/head.rs
+++ b/crates/daemon/src/upstream/head.rs
@@ -210,17 +210,18 @@
     Err(Failure::Garbled("too many interim answers".to_owned()))
 }
 
-/// Checks that the response belongs to the request, is within limits and states its length.
-pub(super) fn check(
-    head: &ResponseHead,
-    request: &Request,
-    limits: &Limits,
-) -> Result<(), Failure> {
+/// Checks that the response belongs to the request.
+pub(super) fn check_id(head: &ResponseHead, request: &Request) -> Result<(), Failure> {
     let mut ids = head.headers.get_all(&request.id_header);
     let own = |it: &HeaderValue| it.as_bytes() == request.id.as_bytes();
     if !ids.next().is_some_and(own) || ids.next().is_some() {
         return Err(Failure::Crossed);
     }
+    Ok(())
+}
+
+/// Checks that the response is within limits and states its length.
+pub(super) fn check(head: &ResponseHead, method: &Method, limits: &Limits) -> Result<(), Failure> {
     if size(&head.headers) > limits.max_head_bytes {
         let limit = limits.max_head_bytes as u64;
         return Err(Failure::TooLarge { limit });
@@ -230,7 +231,7 @@
     if chunked && sized {
         return Err(Failure::Garbled("it states two lengths".to_owned()));
     }
-    if !chunked && !sized && !limits.unframed && has_body(head.status, &request.method) {
+    if !chunked && !sized && !limits.unframed && has_body(head.status, method) {
         return Err(Failure::Garbled("it states no length".to_owned()));
     }
     Ok(())
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -112,6 +112,10 @@
                 "too long a list",
                 answer("200 OK", "", &" ".repeat(MAX_LIST_BYTES + 1)),
             ),
+            (
+                "a list whose text is whole and whose body is cut",
+                "HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\n{\"entries\":[]}".to_owned(),
+            ),
             ("no answer", String::new()),
         ];
         for (what, text) in bad {
