exchange: a stream that may not be resumed is forwarded from its first event

A caller that sent Last-Event-Id on a route whose streams may not be resumed got a part of a new run: the runner began at event 1, as it may there, and the daemon dropped the events up to the caller's, then ended the answer as complete.

Cause: events with an id that the caller has were dropped on any route, though only a resumed stream repeats what the caller has. Elsewhere what the runner answers is the whole stream.

Now the ids that the caller has count only on routes that may be resumed. The header still reaches the runner, and a runner that goes on there is forwarded as before.

Before: a_stream_that_may_not_be_resumed_is_forwarded_from_its_first_event, Last-Event-Id 3 of 6: expected t1 to t6, got t4 to t6, complete. Ruled out: the runner's bytes (it sent all six).

--- a/crates/daemon/src/exchange/run/stream.rs
+++ b/crates/daemon/src/exchange/run/stream.rs
@@ -85,10 +85,12 @@
         if self.head.is_none() || !self.has_events() {
             self.head = Some((response.status, response.headers));
         }
+        // A stream that may not be resumed is whole from its first event, whatever the caller has.
+        let last = self.last.filter(|_| self.admitted.route.is_repeatable());
         self.stream = Some(Stream {
             lease,
             body: response.body,
-            events: Events::after(self.last),
+            events: Events::after(last),
             room: self.exchange.ports().buffers.room(Kind::Answer),
             started,
             first_event: None,
