exchange: events of a run that began anew are no rest of a stream

A stream broke off after event 3, the next runner ignored Last-Event-Id and wrote another run from event 1: the caller got events 1 to 3 of the first run and 4 to 6 of the second, ended as complete; if the second run had only two events, it got the first three and a complete end. The same for a caller that took its stream up at the daemon, and within one answer whose ids fall back.

Cause: events whose id the caller had were dropped, in the belief that they were the same events. An id says where an event stands in its run, not which run it is of.

Now an id that falls back is a failure of the runner, as an event without an id is: another runner may go on, or the stream is visibly cut. Only the last event may come once more, as runners send it that count from it; it must be the same bytes, where this instance passed it on.

What stays open: a run that began anew at a stream's only event, with the same first event, and one whose caller has only event 1, look like the same run.

--- a/crates/daemon/src/exchange/events.rs
+++ b/crates/daemon/src/exchange/events.rs
@@ -3,7 +3,9 @@
 //! Only complete events are relayed, so that a stream that breaks within an event
 //! can resume on another runner after the last event that the caller received. An
 //! event without an id cannot be placed among those that have one, so none is relayed
-//! after them: it is the next runner's failure rather than the stream's next event.
+//! after them: it is the next runner's failure rather than the stream's next event. Nor
+//! is one whose id falls back: its runner began anew, and what another run writes does not
+//! fit.
 
 use bytes::{Bytes, BytesMut};
 use derive_more::Display;
@@ -39,6 +41,9 @@
     /// It has no id, though events before it had one.
     #[display("an event without an id follows others that have one")]
     Unnumbered,
+    /// Its id is not above the one before it.
+    #[display("the id of an event falls back: the runner began the stream anew")]
+    FallsBack,
     /// It has neither an id nor data.
     #[display("text between events is no event")]
     NoEvent,
@@ -56,6 +61,48 @@
     Text,
 }
 
+/// What the caller of a stream has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Received {
+    /// Id of its last event.
+    pub(super) last_id: Option<u64>,
+    /// Digest of that event, unless the caller got it elsewhere.
+    digest: Option<u64>,
+}
+
+/// How an event with an id follows those before it.
+enum Place {
+    /// It is the next one.
+    Next,
+    /// It is the last one once more, as runners send it that go on with the last event.
+    Repeat,
+}
+
+impl Received {
+    /// The events up to `last_id`, which the caller got elsewhere.
+    pub(super) fn elsewhere(last_id: Option<u64>) -> Self {
+        Self {
+            last_id,
+            digest: None,
+        }
+    }
+
+    /// Adds an event.
+    fn add(&mut self, id: u64, event: &[u8]) -> Result<Place, Fault> {
+        let digest = xxhash_rust::xxh3::xxh3_64(event);
+        let place = match self.last_id {
+            Some(last) if id < last => return Err(Fault::FallsBack),
+            Some(last) if id == last => match self.digest {
+                Some(known) if known != digest => return Err(Fault::FallsBack),
+                _ => Place::Repeat,
+            },
+            _ => Place::Next,
+        };
+        (self.last_id, self.digest) = (Some(id), Some(digest));
+        Ok(place)
+    }
+}
+
 /// Splitter of one stream.
 #[derive(Debug, Default)]
 pub(super) struct Events {
@@ -64,22 +111,21 @@
     searched: usize,
     /// Pieces of the incomplete event.
     pieces: u32,
-    /// Id of the last event that was returned.
-    last_id: Option<u64>,
+    received: Received,
 }
 
 impl Events {
-    /// A stream whose events up to `last_id` the caller already has.
-    pub(super) fn after(last_id: Option<u64>) -> Self {
+    /// The rest of a stream.
+    pub(super) fn after(received: Received) -> Self {
         Self {
-            last_id,
+            received,
             ..Self::default()
         }
     }
 
-    /// Id of the last event that was returned.
-    pub(super) fn last_id(&self) -> Option<u64> {
-        self.last_id
+    /// What the caller has with the events that were returned.
+    pub(super) fn received(&self) -> Received {
+        self.received
     }
 
     /// Memory that the incomplete event takes, in bytes.
@@ -89,7 +135,7 @@
 
     /// Adds a chunk; returns the events that it completes and their count.
     ///
-    /// Events with an id that was already returned are dropped.
+    /// The last event is dropped if it comes again.
     pub(super) fn push(&mut self, chunk: &[u8]) -> Result<(Bytes, u32), Fault> {
         self.buffer.extend_from_slice(chunk);
         self.pieces += 1;
@@ -99,9 +145,13 @@
             let event = self.buffer.split_to(self.searched + end + BLANK_LINE.len());
             (self.searched, self.pieces) = (0, 0);
             match block(&event) {
-                Block::Numbered(id) if Some(id) <= self.last_id => continue,
-                Block::Numbered(id) => self.last_id = Some(id),
-                Block::Unnumbered if self.last_id.is_some() => return Err(Fault::Unnumbered),
+                Block::Numbered(id) => match self.received.add(id, &event)? {
+                    Place::Next => {}
+                    Place::Repeat => continue,
+                },
+                Block::Unnumbered if self.received.last_id.is_some() => {
+                    return Err(Fault::Unnumbered);
+                }
                 Block::Unnumbered | Block::Silent => {}
                 Block::Text => return Err(Fault::NoEvent),
             }
--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -25,6 +25,7 @@
     Exchange,
     admit::{self, Admitted},
     attempt::{self, Answer},
+    events::Received,
     lease::Lease,
     millis,
 };
@@ -76,8 +77,8 @@
     stream: Option<Stream>,
     /// Head of the first stream, which stays the response head after a resumption.
     pub(super) head: Option<(StatusCode, HeaderMap)>,
-    /// Id of the last event passed to the caller.
-    last: Option<u64>,
+    /// What the caller has of the stream.
+    received: Received,
     /// Whether events were passed to the caller.
     relayed: bool,
     /// Version of the runners that the stream goes on at; none before its first event.
@@ -99,7 +100,7 @@
     pub(super) fn new(exchange: Exchange, admitted: Admitted) -> Self {
         Self {
             exchange,
-            last: admitted.caller_head.after,
+            received: Received::elsewhere(admitted.caller_head.after),
             admitted,
             tried: Vec::new(),
             ran: 0,
@@ -136,7 +137,7 @@
 
     /// Id of the last event passed to the caller.
     pub(super) fn last_id(&self) -> Option<u64> {
-        self.last
+        self.received.last_id
     }
 
     /// Whether the caller has events of the stream already.
@@ -154,7 +155,7 @@
         log::info!(
             event = "CP1003", request = self.admitted.caller_head.id.as_str(), sent = self.sent,
             after_ms = millis(self.admitted.arrived.elapsed()), cause:% = departure,
-            last_event = self.last.unwrap_or(0);
+            last_event = self.last_id().unwrap_or(0);
             "caller disconnected"
         );
         match departure {
@@ -268,7 +269,7 @@
     async fn send(&self, slot: &Slot) -> Result<attempt::Started, Failure> {
         tokio::select! {
             biased;
-            answer = attempt::send(&self.exchange, &self.admitted, slot, self.last) => answer,
+            answer = attempt::send(&self.exchange, &self.admitted, slot, self.last_id()) => answer,
             () = self.silence_timeout() => Err(Failure::Silent),
         }
     }
@@ -300,7 +301,7 @@
             Repeat::Never => Rerun::Forbidden,
             Repeat::Resume if !route.stream => Rerun::Forbidden,
             // Without the id of its last event nobody can go on with the stream.
-            Repeat::Always | Repeat::Resume if self.relayed && self.last.is_none() => {
+            Repeat::Always | Repeat::Resume if self.relayed && self.last_id().is_none() => {
                 Rerun::Forbidden
             }
             Repeat::Always | Repeat::Resume if ran < route.attempts => Rerun::Allowed,
@@ -389,7 +390,7 @@
         log::info!(
             event = "CP1001", request = admitted.caller_head.id.as_str(),
             runner = slot.runner.as_str(), address:% = slot.address, build = slot.build.as_str(),
-            resumes = admitted.caller_head.resumes.as_deref(), after = self.last,
+            resumes = admitted.caller_head.resumes.as_deref(), after = self.last_id(),
             service = admitted.service.name.as_str(), class = admitted.class.name.as_str(),
             tier = admitted.tier(),
             account = admitted.account.as_ref().map_or("", |it| it.name.as_str()),
@@ -661,7 +662,7 @@
             event = "CP1005", request = admitted.caller_head.id.as_str(),
             runner = self.tried.last().map_or("", String::as_str), took_ms = millis(took),
             sent = self.sent, ran = self.ran, framing:% = framing,
-            last_event = self.last.unwrap_or(0), skipped;
+            last_event = self.last_id().unwrap_or(0), skipped;
             "answered"
         );
     }
--- a/crates/daemon/src/exchange/run/peer.rs
+++ b/crates/daemon/src/exchange/run/peer.rs
@@ -58,7 +58,7 @@
             self.asked_peers.push(peer.clone());
             let hop = Hop::begin(&self.exchange, &peer);
             let started = Instant::now();
-            let answer = hop::send(&self.exchange, &self.admitted, address, self.last).await;
+            let answer = hop::send(&self.exchange, &self.admitted, address, self.last_id()).await;
             let unable = match &answer {
                 Ok(response) => hop::is_unable(response),
                 Err(failure) => failure.is_unconnected(),
@@ -165,7 +165,7 @@
         };
         log::info!(
             event = "CP1008", request = self.admitted.caller_head.id.as_str(), peer, outcome,
-            took_ms = millis(took), after = self.last, skipped;
+            took_ms = millis(took), after = self.last_id(), skipped;
             "passed on to a peer"
         );
     }
--- a/crates/daemon/src/exchange/run/stream.rs
+++ b/crates/daemon/src/exchange/run/stream.rs
@@ -11,7 +11,11 @@
 };
 
 use super::{
-    super::{admit::Admitted, events::Events, lease::Lease},
+    super::{
+        admit::Admitted,
+        events::{Events, Received},
+        lease::Lease,
+    },
     Run, Step, end_for, request_number,
 };
 use crate::{
@@ -86,11 +90,15 @@
             self.head = Some((response.status, response.headers));
         }
         // A stream that may not be resumed is whole from its first event, whatever the caller has.
-        let last = self.last.filter(|_| self.admitted.route.is_repeatable());
+        let received = if self.admitted.route.is_repeatable() {
+            self.received
+        } else {
+            Received::default()
+        };
         self.stream = Some(Stream {
             lease,
             body: response.body,
-            events: Events::after(last),
+            events: Events::after(received),
             room: self.exchange.ports().buffers.room(Kind::Answer),
             started,
             first_event: None,
@@ -153,7 +161,7 @@
             stream.note_event(Instant::now());
             stream.event_count += count;
             stream.lease.record_tokens(stream.event_count);
-            self.last = stream.events.last_id();
+            self.received = stream.events.received();
             self.build = self.build.take().or_else(|| stream.lease.build());
         }
         self.relayed = true;
