exchange: the drain timeout bounds what a leaving instance takes and passes on

Callers of a leaving instance whose requests were taken in the first 2.8 s and worked for longer than what was left of the grace got no answer: the connection ended with the process, also for requests that may run only once.

Cause: nothing but the process's end bounded a request in flight. Its deadline came from the caller and the route alone, whatever was left of the drain timeout, and work was taken without asking whether it could end in time.

Change: the end of the drain timeout is told to the exchange. It bounds the deadline of each attempt from the signal on; what is in flight when it comes is answered, with 504 if a runner or peer may have it and 503 if not, and a stream is cut visibly. Before an attempt, and again once a slot is held, a request is refused if the mean and deviation of its class's recent work do not fit into what is left, with 503 unless an earlier attempt may have run.

Ruled out: a request behind another on its connection is lost only if the answer before it was cut; a 429 or 503 for what ran was not seen before either.

--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -28,10 +28,11 @@
 use citron_policy::{
     detour::{self, Detour},
     feed::View,
-    id::InstanceId,
+    id::{ClassId, InstanceId},
     member::{Members, State},
-    retry,
+    retry, work,
 };
+use indexmap::IndexMap;
 use prometheus_client::registry::Registry;
 use tokio::sync::watch;
 
@@ -88,6 +89,8 @@
     pub draining: watch::Receiver<bool>,
     /// Becomes true right before shutdown, when all requests are refused.
     pub closing: watch::Receiver<bool>,
+    /// When the last request must be answered; none while the daemon stays.
+    pub end: watch::Receiver<Option<Instant>>,
     /// Slots on runners.
     pub slots: Slots,
     /// Protocol adapter.
@@ -110,6 +113,8 @@
     in_flight: Rc<Cell<u32>>,
     retries: Retries,
     detour: RefCell<Detour>,
+    /// Work of the classes.
+    work: RefCell<IndexMap<ClassId, work::Estimate>>,
     /// Whether the paths to the runners are being tested.
     testing: Cell<bool>,
     metrics: Metrics,
@@ -124,6 +129,7 @@
             in_flight: Rc::default(),
             retries: Retries::new(1),
             detour: RefCell::new(Detour::new(detour::Settings::default())),
+            work: RefCell::default(),
             testing: Cell::default(),
             metrics: Metrics::default(),
             log_limit: RefCell::new(Limiter::new(Instant::now(), ports.log_rate)),
@@ -241,6 +247,7 @@
                 let problem = Problem::caller_disconnected();
                 return self.refuse(&id, &problem, Some(&run.admitted));
             }
+            () = self.out_of_time() => Step::Failed(run.cut_off()),
         };
         match first {
             Step::Whole(answer) => answer.response(),
@@ -248,11 +255,49 @@
                 run.record_failure(&problem);
                 self.refuse(&id, &problem, Some(&run.admitted))
             }
-            Step::Events(events) => relay::answer(run, events, guard),
-            Step::Done => relay::answer(run, bytes::Bytes::new(), guard),
+            Step::Events(events) => relay::answer(self.clone(), run, events, guard),
+            Step::Done => relay::answer(self.clone(), run, bytes::Bytes::new(), guard),
         }
     }
 
+    /// Resolves when the last request must be answered; never while the daemon stays.
+    async fn out_of_time(&self) {
+        let mut end = self.ports().end.clone();
+        loop {
+            let at = *end.borrow_and_update();
+            let reached = async {
+                match at {
+                    Some(at) => actix_rt::time::sleep_until(at.into()).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = reached => return,
+                Ok(()) = end.changed() => {}
+            }
+        }
+    }
+
+    /// Whether the work of a class can be expected to end before this daemon does.
+    fn fits(&self, class: &ClassId, now: Instant) -> bool {
+        let Some(end) = *self.ports().end.borrow() else {
+            return true;
+        };
+        let left = end.saturating_duration_since(now);
+        let work = self.inner.work.borrow();
+        work.get(class).is_none_or(|it| it.fits(left))
+    }
+
+    /// Records how long a runner took for a whole answer.
+    fn record_work(&self, class: &ClassId, took: Duration) {
+        let mut work = self.inner.work.borrow_mut();
+        if !work.contains_key(class) {
+            let view = self.ports().view.borrow();
+            work.retain(|it, _| view.catalogue.classes.contains_key(it));
+        }
+        work.entry(class.clone()).or_default().record(took);
+    }
+
     /// Adds to the retry budget of the request's service, which is divided among the
     /// daemons.
     fn earn_retries(&self, admitted: &Admitted) {
--- a/crates/daemon/src/exchange/relay.rs
+++ b/crates/daemon/src/exchange/relay.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 
 use super::{
-    attempt, caller_disconnected, millis,
+    Exchange, attempt, caller_disconnected, millis,
     run::{Run, Step},
 };
 use crate::{
@@ -21,21 +21,26 @@
 const BUFFER_PIECES: usize = 512;
 
 /// The streamed response, which starts with `first`.
-pub(super) fn answer(mut run: Run, first: Bytes, guard: InFlight) -> Response<BoxBody> {
+pub(super) fn answer(
+    exchange: Exchange,
+    mut run: Run,
+    first: Bytes,
+    guard: InFlight,
+) -> Response<BoxBody> {
     let (status, headers) = run
         .head
         .take()
         .unwrap_or((StatusCode::OK, HeaderMap::new()));
     run.head = Some((status, HeaderMap::new()));
     let (writer, body) = written::body(BUFFER_PIECES);
-    actix_rt::spawn(forward(run, first, writer, guard));
+    actix_rt::spawn(forward(exchange, run, first, writer, guard));
     attempt::head(status, &headers)
         .body(body)
         .map_into_boxed_body()
 }
 
-/// Forwards events until the stream ends or the caller disconnects.
-async fn forward(mut run: Run, first: Bytes, writer: Writer, guard: InFlight) {
+/// Forwards events until the stream ends, the caller disconnects or the daemon must end.
+async fn forward(exchange: Exchange, mut run: Run, first: Bytes, writer: Writer, guard: InFlight) {
     let watch = run.admitted.watch.clone();
     let mut events = first;
     loop {
@@ -56,6 +61,7 @@
                 break;
             }
             step = run.next() => step,
+            () = exchange.out_of_time() => Step::Failed(run.cut_off()),
         };
         match step {
             Step::Events(next) => events = next,
--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -164,8 +164,40 @@
         self.release_stream(End::Cancelled);
     }
 
+    /// Gives up the request, as the daemon must end now.
+    pub(super) fn cut_off(&mut self) -> Problem {
+        self.release_stream(End::Cancelled);
+        if self.sent == 0 && self.asked_peers.is_empty() {
+            return Problem::leaving();
+        }
+        Problem {
+            status: StatusCode::GATEWAY_TIMEOUT,
+            kind: "leaving",
+            detail: "this instance had to end before the request did: allow it more time to drain"
+                .to_owned(),
+            retry_after: None,
+        }
+    }
+
+    /// Bounds the request by the end of a leaving daemon; the problem for the caller if it
+    /// cannot be expected to end before.
+    fn check_time_left(&mut self) -> Result<(), Problem> {
+        let Some(end) = *self.exchange.ports().end.borrow() else {
+            return Ok(());
+        };
+        self.admitted.deadline = self.admitted.deadline.min(end);
+        if self
+            .exchange
+            .fits(&self.admitted.class.name, Instant::now())
+        {
+            return Ok(());
+        }
+        Err(self.adjust_status(Problem::leaving()))
+    }
+
     /// Makes one attempt; `None` if another attempt or the events of a stream follow.
     async fn attempt(&mut self) -> Result<Option<Step>, Problem> {
+        self.check_time_left()?;
         match self.hop().await? {
             Hopped::No => {}
             Hopped::Step(step) => return Ok(Some(step)),
@@ -177,6 +209,7 @@
         if !self.recheck()? {
             return Ok(None);
         }
+        self.check_time_left()?;
         if self.is_continued() {
             self.build.get_or_insert_with(|| slot.build.clone());
         }
@@ -590,7 +623,7 @@
                     body,
                 };
                 if status.is_success() {
-                    self.record_success(framing);
+                    self.record_success(framing, started.elapsed());
                 }
                 if status.is_server_error() && self.retries_status(status) {
                     return Ok(None);
@@ -642,8 +675,8 @@
         }
     }
 
-    /// Records and logs that the request was answered in full.
-    fn record_success(&self, framing: Framing) {
+    /// Records and logs that the request was answered in full; its runner `worked` so long.
+    fn record_success(&self, framing: Framing, worked: Duration) {
         let admitted = &self.admitted;
         let took = admitted.arrived.elapsed();
         let exchange = &self.exchange;
@@ -651,6 +684,7 @@
             .inner
             .metrics
             .record_end(&admitted.class.name, "done", took);
+        exchange.record_work(&admitted.class.name, worked);
         exchange.inner.metrics.count_whole(framing);
         let skipped = match exchange.log_permit() {
             Some(skipped) => skipped,
--- a/crates/daemon/src/exchange/run/stream.rs
+++ b/crates/daemon/src/exchange/run/stream.rs
@@ -126,9 +126,9 @@
                     }
                 },
                 None if stream.events.is_empty() => {
-                    let framing = stream.body.framing();
+                    let (framing, worked) = (stream.body.framing(), stream.started.elapsed());
                     self.release_stream(End::Done);
-                    self.record_success(framing);
+                    self.record_success(framing, worked);
                     return Ok(Step::Done);
                 }
                 None => self.on_stream_failure(&Failure::Cut)?,
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -258,6 +258,8 @@
     draining: watch::Sender<bool>,
     /// Becomes true when new requests might not finish before the process must end.
     closing: watch::Sender<bool>,
+    /// When the last request must be answered; none while the daemon stays.
+    end: watch::Sender<Option<Instant>>,
     /// Becomes true just before the process ends, when listeners stop accepting.
     stopped: watch::Sender<bool>,
     /// Whether a signal told the daemon to leave. A leave requested by the
@@ -295,6 +297,7 @@
         let (core, failed) = Core::start(settings, addresses, gossip, platform, replica, reader);
         let (draining, drained) = watch::channel(false);
         let (closing, closed) = watch::channel(false);
+        let (end, ends_at) = watch::channel(None);
         let (stopped, ended) = watch::channel(false);
         let upstream = upstream::Metrics::default();
         let buffers = Buffers::new(settings.memory_bytes);
@@ -308,6 +311,7 @@
                 let stop = StopSignals {
                     draining: drained,
                     closing: closed.clone(),
+                    end: ends_at,
                 };
                 let inputs = (adapter, usage.clone());
                 Front::Adapter(exchange(settings, &core, stop, inputs, &upstream, &buffers))
@@ -362,6 +366,7 @@
             metrics,
             draining,
             closing,
+            end,
             stopped,
             signalled,
             lag,
@@ -533,6 +538,7 @@
 struct StopSignals {
     draining: watch::Receiver<bool>,
     closing: watch::Receiver<bool>,
+    end: watch::Receiver<Option<Instant>>,
 }
 
 fn exchange(
@@ -555,6 +561,7 @@
         follow: core.follow.clone(),
         draining: stop.draining,
         closing: stop.closing,
+        end: stop.end,
         slots: core.slots.clone(),
         adapter: adapter.clone(),
         usage,
--- a/crates/daemon/src/run/shutdown.rs
+++ b/crates/daemon/src/run/shutdown.rs
@@ -99,6 +99,10 @@
         {
             self.announce(leaving);
         }
+        let end = since.and_then(|it| it.checked_add(self.drain_timeout));
+        self.parts
+            .end
+            .send_if_modified(|it| std::mem::replace(it, end) != end);
         let Some(since) = since else { return Ok(false) };
         let waited = now.saturating_duration_since(since);
         let confirmed = self.signalled_at.is_some() || waited >= MIN_LISTED_TIME;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -32,3 +32,4 @@
 pub mod stream;
 pub mod swim;
 pub mod usage;
+pub mod work;
