exchange: a jump of ids where a stream goes on is a gap

A stream broke off after event 3, the next runner went on with event 5: the caller got 1, 2, 3, 5, 6 and a complete end.

Cause: any id above the last one was taken for the next event. Ids may rise by more than one, so a jump alone shows nothing; but where all of them have risen by one, a jump at the very first event of another runner is a part that neither of them sent.

Now that is a failure of the runner that went on: another one may, or the stream is visibly cut and its caller may take it up. Two steps by one are asked for before. A jump within one run, and one after an event that the caller got elsewhere, stay what they were: nothing tells them from a gap.

Before: an_event_that_is_missing_at_a_seam_is_not_passed_over, t1 to t3, t5, t6 as complete, also when both runners that followed left the event out.

--- a/crates/daemon/src/exchange/events.rs
+++ b/crates/daemon/src/exchange/events.rs
@@ -5,7 +5,7 @@
 //! event without an id cannot be placed among those that have one, so none is relayed
 //! after them: it is the next runner's failure rather than the stream's next event. Nor
 //! is one whose id falls back: its runner began anew, and what another run writes does not
-//! fit.
+//! fit. Where ids have risen by one, a jump at the first event of the next runner is a gap.
 
 use bytes::{Bytes, BytesMut};
 use derive_more::Display;
@@ -29,6 +29,9 @@
 /// event takes about 2,000.
 const MAX_EVENT_PIECES: u32 = 4_096;
 
+/// Steps of ids by one that show that all are.
+const MIN_STEPS: u32 = 2;
+
 /// Why an event was given up.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub(super) enum Fault {
@@ -44,6 +47,9 @@
     /// Its id is not above the one before it.
     #[display("the id of an event falls back: the runner began the stream anew")]
     FallsBack,
+    /// Ids rose by one before the next runner went on, and jump there.
+    #[display("events are missing where the stream goes on")]
+    Gap,
     /// It has neither an id nor data.
     #[display("text between events is no event")]
     NoEvent,
@@ -68,6 +74,36 @@
     pub(super) last_id: Option<u64>,
     /// Digest of that event, unless the caller got it elsewhere.
     digest: Option<u64>,
+    steps: Steps,
+}
+
+/// How the ids of events that were passed on here rose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Steps {
+    /// So many times, each by one.
+    ByOne(u32),
+    /// By more than one at least once.
+    Mixed,
+}
+
+impl Default for Steps {
+    fn default() -> Self {
+        Self::ByOne(0)
+    }
+}
+
+impl Steps {
+    fn after(self, step: u64) -> Self {
+        match self {
+            Self::ByOne(count) if step == 1 => Self::ByOne(count.saturating_add(1)),
+            Self::ByOne(_) | Self::Mixed => Self::Mixed,
+        }
+    }
+
+    /// Whether a step where another runner goes on passes over events.
+    fn is_gap(self, step: u64) -> bool {
+        step > 1 && matches!(self, Self::ByOne(count) if count >= MIN_STEPS)
+    }
 }
 
 /// How an event with an id follows those before it.
@@ -83,12 +119,12 @@
     pub(super) fn elsewhere(last_id: Option<u64>) -> Self {
         Self {
             last_id,
-            digest: None,
+            ..Self::default()
         }
     }
 
-    /// Adds an event.
-    fn add(&mut self, id: u64, event: &[u8]) -> Result<Place, Fault> {
+    /// Adds an event; `is_first` tells that it is its runner's first new one.
+    fn add(&mut self, id: u64, event: &[u8], is_first: bool) -> Result<Place, Fault> {
         let digest = xxhash_rust::xxh3::xxh3_64(event);
         let place = match self.last_id {
             Some(last) if id < last => return Err(Fault::FallsBack),
@@ -96,6 +132,13 @@
                 Some(known) if known != digest => return Err(Fault::FallsBack),
                 _ => Place::Repeat,
             },
+            Some(last) if self.digest.is_some() => {
+                if is_first && self.steps.is_gap(id - last) {
+                    return Err(Fault::Gap);
+                }
+                self.steps = self.steps.after(id - last);
+                Place::Next
+            }
             _ => Place::Next,
         };
         (self.last_id, self.digest) = (Some(id), Some(digest));
@@ -112,6 +155,8 @@
     /// Pieces of the incomplete event.
     pieces: u32,
     received: Received,
+    /// Whether the runner has sent an event that the caller did not have.
+    begun: bool,
 }
 
 impl Events {
@@ -145,8 +190,8 @@
             let event = self.buffer.split_to(self.searched + end + BLANK_LINE.len());
             (self.searched, self.pieces) = (0, 0);
             match block(&event) {
-                Block::Numbered(id) => match self.received.add(id, &event)? {
-                    Place::Next => {}
+                Block::Numbered(id) => match self.received.add(id, &event, !self.begun)? {
+                    Place::Next => self.begun = true,
                     Place::Repeat => continue,
                 },
                 Block::Unnumbered if self.received.last_id.is_some() => {
