exchange: events may end in CRLF

A runner whose lines end in CRLF served no stream: callers got 502, as no end of an event was found. Where only some lines did, as where a proxy adds comments of its own, several events were taken for one under the first one's id: after a break the next runner was asked for events that the caller had, and event 2 came twice (t1, t2, t2, t3 to t6, complete).

Cause: the end of an event was looked for as two line feeds; event streams may also end their lines in CRLF. Now a blank line is one of either kind, wherever it is split.

Lines that end in CR alone stay unsupported: such a stream is refused, not joined.

--- a/crates/daemon/src/exchange/events.rs
+++ b/crates/daemon/src/exchange/events.rs
@@ -10,8 +10,11 @@
 use bytes::{Bytes, BytesMut};
 use derive_more::Display;
 
-/// End of an event.
-const BLANK_LINE: &[u8] = b"\n\n";
+/// Blank lines after a line's end; each ends an event.
+const BLANK_LINES: [&[u8]; 2] = [b"\n", b"\r\n"];
+
+/// Longest end of an event, less its last byte.
+const PARTIAL_END_BYTES: usize = 2;
 
 /// Field that holds an event's numeric id.
 const ID_FIELD: &[u8] = b"id:";
@@ -186,8 +189,8 @@
         self.pieces += 1;
         let mut complete = BytesMut::new();
         let mut count = 0;
-        while let Some(end) = find(&self.buffer[self.searched..], BLANK_LINE) {
-            let event = self.buffer.split_to(self.searched + end + BLANK_LINE.len());
+        while let Some(end) = end(&self.buffer[self.searched..]) {
+            let event = self.buffer.split_to(self.searched + end);
             (self.searched, self.pieces) = (0, 0);
             match block(&event) {
                 Block::Numbered(id) => match self.received.add(id, &event, !self.begun)? {
@@ -203,8 +206,8 @@
             count += 1;
             complete.extend_from_slice(&event);
         }
-        // The first half of an end may be here already.
-        self.searched = self.buffer.len().saturating_sub(BLANK_LINE.len() - 1);
+        // A part of an end may be here already.
+        self.searched = self.buffer.len().saturating_sub(PARTIAL_END_BYTES);
         if self.buffer.len() > MAX_EVENT_BYTES {
             return Err(Fault::TooLong);
         }
@@ -220,13 +223,23 @@
     }
 }
 
-fn find(bytes: &[u8], wanted: &[u8]) -> Option<usize> {
-    bytes.windows(wanted.len()).position(|it| it == wanted)
+/// Where the first event ends whose last lines are here.
+fn end(bytes: &[u8]) -> Option<usize> {
+    let mut from = 0;
+    while let Some(line) = bytes[from..].iter().position(|it| *it == b'\n') {
+        from += line + 1;
+        let mut blank = BLANK_LINES.iter();
+        if let Some(blank) = blank.find(|it| bytes[from..].starts_with(it)) {
+            return Some(from + blank.len());
+        }
+    }
+    None
 }
 
 fn block(event: &[u8]) -> Block {
     let lines = || {
         let lines = event.split(|byte| *byte == b'\n');
+        let lines = lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line));
         lines.filter(|line| !line.is_empty())
     };
     let mut values = lines().filter_map(|line| line.strip_prefix(ID_FIELD));
