exchange: a complete stream without events is not run again

A runner answered a stream with its end and no event. The request was sent to another runner, on routes too whose requests may run once at most, and the caller got what that one wrote. The retry budget and the attempts of the route were not asked; the log told two answers (CP1005) to one request.

Cause: when the first step of a stream was its end, the body was written as for any other first step, by asking for the next one; and a run without a stream at hand takes that for the request to make an attempt.

Now a run knows that its stream is complete, and has no further step than that.

Before: a_stream_without_events_runs_once, two attempts instead of one on both routes of streams and for a caller that had all events; on the route that may run once the caller got t1 to t6 of the second run. Ruled out: a retry decided by the retry table (no CP1004).

--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -64,6 +64,15 @@
     Recorded,
 }
 
+/// What was passed to the caller of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Relayed {
+    Nothing,
+    Events,
+    /// The complete stream, though it may hold no event.
+    All,
+}
+
 /// One request and its attempts.
 pub(super) struct Run {
     exchange: Exchange,
@@ -79,8 +88,7 @@
     pub(super) head: Option<(StatusCode, HeaderMap)>,
     /// What the caller has of the stream.
     received: Received,
-    /// Whether events were passed to the caller.
-    relayed: bool,
+    relayed: Relayed,
     /// Version of the runners that the stream goes on at; none before its first event.
     build: Option<BuildId>,
     /// Services whose arbiter does not know the stream.
@@ -107,7 +115,7 @@
             sent: 0,
             stream: None,
             head: None,
-            relayed: false,
+            relayed: Relayed::Nothing,
             build: None,
             searched: Vec::new(),
             is_trial: false,
@@ -120,6 +128,9 @@
 
     /// The next step; only [`Step::Events`] is followed by another.
     pub(super) async fn next(&mut self) -> Step {
+        if self.relayed == Relayed::All {
+            return Step::Done;
+        }
         loop {
             if self.stream.is_some() {
                 match self.read_stream().await {
@@ -147,7 +158,7 @@
 
     /// Whether events were passed to the caller.
     fn has_events(&self) -> bool {
-        self.relayed
+        self.relayed == Relayed::Events
     }
 
     /// Cancels the upstream work for a caller that has left.
@@ -301,7 +312,7 @@
             Repeat::Never => Rerun::Forbidden,
             Repeat::Resume if !route.stream => Rerun::Forbidden,
             // Without the id of its last event nobody can go on with the stream.
-            Repeat::Always | Repeat::Resume if self.relayed && self.last_id().is_none() => {
+            Repeat::Always | Repeat::Resume if self.has_events() && self.last_id().is_none() => {
                 Rerun::Forbidden
             }
             Repeat::Always | Repeat::Resume if ran < route.attempts => Rerun::Allowed,
--- a/crates/daemon/src/exchange/run/stream.rs
+++ b/crates/daemon/src/exchange/run/stream.rs
@@ -16,7 +16,7 @@
         events::{Events, Received},
         lease::Lease,
     },
-    Run, Step, end_for, request_number,
+    Relayed, Run, Step, end_for, request_number,
 };
 use crate::{
     buffers::{Full, Room},
@@ -139,6 +139,7 @@
                     let framing = stream.body.framing();
                     self.release_stream(End::Done);
                     self.record_success(framing);
+                    self.relayed = Relayed::All;
                     return Ok(Step::Done);
                 }
                 None => self.on_stream_failure(&Failure::Cut)?,
@@ -164,7 +165,7 @@
             self.received = stream.events.received();
             self.build = self.build.take().or_else(|| stream.lease.build());
         }
-        self.relayed = true;
+        self.relayed = Relayed::Events;
         Step::Events(events)
     }
 
@@ -172,7 +173,7 @@
     pub(super) fn stream_fault(&self, response: &upstream::Response) -> Option<Failure> {
         let kind = response.headers.get(header::CONTENT_TYPE);
         let is_stream = kind.is_some_and(|it| is_event_stream(it.as_bytes()));
-        let first = self.head.as_ref().filter(|_| self.relayed);
+        let first = self.head.as_ref().filter(|_| self.has_events());
         let fits = match first {
             None => is_stream || kind.is_none(),
             Some((status, _)) => is_stream && response.status == *status,
