exchange: a comment before the first event does not end the tries of a stream

A runner sent a comment, as a sign of life, and broke off before its first event: the stream was cut though its route may be resumed and another runner had the time and the budget for all of it.

Cause: a stream of which the caller has something but no id is not tried again, since nobody can tell where the rest begins. Comments and settings counted as something.

Now only events without an id count.

--- a/crates/daemon/src/exchange/events.rs
+++ b/crates/daemon/src/exchange/events.rs
@@ -77,6 +77,8 @@
     pub(super) last_id: Option<u64>,
     /// Digest of that event, unless the caller got it elsewhere.
     digest: Option<u64>,
+    /// Whether it has events without an id.
+    unnumbered: bool,
     steps: Steps,
 }
 
@@ -126,6 +128,11 @@
         }
     }
 
+    /// Whether it has events of which none tells where the rest begins.
+    pub(super) fn is_unplaced(&self) -> bool {
+        self.unnumbered && self.last_id.is_none()
+    }
+
     /// Adds an event; `is_first` tells that it is its runner's first new one.
     fn add(&mut self, id: u64, event: &[u8], is_first: bool) -> Result<Place, Fault> {
         let digest = xxhash_rust::xxh3::xxh3_64(event);
@@ -200,7 +207,8 @@
                 Block::Unnumbered if self.received.last_id.is_some() => {
                     return Err(Fault::Unnumbered);
                 }
-                Block::Unnumbered | Block::Silent => {}
+                Block::Unnumbered => self.received.unnumbered = true,
+                Block::Silent => {}
                 Block::Text => return Err(Fault::NoEvent),
             }
             count += 1;
--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -312,9 +312,7 @@
             Repeat::Never => Rerun::Forbidden,
             Repeat::Resume if !route.stream => Rerun::Forbidden,
             // Without the id of its last event nobody can go on with the stream.
-            Repeat::Always | Repeat::Resume if self.has_events() && self.last_id().is_none() => {
-                Rerun::Forbidden
-            }
+            Repeat::Always | Repeat::Resume if self.received.is_unplaced() => Rerun::Forbidden,
             Repeat::Always | Repeat::Resume if ran < route.attempts => Rerun::Allowed,
             Repeat::Always | Repeat::Resume => Rerun::Spent,
         }
