--- a/crates/daemon/src/exchange/events.rs
+++ b/crates/daemon/src/exchange/events.rs
@@ -5,13 +5,16 @@
 //! event without an id cannot be placed among those that have one, so none is relayed
 //! after them: it is the next runner's failure rather than the stream's next event. Nor
 //! is one whose id falls back: its runner began anew, and what another run writes does not
-//! fit.
+//! fit. Where ids have risen by one, a jump at the first event of the next runner is a gap.
 
 use bytes::{Bytes, BytesMut};
 use derive_more::Display;
 
-/// End of an event.
-const BLANK_LINE: &[u8] = b"\n\n";
+/// Blank lines after a line's end; each ends an event.
+const BLANK_LINES: [&[u8]; 2] = [b"\n", b"\r\n"];
+
+/// Longest end of an event, less its last byte.
+const PARTIAL_END_BYTES: usize = 2;
 
 /// Field that holds an event's numeric id.
 const ID_FIELD: &[u8] = b"id:";
@@ -29,6 +32,9 @@
 /// event takes about 2,000.
 const MAX_EVENT_PIECES: u32 = 4_096;
 
+/// Steps of ids by one that show that all are.
+const MIN_STEPS: u32 = 2;
+
 /// Why an event was given up.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub(super) enum Fault {
@@ -44,6 +50,9 @@
     /// Its id is not above the one before it.
     #[display("the id of an event falls back: the runner began the stream anew")]
     FallsBack,
+    /// Ids rose by one before the next runner went on, and jump there.
+    #[display("events are missing where the stream goes on")]
+    Gap,
     /// It has neither an id nor data.
     #[display("text between events is no event")]
     NoEvent,
@@ -68,6 +77,38 @@
     pub(super) last_id: Option<u64>,
     /// Digest of that event, unless the caller got it elsewhere.
     digest: Option<u64>,
+    /// Whether it has events without an id.
+    unnumbered: bool,
+    steps: Steps,
+}
+
+/// How the ids of events that were passed on here rose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Steps {
+    /// So many times, each by one.
+    ByOne(u32),
+    /// By more than one at least once.
+    Mixed,
+}
+
+impl Default for Steps {
+    fn default() -> Self {
+        Self::ByOne(0)
+    }
+}
+
+impl Steps {
+    fn after(self, step: u64) -> Self {
+        match self {
+            Self::ByOne(count) if step == 1 => Self::ByOne(count.saturating_add(1)),
+            Self::ByOne(_) | Self::Mixed => Self::Mixed,
+        }
+    }
+
+    /// Whether a step where another runner goes on passes over events.
+    fn is_gap(self, step: u64) -> bool {
+        step > 1 && matches!(self, Self::ByOne(count) if count >= MIN_STEPS)
+    }
 }
 
 /// How an event with an id follows those before it.
@@ -83,12 +124,17 @@
     pub(super) fn elsewhere(last_id: Option<u64>) -> Self {
         Self {
             last_id,
-            digest: None,
+            ..Self::default()
         }
     }
 
-    /// Adds an event.
-    fn add(&mut self, id: u64, event: &[u8]) -> Result<Place, Fault> {
+    /// Whether it has events of which none tells where the rest begins.
+    pub(super) fn is_unplaced(&self) -> bool {
+        self.unnumbered && self.last_id.is_none()
+    }
+
+    /// Adds an event; `is_first` tells that it is its runner's first new one.
+    fn add(&mut self, id: u64, event: &[u8], is_first: bool) -> Result<Place, Fault> {
         let digest = xxhash_rust::xxh3::xxh3_64(event);
         let place = match self.last_id {
             Some(last) if id < last => return Err(Fault::FallsBack),
@@ -96,6 +142,13 @@
                 Some(known) if known != digest => return Err(Fault::FallsBack),
                 _ => Place::Repeat,
             },
+            Some(last) if self.digest.is_some() => {
+                if is_first && self.steps.is_gap(id - last) {
+                    return Err(Fault::Gap);
+                }
+                self.steps = self.steps.after(id - last);
+                Place::Next
+            }
             _ => Place::Next,
         };
         (self.last_id, self.digest) = (Some(id), Some(digest));
@@ -112,6 +165,8 @@
     /// Pieces of the incomplete event.
     pieces: u32,
     received: Received,
+    /// Whether the runner has sent an event that the caller did not have.
+    begun: bool,
 }
 
 impl Events {
@@ -141,25 +196,26 @@
         self.pieces += 1;
         let mut complete = BytesMut::new();
         let mut count = 0;
-        while let Some(end) = find(&self.buffer[self.searched..], BLANK_LINE) {
-            let event = self.buffer.split_to(self.searched + end + BLANK_LINE.len());
+        while let Some(end) = end(&self.buffer[self.searched..]) {
+            let event = self.buffer.split_to(self.searched + end);
             (self.searched, self.pieces) = (0, 0);
             match block(&event) {
-                Block::Numbered(id) => match self.received.add(id, &event)? {
-                    Place::Next => {}
+                Block::Numbered(id) => match self.received.add(id, &event, !self.begun)? {
+                    Place::Next => self.begun = true,
                     Place::Repeat => continue,
                 },
                 Block::Unnumbered if self.received.last_id.is_some() => {
                     return Err(Fault::Unnumbered);
                 }
-                Block::Unnumbered | Block::Silent => {}
+                Block::Unnumbered => self.received.unnumbered = true,
+                Block::Silent => {}
                 Block::Text => return Err(Fault::NoEvent),
             }
             count += 1;
             complete.extend_from_slice(&event);
         }
-        // The first half of an end may be here already.
-        self.searched = self.buffer.len().saturating_sub(BLANK_LINE.len() - 1);
+        // A part of an end may be here already.
+        self.searched = self.buffer.len().saturating_sub(PARTIAL_END_BYTES);
         if self.buffer.len() > MAX_EVENT_BYTES {
             return Err(Fault::TooLong);
         }
@@ -175,13 +231,23 @@
     }
 }
 
-fn find(bytes: &[u8], wanted: &[u8]) -> Option<usize> {
-    bytes.windows(wanted.len()).position(|it| it == wanted)
+/// Where the first event ends whose last lines are here.
+fn end(bytes: &[u8]) -> Option<usize> {
+    let mut from = 0;
+    while let Some(line) = bytes[from..].iter().position(|it| *it == b'\n') {
+        from += line + 1;
+        let mut blank = BLANK_LINES.iter();
+        if let Some(blank) = blank.find(|it| bytes[from..].starts_with(it)) {
+            return Some(from + blank.len());
+        }
+    }
+    None
 }
 
 fn block(event: &[u8]) -> Block {
     let lines = || {
         let lines = event.split(|byte| *byte == b'\n');
+        let lines = lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line));
         lines.filter(|line| !line.is_empty())
     };
     let mut values = lines().filter_map(|line| line.strip_prefix(ID_FIELD));
