tests: cut answers to duties and to citronctl are no answers

Both held before. A call of a duty counts as answered once the whole head of the answer has come: its status is the platform's decision, and a head that stops at any byte is no answer. citronctl takes an answer only if its JSON is whole, so one that is cut is read elsewhere, or reported with exit code 5 and nothing on standard output.

--- a/crates/ctl/tests/fake/mod.rs
+++ b/crates/ctl/tests/fake/mod.rs
@@ -30,6 +30,8 @@
     Unavailable,
     /// Reads the request and closes the connection without carrying it out.
     Close,
+    /// Carries out the request and sends only this part of the answer, in per cent.
+    CutAnswer(usize),
 }
 
 /// State shared by the daemons.
@@ -99,12 +101,12 @@
         let (status, answer) = match fault {
             Fault::Close => return,
             Fault::Unavailable => (503, problem("unavailable", 503)),
-            Fault::None | Fault::LoseAnswer | Fault::UnknownOutcome
+            Fault::None | Fault::LoseAnswer | Fault::UnknownOutcome | Fault::CutAnswer(_)
                 if token != format!("Bearer {TOKEN}") =>
             {
                 (401, problem("token", 401))
             }
-            Fault::None | Fault::LoseAnswer | Fault::UnknownOutcome => {
+            Fault::None | Fault::LoseAnswer | Fault::UnknownOutcome | Fault::CutAnswer(_) => {
                 route(&mut self.cluster(), &line, &body)
             }
         };
@@ -119,9 +121,13 @@
              connection: close\r\n\r\n",
             text.len()
         );
+        let sent = match fault {
+            Fault::CutAnswer(percent) => text.len() * percent / 100,
+            _ => text.len(),
+        };
         let mut stream = reader.into_inner();
         drop(stream.write_all(head.as_bytes()));
-        drop(stream.write_all(text.as_bytes()));
+        drop(stream.write_all(&text.as_bytes()[..sent]));
     }
 }
 
--- a/crates/ctl/tests/tool.rs
+++ b/crates/ctl/tests/tool.rs
@@ -99,6 +99,9 @@
         Fault::UnknownOutcome,
         Fault::Close,
         Fault::Unavailable,
+        Fault::CutAnswer(0),
+        Fault::CutAnswer(50),
+        Fault::CutAnswer(99),
     ] {
         let (daemons, folder) = (Daemon::start(2), tempfile::tempdir().expect("a folder"));
         let file = declared(folder.path(), CLASS);
@@ -112,6 +115,29 @@
     }
 }
 
+/// What a cut answer lacks would be shown as absent, or pruned by the next `apply`.
+#[gtest]
+fn a_read_whose_answer_is_cut_is_no_answer() {
+    for command in [&["get"][..], &["status"], &["explain", "class/repair"]] {
+        let daemons = Daemon::start(2);
+        let folder = tempfile::tempdir().expect("a folder");
+        let file = declared(folder.path(), CLASS);
+        let applied = tool(&addresses(&daemons), &["apply", "-f", &file]);
+        expect_that!(applied.code, eq(0), "{}", applied.err);
+        let whole = tool(&addresses(&daemons), command);
+        expect_that!(whole.code, eq(0), "{}", whole.err);
+        for percent in [0, 10, 50, 90, 99] {
+            daemons[0].set_fault(Fault::CutAnswer(percent));
+            let elsewhere = tool(&addresses(&daemons), command);
+            expect_that!(elsewhere.code, eq(0), "{command:?}, {percent} %");
+            expect_that!(elsewhere.out, eq(&whole.out), "{command:?}, {percent} %");
+            let nowhere = tool(&addresses(&daemons[..1]), command);
+            expect_that!(nowhere.code, eq(5), "{command:?}, {percent} %");
+            expect_that!(nowhere.out, eq(""), "{command:?}, {percent} %");
+        }
+    }
+}
+
 #[gtest]
 fn an_unknown_outcome_says_so_and_how_to_resend() {
     let (daemons, folder) = (Daemon::start(1), tempfile::tempdir().expect("a folder"));
--- a/crates/daemon/tests/duty_call.rs
+++ b/crates/daemon/tests/duty_call.rs
@@ -176,3 +176,31 @@
         expect_that!(started.elapsed(), lt(CONNECT_TIMEOUT + SLACK));
     });
 }
+
+/// An answer that stopped within its head is no acknowledgement; the status of a whole head
+/// is, whatever becomes of the body, as the platform has decided by then.
+#[gtest]
+fn an_answer_that_stops_within_its_head_is_no_answer() {
+    System::new().block_on(async {
+        let (listener, address) = listen().await;
+        let whole = "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 9\r\n\r\n";
+        for length in 0..=whole.len() {
+            let server = async {
+                let mut stream = accept(&listener).await;
+                let mut bytes = Vec::new();
+                while !bytes.ends_with(b"{}") {
+                    stream.read_buf(&mut bytes).await.expect("bytes");
+                }
+                let part = &whole.as_bytes()[..length];
+                stream.write_all(part).await.expect("written");
+            };
+            let small = Bytes::from_static(b"{}");
+            let (outcome, ()) = tokio::join!(send(address, || Some(call(small))), server);
+            if length < whole.len() {
+                expect_that!(outcome, err(eq(Failure::NoAnswer)), "{length} bytes");
+            } else {
+                expect_that!(outcome, ok(eq(StatusCode::OK)));
+            }
+        }
+    });
+}
