platform: a page of the list is given up after 5 s

A page of the platform's list whose chunked body ends in trailers without an end was read for as long as they came: no other reading began, in 40 s at least, so that new, draining and removed runners were not learned. Memory did not grow, and other requests were served meanwhile.

Cause: the client bounds the wait for the head and the size of the body; trailers are neither.

Change: the reader of the list, native or an adapter's, bounds each page as a whole.

--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -33,7 +33,10 @@
     registry::Registry,
 };
 use rand::{Rng, RngExt};
-use tokio::sync::{Notify, watch};
+use tokio::{
+    sync::{Notify, watch},
+    time::timeout,
+};
 
 use crate::edge::Listing;
 
@@ -68,6 +71,9 @@
     }
 }
 
+/// Longest time to read one page.
+const MAX_PAGE_TIME: Duration = Duration::from_secs(5);
+
 /// Why one read failed.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 pub enum Failure {
@@ -346,7 +352,14 @@
         let mut reading = Reading::new(began);
         let mut token = None;
         let outcome = loop {
-            let page = listing.read_page(token).await;
+            // The client bounds the wait for the head, and the size of the body, but not bytes
+            // that are neither, such as trailers.
+            let page = timeout(MAX_PAGE_TIME, listing.read_page(token)).await;
+            let page = page.unwrap_or_else(|_elapsed| {
+                Err(PageFault::Failed {
+                    reason: format!("a page took over {MAX_PAGE_TIME:?}: check the platform"),
+                })
+            });
             let step = reading.on_page(Instant::now(), page, &mut rand::rng());
             token = match step {
                 Step::Read(token) => token,
