exchange: a leaving runner may stop listening before its last answers end

What callers saw: a runner that stops in order closes its listener first. Its last answers without a length were taken for those of a killed process: 502, or a stream cut after its last event, and after three such stops the same request was quarantined for crashing runners.

Change: the check stands in the exchange, where the list is known. A runner that the list shows as leaving is believed, and an end that cannot be confirmed puts the runner out of use as one that takes no connections, not as one that its request crashed. An instance that does not read the list still takes such an answer as incomplete.

Evidence: both tests of stopping_runners.rs failed before and pass; the second asks for no quarantine only, since its runners are listed as ready. The tests of early_ends.rs hold.

--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -619,7 +619,13 @@
         let (status, headers) = (answer.response.status, answer.response.headers);
         let framing = answer.response.body.framing();
         let body = self.exchange.ports().buffers.answer(status);
-        match answer.response.body.whole(body).await {
+        let mut whole = answer.response.body.whole(body).await;
+        if whole.is_ok()
+            && let Err(failure) = attempt::confirm_end(&self.exchange, lease.slot(), framing).await
+        {
+            whole = Err(failure);
+        }
+        match whole {
             Ok(body) => {
                 let end = if status.is_server_error() {
                     End::Late
@@ -758,6 +764,8 @@
         Failure::Late | Failure::Silent => End::Late,
         // It says nothing of the runner.
         Failure::NoMemory => End::Cancelled,
+        // It takes no requests now; nothing shows that one of them ended it.
+        Failure::Gone => End::Unreachable,
         failure if failure.is_unconnected() => End::Unreachable,
         failure if failure.is_disconnect() => End::Broken,
         _ => End::Refused,
--- a/crates/daemon/src/exchange/run/stream.rs
+++ b/crates/daemon/src/exchange/run/stream.rs
@@ -13,6 +13,7 @@
 use super::{
     super::{
         admit::Admitted,
+        attempt,
         events::{Events, Received},
         lease::Lease,
     },
@@ -137,6 +138,12 @@
                 },
                 None if stream.events.is_empty() => {
                     let (framing, worked) = (stream.body.framing(), stream.started.elapsed());
+                    let slot = stream.lease.slot();
+                    if let Err(failure) = attempt::confirm_end(&self.exchange, slot, framing).await
+                    {
+                        self.on_stream_failure(&failure)?;
+                        continue;
+                    }
                     self.release_stream(End::Done);
                     self.record_success(framing, worked);
                     self.relayed = Relayed::All;
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -29,7 +29,7 @@
 
 use crate::socket::Patience;
 
-pub(crate) use self::head::end_to_end;
+pub(crate) use self::{body::is_gone, head::end_to_end};
 pub use self::{
     body::{Body, Framing},
     failure::Failure,
@@ -129,7 +129,7 @@
     let request_head = head::request(target, &request)?;
     let opened = open(target, request_head, request.body.clone(), limits).await?;
     head::check_id(&opened.head, &request)?;
-    opened.response(target, &request.method, limits)
+    opened.response(&request.method, limits)
 }
 
 /// Reads what `path` names at `target`, which repeats no request id.
@@ -148,11 +148,14 @@
     let mut request_head = head::request(target, &request)?;
     request_head.headers.remove(&request.id_header);
     let opened = open(target, request_head, Bytes::new(), limits).await?;
-    let mut response = opened.response(target, &request.method, limits)?;
+    let mut response = opened.response(&request.method, limits)?;
     let mut whole = BytesMut::new();
     while let Some(chunk) = response.body.next().await {
         whole.extend_from_slice(&chunk?);
     }
+    if response.body.framing() == Framing::Close && is_gone(target).await {
+        return Err(Failure::Gone);
+    }
     Ok((response.status, whole.freeze()))
 }
 
@@ -164,18 +167,12 @@
 }
 
 impl Opened {
-    fn response(
-        self,
-        target: SocketAddr,
-        method: &Method,
-        limits: &Limits,
-    ) -> Result<Response, Failure> {
+    fn response(self, method: &Method, limits: &Limits) -> Result<Response, Failure> {
         head::check(&self.head, method, limits)?;
-        let origin = (target, method);
         Ok(head::response(
             &self.head,
             self.framed,
-            origin,
+            method,
             self.end,
             limits,
         ))
--- a/crates/daemon/src/upstream/body.rs
+++ b/crates/daemon/src/upstream/body.rs
@@ -1,8 +1,7 @@
 //! Response bodies, which end only when they are complete.
 //!
 //! A body without a length ends with its connection. The system closes the connections of
-//! a killed process in the same orderly way, so that such an end counts only if the runner
-//! still accepts connections.
+//! a killed process in the same orderly way: such an end proves nothing if [`is_gone`].
 
 use std::{io::ErrorKind, net::SocketAddr, time::Duration};
 
@@ -53,7 +52,7 @@
 enum State {
     Open(Box<Framed<Socket, PayloadCodec>>),
     /// Without a length; an orderly close of the connection ends it.
-    Unframed(Box<Framed<Socket, BytesCodec>>, SocketAddr),
+    Unframed(Box<Framed<Socket, BytesCodec>>),
     Whole,
     Failed(Failure),
 }
@@ -70,16 +69,11 @@
         }
     }
 
-    /// A body delimited by the close of the connection to `runner`.
-    pub(super) fn unframed(
-        framed: Framed<Socket, Codec>,
-        runner: SocketAddr,
-        end: Instant,
-        limits: &Limits,
-    ) -> Self {
+    /// A body delimited by the close of the connection.
+    pub(super) fn unframed(framed: Framed<Socket, Codec>, end: Instant, limits: &Limits) -> Self {
         let framed = framed.into_map_codec(|_| BytesCodec);
         Self {
-            state: State::Unframed(Box::new(framed), runner),
+            state: State::Unframed(Box::new(framed)),
             framing: Framing::Close,
             end,
             limits: *limits,
@@ -117,9 +111,7 @@
         let deadline = self.end.min(Instant::now() + self.limits.idle);
         let next = match &mut self.state {
             State::Open(framed) => timeout_at(deadline, framed_chunk(framed)).await,
-            State::Unframed(framed, runner) => {
-                timeout_at(deadline, unframed_chunk(framed, *runner)).await
-            }
+            State::Unframed(framed) => timeout_at(deadline, unframed_chunk(framed)).await,
             State::Whole => return None,
             State::Failed(failure) => return Some(Err(failure.clone())),
         };
@@ -176,7 +168,7 @@
     }
 
     fn is_arriving(&self) -> bool {
-        matches!(self.state, State::Open(_) | State::Unframed(..))
+        matches!(self.state, State::Open(_) | State::Unframed(_))
     }
 
     fn fail(&mut self, failure: Failure) -> Result<Bytes, Failure> {
@@ -193,14 +185,10 @@
     }
 }
 
-async fn unframed_chunk(
-    framed: &mut Framed<Socket, BytesCodec>,
-    runner: SocketAddr,
-) -> Result<Option<Bytes>, Failure> {
+async fn unframed_chunk(framed: &mut Framed<Socket, BytesCodec>) -> Result<Option<Bytes>, Failure> {
     match framed.next().await {
         Some(Ok(chunk)) => Ok(Some(chunk.freeze())),
         Some(Err(_)) => Err(Failure::Cut),
-        None if is_gone(runner).await => Err(Failure::Gone),
         None => Ok(None),
     }
 }
@@ -208,7 +196,7 @@
 /// Whether nothing listens at the runner's address any more.
 ///
 /// Silence proves nothing: a busy runner drops connections too.
-async fn is_gone(runner: SocketAddr) -> bool {
+pub(crate) async fn is_gone(runner: SocketAddr) -> bool {
     let tried = timeout(GONE_TIMEOUT, TcpStream::connect(runner)).await;
     matches!(tried, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
 }
--- a/crates/daemon/src/upstream/failure.rs
+++ b/crates/daemon/src/upstream/failure.rs
@@ -87,9 +87,6 @@
     /// Whether the connection was lost, as happens when the runner crashes.
     #[must_use]
     pub fn is_disconnect(&self) -> bool {
-        matches!(
-            self,
-            Self::PartlyWritten | Self::Unanswered | Self::Cut | Self::Gone
-        )
+        matches!(self, Self::PartlyWritten | Self::Unanswered | Self::Cut)
     }
 }
--- a/crates/daemon/src/upstream/head.rs
+++ b/crates/daemon/src/upstream/head.rs
@@ -241,7 +241,7 @@
 pub(super) fn response(
     head: &ResponseHead,
     framed: Framed<Socket, Codec>,
-    (target, method): (SocketAddr, &Method),
+    method: &Method,
     end: Instant,
     limits: &Limits,
 ) -> Response {
@@ -251,7 +251,7 @@
     let body = if empty || !has_body(head.status, method) {
         Body::empty()
     } else if length.is_none() && !chunked {
-        Body::unframed(framed, target, end, limits)
+        Body::unframed(framed, end, limits)
     } else {
         Body::new(framed, end, limits)
     };
