upstream: an answer in an unknown transfer encoding is a failure

What callers saw: a runner that answers Transfer-Encoding: identity, or any encoding but chunks, ended the request's task with a panic; the connection was closed without an answer (31 of 31, in release builds too).

Cause: any transfer encoding counted as a stated length, and the library has no decoder for it.

Change: one encoding, chunked, or the answer is refused like any that is not valid.

--- a/crates/daemon/src/upstream/head.rs
+++ b/crates/daemon/src/upstream/head.rs
@@ -226,7 +226,14 @@
         let limit = limits.max_head_bytes as u64;
         return Err(Failure::TooLarge { limit });
     }
-    let chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
+    let mut encodings = head.headers.get_all(header::TRANSFER_ENCODING);
+    let encoding = encodings.next();
+    let chunked = encoding.is_some();
+    let is_known = encoding.is_none_or(|it| it.as_bytes().eq_ignore_ascii_case(b"chunked"));
+    if !is_known || encodings.next().is_some() {
+        let reason = "it has a transfer encoding other than chunks";
+        return Err(Failure::Garbled(reason.to_owned()));
+    }
     let sized = head.headers.contains_key(header::CONTENT_LENGTH);
     if chunked && sized {
         return Err(Failure::Garbled("it states two lengths".to_owned()));
