--- a/crates/daemon/tests/follow.rs
+++ b/crates/daemon/tests/follow.rs
@@ -5,6 +5,7 @@
 mod link;
 
 use std::{
+    cell::Cell,
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
@@ -23,7 +24,7 @@
     id::{Index, InstanceId},
     member::{Member, Members, State},
 };
-use citron_wire::Body;
+use citron_wire::{Body, feed as codec, generated::feed as proto};
 use futures_util::future::LocalBoxFuture;
 use googletest::prelude::*;
 use link::{Link, Rate};
@@ -60,6 +61,61 @@
     }
 }
 
+/// How a parent gives up a snapshot after its first part.
+#[derive(Clone, Copy, Debug)]
+enum GiveUp {
+    /// It refuses the next part.
+    Refused,
+    /// It says that there is nothing more.
+    Empty,
+    /// It has another snapshot by then.
+    Other,
+}
+
+/// A parent that gives up snapshots.
+struct Quitter {
+    follow: Follow,
+    how: GiveUp,
+    given_up: Rc<Cell<u32>>,
+}
+
+impl Handler for Quitter {
+    fn on_message(&self, _: &InstanceId, _: Body) {}
+
+    fn on_call(
+        &self,
+        from: &InstanceId,
+        body: Body,
+    ) -> LocalBoxFuture<'static, std::result::Result<Body, String>> {
+        let (how, given_up) = (self.how, Rc::clone(&self.given_up));
+        let answer = Router(self.follow.clone()).on_call(from, body);
+        Box::pin(async move {
+            let mut answer = answer.await?;
+            let Body::Feed(proto::Message {
+                body: Some(proto::message::Body::Part(part)),
+                ..
+            }) = &mut answer
+            else {
+                return Ok(answer);
+            };
+            if part.offset == 0 {
+                // The first part is by itself a snapshot, with less in it.
+                while codec::decode_snapshot(part.bytes.clone()).is_err() {
+                    part.bytes.truncate(part.bytes.len() - 1);
+                }
+                return Ok(answer);
+            }
+            given_up.set(given_up.get() + 1);
+            match how {
+                GiveUp::Refused => return Err("no more".to_owned()),
+                GiveUp::Empty => part.bytes.clear(),
+                GiveUp::Other => part.index += 1,
+            }
+            Ok(answer)
+        })
+    }
+}
+
 async fn node(name: &str, replica: bool) -> Node {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("an address");
@@ -253,6 +309,44 @@
     });
 }
 
+/// What had arrived of a snapshot would have lacked most accounts.
+#[gtest]
+fn a_snapshot_that_its_parent_gives_up_is_not_in_force() {
+    actix_rt::System::new().block_on(async {
+        for how in [GiveUp::Refused, GiveUp::Empty, GiveUp::Other] {
+            let (mut a, b) = (node("a", true).await, node("b", false).await);
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+            a.address = listener.local_addr().expect("an address");
+            a.listener.abort();
+            let given_up = Rc::new(Cell::new(0));
+            let handler = Rc::new(Quitter {
+                follow: a.follow.clone(),
+                how,
+                given_up: Rc::clone(&given_up),
+            });
+            a.listener = actix_rt::spawn(peers::listen(a.hub.clone(), listener, handler));
+            let entries = std::iter::once(class("repair")).chain((0..12_000).map(account));
+            let local = a.local.clone().expect("a replica");
+            let snapshot = Local::Snapshot {
+                declaration: None,
+                index: 50,
+                catalogue: Arc::new(Catalogue::from_entries(9, entries)),
+                marks: Arc::default(),
+            };
+            local.send(snapshot).await.expect("room");
+            let _leader = send_proofs(&a, watch::Sender::new(50).subscribe());
+            make_all_known(&[&a, &b]);
+            wait_until("snapshots were given up", || {
+                given_up.get() >= 3 || b.follow.index() > 0
+            })
+            .await;
+            expect_that!(b.follow.index(), eq(0), "{how:?}");
+            let now = Instant::now();
+            expect_that!(b.follow.may_take_work(now), eq(false), "{how:?}");
+        }
+    });
+}
+
 #[gtest]
 fn a_lost_parent_is_replaced_within_the_lease() {
     actix_rt::System::new().block_on(async {
--- a/crates/policy/tests/cluster/mod.rs
+++ b/crates/policy/tests/cluster/mod.rs
@@ -92,6 +92,8 @@
     pub leaders: BTreeMap<Term, ReplicaId>,
     /// State machines by the index of their snapshot.
     pub machines: BTreeMap<Index, Machine>,
+    /// Sizes of the snapshots by their index.
+    pub snapshot_bytes: BTreeMap<Index, usize>,
     /// Time of each answer and the index of the answered command.
     pub answered: Vec<(Instant, Index)>,
     /// Highest index answered before each read was requested.
@@ -117,6 +119,7 @@
             committed: BTreeMap::new(),
             leaders: BTreeMap::new(),
             machines: BTreeMap::new(),
+            snapshot_bytes: BTreeMap::new(),
             answered: Vec::new(),
             reads: BTreeMap::new(),
             next_token: 1,
@@ -305,6 +308,12 @@
                 }
             }
             Effect::Install(snapshot) => {
+                assert_eq!(
+                    snapshot.data.len(),
+                    self.snapshot_bytes[&snapshot.index],
+                    "replica {id} installed a part of snapshot {}",
+                    snapshot.index
+                );
                 let whole = snapshot.data.iter().enumerate();
                 assert!(
                     whole
@@ -409,6 +418,7 @@
         let machine = self.replica(id).machine.clone();
         let index = machine.index();
         self.machines.insert(index, machine);
+        self.snapshot_bytes.insert(index, bytes);
         let data = Arc::from((0..bytes).map(snapshot_byte).collect::<Vec<u8>>());
         self.event(id, Event::Compact { index, data });
     }
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -48,6 +48,18 @@
     expect_that!(codec.decode(&mut bytes), ok(none()));
 }
 
+#[gtest]
+fn a_frame_that_is_cut_is_no_frame() {
+    let whole = encode(&[frame(1)]);
+    for length in 1..whole.len() {
+        let mut part = BytesMut::from(&whole[..length]);
+        let mut codec = Codec::new("one");
+        expect_that!(codec.decode(&mut part), ok(none()), "{length} bytes");
+        let end = codec.decode_eof(&mut part);
+        expect_that!(end, not(ok(some(anything()))), "{length} bytes");
+    }
+}
+
 #[gtest]
 fn only_the_first_frame_carries_the_names() {
     let one = encode(&[frame(1)]).len();
