listing: a refused page counts as refused without its body

Since pages of the list are fetched with their framing checked, a 429 whose body was cut or did not come was a failed reading instead of a refusal: the reading was given up, where a refused page is asked again and the pages before it are kept.

--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -484,15 +484,17 @@
         max_body_bytes: MAX_LIST_BYTES as u64,
         ..Limits::default()
     };
-    let fetched = upstream::fetch(address, "/v1/list", &limits).await;
-    let (status, body) = fetched.map_err(|failure| Failure::NoAnswer {
+    let no_answer = |failure: upstream::Failure| Failure::NoAnswer {
         address,
         reason: failure.to_string(),
-    })?;
-    if status != StatusCode::OK {
-        let status = status.as_u16();
+    };
+    let response = upstream::fetch(address, "/v1/list", &limits).await;
+    let response = response.map_err(no_answer)?;
+    if response.status != StatusCode::OK {
+        let status = response.status.as_u16();
         return Err(Failure::Status { address, status });
     }
+    let body = response.body.collect().await.map_err(no_answer)?;
     parse(&body).map_err(|reason| Failure::Invalid { address, reason })
 }
 
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -24,7 +24,7 @@
     header::{HeaderMap, HeaderName, HeaderValue},
 };
 use actix_rt::net::TcpStream;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::socket::Patience;
@@ -132,15 +132,11 @@
     opened.response(target, &request.method, limits)
 }
 
-/// Reads what `path` names at `target`, which repeats no request id.
+/// Asks for what `path` names at `target`, which repeats no request id.
 ///
 /// # Errors
-/// [`Failure`] if nothing, or not all of it, was read.
-pub async fn fetch(
-    target: SocketAddr,
-    path: &str,
-    limits: &Limits,
-) -> Result<(StatusCode, Bytes), Failure> {
+/// [`Failure`] if no response head arrived.
+pub async fn fetch(target: SocketAddr, path: &str, limits: &Limits) -> Result<Response, Failure> {
     let request = Request {
         path: path.to_owned(),
         ..Request::default()
@@ -148,12 +144,7 @@
     let mut request_head = head::request(target, &request)?;
     request_head.headers.remove(&request.id_header);
     let opened = open(target, request_head, Bytes::new(), limits).await?;
-    let mut response = opened.response(target, &request.method, limits)?;
-    let mut whole = BytesMut::new();
-    while let Some(chunk) = response.body.next().await {
-        whole.extend_from_slice(&chunk?);
-    }
-    Ok((response.status, whole.freeze()))
+    opened.response(target, &request.method, limits)
 }
 
 /// An exchange whose response head has arrived.
--- a/crates/daemon/src/upstream/body.rs
+++ b/crates/daemon/src/upstream/body.rs
@@ -9,7 +9,7 @@
 use actix_codec::{BytesCodec, Framed};
 use actix_http::error::PayloadError;
 use actix_rt::net::TcpStream;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use derive_more::Display;
 use futures_util::StreamExt;
 use tokio::time::{Instant, timeout, timeout_at};
@@ -152,6 +152,18 @@
         Ok(whole.freeze())
     }
 
+    /// Reads the complete body, bounded only by the limits of the exchange.
+    ///
+    /// # Errors
+    /// [`Failure`] if the body is incomplete or violates a limit.
+    pub async fn collect(mut self) -> Result<Bytes, Failure> {
+        let mut whole = BytesMut::new();
+        while let Some(chunk) = self.next().await {
+            whole.extend_from_slice(&chunk?);
+        }
+        Ok(whole.freeze())
+    }
+
     /// Reads the start of the body, at least `limit` bytes unless it is shorter or fails.
     pub async fn start(mut self, limit: usize) -> Bytes {
         let mut start = Vec::new();
