streams: the build that began one is recorded with its first event

Cause: arbiter and requester recorded the build of a stream when a slot was granted. Such a record was copied to the standbys, and told to the next arbiter, over the true one.

Class: an intention recorded as a fact, where two hosts may both intend.

Change: the requester records the build when the slot brings its first event, and the arbiter when it is told so, unless the daemon has told it already. The first event is reported before the caller gets it. No message changes. A stream whose beginning was not told before its daemon was lost is refused like any unknown one, while several builds serve.

--- a/crates/policy/src/arbiter/continuity.rs
+++ b/crates/policy/src/arbiter/continuity.rs
@@ -1,6 +1,7 @@
 //! A stream goes on only at the build that began it.
 //!
-//! What the arbiter granted tells the build. It copies its records to two other daemons
+//! The slot in which a stream began tells the build; one that was granted may never be
+//! used. The arbiter copies its records to two other daemons
 //! while runners of several builds serve, since it may be lost together with the daemons
 //! that served the streams. A stream without a record goes on only where one build comes
 //! into question; otherwise it is refused at once, so that its caller can start anew.
@@ -13,7 +14,7 @@
 use super::{Arbiter, Effect, Key, Refusal, Reply, queue::Item};
 use crate::{
     id::{BuildId, InstanceId, StreamId},
-    stream::{Group, MAX_LIFE, Origin, Records},
+    stream::{Group, MAX_LIFE, Origin, Records, Stream},
 };
 
 /// Oldest list of runners that tells which builds there are: a few reads.
@@ -60,6 +61,16 @@
         self.fresh.extend(streams.map(|(id, _)| *id));
     }
 
+    /// Records that a runner of a build has begun a stream.
+    ///
+    /// What its daemon told before is kept: its slot may be one of another arbiter.
+    pub(super) fn on_begun(&mut self, now: Instant, stream: &Stream, build: &str) {
+        if self.records.get(now, stream.id).is_none() {
+            self.records.insert(now, stream.id, build, stream.life);
+            self.fresh.push(stream.id);
+        }
+    }
+
     /// Whether most daemons have told what they know, or nothing they could tell matters.
     fn is_informed(&self, now: Instant, started: Instant) -> bool {
         2 * self.told > self.asked || now.saturating_duration_since(started) >= MAX_LIFE
@@ -72,15 +83,6 @@
 }
 
 impl Arbiter {
-    /// Records that a request got a slot on a runner of a build.
-    pub(super) fn record_stream(&mut self, now: Instant, item: &Item, build: &str) {
-        if let Some(stream) = &item.stream {
-            let known = &mut self.continuity;
-            known.records.insert(now, stream.id, build, stream.life);
-            known.fresh.push(stream.id);
-        }
-    }
-
     /// Sets the build that an item's stream must go on at, if it has begun.
     pub(super) fn decide_build(&self, now: Instant, item: &mut Item) -> Result<(), Refusal> {
         if self.collecting.is_some() {
--- a/crates/policy/src/arbiter/grant.rs
+++ b/crates/policy/src/arbiter/grant.rs
@@ -151,7 +151,6 @@
         }
         self.pool.touch(&runner);
         let build = self.build_of(&runner);
-        self.record_stream(now, item, &build);
         let running = Running {
             address,
             build,
--- a/crates/policy/src/arbiter/hold.rs
+++ b/crates/policy/src/arbiter/hold.rs
@@ -20,6 +20,7 @@
     catalogue::Class,
     crash::{InFlight, Mark, NO_FINGERPRINT, Step, Table},
     id::{Fingerprint, InstanceId, RunnerId},
+    stream::Stream,
 };
 
 /// Consecutive heartbeats with a differing digest before the full list is requested.
@@ -72,6 +73,8 @@
     pub(super) resumed: bool,
     /// Whether it was exposed to a crash when it was granted.
     pub(super) exposed: bool,
+    /// The stream that it serves.
+    pub(super) stream: Option<Stream>,
 }
 
 impl Running {
@@ -91,6 +94,7 @@
             work: 0.0,
             resumed: item.resume,
             exposed: false,
+            stream: item.stream.clone(),
         }
     }
 
@@ -203,6 +207,9 @@
         let Some(running) = self.running.get_mut(&key) else {
             return;
         };
+        if let Some(stream) = &running.stream {
+            self.continuity.on_begun(now, stream, &running.build);
+        }
         self.outage.on_answer();
         self.pool.on_answer(now, key.asker, &running.runner);
         let Some(runner) = self.pool.get_mut(&running.runner) else {
@@ -588,6 +595,7 @@
             prompt: hold.ask.prompt.as_slice().into(),
             resumed: hold.ask.resume,
             exposed: self.marks.is_exposed(hold.ask.fingerprint),
+            stream: hold.ask.stream,
         };
         if let Some(runner) = self.pool.get_mut(&running.runner) {
             runner.on_hold(now);
--- a/crates/policy/src/requester.rs
+++ b/crates/policy/src/requester.rs
@@ -158,6 +158,8 @@
 struct Held {
     ask: Ask,
     runner: RunnerId,
+    /// Version of the runner's software.
+    build: BuildId,
     alone: bool,
     since: Instant,
     /// Whether it was exposed to a crash when it was granted.
@@ -196,7 +198,7 @@
     /// Exclusive or of the mixed ticket numbers.
     digest: u64,
     marks: Overlay,
-    /// Builds that began streams, granted here or told by an arbiter.
+    /// Builds that began streams, here or as an arbiter told.
     streams: Records,
     /// Limits of runners, the newest last.
     limits: IndexMap<RunnerId, Limit>,
@@ -274,7 +276,11 @@
             Event::Acquire { ask, deadline } => self.on_acquire(now, ask, deadline, &mut effects),
             Event::Cancel(ticket) => self.on_cancel(ticket, &mut effects),
             Event::Begun(ticket) => {
-                if self.held.contains_key(&ticket) {
+                if let Some(held) = self.held.get(&ticket) {
+                    if let Some(stream) = &held.ask.stream {
+                        let life = stream.life;
+                        self.streams.insert(now, stream.id, &held.build, life);
+                    }
                     self.send(Request::Begun(ticket), &mut effects);
                 }
             }
@@ -602,11 +608,9 @@
             address,
             build,
         } = granted;
-        if let Some(stream) = &waiting.ask.stream {
-            self.streams.insert(now, stream.id, &build, stream.life);
-        }
         let held = Held {
             runner: runner.clone(),
+            build: build.clone(),
             alone,
             since: now,
             exposed: self.marks.is_exposed(waiting.ask.fingerprint),
--- a/crates/policy/src/stream.rs
+++ b/crates/policy/src/stream.rs
@@ -5,8 +5,8 @@
 //! builds write does not fit together, and runners do not check it, so the rest of a
 //! stream must come from the build that began it.
 //!
-//! The arbiter that grants a slot records the build, and so does the daemon that gets it,
-//! which tells the next arbiter. Records end when the caller's time does.
+//! The daemon that gets a slot records the build when the stream begins, and tells the
+//! arbiter, and the next one. Records end when the caller's time does.
 
 use std::{
     collections::BTreeSet,
@@ -77,7 +77,7 @@
 }
 
 impl Records {
-    /// Records that runners of a build began a stream, or may have.
+    /// Records that runners of a build began a stream.
     pub fn insert(&mut self, now: Instant, id: StreamId, build: &str, life: Duration) {
         self.expire(now);
         let until = now + life.min(MAX_LIFE);
--- a/crates/policy/tests/stream_builds.rs
+++ b/crates/policy/tests/stream_builds.rs
@@ -15,11 +15,12 @@
     arbiter::{self, Ask, End, Refusal},
     id::{BuildId, StreamId},
     platform::{Runner, Standing},
+    requester,
     stream::{Origin, Stream},
 };
 use googletest::prelude::*;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
-use slots::{Daemons, Outcome, ask, catalogue, done, runners, sample};
+use slots::{Daemons, Message, Outcome, ask, catalogue, done, runners, sample};
 
 /// Time for which a caller may take its stream up.
 const LIFE: Duration = Duration::from_secs(5);
@@ -99,6 +100,8 @@
         let Answer::Build(build) = request(daemons, daemon, ask) else {
             panic!("stream {id} does not begin");
         };
+        daemons.requester_event(daemon, requester::Event::Begun(id));
+        daemons.deliver_all();
         (id, build)
     })
     .collect()
@@ -178,6 +181,67 @@
     }
 }
 
+/// Begins a stream at a daemon while the messages to and from another one are late;
+/// returns its build, and these messages.
+fn begin_beside(
+    daemons: &mut Daemons,
+    daemon: usize,
+    id: StreamId,
+    late: usize,
+) -> (BuildId, Vec<Message>) {
+    daemons.acquire(daemon, stream_ask(id, id, Origin::New));
+    let (mut held_up, end) = (Vec::new(), daemons.now + LIFE);
+    while daemons.now < end {
+        daemons.now += Duration::from_millis(50);
+        daemons.tick();
+        while let Some(message) = daemons.in_flight.pop_front() {
+            match message {
+                Message::Asked { to: it, .. } | Message::Reply { from: it, .. } if it == late => {
+                    held_up.push(message);
+                }
+                _ => daemons.deliver(message),
+            }
+        }
+        let granted = daemons.take_outcomes().into_iter().find_map(|it| match it {
+            Outcome::Granted { runner, .. } => Some(build_of(daemons, &runner)),
+            _ => None,
+        });
+        if let Some(build) = granted {
+            daemons.requester_event(daemon, requester::Event::Begun(id));
+            return (build, held_up);
+        }
+    }
+    panic!("stream {id} does not begin");
+}
+
+/// The arbiter was stopped as it was asked: it grants a slot that nobody waits for.
+#[gtest]
+fn a_stream_goes_on_at_its_build_though_another_was_granted_too_late() {
+    for daemon in 1..4 {
+        let mut daemons = daemons(4, &["v1", "v2"]);
+        begin(&mut daemons, 1, 1..2);
+        let mut only_v1 = daemons.runners.clone();
+        let of_v2 = only_v1.iter_mut().filter(|it| it.build == "v2");
+        of_v2.for_each(|it| it.standing = Standing::Leaving);
+        let mut only_v2 = daemons.runners.clone();
+        let of_v1 = only_v2.iter_mut().filter(|it| it.build == "v1");
+        of_v1.for_each(|it| it.standing = Standing::Leaving);
+        let all = std::mem::replace(&mut daemons.runners, only_v1);
+        let (build, late) = begin_beside(&mut daemons, 1, 100, 0);
+        expect_that!(build, eq("v1"));
+        daemons.arbiter_event(0, arbiter::Event::Runners(only_v2));
+        daemons.in_flight.extend(late);
+        daemons.deliver_all();
+        daemons.set_runners(all);
+        daemons.run(Duration::from_millis(200));
+        let answer = take_up(&mut daemons, daemon, &[(100, build.clone())]).remove(0);
+        let goes_on = answer == Answer::Build(build);
+        // Others may not have heard of it.
+        let is_refused = daemon != 1 && is_unknown(&answer);
+        expect_that!(goes_on || is_refused, eq(true), "{daemon}: {answer:?}");
+    }
+}
+
 /// The arbiter's host served the streams too, so nobody else had a part in them.
 #[gtest]
 fn a_stream_goes_on_at_its_build_though_arbiter_and_daemon_are_lost() {
@@ -511,6 +575,9 @@
         caller.runner = Some(runner);
         caller.granted = now;
         caller.leaves = now + lasts;
+        let daemon = caller.daemon;
+        let begun = requester::Event::Begun(ticket);
+        self.daemons.requester_event(daemon, begun);
     }
 
     fn advance(&mut self) {
