--- a/crates/daemon/tests/upstream_exchange.rs
+++ b/crates/daemon/tests/upstream_exchange.rs
@@ -99,6 +99,42 @@
     expect_that!(failure_of(&text), eq(&Failure::Cut));
 }
 
+/// A head that lacks its end is no head, whatever it says so far and however its lines end.
+#[gtest]
+fn an_answer_cut_within_its_head_is_never_whole() {
+    let heads = [
+        format!("{HEAD}content-length: 12\r\nlast: header\r\n\r\n"),
+        format!("{HEAD}content-length: 0\r\n\r\n"),
+        format!("{HEAD}transfer-encoding: chunked\r\nlast: header\r\n\r\n"),
+        format!("{HEAD}last: header\r\n\r\n"),
+        "HTTP/1.1 204 No Content\r\nx-request-id: a1\r\n\r\n".to_owned(),
+    ];
+    for head in heads
+        .iter()
+        .flat_map(|it| [it.clone(), it.replace("\r\n", "\n")])
+    {
+        for stop in 0..head.len() {
+            let pause = (stop % 5 == 0).then_some(Step::Wait(Duration::from_millis(5)));
+            let mut script = vec![Step::Read(0), write(&head[..stop])];
+            script.extend(pause);
+            let outcome = run(async {
+                let (target, _) = runner(script).await;
+                let limits = Limits {
+                    unframed: true,
+                    ..limits()
+                };
+                exchange_body(target, request(), &limits).await
+            });
+            expect_that!(
+                outcome,
+                err(eq(&Failure::Unanswered)),
+                "{:?}",
+                &head[..stop]
+            );
+        }
+    }
+}
+
 #[gtest]
 fn a_truncated_body_repeats_its_failure() {
     run(async {
