exchange: a leaving runner that stops listening is not believed

Change: an answer without a length whose runner refuses connections is not complete, whatever the list shows. It still counts neither as a crash nor against the request.

--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -30,7 +30,6 @@
     feed::View,
     id::{ClassId, InstanceId},
     member::{Members, State},
-    platform::List,
     retry, work,
 };
 use indexmap::IndexMap;
@@ -92,8 +91,6 @@
     pub closing: watch::Receiver<bool>,
     /// When the last request must be answered; none while the daemon stays.
     pub end: watch::Receiver<Option<Instant>>,
-    /// The platform's list, where this instance reads it.
-    pub list: watch::Receiver<Arc<List>>,
     /// Slots on runners.
     pub slots: Slots,
     /// Protocol adapter.
--- a/crates/daemon/src/exchange/attempt.rs
+++ b/crates/daemon/src/exchange/attempt.rs
@@ -8,7 +8,6 @@
     header::{self, HeaderMap},
 };
 use bytes::Bytes;
-use citron_policy::platform::{Runner, Standing};
 
 use super::{Exchange, admit::Admitted, hop};
 use crate::{
@@ -96,28 +95,18 @@
 
 /// Checks that an answer which ended with its connection is complete.
 ///
-/// A runner that leaves may stop listening before its last answers have ended.
-///
 /// # Errors
 /// [`Failure::Gone`] if the runner may have been killed before the end.
-pub(super) async fn confirm_end(
-    exchange: &Exchange,
-    slot: Option<&Slot>,
-    framing: Framing,
-) -> Result<(), Failure> {
+pub(super) async fn confirm_end(slot: Option<&Slot>, framing: Framing) -> Result<(), Failure> {
     // A peer states the end of its answers.
     let Some(slot) = slot.filter(|_| framing == Framing::Close) else {
         return Ok(());
     };
-    if !upstream::is_gone(slot.address).await {
-        return Ok(());
-    }
-    let list = exchange.ports().list.borrow();
-    let is_leaving = |it: &Runner| it.id == slot.runner && it.standing == Standing::Leaving;
-    if list.runners.iter().any(is_leaving) {
-        return Ok(());
+    // One that leaves may stop listening before its last answers end, or be killed then.
+    if upstream::is_gone(slot.address).await {
+        return Err(Failure::Gone);
     }
-    Err(Failure::Gone)
+    Ok(())
 }
 
 /// Limits of an exchange, all of which end with the time that is left.
--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -621,7 +621,7 @@
         let body = self.exchange.ports().buffers.answer(status);
         let mut whole = answer.response.body.whole(body).await;
         if whole.is_ok()
-            && let Err(failure) = attempt::confirm_end(&self.exchange, lease.slot(), framing).await
+            && let Err(failure) = attempt::confirm_end(lease.slot(), framing).await
         {
             whole = Err(failure);
         }
--- a/crates/daemon/src/exchange/run/stream.rs
+++ b/crates/daemon/src/exchange/run/stream.rs
@@ -139,8 +139,7 @@
                 None if stream.events.is_empty() => {
                     let (framing, worked) = (stream.body.framing(), stream.started.elapsed());
                     let slot = stream.lease.slot();
-                    if let Err(failure) = attempt::confirm_end(&self.exchange, slot, framing).await
-                    {
+                    if let Err(failure) = attempt::confirm_end(slot, framing).await {
                         self.on_stream_failure(&failure)?;
                         continue;
                     }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -562,7 +562,6 @@
         draining: stop.draining,
         closing: stop.closing,
         end: stop.end,
-        list: core.platform.list(),
         slots: core.slots.clone(),
         adapter: adapter.clone(),
         usage,
