usage: starts next to a border of windows are counted once

Cause: a window's borders were computed from true time at each count. True time is corrected by some milliseconds with nearly every report, if only because the clock and the time of day are read one after the other and cut to milliseconds. A start next to a border was in both windows, or in none, if a correction came between the two counts.

A border now keeps its first place on each sender's clock. Ruled out: repeated reports (starts are numbered), retries (recorded once for each request). Left: a new holder places its own borders, so one start may be counted twice or not at all after a change of the holder.

--- a/crates/policy/src/usage.rs
+++ b/crates/policy/src/usage.rs
@@ -4,6 +4,7 @@
 //! duties and to one more candidate. The holder counts them by window, fixes the counts in
 //! the control log and reports them to the platform.
 
+mod border;
 mod collector;
 mod fixed;
 mod names;
@@ -11,6 +12,7 @@
 mod report;
 mod reporter;
 
+pub use border::Borders;
 pub use collector::Collector;
 pub use fixed::{Fixed, MAX_FIXED};
 pub use recorder::{KEPT_FOR, MAX_KEPT, Recorder};
--- a/crates/policy/src/usage/collector.rs
+++ b/crates/policy/src/usage/collector.rs
@@ -20,6 +20,7 @@
 
 use super::{
     Window,
+    border::Borders,
     names::Names,
     recorder::{KEPT_FOR, MAX_KEPT},
     report::Report,
@@ -222,17 +223,18 @@
         members: &Members,
         number: WindowId,
         length: Duration,
+        borders: &mut Borders,
     ) -> Option<Window> {
         let shift = self.shift(now, members)?;
         let length_ms = signed(whole_millis(length));
         let begin = signed(number).checked_mul(length_ms)?;
         let mut by_number: IndexMap<u32, u64> = IndexMap::new();
-        for sender in self.senders.values() {
+        for (process, sender) in &self.senders {
             let to_true = sender.difference.get() + shift;
-            let in_window = |it: &&Kept| {
-                let at = signed(it.at_ms) + to_true;
-                (begin..begin + length_ms).contains(&at)
-            };
+            let begin = borders.place(*process, number, begin - to_true, length_ms);
+            let after = signed(number + 1) * length_ms - to_true;
+            let end = borders.place(*process, number + 1, after, length_ms);
+            let in_window = |it: &&Kept| (begin..end).contains(&signed(it.at_ms));
             for start in sender.kept.iter().filter(in_window) {
                 *by_number.entry(start.account).or_default() += 1;
             }
--- a/crates/policy/src/usage/reporter.rs
+++ b/crates/policy/src/usage/reporter.rs
@@ -11,7 +11,7 @@
     time::{Duration, Instant},
 };
 
-use super::{Collector, Fixed, Settings, Window};
+use super::{Borders, Collector, Fixed, Settings, Window};
 use crate::{id::WindowId, member::Members};
 
 /// Wait after the end of a window for the reports of its last starts: two reports and
@@ -136,6 +136,7 @@
     /// Number of the next window to look at; none until true time is known.
     next: Option<WindowId>,
     windows: BTreeMap<WindowId, Progress>,
+    borders: Borders,
 }
 
 impl Reporter {
@@ -147,6 +148,7 @@
             held_since: None,
             next: None,
             windows: BTreeMap::new(),
+            borders: Borders::default(),
         }
     }
 
@@ -182,6 +184,9 @@
             }
             is_open
         });
+        if let Some(first) = self.windows.keys().next() {
+            self.borders.drop_before(*first);
+        }
         skipped
     }
 
@@ -227,7 +232,7 @@
             if missing > 0 && (waits || time < end + MAX_SETTLE) {
                 continue;
             }
-            let window = collector.count(now, members, *number, length)?;
+            let window = collector.count(now, members, *number, length, &mut self.borders)?;
             // Without any start, only a daemon that would know of one may say so.
             progress.is_collected =
                 !window.counts.is_empty() || begin(length, *number) >= since + length;
--- a/crates/policy/tests/usage_replay.rs
+++ b/crates/policy/tests/usage_replay.rs
@@ -10,7 +10,7 @@
 use citron_policy::{
     id::{InstanceId, StartId, WindowId},
     member::{Member, Members, State},
-    usage::{Collector, Fixed, Recorder, Report, Reporter, Settings, View, Window},
+    usage::{Borders, Collector, Fixed, Recorder, Report, Reporter, Settings, View, Window},
 };
 use googletest::prelude::*;
 use indexmap::IndexMap;
@@ -526,7 +526,8 @@
         recorder.on_received("r", next);
     }
     let length = Duration::from_millis(WINDOW_MS);
-    let window = after.count(base, &members, EPOCH_MS / WINDOW_MS, length);
+    let mut borders = Borders::default();
+    let window = after.count(base, &members, EPOCH_MS / WINDOW_MS, length, &mut borders);
     let counts = window.expect("true time is known").counts;
     expect_that!(counts.get("busy"), some(eq(&11)));
 }
