--- a/crates/policy/tests/usage_borders.rs
+++ b/crates/policy/tests/usage_borders.rs
@@ -57,13 +57,13 @@
     let mut members = Members::default();
     members.insert(member.id.clone(), member.clone());
     let mut on_way = None;
-    let (mut recorded, mut counted) = (0, 0);
+    let (mut starts, mut counted) = (0, 0);
     for at in 0..RUN_MS {
         let now = base + Duration::from_millis(at);
         let near = (at + NEAR_MS) % WINDOW_MS < 2 * NEAR_MS;
         if near && BORDERS.contains(&((at + NEAR_MS) / WINDOW_MS)) {
             recorder.record(now, "t1");
-            recorded += 1;
+            starts += 1;
         }
         if at % REPORT_MS == 0 {
             let wall = EPOCH_MS + at + rng.random_range(0..=skew_ms);
@@ -88,7 +88,7 @@
             reporter.on_fixed(&proposal.window.into());
         }
     }
-    (recorded, counted)
+    (starts, counted)
 }
 
 /// A start was counted in both windows, or in none, if true time was corrected between
@@ -97,10 +97,10 @@
 fn a_start_next_to_a_border_is_counted_once() {
     for seed in 0..SEEDS {
         for (delay_ms, skew_ms) in [(0, 0), (0, 1), (50, 0), (200, 15)] {
-            let (recorded, counted) = play(seed, delay_ms, skew_ms);
+            let (starts, counted) = play(seed, delay_ms, skew_ms);
             expect_that!(
                 counted,
-                eq(recorded),
+                eq(starts),
                 "seed {seed}, delays up to {delay_ms} ms, times of day {skew_ms} ms wrong"
             );
         }
