raft: a formation that waits for a lost disk is replaced

Cause: a promise bound a folder to one formation for ever, and a formation needs all promises. The class is a wait for one that may never come back, entered before anything is at stake: no vote was given yet.

A folder may now leave one formation that has not started, for a replacement that leaves out less than a majority of its voters. The parity of the id tells first formations (odd) from replacements (even), so that a folder never goes back; nothing new is stored or sent. A replica whose formation has not started joins that of a leader which speaks to it; one that was left out stayed alone before.

Ruled out: a second round of promises (needs a message that older builds lack). Left: a replacement that loses a disk itself waits for good.

--- a/crates/policy/src/raft.rs
+++ b/crates/policy/src/raft.rs
@@ -372,6 +372,8 @@
     election_deadline: Instant,
     incoming: Option<Incoming>,
     forming: Option<Forming>,
+    /// Whether a voter refused the formation that this replica has promised to join.
+    formation_refused: bool,
     standing: Standing,
     /// Random number drawn for the current event.
     random: u64,
@@ -402,6 +404,7 @@
             election_deadline: now,
             incoming: None,
             forming: None,
+            formation_refused: false,
             standing: Standing::default(),
             random: rng.next_u64(),
             effects: Vec::new(),
--- a/crates/policy/src/raft/formation.rs
+++ b/crates/policy/src/raft/formation.rs
@@ -1,11 +1,19 @@
 //! The one-time formation of a cluster.
 //!
 //! The replica that is asked to form a cluster draws a random formation id and
-//! asks every named voter for a promise to join it. A promise is durable and
-//! given once: a data folder belongs to one formation forever. Only when all
-//! voters have promised may any of them campaign. Two formations with a voter in
-//! common can therefore not both start. A restart does not start one either, as
-//! an empty folder holds no promise.
+//! asks every named voter for a promise to join it. A promise is durable. Only
+//! when all voters have promised may any of them campaign. A restart does not
+//! start a formation, as an empty folder holds no promise.
+//!
+//! A folder that is lost before its promise would stop a formation for good. So a
+//! data folder may leave one formation that has not started, for one that replaces
+//! it. The parity of the id tells them apart: odd for a first formation, even for a
+//! replacement, and a folder never leaves a replacement for another formation that
+//! has not started. A replacement leaves out less than a majority of the voters of
+//! each formation that its own voters leave. Two formations with a voter in common
+//! can therefore not both start: a majority that elects a leader of the first
+//! shares a voter with the replacement, and that voter never leaves a formation in
+//! which it voted.
 
 use std::time::Instant;
 
@@ -32,6 +40,21 @@
     pub active: bool,
 }
 
+impl Formation {
+    /// Whether a formation with this id replaces another.
+    fn is_replacement(id: u64) -> bool {
+        id.is_multiple_of(2)
+    }
+
+    /// Whether a folder that has promised to join may leave for a replacement.
+    fn may_be_replaced(&self, voters: &Voters) -> bool {
+        let named = self.voters.ids();
+        let left_out = named.iter().filter(|it| !voters.contains(**it)).count();
+        let majority = named.len() / 2 + 1;
+        !self.active && !Self::is_replacement(self.id) && left_out < majority
+    }
+}
+
 /// A formation that is still collecting promises.
 #[derive(Debug)]
 pub(super) struct Forming {
@@ -55,12 +78,18 @@
                 self.answer(token, Err(Refusal::AlreadyFormed));
                 return;
             }
-            Some(formation) if formation.voters != voters => {
+            Some(formation) if formation.voters == voters && !self.formation_refused => {}
+            Some(formation) if formation.may_be_replaced(&voters) => {
+                // Zero is no id.
+                let id = (self.random & !1).max(2);
+                self.promise(id, voters);
+            }
+            Some(formation) if formation.voters == voters => {}
+            Some(_) => {
                 let replica = self.id;
                 self.answer(token, Err(Refusal::Promised { replica }));
                 return;
             }
-            Some(_) => {}
             None => self.promise(self.random | 1, voters),
         }
         self.forming = Some(Forming {
@@ -73,15 +102,30 @@
     }
 
     fn promise(&mut self, id: u64, voters: Voters) {
-        self.log.set_initial_voters(voters.clone());
-        self.hard.formation = Some(Formation {
+        self.bind(Formation {
             id,
             voters,
             active: false,
         });
+    }
+
+    /// Binds the data folder to a formation, in one write.
+    fn bind(&mut self, formation: Formation) {
+        self.stop_forming();
+        self.log.set_initial_voters(formation.voters.clone());
+        self.hard.formation = Some(formation);
         self.save_hard();
     }
 
+    /// Gives up the formation that this replica collects promises for, if any.
+    fn stop_forming(&mut self) {
+        self.formation_refused = false;
+        if let Some(forming) = self.forming.take() {
+            let replica = self.id;
+            self.answer(forming.token, Err(Refusal::Promised { replica }));
+        }
+    }
+
     pub(super) fn resend_form_requests(&mut self, now: Instant) {
         let (Some(forming), Some(formation)) = (&mut self.forming, &self.hard.formation) else {
             return;
@@ -107,7 +151,11 @@
         if !voters.contains(self.id) || !voters.contains(from) || id == 0 {
             return;
         }
-        if self.hard.formation.is_none() {
+        let may_promise = match &self.hard.formation {
+            None => true,
+            Some(formation) => Formation::is_replacement(id) && formation.may_be_replaced(voters),
+        };
+        if may_promise {
             self.promise(id, voters.clone());
         }
         let promised = self.hard.formation.as_ref();
@@ -142,6 +190,7 @@
         }
         let token = forming.token;
         self.forming = None;
+        self.formation_refused = true;
         self.answer(token, Err(Refusal::Promised { replica: from }));
     }
 
@@ -164,29 +213,31 @@
 
     /// Whether a message belongs to this replica's formation.
     ///
-    /// A replica without a formation joins that of a leader which sends it entries or
-    /// a snapshot. A message of a promised formation shows that it is active.
+    /// A replica without a formation, or with one that has not started, joins that of a
+    /// leader which sends it entries or a snapshot. A message of a promised formation shows
+    /// that it is active.
     pub(super) fn accept_formation(&mut self, message: &Message) -> bool {
-        let joins = matches!(message.body, Body::Append(_) | Body::Chunk(_));
+        let from_leader = matches!(message.body, Body::Append(_) | Body::Chunk(_));
+        let joins = from_leader && message.formation != 0;
         match &mut self.hard.formation {
-            Some(formation) if formation.id != message.formation => false,
-            Some(formation) if formation.active => true,
-            Some(formation) => {
-                formation.active = true;
-                self.forming = None;
-                self.save_hard();
+            Some(formation) if formation.id == message.formation => {
+                if !formation.active {
+                    formation.active = true;
+                    self.forming = None;
+                    self.save_hard();
+                }
                 true
             }
-            None if joins && message.formation != 0 => {
-                self.hard.formation = Some(Formation {
+            Some(formation) if formation.active => false,
+            Some(_) | None if joins => {
+                self.bind(Formation {
                     id: message.formation,
                     voters: Voters::default(),
                     active: true,
                 });
-                self.save_hard();
                 true
             }
-            None => false,
+            Some(_) | None => false,
         }
     }
 }
--- a/crates/policy/tests/raft_formation.rs
+++ b/crates/policy/tests/raft_formation.rs
@@ -2,15 +2,16 @@
 
 mod cluster;
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use citron_policy::{
     raft::{Refusal, Role},
     state::Command,
 };
 use googletest::prelude::*;
+use rand::RngExt;
 
-use cluster::Cluster;
+use cluster::{Cluster, NetworkFaults};
 
 const LONG: Duration = Duration::from_secs(30);
 
@@ -165,3 +166,145 @@
     }
     expect_that!(stuck, is_empty());
 }
+
+/// Runs with requests for formations of all kinds at once.
+const MIXED_RUNS: u64 = 300;
+
+/// Steps with requests, kills and a network that delays, and steps without these.
+const REQUEST_STEPS: u32 = 150;
+const REST_STEPS: u32 = 200;
+
+// A replacement that leaves out too many, or a folder that goes back and forth, would let two
+// formations start.
+#[gtest]
+fn no_two_formations_start_whoever_asks_for_which_voters() {
+    const FIRST: [u64; 5] = [11, 12, 13, 14, 15];
+    const LATER: u64 = 22;
+
+    let mut started = 0;
+    for seed in 0..MIXED_RUNS {
+        let mut cluster = Cluster::empty(seed, &FIRST);
+        cluster.faults = NetworkFaults {
+            lost: 20,
+            duplicated: 10,
+            delayed: 90,
+        };
+        for _ in 0..REQUEST_STEPS {
+            // Any two sets of three of the first five have a voter in common.
+            let mut voters = FIRST.to_vec();
+            voters.remove(cluster.rng.random_range(0..5));
+            voters.remove(cluster.rng.random_range(0..4));
+            if cluster.rng.random_bool(0.2) {
+                voters.push(LATER);
+            }
+            let place = cluster.rng.random_range(0..voters.len());
+            let id = voters[place];
+            let is_known = cluster.replicas.contains_key(&id);
+            match cluster.rng.random_range(0..100) {
+                0..20 => {
+                    cluster.init(id, &voters);
+                }
+                20 if is_known => cluster.kill(id),
+                21 if is_known => cluster.restart(id),
+                22 if !cluster.replicas.contains_key(&LATER) => {
+                    cluster.destroy(id);
+                    cluster.add(LATER);
+                }
+                _ => {}
+            }
+            cluster.step();
+        }
+        cluster.faults = NetworkFaults::default();
+        for id in cluster.others(0) {
+            cluster.restart(id);
+        }
+        let mut all_led = BTreeSet::new();
+        for _ in 0..REST_STEPS {
+            cluster.step();
+            all_led.extend(led(&cluster));
+        }
+        expect_that!(all_led.len(), le(1), "seed {seed}: {all_led:x?}");
+        started += all_led.len();
+    }
+    expect_that!(started, gt(20), "runs in which a formation started");
+}
+
+/// Asks for a formation until it replaces what its voters have promised before.
+fn insist(cluster: &mut Cluster, id: u64, voters: &[u64]) {
+    for _ in 0..3 {
+        cluster.init(id, voters);
+        cluster.run(Duration::from_millis(200));
+    }
+}
+
+fn block(cluster: &mut Cluster, links: &[(u64, u64)]) {
+    for (one, other) in links {
+        cluster.blocked_links.insert((*one, *other));
+        cluster.blocked_links.insert((*other, *one));
+    }
+}
+
+/// Formations that have a leader.
+fn led(cluster: &Cluster) -> BTreeSet<u64> {
+    let leading = cluster.replicas.values().filter_map(|it| {
+        let leads = it.node.standing().role == Role::Leader;
+        let formation = it.disk.hard.formation.as_ref();
+        formation.filter(|_| leads).map(|it| it.id)
+    });
+    leading.collect()
+}
+
+// The majority that was left out would still start the formation that was replaced.
+#[gtest]
+fn a_replacement_that_leaves_out_a_majority_is_refused() {
+    let mut cluster = Cluster::empty(1, &[11, 12, 13, 14, 15]);
+    cluster.isolate(12);
+    cluster.init(13, &[11, 12, 13]);
+    cluster.run(Duration::from_millis(500));
+    cluster.heal();
+    for id in [11, 14, 15] {
+        block(&mut cluster, &[(id, 12), (id, 13)]);
+    }
+    insist(&mut cluster, 14, &[11, 14, 15]);
+    cluster.run(Duration::from_secs(5));
+    expect_that!(led(&cluster).len(), eq(1));
+    cluster.heal();
+    cluster.run(Duration::from_secs(5));
+    expect_that!(cluster.replicas[&11].node.formed(), eq(true));
+}
+
+// Voters that have elected a leader would elect another one elsewhere.
+#[gtest]
+fn a_formation_that_has_started_is_not_replaced() {
+    let mut cluster = Cluster::formed(2, &[11, 12, 13]);
+    cluster.add(22);
+    let before = led(&cluster);
+    cluster.kill(13);
+    insist(&mut cluster, 22, &[11, 12, 22]);
+    cluster.run(Duration::from_secs(5));
+    expect_that!(led(&cluster), eq(&before));
+}
+
+// The promises for the formation that was left would count for the one that replaces it.
+#[gtest]
+fn promises_for_a_formation_do_not_count_for_its_replacement() {
+    let mut cluster = Cluster::empty(3, &[11, 12, 13, 22]);
+    cluster.isolate(13);
+    cluster.init(11, &[11, 12, 13]);
+    cluster.run(Duration::from_millis(500));
+    cluster.init(12, &[11, 12, 13]);
+    cluster.run(Duration::from_millis(500));
+    cluster.heal();
+    block(&mut cluster, &[(11, 12), (11, 13), (22, 12), (22, 13)]);
+    insist(&mut cluster, 22, &[11, 12, 22]);
+    cluster.run(Duration::from_secs(5));
+    expect_that!(led(&cluster).len(), eq(1));
+    cluster.heal();
+    cluster.run(Duration::from_secs(5));
+    expect_that!(led(&cluster).len(), eq(1));
+    expect_that!(
+        cluster.replicas.values().all(|it| it.node.formed()),
+        eq(true),
+        "a replica that had left joins the formation that started"
+    );
+}
