ctl: a folder of declarations that is read in part is a fault

Cause: the class of the incident, an end that is taken for granted: the walk stopped at its depth, and a path that can't be looked at was no folder.

--- a/crates/ctl/src/declaration/files.rs
+++ b/crates/ctl/src/declaration/files.rs
@@ -53,10 +53,18 @@
         if files.len() > MAX_FILES {
             return Ok(());
         }
-        if path.is_dir() {
-            if depth > 0 {
-                walk(&path, depth - 1, files)?;
-            }
+        // What is left out would be removed by `apply --prune`.
+        let kind = fs::metadata(&path).map_err(|error| {
+            io::Error::new(error.kind(), format!("{}: {error}", path.display()))
+        })?;
+        if kind.is_dir() {
+            let Some(depth) = depth.checked_sub(1) else {
+                return Err(io::Error::other(format!(
+                    "{} is more than {MAX_DEPTH} folders deep: move it up",
+                    path.display()
+                )));
+            };
+            walk(&path, depth, files)?;
         } else if path.extension().is_some_and(|it| it == "toml") {
             files.push(path);
         }
