--- a/crates/policy/src/raft/install.rs
+++ b/crates/policy/src/raft/install.rs
@@ -152,7 +152,11 @@
         index: Index,
         offset: u64,
     ) {
-        let total = self.snapshot.as_ref().map_or(0, |it| it.data.len() as u64);
+        // A newer snapshot may be smaller than the one that is being sent.
+        let sent_whole = self
+            .snapshot
+            .as_ref()
+            .is_some_and(|it| it.index == index && offset >= it.data.len() as u64);
         let RoleState::Leader(leader) = &mut self.role_state else {
             return;
         };
@@ -170,7 +174,7 @@
             self.check_rounds(now);
             return;
         };
-        if current == index && offset >= total {
+        if current == index && sent_whole {
             progress.matched(index);
             self.replicate(now, from);
         } else if current != index || offset > sent || offset == 0 {
