raft: formations have levels, and a replacement keeps a majority of what it replaces

What brought, found by a review from outside: a cluster that forms was not formed when the first voter came back with other voters in view, when two replacements met, or when the one disk that was lost was that of the stand-in; and two halves of a formation of four that all had promised both started.

Cause: a folder could leave once, since nothing told what it had left, and "less than a majority left out" is half of an even number. A folder stores the voters of the formations that it has left now, and a replacement keeps a majority of each; formations have levels, so that a folder may leave as often as it has to, and never back. A request to form that is asked again, or that another voter ends, is answered; it never was.

Hard state has two new fields, which older builds ignore.

--- a/crates/policy/src/raft/formation.rs
+++ b/crates/policy/src/raft/formation.rs
@@ -6,14 +6,17 @@
 //! start a formation, as an empty folder holds no promise.
 //!
 //! A folder that is lost before its promise would stop a formation for good. So a
-//! data folder may leave one formation that has not started, for one that replaces
-//! it. The parity of the id tells them apart: odd for a first formation, even for a
-//! replacement, and a folder never leaves a replacement for another formation that
-//! has not started. A replacement leaves out less than a majority of the voters of
-//! each formation that its own voters leave. Two formations with a voter in common
-//! can therefore not both start: a majority that elects a leader of the first
-//! shares a voter with the replacement, and that voter never leaves a formation in
-//! which it voted.
+//! data folder may leave a formation that has not started, for one that replaces it:
+//!
+//! - Formations have levels, which are part of their ids, and a folder leaves only for
+//!   a higher one.
+//! - A replacement keeps a majority of the voters of each formation that one of its
+//!   own voters has left.
+//! - A folder never leaves a formation that it has seen start.
+//!
+//! Two formations with a voter in common can therefore not both start: a majority that
+//! elects a leader of the lower one shares a voter with the higher one, and that voter
+//! never promises to join another formation.
 
 use std::time::Instant;
 
@@ -29,36 +32,80 @@
 /// Maximum number of voters in a formation.
 pub const MAX_VOTERS: usize = 7;
 
+/// Most sets of voters of formations that a folder has left.
+const MAX_LEFT: usize = 16;
+
+/// Highest level of a formation.
+const MAX_LEVEL: u64 = 128;
+
 /// The cluster that a data folder belongs to.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Formation {
-    /// Random id of the cluster.
+    /// Random id of the cluster; its lowest bits are the level.
     pub id: u64,
     /// Initial voters; empty on a replica that joined later.
     pub voters: Voters,
     /// Whether every voter is known to have promised.
     pub active: bool,
+    /// Voters of the formations that the folder has left for this one.
+    pub left: Vec<Voters>,
+    /// Whether `left` is complete; a build without replacements drops it.
+    pub left_known: bool,
 }
 
 impl Formation {
-    /// Whether a formation with this id replaces another.
-    fn is_replacement(id: u64) -> bool {
-        id.is_multiple_of(2)
+    /// A random id of this level: odd on the lowest, as builds without levels draw it.
+    fn draw_id(random: u64, level: u64) -> u64 {
+        if level == 0 {
+            return random | 1;
+        }
+        let random = (random & !0xff).max(0x100);
+        random | (level - 1) << 1
     }
 
-    /// Whether a folder that has promised to join may leave for a replacement.
+    /// Its level, from 0 to [`MAX_LEVEL`].
+    fn level(id: u64) -> u64 {
+        if id.is_multiple_of(2) {
+            1 + ((id & 0xff) >> 1)
+        } else {
+            0
+        }
+    }
+
+    /// Whether the folder may leave it for a formation of these voters.
     fn may_be_replaced(&self, voters: &Voters) -> bool {
-        let named = self.voters.ids();
-        let left_out = named.iter().filter(|it| !voters.contains(**it)).count();
-        let majority = named.len() / 2 + 1;
-        !self.active && !Self::is_replacement(self.id) && left_out < majority
+        let keeps_majority = |former: &Voters| {
+            let former = former.ids();
+            let kept = former.iter().filter(|it| voters.contains(**it)).count();
+            kept > former.len() / 2
+        };
+        let knows_all = self.left_known || Self::level(self.id) == 0;
+        let has_room = self.left.len() < MAX_LEFT;
+        let mut former = self.left.iter().chain([&self.voters]);
+        !self.active && knows_all && has_room && former.all(keeps_majority)
+    }
+
+    /// The formation of these voters that the folder leaves this one for.
+    fn replaced_by(&self, id: u64, voters: Voters) -> Self {
+        let mut left = self.left.clone();
+        if !left.contains(&self.voters) {
+            left.push(self.voters.clone());
+        }
+        Self {
+            id,
+            voters,
+            active: false,
+            left,
+            left_known: true,
+        }
     }
 }
 
 /// A formation that is still collecting promises.
 #[derive(Debug)]
 pub(super) struct Forming {
-    token: Token,
+    /// Requests for it.
+    tokens: Vec<Token>,
     accepted: IndexSet<ReplicaId>,
     /// When to repeat the requests.
     pub(super) resend: Instant,
@@ -79,10 +126,13 @@
                 return;
             }
             Some(formation) if formation.voters == voters && !self.formation_refused => {}
-            Some(formation) if formation.may_be_replaced(&voters) => {
-                // Zero is no id.
-                let id = (self.random & !1).max(2);
-                self.promise(id, voters);
+            Some(formation)
+                if formation.may_be_replaced(&voters)
+                    && Formation::level(formation.id) < MAX_LEVEL =>
+            {
+                let level = Formation::level(formation.id) + 1;
+                let id = Formation::draw_id(self.random, level);
+                self.bind(formation.replaced_by(id, voters));
             }
             Some(formation) if formation.voters == voters => {}
             Some(_) => {
@@ -90,10 +140,12 @@
                 self.answer(token, Err(Refusal::Promised { replica }));
                 return;
             }
-            None => self.promise(self.random | 1, voters),
+            None => self.promise(Formation::draw_id(self.random, 0), voters),
         }
+        let mut tokens = self.forming.take().map_or_else(Vec::new, |it| it.tokens);
+        tokens.push(token);
         self.forming = Some(Forming {
-            token,
+            tokens,
             accepted: IndexSet::from([self.id]),
             resend: now,
         });
@@ -105,24 +157,26 @@
         self.bind(Formation {
             id,
             voters,
-            active: false,
+            left_known: true,
+            ..Formation::default()
         });
     }
 
     /// Binds the data folder to a formation, in one write.
     fn bind(&mut self, formation: Formation) {
-        self.stop_forming();
+        self.formation_refused = false;
+        let replica = self.id;
+        self.end_forming(&Err(Refusal::Promised { replica }));
         self.log.set_initial_voters(formation.voters.clone());
         self.hard.formation = Some(formation);
         self.save_hard();
     }
 
-    /// Gives up the formation that this replica collects promises for, if any.
-    fn stop_forming(&mut self) {
-        self.formation_refused = false;
-        if let Some(forming) = self.forming.take() {
-            let replica = self.id;
-            self.answer(forming.token, Err(Refusal::Promised { replica }));
+    /// Stops collecting promises, if it does, and answers the requests for that.
+    fn end_forming(&mut self, outcome: &Result<(), Refusal>) {
+        let tokens = self.forming.take().map_or_else(Vec::new, |it| it.tokens);
+        for token in tokens {
+            self.answer(token, outcome.clone());
         }
     }
 
@@ -151,12 +205,15 @@
         if !voters.contains(self.id) || !voters.contains(from) || id == 0 {
             return;
         }
-        let may_promise = match &self.hard.formation {
-            None => true,
-            Some(formation) => Formation::is_replacement(id) && formation.may_be_replaced(voters),
-        };
-        if may_promise {
-            self.promise(id, voters.clone());
+        match &self.hard.formation {
+            None => self.promise(id, voters.clone()),
+            Some(formation)
+                if Formation::level(id) > Formation::level(formation.id)
+                    && formation.may_be_replaced(voters) =>
+            {
+                self.bind(formation.replaced_by(id, voters.clone()));
+            }
+            Some(_) => {}
         }
         let promised = self.hard.formation.as_ref();
         let accepted = promised.is_some_and(|it| it.id == id && it.voters == *voters);
@@ -188,10 +245,8 @@
             self.check_promises(now);
             return;
         }
-        let token = forming.token;
-        self.forming = None;
         self.formation_refused = true;
-        self.answer(token, Err(Refusal::Promised { replica: from }));
+        self.end_forming(&Err(Refusal::Promised { replica: from }));
     }
 
     /// Activates the formation and campaigns once every voter has promised.
@@ -204,10 +259,8 @@
             return;
         }
         formation.active = true;
-        let token = forming.token;
-        self.forming = None;
         self.save_hard();
-        self.answer(token, Ok(()));
+        self.end_forming(&Ok(()));
         self.campaign(now);
     }
 
@@ -223,8 +276,8 @@
             Some(formation) if formation.id == message.formation => {
                 if !formation.active {
                     formation.active = true;
-                    self.forming = None;
                     self.save_hard();
+                    self.end_forming(&Ok(()));
                 }
                 true
             }
@@ -232,8 +285,9 @@
             Some(_) | None if joins => {
                 self.bind(Formation {
                     id: message.formation,
-                    voters: Voters::default(),
                     active: true,
+                    left_known: true,
+                    ..Formation::default()
                 });
                 true
             }
--- a/crates/policy/tests/raft_formation_model.rs
+++ b/crates/policy/tests/raft_formation_model.rs
@@ -105,6 +105,12 @@
             match effect {
                 Effect::SaveHard(hard) => {
                     replica.disk.hard = hard.clone();
+                    if replica.old
+                        && let Some(it) = &mut replica.disk.hard.formation
+                    {
+                        // It drops what it does not know.
+                        (it.left, it.left_known) = (Vec::new(), false);
+                    }
                     if let Some(it) = &hard.formation {
                         if !it.voters.ids().is_empty() {
                             self.voters.insert(it.id, it.voters.ids().to_vec());
--- a/crates/policy/tests/raft_votes.rs
+++ b/crates/policy/tests/raft_votes.rs
@@ -135,6 +135,7 @@
                     id: 9,
                     voters,
                     active: true,
+                    ..Formation::default()
                 }),
             },
             snapshot,
--- a/crates/wire/src/control/raft.rs
+++ b/crates/wire/src/control/raft.rs
@@ -18,6 +18,8 @@
         id: it.id,
         voters: Some((&it.voters).into()),
         active: it.active,
+        left: it.left.iter().map(Into::into).collect(),
+        left_known: it.left_known,
     });
     let message = proto::Hard {
         term: hard.term,
@@ -38,6 +40,8 @@
             id: it.id,
             voters: require(it.voters, "formation.voters")?.into(),
             active: it.active,
+            left: it.left.into_iter().map(Into::into).collect(),
+            left_known: it.left_known,
         })
     });
     Ok(HardState {
--- a/crates/wire/tests/control.rs
+++ b/crates/wire/tests/control.rs
@@ -156,6 +156,8 @@
             id: 5,
             voters: Voters::new(vec![1, 2, 3]),
             active: true,
+            left: vec![Voters::new(vec![1, 2, 4]), Voters::new(vec![1, 2])],
+            left_known: true,
         }),
     };
     expect_that!(
