usage: the bench of reports builds again

The bench keeps the borders of one window now. Evidence: clippy of all targets failed there before and passes now. The bench itself was not run.

--- a/crates/wire/benches/usage_slopes.rs
+++ b/crates/wire/benches/usage_slopes.rs
@@ -11,7 +11,7 @@
 
 use citron_policy::{
     member::{Member, Members, State},
-    usage::{Collector, Recorder, Report},
+    usage::{Borders, Collector, Recorder, Report},
 };
 use citron_wire::generated::{control, duty as proto};
 use prost::Message;
@@ -85,7 +85,8 @@
     black_box(collector.missing(now, &members, end));
     let looking = began.elapsed();
     let began = Instant::now();
-    let window = collector.count(now, &members, number, WINDOW);
+    let mut borders = Borders::default();
+    let window = collector.count(now, &members, number, WINDOW, &mut borders);
     let counting = began.elapsed();
     let window = window.expect("true time is known");
     let entry = control::Usage::from(&window).encoded_len();
