--- a/crates/policy/tests/lease_holders.rs
+++ b/crates/policy/tests/lease_holders.rs
@@ -714,3 +714,63 @@
     expect_that!(holder.propose(at(start, 1_000), 0), none());
     expect_that!(holder.propose(at(start, 1_050), 0), some(eq(&renewal(5))));
 }
+
+/// Guards against a holder that goes on calling although its replica shows that another one
+/// has the lease.
+#[gtest]
+fn a_holder_that_sees_the_lease_of_another_sends_nothing() {
+    let start = Instant::now();
+    let mut candidate = holder(start);
+    let other = Record {
+        holder: 8,
+        ..record(9, 9)
+    };
+    candidate.observe(at(start, 100), Some(&other));
+    expect_that!(candidate.fence(at(start, 100), Duration::ZERO), none());
+}
+
+/// Guards against a machine that keeps the lease of another alive under its token.
+#[gtest]
+fn a_renewal_by_another_holder_has_no_effect() {
+    let mut register = Some(Record {
+        holder: 8,
+        ..record(5, 6)
+    });
+    let before = register.clone();
+    renewal(5).apply(7, &mut register);
+    expect_that!(register, eq(&before));
+}
+
+/// Guards against a take that does not leave the time for clocks which run at different
+/// rates, and against candidates that all propose at once.
+#[gtest]
+fn a_take_waits_for_the_margin_and_the_rank() {
+    let start = Instant::now();
+    for (rank, wait) in [(0, 3_500), (1, 3_650), (4, 4_100)] {
+        let mut candidate = candidate(8, 8);
+        candidate.observe(start, Some(&record(5, 5)));
+        expect_that!(
+            candidate.propose(at(start, wait - 1), rank),
+            none(),
+            "{rank}"
+        );
+        let step = candidate.propose(at(start, wait), rank);
+        expect_that!(step, some(anything()), "{rank}");
+    }
+}
+
+/// Guards against a hold that is cut short by the late answer to an older renewal.
+#[gtest]
+fn the_answer_to_an_older_renewal_does_not_shorten_the_hold() {
+    let start = Instant::now();
+    let mut candidate = holder(start);
+    let (older, newer) = (at(start, 800), at(start, 1_800));
+    candidate.on_answer(newer, newer, &renewal(5), Some(&record(5, 8)));
+    let late = at(start, 1_900);
+    candidate.on_answer(late, older, &renewal(5), Some(&record(5, 7)));
+    expect_that!(
+        candidate.fence(at(start, 3_700), Duration::ZERO),
+        some(eq(5))
+    );
+    expect_that!(candidate.fence(at(start, 3_801), Duration::ZERO), none());
+}
