--- a/crates/policy/tests/raft_formation.rs
+++ b/crates/policy/tests/raft_formation.rs
@@ -309,3 +309,28 @@
         "a replica that had left joins the formation that started"
     );
 }
+
+// A build without replacements drops the voters of what was left, among which a majority could
+// still start it.
+#[gtest]
+fn a_folder_that_has_lost_what_it_left_leaves_no_more() {
+    let mut cluster = Cluster::empty(4, &[11, 12, 13, 14, 15]);
+    cluster.isolate(13);
+    cluster.init(11, &[11, 12, 13]);
+    cluster.run(Duration::from_millis(200));
+    cluster.isolate(14);
+    cluster.init(11, &[11, 12, 14]);
+    cluster.run(Duration::from_millis(200));
+    let disk = &mut cluster.replica(11).disk;
+    let formation = disk.hard.formation.as_mut().expect("a formation");
+    expect_that!(formation.left.len(), eq(1));
+    (formation.left, formation.left_known) = (Vec::new(), false);
+    let before = formation.clone();
+    cluster.restart(11);
+    cluster.heal();
+    block(&mut cluster, &[(11, 12), (11, 13), (14, 12), (14, 13)]);
+    block(&mut cluster, &[(15, 12), (15, 13)]);
+    insist(&mut cluster, 14, &[11, 14, 15]);
+    let formation = &cluster.replica(11).disk.hard.formation;
+    expect_that!(formation, some(eq(&before)));
+}
