--- a/crates/policy/tests/autoscale.rs
+++ b/crates/policy/tests/autoscale.rs
@@ -147,7 +147,7 @@
         down: 30.0..40.0,
         ..Replay::default()
     };
-    let run = replay.run();
+    let run = run_no_worse(&replay);
     expect_that!(run.urgent_lost, le(MOST_URGENT_LOSS));
     for domain in 0..DOMAINS.len() {
         let orders = run.orders_of(domain, true);
@@ -163,7 +163,7 @@
         // The load has just fallen, and runners that were ordered are not ready yet.
         let replay = Replay {
             load: |at| burst(12.0, 2.5, 20.0..33.0, at),
-            new_holder: Some((33.0, knows_orders)),
+            new_holders: vec![(33.0, knows_orders)],
             ..Replay::default()
         };
         let run = replay.run();
@@ -174,6 +174,135 @@
     }
 }
 
+/// Guards against a new holder that orders what it sees ready, so that runners which a former
+/// one ordered, and which still start, are never there.
+#[gtest]
+fn a_new_holder_does_not_take_back_orders_whose_runners_still_start() {
+    for half_second in 42..64 {
+        let at = f64::from(half_second) * 0.5;
+        let replay = Replay {
+            load: |at| burst(12.0, 2.5, 20.0..23.0, at),
+            new_holders: vec![(at, true)],
+            ..Replay::default()
+        };
+        let run = replay.run();
+        let early = at..at + 10.0;
+        for order in run.orders.iter().filter(|it| early.contains(&it.at)) {
+            expect_that!(
+                order.desired,
+                ge(order.before),
+                "{order:?}, holder at {at} s"
+            );
+        }
+    }
+}
+
+/// Guards against steps down that go on while nothing is known of the load.
+#[gtest]
+fn a_fall_that_is_under_way_stops_when_reports_are_missing() {
+    for half_second in 80..100 {
+        let from = f64::from(half_second) * 0.5;
+        let replay = Replay {
+            load: |at| burst(20.0, 0.1, 30.0..90.0, at),
+            silent: from..60.0,
+            ..Replay::default()
+        };
+        let run = replay.run();
+        let silent = from + 2.5..60.0;
+        for order in run.orders.iter().filter(|it| silent.contains(&it.at)) {
+            expect_that!(
+                order.desired,
+                ge(order.before),
+                "{order:?}, silent from {from} s"
+            );
+        }
+    }
+}
+
+/// Guards against a fleet that falls to the load of the first seconds, before a wave.
+#[gtest]
+fn three_quarters_of_the_fleet_stay_for_20_s() {
+    let run = run_no_worse(&Replay {
+        load: |_| 5.0,
+        ..Replay::default()
+    });
+    for sample in run.samples.iter().filter(|it| it.at < 20.0) {
+        let ready: u32 = sample.ready.iter().sum();
+        expect_that!(ready, ge(45), "at {} s", sample.at);
+    }
+}
+
+/// Demand of runners that are ready, half of them busy.
+fn demand(stable: u32, reclaimable: u32, busy: f64) -> Demand {
+    let usable = stable + reclaimable;
+    let mut demand = Demand {
+        service: "chat".to_owned(),
+        usable,
+        slots: usable * 64,
+        prefill: busy,
+        held: busy,
+        granted: u32::from(busy > 0.0) * 100,
+        ..Demand::default()
+    };
+    for domain in DOMAINS {
+        let fleet = demand.fleets.entry(domain.to_owned()).or_default();
+        fleet.stable.ready = stable / 3;
+        fleet.reclaimable.ready = reclaimable / 3;
+    }
+    demand
+}
+
+/// Guards against a fleet that is ordered down before the first request.
+#[gtest]
+fn nothing_is_ordered_down_before_load_is_seen() {
+    let start = Instant::now();
+    let mut planner = Planner::new("chat".to_owned(), scaling(), Settings::default());
+    for half_second in 0..120 {
+        let now = start + seconds(f64::from(half_second) * 0.5);
+        // Reclaimable runners in the place of all that are ordered.
+        planner.on_demand(now, &"d1".to_owned(), &demand(60, 60, 0.0), &Vec::new());
+        for order in planner.plan(now, usize::MAX) {
+            expect_that!(
+                order.desired,
+                ge(20),
+                "{order:?} after {half_second} halves of a second"
+            );
+            planner.on_outcome(now, &order, Outcome::Accepted);
+        }
+    }
+}
+
+/// Guards against a new holder that orders runners down which an order of a former one
+/// brings while it has given its own first orders.
+#[gtest]
+fn runners_of_a_former_holder_that_come_late_are_kept() {
+    let start = Instant::now();
+    let mut planner = Planner::new("chat".to_owned(), scaling(), Settings::default());
+    let (mut wanted, mut ordered) = (0, false);
+    for half_second in 0..50 {
+        let at = f64::from(half_second) * 0.5;
+        let now = start + seconds(at);
+        let reclaimable = if at < 4.0 { 3 } else { 60 };
+        let busy = if at < 4.0 { 0.9 } else { 0.1 };
+        planner.on_demand(
+            now,
+            &"d1".to_owned(),
+            &demand(3, reclaimable, busy),
+            &Vec::new(),
+        );
+        for order in planner.plan(now, usize::MAX) {
+            ordered |= at < 4.0;
+            planner.on_outcome(now, &order, Outcome::Accepted);
+        }
+        wanted = planner.runners().map(|it| it.2).sum();
+        if (4.0..10.0).contains(&at) {
+            expect_that!(wanted, ge(63), "at {at} s");
+        }
+    }
+    expect_that!(ordered, eq(true), "an order of its own came first");
+    expect_that!(wanted, lt(63), "ordered down later");
+}
+
 #[gtest]
 fn missing_reports_order_nothing_down() {
     let replay = Replay {
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -101,7 +101,7 @@
 }
 
 /// What happens in a replay; domains are given by their index.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct Replay {
     pub seconds: u32,
     /// Runners that the load keeps busy at a time.
@@ -115,8 +115,10 @@
     pub taken_back: Vec<usize>,
     pub down: Range<f64>,
     pub silent: Range<f64>,
+    /// Times at which the platform takes orders, but its answers are lost.
+    pub unanswered: Vec<Range<f64>>,
     /// When another daemon comes to hold the duties, and whether it is told the orders.
-    pub new_holder: Option<(f64, bool)>,
+    pub new_holders: Vec<(f64, bool)>,
 }
 
 impl Default for Replay {
@@ -130,7 +132,8 @@
             taken_back: Vec::new(),
             down: 0.0..0.0,
             silent: 0.0..0.0,
-            new_holder: None,
+            unanswered: Vec::new(),
+            new_holders: Vec::new(),
         }
     }
 }
@@ -170,8 +173,13 @@
             lost += (load * URGENT - usable).max(0.0);
             refused += (load - usable).max(0.0);
             run.cost += model.cost() * STEP;
-            if let Some((_, knows)) = self.new_holder.filter(|it| (it.0 - at).abs() < 0.01) {
-                known = if knows { planner.known() } else { Known::new() };
+            let mut holders = self.new_holders.iter();
+            if let Some((_, knows)) = holders.find(|it| (it.0 - at).abs() < 0.01) {
+                known = if *knows {
+                    planner.known()
+                } else {
+                    Known::new()
+                };
                 planner = new();
             }
             if scaled && tick % 5 == 0 && !self.silent.contains(&at) {
@@ -194,7 +202,11 @@
                         Outcome::Unavailable
                     } else {
                         model.order(at, domain, order.reclaimable, order.desired, &self.scaling);
-                        Outcome::Accepted
+                        if self.unanswered.iter().any(|it| it.contains(&at)) {
+                            Outcome::Failed
+                        } else {
+                            Outcome::Accepted
+                        }
                     };
                     run.orders.push(Placed {
                         at,
