autoscale: a new holder orders no fewer than the platform may have

Cause: a holder told the orders that were accepted; one without an answer was left out, and the next holder took the smaller number as in force.

A holder now tells the largest number that may be in force. The next one sends it again as long as runners are missing, since the order may have been lost as well; orders are states, so a second one changes nothing.

Both new tests pass, and each fails with its half of the change taken out.

--- a/crates/policy/src/autoscale/planner.rs
+++ b/crates/policy/src/autoscale/planner.rs
@@ -147,12 +147,12 @@
         })
     }
 
-    /// Orders in force.
+    /// Orders in force, the largest of each kind that may be.
     #[must_use]
     pub fn known(&self) -> Known {
         let known = self.sites.iter().flat_map(|(domain, site)| {
             [(false, site.stable), (true, site.reclaimable)]
-                .map(|(reclaimable, cell)| (domain.clone(), reclaimable, cell.accepted))
+                .map(|(reclaimable, cell)| (domain.clone(), reclaimable, cell.in_force()))
         });
         known.collect()
     }
@@ -195,7 +195,7 @@
         if is_first {
             for (domain, reclaimable, number) in known {
                 if let Some(site) = self.sites.get_mut(domain) {
-                    site.cell(*reclaimable).adopt(now, *number);
+                    site.cell(*reclaimable).adopt_order(now, *number);
                 }
             }
         }
--- a/crates/policy/src/autoscale/site.rs
+++ b/crates/policy/src/autoscale/site.rs
@@ -68,11 +68,23 @@
         }
     }
 
-    /// Largest number that may come to be, whichever orders arrive.
-    pub(super) fn most(&self) -> u32 {
+    /// Takes over an order of a former holder, which may not know whether it is in force; so
+    /// it is sent again as long as runners are missing.
+    pub(super) fn adopt_order(&mut self, now: Instant, number: u32) {
+        self.adopt(now, number);
+        self.uncertain = (self.count.ready < number).then_some(number);
+    }
+
+    /// Largest number that may be in force: answers may be lost.
+    pub(super) fn in_force(&self) -> u32 {
         let orders = [self.sent, self.uncertain];
         let sent = orders.into_iter().flatten().max().unwrap_or_default();
-        self.desired.max(self.accepted).max(sent)
+        self.accepted.max(sent)
+    }
+
+    /// Largest number that may come to be, whichever orders arrive.
+    pub(super) fn most(&self) -> u32 {
+        self.desired.max(self.in_force())
     }
 
     pub(super) fn is_excluded(&self, now: Instant) -> bool {
--- a/crates/policy/tests/autoscale.rs
+++ b/crates/policy/tests/autoscale.rs
@@ -400,3 +400,33 @@
     planner.on_outcome(now + Duration::from_secs(1), &order, Outcome::Accepted);
     expect_that!(planner.plan(now + seconds(1.1), usize::MAX), is_empty());
 }
+
+/// Guards against a new holder that waits for runners of an order which was lost.
+#[gtest]
+fn a_new_holder_sends_orders_that_may_not_have_arrived() {
+    let now = Instant::now();
+    let mut planner = Planner::new("chat".to_owned(), scaling(), Settings::default());
+    let known = vec![("a".to_owned(), true, 10), ("b".to_owned(), true, 1)];
+    planner.on_demand(now, &"d1".to_owned(), &demand(3, 3, 0.1), &known);
+    let orders = planner.plan(now, usize::MAX);
+    let order = orders.iter().find(|it| it.domain == "a" && it.reclaimable);
+    expect_that!(order.map(|it| it.desired), some(eq(10)));
+    expect_that!(orders.len(), eq(1), "the others are there: {orders:?}");
+}
+
+/// Guards against a former holder that tells less than what may be in force.
+#[gtest]
+fn orders_without_an_answer_are_told_to_the_next_holder() {
+    let now = Instant::now();
+    let mut planner = Planner::new("chat".to_owned(), scaling(), Settings::default());
+    planner.on_demand(now, &"d1".to_owned(), &demand(3, 3, 0.9), &Vec::new());
+    let later = now + seconds(2.1);
+    planner.on_demand(later, &"d1".to_owned(), &demand(3, 3, 0.9), &Vec::new());
+    let orders = planner.plan(later, usize::MAX);
+    expect_that!(orders.is_empty(), eq(false));
+    for order in orders {
+        planner.on_outcome(later, &order, Outcome::Failed);
+        let told = (order.domain, order.reclaimable, order.desired);
+        expect_that!(planner.known(), contains(eq(&told)));
+    }
+}
