--- a/crates/policy/tests/usage_waits.rs
+++ b/crates/policy/tests/usage_waits.rs
@@ -170,3 +170,33 @@
     let counts = second.next().map(|(_, it)| it.window.counts["t1"]);
     expect_that!(counts, some(eq(50)));
 }
+
+/// Guards against a holder that sends its own counts, while the control log may have those of
+/// a former one.
+#[gtest]
+fn only_counts_that_the_log_has_fixed_are_sent() {
+    let base = Instant::now();
+    let now = base + Duration::from_millis(6_500);
+    let mut recorder = Recorder::new(base, 1);
+    let mut collector = Collector::new(base);
+    let members: Members = [(String::from("i-1"), member(1))].into();
+    recorder.record(base + Duration::from_secs(1), "t1");
+    let wall = Duration::from_millis(EPOCH_MS + 6_500);
+    let report = recorder.report(now, wall, "i-1");
+    collector.on_report(now, &String::from("i-1"), &report);
+    let mut reporter = Reporter::new(Settings::default());
+    let view = View {
+        now,
+        collector: &collector,
+        members: &members,
+    };
+    reporter.update(&view, true, &Fixed::default());
+    let proposal = reporter.next_to_fix(&view).expect("a window");
+    let later = now + Duration::from_secs(1);
+    expect_that!(reporter.next_to_send(later), none());
+    let mut other = proposal.window;
+    other.counts.insert(String::from("t1"), 7);
+    reporter.on_fixed(&other.clone().into());
+    let sent = reporter.next_to_send(later);
+    expect_that!(sent.as_deref(), some(eq(&other)));
+}
