platform: a damaged page of a list is read in time that its length explains

Seen: a_large_page_of_damage_is_read_in_time failed at load 20 to 27, with 4.6 s where 2 s are asked. A page made for it is far worse: 256 KB of `{},[[["]",` took 19.3 s of processor time in a debug build, of `{},{"a":[` 18.2 s.

Cause: after damage the reader tries up to 1,024 places as the next entry, and parsed from each again: up to 16 KB for the try, up to 1 MB when the value at a found place has no end, and up to 64 KB of members after each `]`.

Fix: a scan remembers the end of each object and array that it closed, and that those still open where it failed have none; what follows an array is remembered for each member. A sound page is parsed as before. Which entries are kept does not change.

That the members after an array are remembered was not tried without.

Ruled out: allocations and single scans of the page; they are linear and small.

--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -7,6 +7,7 @@
 //! the membership protocol checks the state of the daemons independently.
 
 pub mod page;
+pub mod scan;
 
 use std::{
     cell::{Cell, RefCell},
--- a/crates/daemon/src/platform/page.rs
+++ b/crates/daemon/src/platform/page.rs
@@ -14,9 +14,11 @@
 //!   stays in force.
 
 use derive_more::{Display, Error};
-use serde::{Deserialize, de::IgnoredAny};
+use serde::de::{DeserializeOwned, IgnoredAny};
 use serde_json::{Deserializer, Value};
 
+use super::scan::Scanner;
+
 /// Longest entry, in bytes.
 const MAX_ENTRY_BYTES: usize = 16 << 10;
 
@@ -29,6 +31,9 @@
 /// Most bytes after an array that are looked at to tell whether it ends there.
 const MAX_REST_BYTES: usize = 64 << 10;
 
+/// Mark of a place after which the rest of the page is not sound.
+const UNSOUND: u32 = u32::MAX;
+
 /// Layout of a page.
 #[derive(Clone, Copy, Debug)]
 pub struct Layout {
@@ -84,6 +89,22 @@
 /// # Errors
 /// [`Fault`] if it is not known whether all entries were seen.
 pub fn read<T, F>(bytes: &[u8], layout: Layout, entry: F) -> Result<Page<T>, Fault>
+where
+    F: Fn(&'static str, &[u8]) -> Result<T, String>,
+{
+    read_counting(bytes, layout, entry).0
+}
+
+/// Reads a page as [`read`] does; returns the number of bytes looked at too, where a byte
+/// counts again each time that it is looked at.
+///
+/// # Errors
+/// As those of [`read`], in the first value.
+pub fn read_counting<T, F>(
+    bytes: &[u8],
+    layout: Layout,
+    entry: F,
+) -> (Result<Page<T>, Fault>, usize)
 where
     F: Fn(&'static str, &[u8]) -> Result<T, String>,
 {
@@ -91,42 +112,67 @@
         bytes,
         layout,
         entry,
+        scanner: Scanner::new(bytes),
+        rests: Vec::new(),
         tries: 0,
         damaged: false,
+        looked_at: 0,
         page: Page::default(),
     };
-    let start = reader.skip_space(0);
-    if bytes.get(start) != Some(&b'{') {
-        return Err(Fault::NoObject);
-    }
-    let mut complete = reader.members(start + 1) || reader.find_last();
-    // The end of a damaged entry may look like that of a page that was cut.
-    complete &= !reader.damaged || reader.page.last.is_some();
-    if reader.tries > MAX_TRIES {
-        return Err(Fault::TooDamaged);
-    }
-    if complete {
-        Ok(reader.page)
-    } else {
-        Err(Fault::NoEnd)
-    }
+    let fault = reader.page().err();
+    let looked_at = reader.looked_at + reader.scanner.looked_at();
+    (fault.map_or(Ok(reader.page), Err), looked_at)
 }
 
 struct Reader<'a, T, F> {
     bytes: &'a [u8],
     layout: Layout,
     entry: F,
+    /// Finds the ends of objects and arrays once the page is damaged.
+    scanner: Scanner<'a>,
+    /// Of places after a value: zero if not yet known, [`UNSOUND`], or the last place in the
+    /// sound rest of the page that follows.
+    rests: Vec<u32>,
     /// Places tried after damaged bytes.
     tries: usize,
     /// Whether bytes that are not JSON were found.
     damaged: bool,
+    /// Bytes looked at without the scanner.
+    looked_at: usize,
     page: Page<T>,
 }
 
+/// What stands after a value of the page.
+enum Rest {
+    /// The end of the page, or an array of entries.
+    Sound,
+    /// Another member, which ends at this place.
+    Member(usize),
+    /// Anything else.
+    Unsound,
+}
+
 impl<T, F> Reader<'_, T, F>
 where
     F: Fn(&'static str, &[u8]) -> Result<T, String>,
 {
+    fn page(&mut self) -> Result<(), Fault> {
+        let start = self.skip_space(0);
+        if self.bytes.get(start) != Some(&b'{') {
+            return Err(Fault::NoObject);
+        }
+        let ends = self.members(start + 1);
+        if self.tries > MAX_TRIES {
+            return Err(Fault::TooDamaged);
+        }
+        // The end of a damaged entry may look like that of a page that was cut.
+        if (ends || self.find_last()) && (!self.damaged || self.page.last.is_some()) {
+            Ok(())
+        } else {
+            Err(Fault::NoEnd)
+        }
+    }
+
     /// Reads the members of the object; false if its end was not found.
     fn members(&mut self, start: usize) -> bool {
         let mut place = start;
@@ -206,24 +252,43 @@
     }
 
     /// End of the value at a place, if it is JSON and an element of an array.
-    fn value_end(&self, place: usize) -> Option<usize> {
-        let (_, end) = self.parse::<IgnoredAny>(place)?;
-        let next = self.bytes.get(self.skip_space(end))?;
-        matches!(next, b',' | b']').then_some(end)
+    fn value_end(&mut self, place: usize) -> Option<usize> {
+        let end = self.ignore(place)?;
+        self.is_element(end, self.bytes.len()).then_some(end)
+    }
+
+    /// Whether an element of an array ends at a place, as the bytes before `limit` tell.
+    fn is_element(&mut self, end: usize, limit: usize) -> bool {
+        let next = self.skip_space(end);
+        next < limit && matches!(self.bytes[next], b',' | b']')
+    }
+
+    /// End of a value of any kind.
+    fn ignore(&mut self, place: usize) -> Option<usize> {
+        match self.bytes.get(place)? {
+            // A sound page is not worth the memory of the scanner.
+            b'{' | b'[' if self.damaged => {
+                let end = self.scanner.end(place)?;
+                (end - place <= MAX_VALUE_BYTES).then_some(end)
+            }
+            _ => Some(self.parse::<IgnoredAny>(place)?.1),
+        }
     }
 
     /// Place of the next object or array that may be an entry.
     fn next_entry(&mut self, start: usize) -> Option<usize> {
+        let bytes = self.bytes;
         let mut before = None;
-        for place in start..self.bytes.len() {
-            let byte = self.bytes[place];
+        for place in start..bytes.len() {
+            let byte = bytes[place];
+            self.looked_at += 1;
             // Scalars are left out: too much of a damaged entry looks like one.
             let begins = match byte {
                 b'{' => matches!(before, Some(b',' | b'[')),
                 b'[' => before == Some(b','),
                 _ => false,
             };
-            if !byte.is_ascii_whitespace() {
+            if !matches!(byte, b' ' | b'\t' | b'\n' | b'\r' | b'\x0c') {
                 before = Some(byte);
             }
             if !begins {
@@ -233,16 +298,9 @@
             if self.tries > MAX_TRIES {
                 return None;
             }
-            let limit = self.bytes.len().min(place + MAX_ENTRY_BYTES);
-            let window = Reader {
-                bytes: &self.bytes[..limit],
-                layout: self.layout,
-                entry: &self.entry,
-                tries: 0,
-                damaged: false,
-                page: Page::<T>::default(),
-            };
-            if window.value_end(place).is_some() {
+            let limit = bytes.len().min(place + MAX_ENTRY_BYTES);
+            let end = self.scanner.end(place);
+            if end.is_some_and(|end| self.is_element(end, limit)) {
                 return Some(place);
             }
         }
@@ -251,28 +309,48 @@
 
     /// Whether what follows the end of an array is the sound rest of the page, or the
     /// next array.
-    fn is_sound_after(&self, start: usize) -> bool {
+    fn is_sound_after(&mut self, start: usize) -> bool {
+        if self.rests.is_empty() {
+            self.rests = vec![0; self.bytes.len() + 1];
+        }
+        let mut passed = Vec::new();
         let mut place = start;
-        while place - start <= MAX_REST_BYTES {
-            place = self.skip_space(place);
-            match self.bytes.get(place) {
-                Some(b'}') => return self.skip_space(place + 1) == self.bytes.len(),
-                Some(b',') => {}
-                _ => return false,
+        let last = loop {
+            if self.rests[place] != 0 {
+                break self.rests[place];
             }
-            let next = self.skip_space(place + 1);
-            let Some((name, value)) = self.name(next) else {
-                return false;
-            };
-            if self.layout.arrays.contains(&name.as_str()) {
-                return self.bytes.get(value) == Some(&b'[');
+            passed.push(place);
+            match self.rest(place) {
+                Rest::Sound => break u32::try_from(place).unwrap_or(UNSOUND),
+                Rest::Member(end) => place = end,
+                Rest::Unsound => break UNSOUND,
             }
-            let Some((_, end)) = self.parse::<IgnoredAny>(value) else {
-                return false;
+        };
+        for place in passed {
+            self.rests[place] = last;
+        }
+        let last = usize::try_from(last).ok().filter(|_| last != UNSOUND);
+        last.is_some_and(|last| last - start <= MAX_REST_BYTES)
+    }
+
+    fn rest(&mut self, place: usize) -> Rest {
+        let place = self.skip_space(place);
+        match self.bytes.get(place) {
+            Some(b'}') if self.skip_space(place + 1) == self.bytes.len() => return Rest::Sound,
+            Some(b',') => {}
+            _ => return Rest::Unsound,
+        }
+        let next = self.skip_space(place + 1);
+        let Some((name, value)) = self.name(next) else {
+            return Rest::Unsound;
+        };
+        if self.layout.arrays.contains(&name.as_str()) {
+            return match self.bytes.get(value) {
+                Some(b'[') => Rest::Sound,
+                _ => Rest::Unsound,
             };
-            place = end;
         }
-        false
+        self.ignore(value).map_or(Rest::Unsound, Rest::Member)
     }
 
     /// Looks for the member that ends a complete page, after damaged bytes.
@@ -281,8 +359,11 @@
             return false;
         };
         let quoted = format!("\"{last}\"");
-        let mut windows = self.bytes.windows(quoted.len());
-        let Some(place) = windows.rposition(|it| it == quoted.as_bytes()) else {
+        let bytes = self.bytes;
+        let begins =
+            |place: usize| bytes[place] == b'"' && bytes[place..].starts_with(quoted.as_bytes());
+        self.looked_at += bytes.len();
+        let Some(place) = (0..bytes.len()).rev().find(|place| begins(*place)) else {
             return false;
         };
         let Some((_, value)) = self.name(place) else {
@@ -301,27 +382,37 @@
     }
 
     /// The name of a member, and the place of its value.
-    fn name(&self, place: usize) -> Option<(String, usize)> {
+    fn name(&mut self, place: usize) -> Option<(String, usize)> {
         let (name, end) = self.parse::<String>(place)?;
         let colon = self.skip_space(end);
         (self.bytes.get(colon) == Some(&b':')).then(|| (name, self.skip_space(colon + 1)))
     }
 
     /// A value other than an array of entries, and the place after it.
-    fn parse<'de, V>(&'de self, place: usize) -> Option<(V, usize)>
+    fn parse<V>(&mut self, place: usize) -> Option<(V, usize)>
     where
-        V: Deserialize<'de>,
+        V: DeserializeOwned,
     {
         let limit = self.bytes.len().min(place + MAX_VALUE_BYTES);
         let bytes = self.bytes.get(place..limit)?;
         let mut values = Deserializer::from_slice(bytes).into_iter::<V>();
-        let value = values.next()?.ok()?;
-        Some((value, place + values.byte_offset()))
+        let value = values.next()?;
+        let length = match &value {
+            Ok(_) => values.byte_offset(),
+            // Only damage over several lines has more, and it is parsed once.
+            Err(error) => error.column(),
+        };
+        self.looked_at += length;
+        Some((value.ok()?, place + length))
     }
 
-    fn skip_space(&self, place: usize) -> usize {
+    fn skip_space(&mut self, place: usize) -> usize {
         let rest = self.bytes.get(place..).unwrap_or_default();
-        let space = rest.iter().take_while(|it| it.is_ascii_whitespace());
-        place + space.count()
+        let length = rest
+            .iter()
+            .take_while(|it| it.is_ascii_whitespace())
+            .count();
+        self.looked_at += length + 1;
+        place + length
     }
 }
