tests: two rare failures tell what was answered, and when

a_leader_lost_or_paused_during_the_call_causes_no_second_run and a_sound_runner_that_is_silent_for_a_while_loses_no_request failed once each, and kept nothing that tells why. What they check is the same.

--- a/crates/daemon/tests/bookings.rs
+++ b/crates/daemon/tests/bookings.rs
@@ -5,7 +5,7 @@
 
 mod common;
 
-use std::thread;
+use std::{thread, time::SystemTime};
 
 use common::{
     cluster::{Cluster, Plan, book, with_key},
@@ -29,10 +29,21 @@
     kind.trim_start_matches("urn:citronpond:").to_owned()
 }
 
+/// Tells in a failed test's output what a call was answered.
+fn report(number: usize, key: &str, reply: &Reply) {
+    let at = humantime::format_rfc3339_millis(SystemTime::now());
+    let (status, text) = (reply.status, reply.text());
+    println!(
+        "{at} {key} at {number}: {status}, {}, {text}",
+        outcome(reply)
+    );
+}
+
 /// Resends the call until it gets a final answer.
 fn resend(cluster: &Cluster, number: usize, key: &str) -> Reply {
     eventually("a final answer for the key", || {
         let reply = book(cluster.daemons[number].callers, key, BODY);
+        report(number, key, &reply);
         let temporary = reply.status == 0
             || ["in-progress", "ledger", "cut-off"].contains(&kind(&reply).as_str());
         let temporary = temporary || outcome(&reply) == "not-run" && reply.status == 503;
@@ -63,12 +74,14 @@
     let callers = cluster.daemons[number].callers;
     thread::spawn(move || {
         let headers = with_key(&[("idempotency-key", key), ("citron-timeout-ms", timeout_ms)]);
-        http::post(
+        let reply = http::post(
             callers,
             "/v1/services/tickets/book",
             &headers,
             BODY.as_bytes(),
-        )
+        );
+        report(number, key, &reply);
+        reply
     })
 }
 
