arbiter: logs and counts what shows the build of a stream that goes on

Neither log nor metric told whether an arbiter had a record of the stream or took the only build that it knew, nor how old its list was: the hypotheses of the incident could not be told apart. CP0316 and citron_slot_continued_total do. No decision changes.

--- a/crates/daemon/src/slots/host.rs
+++ b/crates/daemon/src/slots/host.rs
@@ -545,6 +545,17 @@
                 "runner is brittle"
             ),
             Note::HeldBack => self.metrics.on_held_back(service),
+            Note::Continued(decision) => {
+                self.metrics.on_continued(decision.evidence);
+                log::info!(
+                    event = "CP0316", service = service.as_str(),
+                    stream = fingerprint::format(decision.stream), build = decision.build.as_str(),
+                    evidence = metrics::evidence(decision.evidence),
+                    list_age_ms = decision.list_age.map(|it| it.as_millis()),
+                    told = decision.told, asked = decision.asked;
+                    "build of a stream that goes on"
+                );
+            }
             Note::Limit { runner, rate, by } => {
                 self.metrics.on_limit(service, runner, *rate);
                 log::info!(
--- a/crates/daemon/src/slots/metrics.rs
+++ b/crates/daemon/src/slots/metrics.rs
@@ -3,7 +3,7 @@
 use std::{sync::atomic::AtomicU64, time::Duration};
 
 use citron_policy::{
-    arbiter::{End, Rate, Refusal, Sample, Stats, Transition},
+    arbiter::{End, Rate, Refusal, Sample, Source, Stats, Transition},
     id::RunnerId,
 };
 use prometheus_client::{
@@ -70,6 +70,12 @@
     pub reason: &'static str,
 }
 
+/// Label of the evidence for the build of a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SourceLabel {
+    evidence: &'static str,
+}
+
 /// Counters and gauges of this daemon's requesters and arbiters.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -95,6 +101,7 @@
     limited: Family<ServiceLabel, Gauge>,
     limit: Family<RunnerLabel, Gauge<f64, AtomicU64>>,
     held_back: Family<ServiceLabel, Counter>,
+    continued: Family<SourceLabel, Counter>,
     marks: Family<MarkLabel, Counter>,
     suspects: Family<ServiceLabel, Gauge>,
     parked: Family<ServiceLabel, Gauge>,
@@ -123,6 +130,7 @@
             limited: Family::default(),
             limit: Family::default(),
             held_back: Family::default(),
+            continued: Family::default(),
             marks: Family::default(),
             suspects: Family::default(),
             parked: Family::default(),
@@ -181,6 +189,11 @@
             "Requests that waited because of the limits of runners",
             &self.held_back,
         );
+        registrar.add(
+            "continued",
+            "Streams that go on, by what shows the build that began them",
+            &self.continued,
+        );
         registrar.add("marks", "Requests whose crash mark changed", &self.marks);
         registrar.add(
             "suspects",
@@ -257,6 +270,14 @@
             .inc();
     }
 
+    /// Counts a stream that goes on.
+    pub(super) fn on_continued(&self, source: Source) {
+        let evidence = evidence(source);
+        self.continued
+            .get_or_create(&SourceLabel { evidence })
+            .inc();
+    }
+
     /// Shows the limit of a runner; hides it when the limit has ended.
     pub(super) fn on_limit(&self, service: &str, runner: &RunnerId, rate: Option<Rate>) {
         let label = RunnerLabel {
@@ -355,6 +376,16 @@
     }
 }
 
+/// Label value of the evidence for the build of a stream.
+pub(super) fn evidence(source: Source) -> &'static str {
+    match source {
+        Source::Asker => "asker",
+        Source::Record => "record",
+        Source::OnlyBuild => "only-build",
+        Source::Nothing => "nothing",
+    }
+}
+
 fn signed(count: usize) -> i64 {
     i64::try_from(count).unwrap_or(i64::MAX)
 }
--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -45,6 +45,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
+pub use continuity::{Decision, Source};
 pub use estimate::Lengths;
 pub use message::{
     Ask, Asked, End, Heartbeat, Hold, Inventory, Load, Part, Progress, Refusal, Reply, Report,
@@ -214,6 +215,8 @@
         /// The daemon that reported it.
         by: InstanceId,
     },
+    /// A stream that has begun goes on, or not.
+    Continued(Decision),
     /// A part of prompts was found to crash runners.
     PartConvicted {
         /// The part.
--- a/crates/policy/src/arbiter/admit.rs
+++ b/crates/policy/src/arbiter/admit.rs
@@ -66,7 +66,8 @@
             }
         }
         let admitted = self.admit(now, ask, &class, &account, &item, effects);
-        if let Err(refusal) = admitted.and_then(|()| self.decide_build(now, &mut item)) {
+        let decided = admitted.and_then(|()| self.decide_build(now, &mut item, effects));
+        if let Err(refusal) = decided {
             self.refuse_item(&item, refusal, effects);
             return;
         }
--- a/crates/policy/src/arbiter/continuity.rs
+++ b/crates/policy/src/arbiter/continuity.rs
@@ -11,7 +11,7 @@
     time::{Duration, Instant},
 };
 
-use super::{Arbiter, Effect, Key, Refusal, Reply, queue::Item};
+use super::{Arbiter, Effect, Key, Note, Refusal, Reply, queue::Item};
 use crate::{
     id::{BuildId, InstanceId, StreamId},
     stream::{Group, MAX_LIFE, Origin, Records, Stream},
@@ -20,6 +20,36 @@
 /// Oldest list of runners that tells which builds there are: a few reads.
 const MAX_LIST_AGE: Duration = Duration::from_secs(3);
 
+/// What shows at which build a stream goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The daemon that asks has the record.
+    Asker,
+    /// The arbiter has the record.
+    Record,
+    /// There is no record; it is the only build known.
+    OnlyBuild,
+    /// There is no record, and several builds or too old a list of runners.
+    Nothing,
+}
+
+/// How an arbiter decided where a stream goes on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Decision {
+    /// The stream.
+    pub stream: StreamId,
+    /// The build, or empty if it is not known.
+    pub build: BuildId,
+    /// What shows it.
+    pub evidence: Source,
+    /// Age of the list of runners, if one was read.
+    pub list_age: Option<Duration>,
+    /// Daemons that told what they know, and those that were asked, at the start.
+    pub told: usize,
+    /// See `told`.
+    pub asked: usize,
+}
+
 /// What an arbiter knows of the builds that began streams.
 #[derive(Debug, Default)]
 pub(super) struct Continuity {
@@ -84,11 +114,16 @@
 
 impl Arbiter {
     /// Sets the build that an item's stream must go on at, if it has begun.
-    pub(super) fn decide_build(&self, now: Instant, item: &mut Item) -> Result<(), Refusal> {
+    pub(super) fn decide_build(
+        &self,
+        now: Instant,
+        item: &mut Item,
+        effects: &mut Vec<Effect>,
+    ) -> Result<(), Refusal> {
         if self.collecting.is_some() {
             return Ok(());
         }
-        item.build = self.build_for(now, item)?;
+        item.build = self.build_for(now, item, effects)?;
         match &item.build {
             Some(build) => self.check_build(now, build),
             None => Ok(()),
@@ -104,24 +139,43 @@
             let Some(mut item) = self.take_waiting(key) else {
                 continue;
             };
-            match self.decide_build(now, &mut item) {
+            match self.decide_build(now, &mut item, effects) {
                 Ok(()) => self.requeue_item(item, effects),
                 Err(refusal) => self.refuse_item(&item, refusal, effects),
             }
         }
     }
 
-    fn build_for(&self, now: Instant, item: &Item) -> Result<Option<Arc<str>>, Refusal> {
+    fn build_for(
+        &self,
+        now: Instant,
+        item: &Item,
+        effects: &mut Vec<Effect>,
+    ) -> Result<Option<Arc<str>>, Refusal> {
         let Some(stream) = &item.stream else {
             return Ok(None);
         };
-        let recorded = || self.continuity.records.get(now, stream.id).cloned();
-        let build = match &stream.origin {
+        let only_build = || Some((self.only_build(now)?, Source::OnlyBuild));
+        let recorded = || {
+            let build = self.continuity.records.get(now, stream.id)?;
+            Some((Arc::clone(build), Source::Record))
+        };
+        let known = match &stream.origin {
             Origin::New => return Ok(None),
-            Origin::Build(build) => Some(Arc::from(build.as_str())),
-            Origin::Unknown => recorded().or_else(|| self.only_build(now)),
+            Origin::Build(build) => Some((Arc::from(build.as_str()), Source::Asker)),
+            Origin::Unknown => recorded().or_else(only_build),
             Origin::Recorded => recorded(),
         };
+        let (build, evidence) = known.unzip();
+        let listed_at = self.continuity.listed_at;
+        effects.push(Effect::Note(Note::Continued(Decision {
+            stream: stream.id,
+            build: build.as_deref().unwrap_or_default().to_owned(),
+            evidence: evidence.unwrap_or(Source::Nothing),
+            list_age: listed_at.map(|at| now.saturating_duration_since(at)),
+            told: self.continuity.told,
+            asked: self.continuity.asked,
+        })));
         let retry_after = self.pool.retry_after(now);
         build.map(Some).ok_or(Refusal::UnknownBuild { retry_after })
     }
--- a/crates/policy/tests/arbiter_tiers.rs
+++ b/crates/policy/tests/arbiter_tiers.rs
@@ -224,6 +224,7 @@
             }
             Note::Refused { .. }
             | Note::Health(_)
+            | Note::Continued(_)
             | Note::Accused { .. }
             | Note::HeldBack
             | Note::Limit { .. }
