streams: a stream goes on only at the build that a record names

Cause: an arbiter without a record of a stream took the only build that it knew for the only build that there is, if its list had been read in the last 3 s and most daemons had told it something once, when it started. The records themselves had copies at two fixed daemons only, and were lost with them. Class: what is not known here is taken not to exist.

Change: there is no guess any more, nor an age that allows one. So that records last, they are copied at all times, to three others in turn, and a daemon keeps what an arbiter knew that ends on it. Callers need not name the request that began a stream, and many do not while there is one build; its record is found by account and body as well, unless equal requests began at two builds. A slot adopted from another arbiter on a runner that is not listed here recorded the stream under no build; it records nothing now. An old list no longer shows that a build has left.

Messages: the request for an inventory may name streams; older daemons answer it with their whole inventory, which tells the same.

--- a/crates/daemon/src/exchange/run/stream.rs
+++ b/crates/daemon/src/exchange/run/stream.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use citron_policy::{
     buffer::Kind,
-    id::StreamId,
-    stream::{NO_STREAM, Origin, Stream as Continuation},
+    id::{Fingerprint, StreamId},
+    stream::{self, Origin, Stream as Continuation},
 };
 
 use super::{
@@ -60,6 +60,7 @@
             caller_head,
             route,
             arrived,
+            fingerprint,
             ..
         } = &self.admitted;
         if !route.stream {
@@ -73,7 +74,7 @@
         };
         let allowed = caller_head.timeout.unwrap_or(route.timeout);
         Some(Continuation {
-            id: stream_id(caller_head),
+            id: stream_id(caller_head, *fingerprint),
             origin,
             life: allowed.saturating_sub(arrived.elapsed()),
         })
@@ -235,11 +236,12 @@
     kind.trim_ascii().eq_ignore_ascii_case(EVENT_STREAM)
 }
 
-/// Digest of the id of the request that brought the stream's first event.
-fn stream_id(caller_head: &CallerHead) -> StreamId {
+/// Digest of the id of the request that brought the stream's first event, or of what the
+/// caller repeats if it does not name it.
+fn stream_id(caller_head: &CallerHead, request: Fingerprint) -> StreamId {
     match &caller_head.resumes {
         Some(first) => request_number(first),
-        None if caller_head.is_continued() => NO_STREAM,
+        None if caller_head.is_continued() => stream::unnamed(request),
         None => request_number(&caller_head.id),
     }
 }
--- a/crates/daemon/src/slots/host.rs
+++ b/crates/daemon/src/slots/host.rs
@@ -220,6 +220,7 @@
         let dropped = std::mem::take(&mut self.host.borrow_mut().arbiters);
         for (service, hosted) in &dropped {
             self.metrics.on_retired(service, &hosted.arbiter.stats());
+            self.keep_records(now, service, &hosted.arbiter);
             self.ring.record(
                 "CP0309",
                 None,
@@ -250,7 +251,10 @@
 
     fn on_requester(&self, now: Instant, service: &ServiceId, event: requester::Event) {
         if let requester::Event::Reply { reply, .. } = &event
-            && matches!(reply, Reply::RequestInventory | Reply::Streams(_))
+            && matches!(
+                reply,
+                Reply::RequestInventory | Reply::FindStreams { .. } | Reply::Streams(_)
+            )
         {
             // What a daemon knows, or keeps for others, does not depend on its own requests.
             self.ensure_requester(now, service);
@@ -464,10 +468,19 @@
             &[service_key(service)],
             format!("arbiter of service {service} moves to {to:?}"),
         );
+        self.keep_records(Instant::now(), service, &hosted.arbiter);
         let epoch = hosted.arbiter.epoch();
         self.apply_effects(service, epoch, hosted.arbiter.retire(to));
     }
 
+    /// Keeps what an arbiter that ends here knows of streams, to tell the next one.
+    fn keep_records(&self, now: Instant, service: &ServiceId, arbiter: &Arbiter) {
+        let me = self.hub.me();
+        let records = Reply::Streams(arbiter.records(now));
+        let keep = Work::reply(service, me, arbiter.epoch(), records);
+        self.host.borrow_mut().queue.push_back(keep);
+    }
+
     fn apply_effects(&self, service: &ServiceId, epoch: Epoch, effects: Vec<arbiter::Effect>) {
         for effect in effects {
             match effect {
@@ -546,13 +559,12 @@
             ),
             Note::HeldBack => self.metrics.on_held_back(service),
             Note::Continued(decision) => {
-                self.metrics.on_continued(decision.evidence);
+                self.metrics.on_continued(decision.source);
                 log::info!(
                     event = "CP0316", service = service.as_str(),
                     stream = fingerprint::format(decision.stream), build = decision.build.as_str(),
-                    evidence = metrics::evidence(decision.evidence),
-                    list_age_ms = decision.list_age.map(|it| it.as_millis()),
-                    told = decision.told, asked = decision.asked;
+                    evidence = metrics::evidence(decision.source),
+                    waited_ms = decision.waited.as_millis();
                     "build of a stream that goes on"
                 );
             }
--- a/crates/daemon/src/slots/metrics.rs
+++ b/crates/daemon/src/slots/metrics.rs
@@ -380,8 +380,8 @@
 pub(super) fn evidence(source: Source) -> &'static str {
     match source {
         Source::Asker => "asker",
-        Source::Record => "record",
-        Source::OnlyBuild => "only-build",
+        Source::Arbiter => "arbiter",
+        Source::Search => "search",
         Source::Nothing => "nothing",
     }
 }
--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -34,6 +34,7 @@
 mod queue;
 mod rendezvous;
 mod runner;
+mod search;
 mod speed;
 mod suspect;
 
@@ -54,12 +55,14 @@
 pub use pace::Rate;
 pub use pool::{MAX_RUNNERS, Transition};
 pub use rendezvous::{host_order, standbys};
+pub use search::Number;
 
 use crate::{
     catalogue::{Backend, Catalogue, Class, Service},
     crash::{self, parts::Evidence},
     id::{AccountId, ClassId, DomainId, Epoch, InstanceId, PartId, RunnerId, ServiceId},
     platform,
+    stream::Group,
 };
 
 /// Identifies one ask of one asker.
@@ -299,6 +302,7 @@
     estimate: estimate::Estimate,
     affinity: affinity::Affinity,
     continuity: continuity::Continuity,
+    searches: search::Searches,
     suspects: suspect::Suspects,
     excused: excuse::Excused,
     outage: outage::Outage,
@@ -336,7 +340,7 @@
             .iter()
             .map(|it| Effect::Send(it.clone(), Reply::RequestInventory))
             .collect();
-        let continuity = continuity::Continuity::new(live.len());
+        let searches = search::Searches::new(live.clone());
         let collecting = Collecting {
             missing: live,
             until: now + settings.collect_timeout,
@@ -363,7 +367,8 @@
             floor: floor::Floor::new(settings.floor_share),
             estimate: estimate::Estimate::default(),
             affinity: affinity::Affinity::default(),
-            continuity,
+            continuity: continuity::Continuity::default(),
+            searches,
             suspects: suspect::Suspects::default(),
             excused: excuse::Excused::default(),
             outage: outage::Outage::default(),
@@ -440,6 +445,7 @@
             Event::Tick => self.on_tick(now, &mut effects),
         }
         self.end_collecting(now, &mut effects);
+        self.end_searches(now, &mut effects);
         self.schedule(now, &mut effects);
         if let Some(sampler) = &mut self.sampler {
             sampler.on_effects(&effects);
@@ -447,6 +453,12 @@
         effects
     }
 
+    /// Builds that began streams, for the daemon to keep when this arbiter ends.
+    #[must_use]
+    pub fn records(&self, now: Instant) -> Vec<Group> {
+        self.continuity.groups(now)
+    }
+
     /// Ends this arbiter and redirects every asker to another one.
     #[must_use]
     pub fn retire(self, to: Option<&InstanceId>) -> Vec<Effect> {
@@ -479,6 +491,10 @@
             Request::Brittle(runner, most) => self.on_brittle(now, from, &runner, most, effects),
             Request::Heartbeat(beat) => self.on_heartbeat(now, from, asker, &beat, effects),
             Request::Inventory(list) => self.on_inventory(now, from, asker, list, effects),
+            Request::Found(search, groups) => {
+                self.continuity.on_told(now, &groups);
+                self.searches.on_found(from, search);
+            }
         }
     }
 
--- a/crates/policy/src/arbiter/admit.rs
+++ b/crates/policy/src/arbiter/admit.rs
@@ -11,7 +11,8 @@
 };
 
 use super::{
-    Arbiter, Ask, Effect, Key, Note, Refusal, Reply, estimate::Capacity, outage::REST, queue::Item,
+    Arbiter, Ask, Effect, Key, Note, Refusal, Reply, continuity::Verdict, estimate::Capacity,
+    outage::REST, queue::Item,
 };
 use crate::{
     catalogue::{Account, Class, MAX_TIER, URGENCY_LEVELS},
@@ -67,14 +68,16 @@
         }
         let admitted = self.admit(now, ask, &class, &account, &item, effects);
         let decided = admitted.and_then(|()| self.decide_build(now, &mut item, effects));
-        if let Err(refusal) = decided {
-            self.refuse_item(&item, refusal, effects);
-            return;
-        }
-        if self.must_run_alone(item.fingerprint) {
-            self.suspects.push(item);
-        } else {
-            self.push_copy(item);
+        match decided {
+            Err(refusal) => {
+                self.refuse_item(&item, refusal, effects);
+                return;
+            }
+            Ok(Verdict::Search) => self.searches.push(item),
+            Ok(Verdict::Ready) if self.must_run_alone(item.fingerprint) => {
+                self.suspects.push(item);
+            }
+            Ok(Verdict::Ready) => self.push_copy(item),
         }
         self.schedule(now, effects);
         if !self.running.contains_key(&key) {
@@ -129,7 +132,7 @@
             self.send(key, running.grant(key), effects);
             return true;
         }
-        let waits = self.queue.get(key).is_some() || self.suspects.contains(key);
+        let waits = self.is_waiting(key);
         if waits {
             self.send(key, Reply::Queued(key.ticket), effects);
         }
@@ -184,7 +187,7 @@
             let retry_after = self.without_runner(now);
             return Err(Refusal::NoRunner { retry_after });
         }
-        if self.suspects.waiting() >= self.settings.max_queue {
+        if self.suspects.waiting() + self.searches.len() >= self.settings.max_queue {
             let retry_after = self.retry_after(item);
             return Err(Refusal::Shed { retry_after });
         }
@@ -210,7 +213,11 @@
 
     /// Waiting requests of an account, including those outside the common queue.
     fn waiting_of(&self, account: &str) -> u32 {
-        self.queue.account_len(account) + self.suspects.waiting_of(account)
+        let searched = self.searches.items();
+        let searched = searched.filter(|it| &*it.account == account).count();
+        self.queue.account_len(account)
+            + self.suspects.waiting_of(account)
+            + u32::try_from(searched).unwrap_or(u32::MAX)
     }
 
     /// Whether a request of the account would be granted at once.
@@ -268,6 +275,8 @@
     pub(super) fn expire_items(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         let mut expired = self.queue.expired(now);
         expired.extend(self.suspects.expired(now));
+        let searched = self.searches.items().filter(|it| it.deadline <= now);
+        expired.extend(searched.map(|it| it.key));
         for key in expired {
             if let Some(item) = self.take_waiting(key) {
                 self.refuse_item(&item, Refusal::Late, effects);
@@ -325,7 +334,7 @@
         }
         let retry_after = self.without_runner(now);
         let mut keys: Vec<Key> = self.queue.items().map(|it| it.key).collect();
-        keys.extend(self.suspects.keys());
+        keys.extend(self.suspects.keys().chain(self.searches.keys()));
         for key in keys {
             if let Some(item) = self.take_waiting(key) {
                 self.refuse_item(&item, Refusal::NoRunner { retry_after }, effects);
@@ -337,7 +346,9 @@
     /// at a time.
     pub(super) fn refuse_resting(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         let waiting = self.queue.items().chain(self.suspects.items());
-        let resting = waiting.filter(|it| self.outage.rests(now, it.fingerprint));
+        let resting = waiting
+            .chain(self.searches.items())
+            .filter(|it| self.outage.rests(now, it.fingerprint));
         let keys: Vec<Key> = resting.map(|it| it.key).collect();
         for key in keys {
             if let Some(item) = self.take_waiting(key) {
@@ -347,8 +358,17 @@
         }
     }
 
-    /// Removes a waiting request from the queue or from the suspects.
+    /// Whether a request waits here.
+    pub(super) fn is_waiting(&self, key: Key) -> bool {
+        self.queue.get(key).is_some() || self.suspects.contains(key) || self.searches.contains(key)
+    }
+
+    /// Removes a waiting request.
     pub(super) fn take_waiting(&mut self, key: Key) -> Option<Item> {
+        // It is no copy yet.
+        if let Some(item) = self.searches.remove(key) {
+            return Some(item);
+        }
         let item = match self.queue.remove(key) {
             Some(item) => item,
             None => self.suspects.remove(key)?,
--- a/crates/policy/src/arbiter/continuity.rs
+++ b/crates/policy/src/arbiter/continuity.rs
@@ -1,35 +1,41 @@
-//! A stream goes on only at the build that began it.
+//! A stream goes on only at the build that a record names.
 //!
-//! The slot in which a stream began tells the build; one that was granted may never be
-//! used. The arbiter copies its records to two other daemons
-//! while runners of several builds serve, since it may be lost together with the daemons
-//! that served the streams. A stream without a record goes on only where one build comes
-//! into question; otherwise it is refused at once, so that its caller can start anew.
+//! The daemon that gets the first event of a stream records its build and tells the
+//! arbiter, which copies its records to a few other daemons, in turns: it may be lost
+//! together with the daemons that served the streams. An arbiter without a record asks
+//! all daemons. If nobody knows the stream it is refused, so that its caller can start
+//! anew: other arbiters may have granted runners that this one has not heard of.
 
 use std::{
     sync::Arc,
     time::{Duration, Instant},
 };
 
+use indexmap::IndexSet;
+
 use super::{Arbiter, Effect, Key, Note, Refusal, Reply, queue::Item};
 use crate::{
-    id::{BuildId, InstanceId, StreamId},
-    stream::{Group, MAX_LIFE, Origin, Records, Stream},
+    id::{BuildId, Fingerprint, InstanceId, StreamId},
+    stream::{self, Group, NO_STREAM, Origin, Records, Stream},
 };
 
-/// Oldest list of runners that tells which builds there are: a few reads.
+/// Oldest list of runners that shows that no runner of a build is left: a few reads.
 const MAX_LIST_AGE: Duration = Duration::from_secs(3);
 
+/// Daemons that get a copy of a record. With the arbiter and the daemon that served the
+/// stream, they survive the loss of a third of the daemons in nearly all cases.
+const COPIES: usize = 3;
+
 /// What shows at which build a stream goes on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
     /// The daemon that asks has the record.
     Asker,
     /// The arbiter has the record.
-    Record,
-    /// There is no record; it is the only build known.
-    OnlyBuild,
-    /// There is no record, and several builds or too old a list of runners.
+    Arbiter,
+    /// Another daemon was asked and has the record.
+    Search,
+    /// No daemon that answered has a record.
     Nothing,
 }
 
@@ -41,40 +47,35 @@
     /// The build, or empty if it is not known.
     pub build: BuildId,
     /// What shows it.
-    pub evidence: Source,
-    /// Age of the list of runners, if one was read.
-    pub list_age: Option<Duration>,
-    /// Daemons that told what they know, and those that were asked, at the start.
-    pub told: usize,
-    /// See `told`.
-    pub asked: usize,
+    pub source: Source,
+    /// Time from the request's arrival at the arbiter.
+    pub waited: Duration,
+}
+
+/// Whether a request can be queued.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Verdict {
+    /// It can; the build of its stream is known if it matters.
+    Ready,
+    /// The daemons have to be asked for the build of its stream.
+    Search,
 }
 
 /// What an arbiter knows of the builds that began streams.
 #[derive(Debug, Default)]
 pub(super) struct Continuity {
     records: Records,
-    /// Records since the last copy.
-    fresh: Vec<StreamId>,
-    /// Daemons that keep copies.
+    /// Records that were not copied yet.
+    fresh: IndexSet<StreamId>,
+    /// Daemons that keep copies, in turns.
     standbys: Vec<InstanceId>,
-    /// Daemons that have all records but the fresh ones.
-    copied_to: Vec<InstanceId>,
+    /// Index of the standby that gets the next copy.
+    turn: usize,
     /// When the list of runners was last read.
     listed_at: Option<Instant>,
-    /// Daemons that were asked, and those that told, what they know.
-    asked: usize,
-    told: usize,
 }
 
 impl Continuity {
-    pub(super) fn new(asked: usize) -> Self {
-        Self {
-            asked,
-            ..Self::default()
-        }
-    }
-
     pub(super) fn on_listed(&mut self, at: Instant) {
         self.listed_at = Some(at);
     }
@@ -85,31 +86,52 @@
 
     /// Records what a daemon tells about streams that other arbiters granted.
     pub(super) fn on_told(&mut self, now: Instant, groups: &[Group]) {
-        self.told += 1;
+        let streams = groups.iter().flat_map(|it| &it.streams).map(|(id, _)| *id);
+        let new = streams.filter(|id| !self.records.contains(now, *id));
+        self.fresh.extend(new);
         self.records.extend(now, groups);
-        let streams = groups.iter().flat_map(|it| &it.streams);
-        self.fresh.extend(streams.map(|(id, _)| *id));
     }
 
-    /// Records that a runner of a build has begun a stream.
+    /// Records that a runner of a build has begun a stream, under the ids that its caller
+    /// may use.
     ///
     /// What its daemon told before is kept: its slot may be one of another arbiter.
-    pub(super) fn on_begun(&mut self, now: Instant, stream: &Stream, build: &str) {
-        if self.records.get(now, stream.id).is_none() {
+    pub(super) fn on_begun(
+        &mut self,
+        now: Instant,
+        stream: &Stream,
+        request: Fingerprint,
+        build: &str,
+    ) {
+        if !self.records.contains(now, stream.id) {
             self.records.insert(now, stream.id, build, stream.life);
-            self.fresh.push(stream.id);
+            self.fresh.insert(stream.id);
+        }
+        let unnamed = stream::unnamed(request);
+        if unnamed != stream.id {
+            self.records.insert(now, unnamed, build, stream.life);
+            self.fresh.insert(unnamed);
         }
     }
 
-    /// Whether most daemons have told what they know, or nothing they could tell matters.
-    fn is_informed(&self, now: Instant, started: Instant) -> bool {
-        2 * self.told > self.asked || now.saturating_duration_since(started) >= MAX_LIFE
+    /// All records, for a daemon to keep when the arbiter ends.
+    pub(super) fn groups(&self, now: Instant) -> Vec<Group> {
+        self.records.groups(now)
     }
 
     fn is_list_fresh(&self, now: Instant) -> bool {
         let age = self.listed_at.map(|at| now.saturating_duration_since(at));
         age.is_some_and(|age| age <= MAX_LIST_AGE)
     }
+
+    /// The daemons that get the next copy.
+    fn next_standbys(&mut self) -> Vec<InstanceId> {
+        let count = self.standbys.len();
+        let next = (0..COPIES.min(count)).map(|it| self.standbys[(self.turn + it) % count].clone());
+        let next = next.collect();
+        self.turn = (self.turn + COPIES) % count.max(1);
+        next
+    }
 }
 
 impl Arbiter {
@@ -119,15 +141,36 @@
         now: Instant,
         item: &mut Item,
         effects: &mut Vec<Effect>,
+    ) -> Result<Verdict, Refusal> {
+        let Some(stream) = item.stream.as_ref().filter(|_| self.collecting.is_none()) else {
+            return Ok(Verdict::Ready);
+        };
+        let (build, source) = match &stream.origin {
+            Origin::New => return Ok(Verdict::Ready),
+            Origin::Build(build) => (Arc::from(build.as_str()), Source::Asker),
+            Origin::Unknown | Origin::Recorded => {
+                match self.continuity.records.get(now, stream.id) {
+                    Some(build) => (Arc::clone(build), Source::Arbiter),
+                    None => return Ok(Verdict::Search),
+                }
+            }
+        };
+        self.set_build(now, item, build, source, effects)?;
+        Ok(Verdict::Ready)
+    }
+
+    fn set_build(
+        &self,
+        now: Instant,
+        item: &mut Item,
+        build: Arc<str>,
+        source: Source,
+        effects: &mut Vec<Effect>,
     ) -> Result<(), Refusal> {
-        if self.collecting.is_some() {
-            return Ok(());
-        }
-        item.build = self.build_for(now, item, effects)?;
-        match &item.build {
-            Some(build) => self.check_build(now, build),
-            None => Ok(()),
-        }
+        note_decision(now, item, &build, source, effects);
+        self.check_build(now, &build)?;
+        item.build = Some(build);
+        Ok(())
     }
 
     /// Decides on the streams that came before this arbiter knew enough.
@@ -140,55 +183,42 @@
                 continue;
             };
             match self.decide_build(now, &mut item, effects) {
-                Ok(()) => self.requeue_item(item, effects),
+                Ok(Verdict::Ready) => self.requeue_item(item, effects),
+                Ok(Verdict::Search) => self.searches.push(item),
                 Err(refusal) => self.refuse_item(&item, refusal, effects),
             }
         }
     }
 
-    fn build_for(
-        &self,
-        now: Instant,
-        item: &Item,
-        effects: &mut Vec<Effect>,
-    ) -> Result<Option<Arc<str>>, Refusal> {
-        let Some(stream) = &item.stream else {
-            return Ok(None);
+    /// Decides on the streams that were found, or that nobody knows.
+    pub(super) fn end_searches(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        self.searches.end(now);
+        let records = &self.continuity.records;
+        let is_decided = |it: &&Item| {
+            let stream = it.stream.as_ref().map(|stream| stream.id);
+            stream.is_none_or(|id| records.get(now, id).is_some() || !self.searches.is_open(id))
         };
-        let only_build = || Some((self.only_build(now)?, Source::OnlyBuild));
-        let recorded = || {
-            let build = self.continuity.records.get(now, stream.id)?;
-            Some((Arc::clone(build), Source::Record))
-        };
-        let known = match &stream.origin {
-            Origin::New => return Ok(None),
-            Origin::Build(build) => Some((Arc::from(build.as_str()), Source::Asker)),
-            Origin::Unknown => recorded().or_else(only_build),
-            Origin::Recorded => recorded(),
-        };
-        let (build, evidence) = known.unzip();
-        let listed_at = self.continuity.listed_at;
-        effects.push(Effect::Note(Note::Continued(Decision {
-            stream: stream.id,
-            build: build.as_deref().unwrap_or_default().to_owned(),
-            evidence: evidence.unwrap_or(Source::Nothing),
-            list_age: listed_at.map(|at| now.saturating_duration_since(at)),
-            told: self.continuity.told,
-            asked: self.continuity.asked,
-        })));
-        let retry_after = self.pool.retry_after(now);
-        build.map(Some).ok_or(Refusal::UnknownBuild { retry_after })
-    }
-
-    /// The build of all streams that may still go on, if it is certain.
-    fn only_build(&self, now: Instant) -> Option<Arc<str>> {
-        let known = &self.continuity;
-        if !known.is_list_fresh(now) || !known.is_informed(now, self.started) {
-            return None;
+        let decided = self.searches.items().filter(is_decided);
+        let keys: Vec<Key> = decided.map(|it| it.key).collect();
+        for key in keys {
+            let Some(mut item) = self.searches.remove(key) else {
+                continue;
+            };
+            let stream = item.stream.as_ref();
+            let found = stream.and_then(|it| self.continuity.records.get(now, it.id).cloned());
+            let decided = if let Some(build) = found {
+                self.set_build(now, &mut item, build, Source::Search, effects)
+            } else {
+                note_decision(now, &item, "", Source::Nothing, effects);
+                let retry_after = self.pool.retry_after(now);
+                Err(Refusal::UnknownBuild { retry_after })
+            };
+            match decided {
+                Ok(()) => self.requeue_item(item, effects),
+                Err(refusal) => self.refuse_item(&item, refusal, effects),
+            }
         }
-        let mut builds = self.pool.builds().chain(known.records.builds(now));
-        let first = builds.next()?;
-        builds.all(|it| it == first).then(|| Arc::clone(first))
+        self.searches.begin(now, effects);
     }
 
     /// Whether a stream of a build can go on, now or soon.
@@ -201,7 +231,8 @@
         {
             return Ok(());
         }
-        if self.pool.has_build(build) {
+        // Runners that an old list lacks may have joined since.
+        if self.pool.has_build(build) || !self.continuity.is_list_fresh(now) {
             let retry_after = self.pool.retry_after(now);
             return Err(Refusal::NoRunner { retry_after });
         }
@@ -228,41 +259,34 @@
         }
     }
 
-    /// Copies new records to the standbys while there are several builds; all of them if
-    /// a standby has none yet.
+    /// Copies new records to the standbys whose turn it is.
     pub(super) fn copy_records(&mut self, now: Instant, effects: &mut Vec<Effect>) {
-        let several = self.builds(now).len() > 1;
         let known = &mut self.continuity;
         known.records.expire(now);
         let fresh = std::mem::take(&mut known.fresh);
-        if !several {
-            known.copied_to.clear();
-            return;
-        }
-        let groups = if known.copied_to == known.standbys {
-            known.records.groups_of(now, fresh)
-        } else {
-            known.records.groups(now)
-        };
-        known.copied_to.clone_from(&known.standbys);
+        let groups = known.records.groups_of(now, fresh);
         if groups.is_empty() {
             return;
         }
-        for standby in &known.standbys {
+        for standby in known.next_standbys() {
             let copy = Reply::Streams(groups.clone());
-            effects.push(Effect::Send(standby.clone(), copy));
+            effects.push(Effect::Send(standby, copy));
         }
     }
+}
 
-    /// Builds of the runners on the list and of the streams that may still go on.
-    pub(super) fn builds(&self, now: Instant) -> Vec<BuildId> {
-        let all = self
-            .pool
-            .builds()
-            .chain(self.continuity.records.builds(now));
-        let mut builds: Vec<BuildId> = all.map(ToString::to_string).collect();
-        builds.sort_unstable();
-        builds.dedup();
-        builds
-    }
+fn note_decision(
+    now: Instant,
+    item: &Item,
+    build: &str,
+    source: Source,
+    effects: &mut Vec<Effect>,
+) {
+    let stream = item.stream.as_ref().map_or(NO_STREAM, |it| it.id);
+    effects.push(Effect::Note(Note::Continued(Decision {
+        stream,
+        build: build.to_owned(),
+        source,
+        waited: now.saturating_duration_since(item.arrived),
+    })));
 }
--- a/crates/policy/src/arbiter/hold.rs
+++ b/crates/policy/src/arbiter/hold.rs
@@ -208,7 +208,15 @@
             return;
         };
         if let Some(stream) = &running.stream {
-            self.continuity.on_begun(now, stream, &running.build);
+            // A slot that another arbiter granted may be at a runner that is not listed here.
+            let build = match &*running.build {
+                "" => self.pool.get(&running.runner).map(|it| &it.build),
+                _ => Some(&running.build),
+            };
+            if let Some(build) = build {
+                self.continuity
+                    .on_begun(now, stream, running.fingerprint, build);
+            }
         }
         self.outage.on_answer();
         self.pool.on_answer(now, key.asker, &running.runner);
@@ -479,6 +487,7 @@
             .collect();
         self.apply_marks(now, asker, &inventory, effects);
         self.continuity.on_told(now, &inventory.streams);
+        self.searches.on_told(from);
         for (runner, rate) in &inventory.limits {
             self.on_limit(now, from, runner, *rate, effects);
         }
@@ -542,7 +551,7 @@
             };
             if let Some(running) = self.running.get(&key) {
                 effects.push(Effect::Send(from.clone(), running.grant(key)));
-            } else if self.queue.get(key).is_none() && !self.suspects.contains(key) {
+            } else if !self.is_waiting(key) {
                 unknown.push(*ticket);
             }
         }
@@ -624,6 +633,7 @@
         let waiting = self.queue.items().map(|it| it.key);
         let all = waiting
             .chain(self.suspects.keys())
+            .chain(self.searches.keys())
             .chain(self.running.keys().copied());
         all.filter(|key| key.asker == asker).collect()
     }
@@ -648,6 +658,7 @@
         live: &IndexSet<InstanceId>,
         effects: &mut Vec<Effect>,
     ) {
+        self.searches.on_live(live);
         let gone = self.askers.keys().filter(|name| !live.contains(*name));
         let lost: Vec<InstanceId> = gone.cloned().collect();
         for name in lost {
--- a/crates/policy/src/arbiter/message.rs
+++ b/crates/policy/src/arbiter/message.rs
@@ -8,10 +8,10 @@
 
 use derive_more::{Display, Error};
 
-use super::Rate;
+use super::{Rate, search};
 use crate::{
     crash,
-    id::{AccountId, BuildId, ClassId, Epoch, Fingerprint, InstanceId, PartId, RunnerId},
+    id::{AccountId, BuildId, ClassId, Epoch, Fingerprint, InstanceId, PartId, RunnerId, StreamId},
     stream::{Group, Stream},
 };
 
@@ -214,6 +214,8 @@
     Heartbeat(Heartbeat),
     /// Lists all queued tickets and held slots.
     Inventory(Inventory),
+    /// Builds that began the streams of a search, as far as they are known here.
+    Found(search::Number, Vec<Group>),
 }
 
 /// Why an ask was refused; final, and sent without delay.
@@ -295,6 +297,13 @@
     Ack,
     /// The asker must send its [`Inventory`].
     RequestInventory,
+    /// The daemon must tell which builds began these streams, as far as it knows.
+    FindStreams {
+        /// Number of the search.
+        search: search::Number,
+        /// The streams.
+        streams: Vec<StreamId>,
+    },
     /// These queued tickets are unknown here; ask again.
     Unknown(Vec<Ticket>),
     /// A crash mark that is being proposed to the control log.
--- a/crates/policy/src/arbiter/part.rs
+++ b/crates/policy/src/arbiter/part.rs
@@ -149,6 +149,7 @@
     /// Refuses the waiting requests with a convicted part.
     fn refuse_convicted(&mut self, effects: &mut Vec<Effect>) {
         let waiting = self.queue.items().chain(self.suspects.items());
+        let waiting = waiting.chain(self.searches.items());
         let convicted = waiting.filter(|it| self.convicted_part(&it.prompt).is_some());
         let keys: Vec<Key> = convicted.map(|it| it.key).collect();
         for key in keys {
--- a/crates/policy/src/arbiter/rendezvous.rs
+++ b/crates/policy/src/arbiter/rendezvous.rs
@@ -16,9 +16,6 @@
 /// Instances with at least the largest capacity divided by this rank equally as hosts.
 const CAPACITY_DIVISOR: u32 = 2;
 
-/// Daemons that keep copies: some are lost together with the host.
-const STANDBYS: usize = 2;
-
 /// Daemons that can host the shard's arbiter, the preferred one first.
 #[must_use]
 pub fn host_order(service: &str, shard: u32, members: &Members) -> Vec<InstanceId> {
@@ -41,18 +38,27 @@
     ranked.into_iter().map(|(.., id)| id.clone()).collect()
 }
 
-/// Daemons that keep copies for the host of a shard's arbiter: the next ones to host it,
-/// those in other failure domains first.
+/// Daemons that keep copies for the host of a shard's arbiter, in turns. Those that
+/// follow each other are in different failure domains where that is possible, the host's
+/// own domain last.
 #[must_use]
 pub fn standbys(
     host: &InstanceId,
     ranks: &[InstanceId],
     domains: &IndexMap<InstanceId, DomainId>,
 ) -> Vec<InstanceId> {
+    let mut places: IndexMap<Option<&DomainId>, usize> = IndexMap::new();
     let others = ranks.iter().filter(|it| *it != host);
-    let mut others: Vec<&InstanceId> = others.collect();
-    others.sort_by_key(|it| domains.get(*it) == domains.get(host));
-    others.into_iter().take(STANDBYS).cloned().collect()
+    let mut ordered: Vec<(usize, bool, &InstanceId)> = others
+        .map(|it| {
+            let domain = domains.get(it);
+            let place = places.entry(domain).or_default();
+            *place += 1;
+            (*place, domain == domains.get(host), it)
+        })
+        .collect();
+    ordered.sort_by_key(|(place, is_own, _)| (*place, *is_own));
+    ordered.into_iter().map(|(.., it)| it.clone()).collect()
 }
 
 fn weight(service: &str, shard: u32, id: &str) -> u64 {
--- a/crates/policy/src/requester.rs
+++ b/crates/policy/src/requester.rs
@@ -24,7 +24,7 @@
     },
     crash::{InFlight, Mark, Overlay, Step, Table},
     id::{BuildId, Epoch, InstanceId, RunnerId},
-    stream::{Origin, Records},
+    stream::{self, Origin, Records},
 };
 use timeout::Estimator;
 
@@ -278,8 +278,9 @@
             Event::Begun(ticket) => {
                 if let Some(held) = self.held.get(&ticket) {
                     if let Some(stream) = &held.ask.stream {
-                        let life = stream.life;
-                        self.streams.insert(now, stream.id, &held.build, life);
+                        for id in [stream.id, stream::unnamed(held.ask.fingerprint)] {
+                            self.streams.insert(now, id, &held.build, stream.life);
+                        }
                     }
                     self.send(Request::Begun(ticket), &mut effects);
                 }
@@ -474,6 +475,11 @@
             }
             // Copies come from an arbiter that need not be the one asked.
             Reply::Streams(groups) => return self.streams.extend(now, groups),
+            // So do searches: what is known here does not depend on whom it asks.
+            Reply::FindStreams { search, streams } => {
+                let groups = self.streams.groups_of(now, streams.iter().copied());
+                return self.send_to(from, Request::Found(*search, groups), effects);
+            }
             _ => {}
         }
         let is_decision = matches!(
@@ -528,7 +534,7 @@
                     self.send_ask(now, ticket, effects);
                 }
             }
-            Reply::Ack | Reply::Mark(_) | Reply::Streams(_) => {}
+            Reply::Ack | Reply::Mark(_) | Reply::Streams(_) | Reply::FindStreams { .. } => {}
             Reply::Moved { to } => self.on_moved(now, to, effects),
         }
     }
--- a/crates/policy/src/stream.rs
+++ b/crates/policy/src/stream.rs
@@ -7,6 +7,9 @@
 //!
 //! The daemon that gets a slot records the build when the stream begins, and tells the
 //! arbiter, and the next one. Records end when the caller's time does.
+//!
+//! A caller names the request that brought the first event, or else repeats it, so each
+//! stream is recorded under the ids of both.
 
 use std::{
     collections::BTreeSet,
@@ -16,17 +19,34 @@
 
 use indexmap::IndexMap;
 
-use crate::id::{BuildId, StreamId};
+use crate::{
+    crash::NO_FINGERPRINT,
+    id::{BuildId, Fingerprint, StreamId},
+};
 
 /// Stream without a known id; it is not recorded.
 pub const NO_STREAM: StreamId = 0;
 
+/// Build in a record of a stream that runners of two builds began; no runner has it.
+const CONFLICT: &str = "\0";
+
 /// Longest time for which a stream is recorded.
 pub const MAX_LIFE: Duration = Duration::from_mins(10);
 
 /// Most streams recorded; the ones that end first give way.
 const MAX_RECORDS: usize = 65_536;
 
+/// Id of a stream whose caller does not name the request that began it, from the digest
+/// of account and body, which is the same in both requests.
+#[must_use]
+pub fn unnamed(request: Fingerprint) -> StreamId {
+    if request == NO_FINGERPRINT {
+        NO_STREAM
+    } else {
+        !request
+    }
+}
+
 /// The stream that a request begins or goes on with.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Stream {
@@ -45,10 +65,9 @@
     New,
     /// Runners of this build began it.
     Build(BuildId),
-    /// Another request began it. If there is no record, it began at the only build that
-    /// the service can have had since.
+    /// Another request began it.
     Unknown,
-    /// Another request began it, perhaps at another service. Only a record tells.
+    /// Another request began it, perhaps at another service.
     Recorded,
 }
 
@@ -66,7 +85,7 @@
 pub struct Records {
     streams: IndexMap<StreamId, Record>,
     expiries: BTreeSet<(Instant, StreamId)>,
-    /// When the last stream of each build ends.
+    /// When the last stream of each build ends; each name is kept once.
     builds: IndexMap<Arc<str>, Instant>,
 }
 
@@ -78,13 +97,18 @@
 
 impl Records {
     /// Records that runners of a build began a stream.
+    ///
+    /// If two builds began streams of one id, it tells nothing until both have ended.
     pub fn insert(&mut self, now: Instant, id: StreamId, build: &str, life: Duration) {
         self.expire(now);
-        let until = now + life.min(MAX_LIFE);
-        let build = self.build_until(build, until);
         if id == NO_STREAM {
             return;
         }
+        let old = self.streams.get(&id);
+        let conflicts = old.is_some_and(|it| *it.build != *build);
+        let old_until = old.filter(|_| conflicts).map(|it| it.until);
+        let until = (now + life.min(MAX_LIFE)).max(old_until.unwrap_or(now));
+        let build = self.build_until(if conflicts { CONFLICT } else { build }, until);
         if self.streams.len() >= MAX_RECORDS && !self.streams.contains_key(&id) {
             self.drop_first();
         }
@@ -107,13 +131,14 @@
     #[must_use]
     pub fn get(&self, now: Instant, id: StreamId) -> Option<&Arc<str>> {
         let record = self.streams.get(&id).filter(|it| it.until > now);
-        record.map(|it| &it.build)
+        let build = record.map(|it| &it.build);
+        build.filter(|it| ***it != *CONFLICT)
     }
 
-    /// Builds whose streams may go on.
-    pub fn builds(&self, now: Instant) -> impl Iterator<Item = &Arc<str>> {
-        let current = self.builds.iter().filter(move |(_, until)| **until > now);
-        current.map(|(build, _)| build)
+    /// Whether there is a record of a stream, even one of two builds.
+    #[must_use]
+    pub fn contains(&self, now: Instant, id: StreamId) -> bool {
+        self.streams.get(&id).is_some_and(|it| it.until > now)
     }
 
     /// All records, by build.
--- a/crates/wire/src/slot.rs
+++ b/crates/wire/src/slot.rs
@@ -109,6 +109,10 @@
         Request::Brittle(runner, most) => Out::Brittle(proto::Brittle { runner, most }),
         Request::Heartbeat(beat) => Out::Beat(beat_to_proto(beat)),
         Request::Inventory(recital) => Out::Recital(recital_to_proto(recital)),
+        Request::Found(search, groups) => Out::Found(proto::Found {
+            search,
+            groups: groups.into_iter().map(group_to_proto).collect(),
+        }),
     };
     proto::Asked {
         least: asked.least,
@@ -134,6 +138,7 @@
         }
         In::Beat(beat) => Request::Heartbeat(beat_from_proto(beat)?),
         In::Recital(recital) => Request::Inventory(recital_from_proto(recital)?),
+        In::Found(found) => Request::Found(found.search, groups_from_proto(found.groups)?),
     };
     Ok(Asked {
         least: asked.least,
@@ -436,7 +441,8 @@
         Reply::Refused(ticket, refusal) => Out::Refused(refusal_to_proto(ticket, &refusal)),
         Reply::Preempt(ticket) => Out::Preempt(ticket),
         Reply::Ack => Out::Beat(proto::Nothing {}),
-        Reply::RequestInventory => Out::Recite(proto::Nothing {}),
+        Reply::RequestInventory => Out::Recite(proto::Recite::default()),
+        Reply::FindStreams { search, streams } => Out::Recite(proto::Recite { streams, search }),
         Reply::Unknown(tickets) => Out::Unknown(proto::Unknown { tickets }),
         Reply::Mark(step) => Out::Mark(step_to_proto(step)),
         Reply::Streams(groups) => Out::Streams(proto::Records {
@@ -463,7 +469,14 @@
         In::Refused(refused) => Reply::Refused(refused.ticket, refusal_from_proto(&refused)?),
         In::Preempt(ticket) => Reply::Preempt(ticket),
         In::Beat(_) => Reply::Ack,
-        In::Recite(_) => Reply::RequestInventory,
+        In::Recite(recite) if recite.search == 0 => Reply::RequestInventory,
+        In::Recite(recite) => {
+            check_len(recite.streams.len(), "list of streams")?;
+            Reply::FindStreams {
+                search: recite.search,
+                streams: recite.streams,
+            }
+        }
         In::Unknown(unknown) => {
             check_len(unknown.tickets.len(), "list of tickets")?;
             Reply::Unknown(unknown.tickets)
--- a/crates/wire/tests/slot.rs
+++ b/crates/wire/tests/slot.rs
@@ -104,6 +104,7 @@
         }),
         Request::Limit("r1".to_owned(), rate),
         Request::Brittle("r1".to_owned(), 3),
+        Request::Found(7, vec![group()]),
     ]
 }
 
@@ -135,6 +136,10 @@
         Reply::Preempt(1),
         Reply::Ack,
         Reply::RequestInventory,
+        Reply::FindStreams {
+            search: 7,
+            streams: vec![1, 2],
+        },
         Reply::Unknown(vec![1, 2]),
         Reply::Mark(Step::Suspected(vec![1])),
         Reply::Mark(Step::Quarantined(1)),
