arbiter: streams that older daemons take up without an id are found by their request

Older daemons give a stream whose caller does not name it no id, so an arbiter of this version refused it. It derives the id from the request's digest, as newer daemons do. The new test was refused with the change taken out.

--- a/crates/policy/src/arbiter/admit.rs
+++ b/crates/policy/src/arbiter/admit.rs
@@ -18,6 +18,7 @@
     catalogue::{Account, Class, MAX_TIER, URGENCY_LEVELS},
     crash::{Mark, NO_FINGERPRINT, Step},
     id::Fingerprint,
+    stream::{self, NO_STREAM, Origin, Stream},
 };
 
 /// Retry delay when the catalogue here lacks the class or account.
@@ -156,7 +157,7 @@
             resume: ask.resume,
             prompt: ask.prompt.as_slice().into(),
             output: ask.output,
-            stream: ask.stream.clone(),
+            stream: ask.stream.as_ref().map(|it| named(it, ask.fingerprint)),
             build: None,
             obstacle: None,
             held_back: false,
@@ -407,3 +408,16 @@
         effects.push(Effect::Send(self.instance_of(key.asker), reply));
     }
 }
+
+/// The stream with the id that its request explains, which older daemons leave out.
+fn named(stream: &Stream, request: Fingerprint) -> Stream {
+    let is_unnamed = stream.id == NO_STREAM && stream.origin != Origin::New;
+    Stream {
+        id: if is_unnamed {
+            stream::unnamed(request)
+        } else {
+            stream.id
+        },
+        ..stream.clone()
+    }
+}
--- a/crates/policy/tests/stream_builds.rs
+++ b/crates/policy/tests/stream_builds.rs
@@ -18,7 +18,7 @@
     id::{BuildId, StreamId},
     platform::Standing,
     requester,
-    stream::{self, Origin, Stream},
+    stream::{self, NO_STREAM, Origin, Stream},
 };
 use googletest::prelude::*;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -210,6 +210,21 @@
     }
 }
 
+/// Older daemons give such a stream no id.
+#[gtest]
+fn a_stream_without_an_id_goes_on_at_its_build() {
+    let mut daemons = daemons(2, &["v1", "v2"]);
+    for (id, build) in begin(&mut daemons, 1, 1..20) {
+        let ask = Ask {
+            fingerprint: id,
+            ..stream_ask(2_000 + id, NO_STREAM, Origin::Unknown)
+        };
+        let answer = request(&mut daemons, 0, ask);
+        expect_that!(answer, eq(&Answer::Build(build)));
+        daemons.release(0, 2_000 + id, done());
+    }
+}
+
 /// Nothing tells the streams of equal requests apart if their callers do not name them.
 #[gtest]
 fn an_unnamed_stream_is_refused_if_equal_requests_began_at_two_builds() {
