hop: a stream that its caller does not name keeps no name on its way to a peer

An instance that lost its path to the runners in the middle of a stream passed the rest on under the id of its own request. If that request had taken the stream up without naming it, nobody has a record under that id, and the peer refused the rest. Such a stream is now found by account and body at the peer too. Found by review, by reading; no test of its own.

--- a/crates/daemon/src/exchange/hop.rs
+++ b/crates/daemon/src/exchange/hop.rs
@@ -85,12 +85,16 @@
     let left = admitted.deadline.saturating_duration_since(Instant::now());
     let caller_head = &admitted.caller_head;
     let goes_on = after != caller_head.after;
-    let first = caller_head.resumes.as_ref().unwrap_or(&caller_head.id);
+    let first = match &caller_head.resumes {
+        Some(first) => Some(first),
+        // The stream of a caller that takes one up without naming it is not this request's.
+        None => Some(&caller_head.id).filter(|_| !caller_head.is_continued()),
+    };
     let mut headers = admitted.headers.clone();
     let forward = Forward {
         left,
         after,
-        resumes: goes_on.then_some(first.as_str()),
+        resumes: first.filter(|_| goes_on).map(String::as_str),
     };
     adapter.callers.forward(&forward, &mut headers);
     headers.insert(HOP, HeaderValue::from_static("1"));
