exchange: older arbiters are asked only for recorded builds of named streams

While daemons are upgraded an arbiter of the version before still takes the only build that it knows for the one that began a stream, if the asker says that the build is unknown. Askers say so only for streams that their callers do not name, which that version can't find otherwise. Found by review, by reading; no test plays two versions.

--- a/crates/daemon/src/exchange/run/stream.rs
+++ b/crates/daemon/src/exchange/run/stream.rs
@@ -69,7 +69,8 @@
         let origin = match &self.build {
             Some(build) => Origin::Build(build.clone()),
             None if !self.is_continued() => Origin::New,
-            None if route.backends.len() > 1 => Origin::Recorded,
+            // Older arbiters take the only build that they know for one that is unknown.
+            None if route.backends.len() > 1 || caller_head.resumes.is_some() => Origin::Recorded,
             None => Origin::Unknown,
         };
         let allowed = caller_head.timeout.unwrap_or(route.timeout);
