--- a/crates/daemon/src/slots/host.rs
+++ b/crates/daemon/src/slots/host.rs
@@ -728,9 +728,6 @@
             if self.accepts_stale_list(now, &service) {
                 works.push(self.list_work(service.clone()));
             }
-            if let Some(at) = self.inputs.need.read_at() {
-                works.push(Work::Arbiter(service.clone(), arbiter::Event::Listed(at)));
-            }
             if self.inputs.shared_hosts.get() {
                 works.push(Work::Arbiter(service.clone(), arbiter::Event::SharedHosts));
             }
--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -144,8 +144,6 @@
     Domains(Arc<IndexMap<InstanceId, DomainId>>),
     /// Daemons that keep copies of what a new arbiter has to know about streams.
     Standbys(Vec<InstanceId>),
-    /// When the platform's list of runners was last read.
-    Listed(Instant),
     /// A runner's report of its recent load.
     Load {
         /// The runner.
@@ -429,7 +427,6 @@
             Event::Live(live) => self.on_live(now, &live, &mut effects),
             Event::Domains(domains) => self.domains = domains,
             Event::Standbys(standbys) => self.continuity.on_standbys(standbys),
-            Event::Listed(at) => self.continuity.on_listed(at),
             Event::Load {
                 runner,
                 running,
@@ -475,6 +472,11 @@
         effects: &mut Vec<Effect>,
     ) {
         let Asked { least, request, .. } = message;
+        if let Request::Found(search, groups) = &request {
+            self.on_told(now, groups);
+            self.searches.on_found(from, *search);
+            return;
+        }
         self.epoch = self.epoch.max(least);
         let Some(asker) = self.register_asker(now, from) else {
             refuse_excess_asker(from, &request, effects);
@@ -491,10 +493,7 @@
             Request::Brittle(runner, most) => self.on_brittle(now, from, &runner, most, effects),
             Request::Heartbeat(beat) => self.on_heartbeat(now, from, asker, &beat, effects),
             Request::Inventory(list) => self.on_inventory(now, from, asker, list, effects),
-            Request::Found(search, groups) => {
-                self.continuity.on_told(now, &groups);
-                self.searches.on_found(from, search);
-            }
+            Request::Found(..) => {}
         }
     }
 
@@ -518,6 +517,7 @@
             .map_or(1, |service| service.max_running_per_runner);
         let before: IndexMap<RunnerId, Rate> = self.pool.limits().collect();
         self.pool.set(listed, max);
+        self.continuity.on_listed(self.pool.builds());
         let after: IndexMap<RunnerId, Rate> = self.pool.limits().collect();
         let ids: IndexSet<&RunnerId> = before.keys().chain(after.keys()).collect();
         for runner in ids {
@@ -540,6 +540,7 @@
         let passed = now.saturating_duration_since(self.last_tick);
         self.last_tick = now;
         self.estimate.decay(passed);
+        self.searches.on_tick();
         self.sample_demand();
         if passed > self.settings.lease / 2 {
             self.extend_leases(passed);
--- a/crates/policy/src/arbiter/admit.rs
+++ b/crates/policy/src/arbiter/admit.rs
@@ -188,7 +188,7 @@
             let retry_after = self.without_runner(now);
             return Err(Refusal::NoRunner { retry_after });
         }
-        if self.suspects.waiting() + self.searches.len() >= self.settings.max_queue {
+        if self.suspects.waiting() >= self.settings.max_queue {
             let retry_after = self.retry_after(item);
             return Err(Refusal::Shed { retry_after });
         }
@@ -214,11 +214,9 @@
 
     /// Waiting requests of an account, including those outside the common queue.
     fn waiting_of(&self, account: &str) -> u32 {
-        let searched = self.searches.items();
-        let searched = searched.filter(|it| &*it.account == account).count();
         self.queue.account_len(account)
             + self.suspects.waiting_of(account)
-            + u32::try_from(searched).unwrap_or(u32::MAX)
+            + self.searches.waiting_of(account)
     }
 
     /// Whether a request of the account would be granted at once.
@@ -361,7 +359,9 @@
 
     /// Whether a request waits here.
     pub(super) fn is_waiting(&self, key: Key) -> bool {
-        self.queue.get(key).is_some() || self.suspects.contains(key) || self.searches.contains(key)
+        self.queue.get(key).is_some()
+            || self.suspects.contains(key)
+            || self.searches.get(key).is_some()
     }
 
     /// Removes a waiting request.
--- a/crates/policy/src/arbiter/continuity.rs
+++ b/crates/policy/src/arbiter/continuity.rs
@@ -19,13 +19,13 @@
     stream::{self, Group, NO_STREAM, Origin, Records, Stream},
 };
 
-/// Oldest list of runners that shows that no runner of a build is left: a few reads.
-const MAX_LIST_AGE: Duration = Duration::from_secs(3);
-
 /// Daemons that get a copy of a record. With the arbiter and the daemon that served the
 /// stream, they survive the loss of a third of the daemons in nearly all cases.
 const COPIES: usize = 3;
 
+/// Most builds that are remembered as listed.
+const MAX_BUILDS: usize = 64;
+
 /// What shows at which build a stream goes on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
@@ -71,27 +71,30 @@
     standbys: Vec<InstanceId>,
     /// Index of the standby that gets the next copy.
     turn: usize,
-    /// When the list of runners was last read.
-    listed_at: Option<Instant>,
+    /// Builds of the runners that were ever listed, the newest last.
+    listed: IndexSet<Arc<str>>,
 }
 
 impl Continuity {
-    pub(super) fn on_listed(&mut self, at: Instant) {
-        self.listed_at = Some(at);
+    /// Records the builds of the listed runners.
+    pub(super) fn on_listed<'a, I>(&mut self, builds: I)
+    where
+        I: Iterator<Item = &'a Arc<str>>,
+    {
+        for build in builds {
+            if !self.listed.contains(build) {
+                if self.listed.len() >= MAX_BUILDS {
+                    self.listed.shift_remove_index(0);
+                }
+                self.listed.insert(Arc::clone(build));
+            }
+        }
     }
 
     pub(super) fn on_standbys(&mut self, standbys: Vec<InstanceId>) {
         self.standbys = standbys;
     }
 
-    /// Records what a daemon tells about streams that other arbiters granted.
-    pub(super) fn on_told(&mut self, now: Instant, groups: &[Group]) {
-        let streams = groups.iter().flat_map(|it| &it.streams).map(|(id, _)| *id);
-        let new = streams.filter(|id| !self.records.contains(now, *id));
-        self.fresh.extend(new);
-        self.records.extend(now, groups);
-    }
-
     /// Records that a runner of a build has begun a stream, under the ids that its caller
     /// may use.
     ///
@@ -103,14 +106,24 @@
         request: Fingerprint,
         build: &str,
     ) {
-        if !self.records.contains(now, stream.id) {
-            self.records.insert(now, stream.id, build, stream.life);
-            self.fresh.insert(stream.id);
+        let known = self.records.get(now, stream.id);
+        if known.is_none_or(|it| **it == *build) {
+            self.insert(now, stream.id, build, stream.life);
         }
-        let unnamed = stream::unnamed(request);
-        if unnamed != stream.id {
-            self.records.insert(now, unnamed, build, stream.life);
-            self.fresh.insert(unnamed);
+        self.insert(now, stream::unnamed(request), build, stream.life);
+    }
+
+    /// Records a stream of a held slot under the id of its request too, which older
+    /// daemons do not tell.
+    pub(super) fn on_held(&mut self, now: Instant, stream: &Stream, request: Fingerprint) {
+        if let Some(build) = self.records.get(now, stream.id).cloned() {
+            self.insert(now, stream::unnamed(request), &build, stream.life);
+        }
+    }
+
+    fn insert(&mut self, now: Instant, id: StreamId, build: &str, life: Duration) {
+        if self.records.insert(now, id, build, life) {
+            self.fresh.insert(id);
         }
     }
 
@@ -119,11 +132,6 @@
         self.records.groups(now)
     }
 
-    fn is_list_fresh(&self, now: Instant) -> bool {
-        let age = self.listed_at.map(|at| now.saturating_duration_since(at));
-        age.is_some_and(|age| age <= MAX_LIST_AGE)
-    }
-
     /// The daemons that get the next copy.
     fn next_standbys(&mut self) -> Vec<InstanceId> {
         let count = self.standbys.len();
@@ -145,20 +153,38 @@
         let Some(stream) = item.stream.as_ref().filter(|_| self.collecting.is_none()) else {
             return Ok(Verdict::Ready);
         };
-        let (build, source) = match &stream.origin {
-            Origin::New => return Ok(Verdict::Ready),
-            Origin::Build(build) => (Arc::from(build.as_str()), Source::Asker),
-            Origin::Unknown | Origin::Recorded => {
-                match self.continuity.records.get(now, stream.id) {
-                    Some(build) => (Arc::clone(build), Source::Arbiter),
-                    None => return Ok(Verdict::Search),
-                }
+        let is_named = stream.id != stream::unnamed(item.fingerprint);
+        let is_recorded = self.continuity.records.contains(now, stream.id);
+        let known = self.continuity.records.get(now, stream.id).cloned();
+        let (build, source) = match (&stream.origin, known) {
+            (Origin::New, _) => return Ok(Verdict::Ready),
+            (Origin::Build(build), _) => (Arc::from(build.as_str()), Source::Asker),
+            (Origin::Unknown | Origin::Recorded, Some(build)) if is_named => {
+                (build, Source::Arbiter)
+            }
+            // An equal request may have begun at another build, as others may know; or, with
+            // several services, at another one.
+            (Origin::Unknown, Some(_)) if self.searches.has_room() => return Ok(Verdict::Search),
+            (Origin::Unknown, None) if !is_recorded && self.searches.has_room() => {
+                return Ok(Verdict::Search);
+            }
+            (Origin::Recorded, None) if is_named && !is_recorded && self.searches.has_room() => {
+                return Ok(Verdict::Search);
+            }
+            (Origin::Unknown | Origin::Recorded, _) => {
+                return Err(self.unknown_build(now, item, effects));
             }
         };
         self.set_build(now, item, build, source, effects)?;
         Ok(Verdict::Ready)
     }
 
+    fn unknown_build(&self, now: Instant, item: &Item, effects: &mut Vec<Effect>) -> Refusal {
+        note_decision(now, item, "", Source::Nothing, effects);
+        let retry_after = self.pool.retry_after(now);
+        Refusal::UnknownBuild { retry_after }
+    }
+
     fn set_build(
         &self,
         now: Instant,
@@ -190,28 +216,37 @@
         }
     }
 
+    /// Records what a daemon tells about streams that other arbiters granted.
+    pub(super) fn on_told(&mut self, now: Instant, groups: &[Group]) {
+        for group in groups {
+            for (id, life) in &group.streams {
+                self.continuity.insert(now, *id, &group.build, *life);
+                self.searches.touch(*id);
+            }
+        }
+    }
+
     /// Decides on the streams that were found, or that nobody knows.
     pub(super) fn end_searches(&mut self, now: Instant, effects: &mut Vec<Effect>) {
-        self.searches.end(now);
-        let records = &self.continuity.records;
-        let is_decided = |it: &&Item| {
-            let stream = it.stream.as_ref().map(|stream| stream.id);
-            stream.is_none_or(|id| records.get(now, id).is_some() || !self.searches.is_open(id))
-        };
-        let decided = self.searches.items().filter(is_decided);
-        let keys: Vec<Key> = decided.map(|it| it.key).collect();
-        for key in keys {
+        for key in self.searches.end(now) {
+            let Some(item) = self.searches.get(key) else {
+                continue;
+            };
+            let id = item.stream.as_ref().map_or(NO_STREAM, |it| it.id);
+            let is_named = id != stream::unnamed(item.fingerprint);
+            let found = self.continuity.records.get(now, id).cloned();
+            let is_conflict = found.is_none() && self.continuity.records.contains(now, id);
+            // Who has not answered yet may know of an equal request at another build.
+            let is_certain = found.is_some() && is_named;
+            if !is_certain && !is_conflict && self.searches.is_open(id) {
+                continue;
+            }
             let Some(mut item) = self.searches.remove(key) else {
                 continue;
             };
-            let stream = item.stream.as_ref();
-            let found = stream.and_then(|it| self.continuity.records.get(now, it.id).cloned());
-            let decided = if let Some(build) = found {
-                self.set_build(now, &mut item, build, Source::Search, effects)
-            } else {
-                note_decision(now, &item, "", Source::Nothing, effects);
-                let retry_after = self.pool.retry_after(now);
-                Err(Refusal::UnknownBuild { retry_after })
+            let decided = match found {
+                Some(build) => self.set_build(now, &mut item, build, Source::Search, effects),
+                None => Err(self.unknown_build(now, &item, effects)),
             };
             match decided {
                 Ok(()) => self.requeue_item(item, effects),
@@ -231,8 +266,8 @@
         {
             return Ok(());
         }
-        // Runners that an old list lacks may have joined since.
-        if self.pool.has_build(build) || !self.continuity.is_list_fresh(now) {
+        // Runners of a build that was never listed here may have joined since.
+        if self.pool.has_build(build) || !self.continuity.listed.contains(build) {
             let retry_after = self.pool.retry_after(now);
             return Err(Refusal::NoRunner { retry_after });
         }
--- a/crates/policy/src/arbiter/hold.rs
+++ b/crates/policy/src/arbiter/hold.rs
@@ -486,8 +486,7 @@
             .take(MAX_LISTED)
             .collect();
         self.apply_marks(now, asker, &inventory, effects);
-        self.continuity.on_told(now, &inventory.streams);
-        self.searches.on_told(from);
+        self.on_told(now, &inventory.streams);
         for (runner, rate) in &inventory.limits {
             self.on_limit(now, from, runner, *rate, effects);
         }
@@ -578,6 +577,13 @@
             output: hold.ask.output,
             pause_sensitivity: self.pauses.weight(&class.name) * prompt::pause_sensitivity(&class),
         };
+        let build = match hold.build.as_str() {
+            "" => self.build_of(&hold.runner),
+            build => Arc::from(build),
+        };
+        if let Some(stream) = &hold.ask.stream {
+            self.continuity.on_held(now, stream, hold.ask.fingerprint);
+        }
         let runner = self.pool.get_mut(&hold.runner);
         let mut usage = runner.map(|it| it.prompts.begin(now, &work));
         if let Some(usage) = usage.as_mut() {
@@ -592,7 +598,7 @@
             account: self.account(&hold.ask.account),
             fingerprint: hold.ask.fingerprint,
             address: self.pool.get(&hold.runner).and_then(|it| it.address),
-            build: self.build_of(&hold.runner),
+            build,
             runner: hold.runner,
             since: now.checked_sub(hold.age).unwrap_or(now),
             kind: if hold.alone {
--- a/crates/policy/src/arbiter/message.rs
+++ b/crates/policy/src/arbiter/message.rs
@@ -67,6 +67,8 @@
     pub ask: Ask,
     /// Its runner.
     pub runner: RunnerId,
+    /// Version of the runner's software, empty if the asker does not tell it.
+    pub build: BuildId,
     /// Whether the request must be the only one on the runner.
     pub alone: bool,
     /// Time since the grant.
@@ -191,7 +193,7 @@
     pub limits: Vec<(RunnerId, Rate)>,
     /// Runners that said lately that they are brittle.
     pub brittle: Vec<(RunnerId, u32)>,
-    /// Builds that began the streams known to this asker.
+    /// Builds that began the streams of this asker.
     pub streams: Vec<Group>,
 }
 
--- a/crates/policy/src/arbiter/pool.rs
+++ b/crates/policy/src/arbiter/pool.rs
@@ -328,6 +328,11 @@
         capacity
     }
 
+    /// Versions of the listed runners' software.
+    pub(super) fn builds(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.runners.values().map(|it| &it.build)
+    }
+
     /// Whether a runner of a build is listed and not about to leave.
     pub(super) fn has_build(&self, build: &str) -> bool {
         let mut runners = self.runners.values();
--- a/crates/policy/src/requester.rs
+++ b/crates/policy/src/requester.rs
@@ -198,8 +198,10 @@
     /// Exclusive or of the mixed ticket numbers.
     digest: u64,
     marks: Overlay,
-    /// Builds that began streams, here or as an arbiter told.
+    /// Builds that began streams here.
     streams: Records,
+    /// Builds that began streams elsewhere, kept for arbiters.
+    copies: Records,
     /// Limits of runners, the newest last.
     limits: IndexMap<RunnerId, Limit>,
     /// Runners that said that they are brittle, the newest last.
@@ -227,6 +229,7 @@
             digest: 0,
             marks: Overlay::default(),
             streams: Records::default(),
+            copies: Records::default(),
             limits: IndexMap::new(),
             brittle: IndexMap::new(),
             progress: Vec::new(),
@@ -329,12 +332,20 @@
     }
 
     /// Tells the build that began the stream of an ask, if it is known here.
+    ///
+    /// If the caller does not name the stream, an equal request may have begun at another
+    /// build elsewhere.
     fn name_build(&self, now: Instant, ask: &mut Ask) {
-        let Some(stream) = &mut ask.stream else {
+        let unnamed = stream::unnamed(ask.fingerprint);
+        let Some(stream) = ask.stream.as_mut().filter(|it| it.id != unnamed) else {
             return;
         };
+        let known = || {
+            let here = self.streams.get(now, stream.id);
+            here.or_else(|| self.copies.get(now, stream.id))
+        };
         if matches!(stream.origin, Origin::Unknown | Origin::Recorded)
-            && let Some(build) = self.streams.get(now, stream.id)
+            && let Some(build) = known()
         {
             stream.origin = Origin::Build(build.to_string());
         }
@@ -474,10 +485,11 @@
                 self.marks.apply(step);
             }
             // Copies come from an arbiter that need not be the one asked.
-            Reply::Streams(groups) => return self.streams.extend(now, groups),
+            Reply::Streams(groups) => return self.copies.extend(now, groups),
             // So do searches: what is known here does not depend on whom it asks.
             Reply::FindStreams { search, streams } => {
-                let groups = self.streams.groups_of(now, streams.iter().copied());
+                let mut groups = self.streams.groups_of(now, streams.iter().copied());
+                groups.extend(self.copies.groups_of(now, streams.iter().copied()));
                 return self.send_to(from, Request::Found(*search, groups), effects);
             }
             _ => {}
@@ -650,6 +662,7 @@
 
     fn on_tick(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         self.streams.expire(now);
+        self.copies.expire(now);
         self.refuse_expired(now, effects);
         let silent = now.saturating_duration_since(self.last_heard);
         if self.is_answer_overdue(now)
@@ -755,6 +768,7 @@
         let hold = |held: &Held| Hold {
             ask: held.ask.clone(),
             runner: held.runner.clone(),
+            build: held.build.clone(),
             alone: held.alone,
             age: now.saturating_duration_since(held.since),
         };
--- a/crates/policy/src/stream.rs
+++ b/crates/policy/src/stream.rs
@@ -30,11 +30,15 @@
 /// Build in a record of a stream that runners of two builds began; no runner has it.
 const CONFLICT: &str = "\0";
 
+/// Smallest extension of a record's life that other daemons need to know of; delays of
+/// messages are shorter.
+const MIN_EXTENSION: Duration = Duration::from_secs(1);
+
 /// Longest time for which a stream is recorded.
 pub const MAX_LIFE: Duration = Duration::from_mins(10);
 
 /// Most streams recorded; the ones that end first give way.
-const MAX_RECORDS: usize = 65_536;
+const MAX_RECORDS: usize = 524_288;
 
 /// Id of a stream whose caller does not name the request that began it, from the digest
 /// of account and body, which is the same in both requests.
@@ -96,19 +100,27 @@
 }
 
 impl Records {
-    /// Records that runners of a build began a stream.
+    /// Records that runners of a build began a stream; true if that tells other daemons
+    /// something new.
     ///
-    /// If two builds began streams of one id, it tells nothing until both have ended.
-    pub fn insert(&mut self, now: Instant, id: StreamId, build: &str, life: Duration) {
+    /// A record lasts as long as any that was made of the stream. If two builds began
+    /// streams of one id, it names none.
+    pub fn insert(&mut self, now: Instant, id: StreamId, build: &str, life: Duration) -> bool {
         self.expire(now);
         if id == NO_STREAM {
-            return;
+            return false;
         }
         let old = self.streams.get(&id);
-        let conflicts = old.is_some_and(|it| *it.build != *build);
-        let old_until = old.filter(|_| conflicts).map(|it| it.until);
+        let is_new = old.is_none_or(|it| *it.build != *build && *it.build != *CONFLICT);
+        let build = if old.is_none_or(|it| *it.build == *build) {
+            build
+        } else {
+            CONFLICT
+        };
+        let old_until = old.map(|it| it.until);
         let until = (now + life.min(MAX_LIFE)).max(old_until.unwrap_or(now));
-        let build = self.build_until(if conflicts { CONFLICT } else { build }, until);
+        let is_longer = old_until.is_some_and(|it| until >= it + MIN_EXTENSION);
+        let build = self.build_until(build, until);
         if self.streams.len() >= MAX_RECORDS && !self.streams.contains_key(&id) {
             self.drop_first();
         }
@@ -116,6 +128,7 @@
             self.expiries.remove(&(old.until, id));
         }
         self.expiries.insert((until, id));
+        is_new || is_longer
     }
 
     /// Adds the records of another daemon.
--- a/crates/wire/src/slot.rs
+++ b/crates/wire/src/slot.rs
@@ -369,6 +369,7 @@
     let held = recital.held.into_iter().map(|hold| proto::Hold {
         ask: Some(ask_to_proto(hold.ask)),
         runner: hold.runner,
+        build: hold.build,
         alone: hold.alone,
         age_us: micros(hold.age),
     });
@@ -405,6 +406,7 @@
         Ok(Hold {
             ask: ask_from_proto(hold.ask.ok_or(Error::Missing { part: "ask" })?)?,
             runner: check_name(hold.runner, "runner")?,
+            build: check_name(hold.build, "build")?,
             alone: hold.alone,
             age: duration(hold.age_us),
         })
--- a/crates/wire/tests/slot.rs
+++ b/crates/wire/tests/slot.rs
@@ -79,6 +79,7 @@
     let hold = Hold {
         ask: ask(),
         runner: "r2".to_owned(),
+        build: "v1.1".to_owned(),
         alone: true,
         age: Duration::from_secs(2),
     };
