crash: a cleared suspicion no longer hides a later quarantine

What callers would see: a request that crashes runners is served again at an instance that had stood still or was behind the control log, and 5 s later its quarantine is lifted at all others, so it crashes more runners.

Cause: an instance that cleared a suspicion keeps that until it sees the mark gone from the committed marks. If it only hears of the marks again after the request was suspected and quarantined anew by others, the mark was never gone, and the clearing was taken to be still under way: it hid the quarantine, and was proposed again each 5 s (`repropose_marks`), which lifts it in the log. Class: what is not known here is taken not to have happened.

Change: a clearing is kept only beside a committed suspicion; a quarantine follows a suspicion, so it is newer. A clearing beside a newer suspicion is not told apart from one under way; that is listed as open.

Found by reading; not seen in a run.

--- a/crates/policy/src/crash.rs
+++ b/crates/policy/src/crash.rs
@@ -135,7 +135,7 @@
     committed: Arc<Table>,
     /// Marks set locally and not yet committed.
     local: Table,
-    /// Requests cleared locally and not yet cleared in the committed table.
+    /// Suspicions cleared locally and not yet cleared in the committed table.
     cleared: IndexMap<Fingerprint, ()>,
     /// Requests that were in flight at one crash and have not completed since.
     exposed: IndexSet<Fingerprint>,
@@ -193,7 +193,9 @@
         self.local
             .marks
             .retain(|it, mark| committed.get(*it) < Some(*mark));
-        self.cleared.retain(|it, ()| committed.get(*it).is_some());
+        // A quarantine is newer than the clearing of the suspicion before it.
+        self.cleared
+            .retain(|it, ()| committed.get(*it) == Some(Mark::Suspected));
         self.committed = committed;
     }
 
--- a/crates/policy/tests/crash_rule.rs
+++ b/crates/policy/tests/crash_rule.rs
@@ -720,3 +720,20 @@
         }
     }
 }
+
+/// Its clearing is not known to be committed, and speaks of a suspicion only.
+#[gtest]
+fn a_cleared_suspicion_hides_no_quarantine_that_was_committed_meanwhile() {
+    let mut suspected = Table::default();
+    suspected.apply(&Step::Suspected(vec![7]));
+    let mut overlay = Overlay::default();
+    overlay.commit(Arc::new(suspected.clone()));
+    let step = overlay.on_innocent(7).expect("a step");
+    overlay.apply(&step);
+    expect_that!(overlay.get(7), none());
+    suspected.apply(&Step::Quarantined(7));
+    overlay.commit(Arc::new(suspected));
+    expect_that!(overlay.get(7), some(eq(Mark::Quarantined)));
+    // Proposed again, it would lift the quarantine for all.
+    expect_that!(overlay.unconfirmed(), is_empty());
+}
