arbiter: one that stood still asks all daemons again before it grants

What callers would see: beside an instance that had stood still for up to 2 s, runners get more than the limit that they had named to others meanwhile, and brittle runners more at once than they can turn away, which makes them fall over.

Cause: an arbiter whose process stood still is kept if the pause was shorter than 2 s. The others ask the next one after 200 ms, which grants slots and is told of limits, brittle runners, exposures and unconfirmed marks. The first one asks nobody when it goes on, and took what it had not been told for not so: a runner without a limit that it knew had none. Class: what is not known here is taken not to exist.

Change: after 400 ms without any event (ticks come each 100 ms) an arbiter asks all live daemons for their inventories, as a new one does, and grants nothing until they have told, 120 ms at most. The shortest time in which another arbiter can have granted is 200 ms for the asks and its own collection. Cost: one round trip and one inventory of each daemon after such a stall.

Evidence: the two new tests (pauses of 600, 1,000 and 1,900 ms; meanwhile a runner names one request each two seconds to another daemon, or says that it bears one) failed before with 6 grants in 300 ms and in 100 ms at each pause, and pass. All tests of the policy crate pass.

--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -10,12 +10,14 @@
 //! - A request that cannot be served in time is refused at once with a retry
 //!   delay. When the queue is full, the newest request of the lowest tier is shed.
 //! - Before its first grant, a new arbiter waits a bounded time for the daemons to
-//!   report the slots they hold, so that slot limits and tiers survive a failover.
+//!   report the slots they hold, so that slot limits and tiers survive a failover. So
+//!   does one that stood still, as another one may have granted slots meanwhile.
 
 mod admit;
 mod affinity;
 mod arrivals;
 mod brittle;
+mod collect;
 mod continuity;
 mod demand;
 mod estimate;
@@ -284,7 +286,7 @@
     catalogue: Arc<Catalogue>,
     marks: crash::Overlay,
     /// Set until the daemons have reported their slots; no grants meanwhile.
-    collecting: Option<Collecting>,
+    collecting: Option<collect::Collecting>,
     askers: IndexMap<InstanceId, hold::Asker>,
     instances: IndexMap<u32, InstanceId>,
     domains: Arc<IndexMap<InstanceId, DomainId>>,
@@ -314,16 +316,7 @@
     arrivals: arrivals::Arrivals,
     started: Instant,
     last_tick: Instant,
-}
-
-/// Wait of a new arbiter for the daemons' slots.
-#[derive(Debug)]
-struct Collecting {
-    /// Daemons that have not reported yet.
-    missing: IndexSet<InstanceId>,
-    until: Instant,
-    /// Until when it waits for a usable runner.
-    list_until: Instant,
+    last_event: Instant,
 }
 
 impl Arbiter {
@@ -341,7 +334,7 @@
             .map(|it| Effect::Send(it.clone(), Reply::RequestInventory))
             .collect();
         let searches = search::Searches::new(live.clone());
-        let collecting = Collecting {
+        let collecting = collect::Collecting {
             missing: live,
             until: now + settings.collect_timeout,
             list_until: now + settings.runner_list_timeout,
@@ -377,6 +370,7 @@
             arrivals: arrivals::Arrivals::default(),
             started: now,
             last_tick: now,
+            last_event: now,
             settings,
         };
         (arbiter, effects)
@@ -421,6 +415,7 @@
     /// Handles an event and returns the actions to carry out.
     pub fn on_event(&mut self, now: Instant, event: Event) -> Vec<Effect> {
         let mut effects = Vec::new();
+        self.collect_after_gap(now, &mut effects);
         match event {
             Event::Asked { from, asked } => self.on_asked(now, &from, asked, &mut effects),
             Event::Catalogue(catalogue) => self.on_catalogue(catalogue),
@@ -590,23 +585,6 @@
         }
     }
 
-    /// Starts granting once every daemon has reported its slots, or on timeout.
-    fn end_collecting(&mut self, now: Instant, effects: &mut Vec<Effect>) {
-        let ended = self
-            .collecting
-            .as_ref()
-            .is_some_and(|it| it.missing.is_empty() || now >= it.until);
-        let awaits_list = self
-            .collecting
-            .as_ref()
-            .is_some_and(|it| now < it.list_until && self.pool.is_unusable());
-        if ended && !awaits_list {
-            self.collecting = None;
-            self.refuse_without_runner(now, effects);
-            self.decide_builds(now, effects);
-        }
-    }
-
     fn on_health_change(
         &mut self,
         now: Instant,
--- /dev/null
+++ b/crates/policy/src/arbiter/collect.rs
@@ -0,0 +1,64 @@
+//! What the daemons hold and know of runners, told to an arbiter before it grants.
+//!
+//! A new arbiter asks all daemons. One whose process stood still asks them again: askers
+//! may have gone to another arbiter meanwhile, and what that one granted and was told
+//! (slots, limits of runners, exposures, records of streams) is not known here.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexSet;
+
+use super::{Arbiter, Effect, Reply};
+use crate::id::InstanceId;
+
+/// Time without any event, ticks included, after which the daemons are asked again.
+/// Askers go on after 200 ms without an answer, and the next arbiter collects first.
+const MAX_GAP: Duration = Duration::from_millis(400);
+
+/// Wait of an arbiter for the daemons' slots.
+#[derive(Debug)]
+pub(super) struct Collecting {
+    /// Daemons that have not reported yet.
+    pub(super) missing: IndexSet<InstanceId>,
+    pub(super) until: Instant,
+    /// Until when it waits for a usable runner.
+    pub(super) list_until: Instant,
+}
+
+impl Arbiter {
+    /// Asks all daemons again, and grants nothing until they have told, if this process
+    /// has stood still.
+    pub(super) fn collect_after_gap(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        let gap = now.saturating_duration_since(self.last_event);
+        self.last_event = now;
+        if gap < MAX_GAP {
+            return;
+        }
+        let missing = self.searches.live().clone();
+        let list_until = self.collecting.as_ref().map_or(now, |it| it.list_until);
+        let asked = missing.iter().cloned();
+        effects.extend(asked.map(|it| Effect::Send(it, Reply::RequestInventory)));
+        self.collecting = Some(Collecting {
+            missing,
+            until: now + self.settings.collect_timeout,
+            list_until,
+        });
+    }
+
+    /// Starts granting once every daemon has reported its slots, or on timeout.
+    pub(super) fn end_collecting(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        let ended = self
+            .collecting
+            .as_ref()
+            .is_some_and(|it| it.missing.is_empty() || now >= it.until);
+        let awaits_list = self
+            .collecting
+            .as_ref()
+            .is_some_and(|it| now < it.list_until && self.pool.is_unusable());
+        if ended && !awaits_list {
+            self.collecting = None;
+            self.refuse_without_runner(now, effects);
+            self.decide_builds(now, effects);
+        }
+    }
+}
--- a/crates/policy/src/arbiter/search.rs
+++ b/crates/policy/src/arbiter/search.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// The daemons to ask.
+    pub(super) fn live(&self) -> &IndexSet<InstanceId> {
+        &self.live
+    }
+
     /// Sets the daemons to ask; nobody waits for the others any more.
     pub(super) fn on_live(&mut self, live: &IndexSet<InstanceId>) {
         self.live.clone_from(live);
--- /dev/null
+++ b/crates/policy/tests/unheard.rs
@@ -0,0 +1,114 @@
+//! What daemons heard of runners while an arbiter stood still, or could not tell it.
+//!
+//! The target: an arbiter that was out of step grants no more than the runners take, as
+//! far as any live daemon knows what that is.
+
+mod slots;
+
+use std::time::Duration;
+
+use citron_policy::{
+    arbiter::{Arbiter, End},
+    requester::{self, Requester},
+};
+use googletest::prelude::*;
+use slots::{Daemons, Outcome, ask, catalogue, done, runners, sample};
+
+/// Limit that the only runner names, in requests per second.
+const LIMIT: f64 = 0.5;
+
+fn daemons() -> Daemons {
+    Daemons::new(4, catalogue(8, |_| {}), runners(1))
+}
+
+/// Takes the first daemon out of touch with the others, which notice that.
+fn set_aside(daemons: &mut Daemons) -> (Option<Requester>, Option<Arbiter>) {
+    let aside = (
+        daemons.requesters[0].take(),
+        daemons.arbiters.swap_remove(&0),
+    );
+    daemons.announce_live();
+    aside
+}
+
+/// Brings it back with all that it knew; neither it nor the others have noticed yet.
+fn bring_back(daemons: &mut Daemons, aside: (Option<Requester>, Option<Arbiter>)) {
+    daemons.requesters[0] = aside.0;
+    daemons.arbiters.extend(aside.1.map(|it| (0, it)));
+}
+
+/// Makes a request of a daemon and ends it, with something heard of the runner before.
+fn hear(daemons: &mut Daemons, daemon: usize, event: impl Fn(u64) -> requester::Event, end: End) {
+    let ticket = 10;
+    daemons.acquire(daemon, ask(ticket, "c0", "a"));
+    daemons.run(Duration::from_millis(300));
+    assert_that!(granted(&daemons.take_outcomes()), eq(1));
+    daemons.requester_event(daemon, event(ticket));
+    daemons.deliver_all();
+    daemons.release(daemon, ticket, sample(end, Duration::from_millis(500)));
+    daemons.deliver_all();
+}
+
+fn hear_limit(daemons: &mut Daemons, daemon: usize) {
+    hear(
+        daemons,
+        daemon,
+        |ticket| requester::Event::Limit(ticket, LIMIT),
+        End::Done,
+    );
+}
+
+fn granted(outcomes: &[Outcome]) -> usize {
+    let granted = |it: &&Outcome| matches!(it, Outcome::Granted { .. });
+    outcomes.iter().filter(granted).count()
+}
+
+/// Slots that requests of a daemon get within a time.
+fn grants_to(daemons: &mut Daemons, daemon: usize, time: Duration) -> usize {
+    for ticket in 100..106 {
+        daemons.acquire(daemon, ask(ticket, "c0", "a"));
+    }
+    daemons.deliver_all();
+    daemons.run(time);
+    granted(&daemons.take_outcomes())
+}
+
+/// Sets the arbiter aside while another daemon hears something; it is back after each of
+/// these pauses.
+fn each_pause(hear: impl Fn(&mut Daemons), check: impl Fn(&mut Daemons, u64)) {
+    for pause in [600, 1_000, 1_900] {
+        let mut daemons = daemons();
+        daemons.acquire(0, ask(1, "c0", "a"));
+        daemons.deliver_all();
+        daemons.release(0, 1, done());
+        daemons.deliver_all();
+        daemons.take_outcomes();
+        let aside = set_aside(&mut daemons);
+        hear(&mut daemons);
+        daemons.run(Duration::from_millis(pause - 300));
+        bring_back(&mut daemons, aside);
+        check(&mut daemons, pause);
+    }
+}
+
+/// Its own requests come first, while the others have not noticed yet that it is back.
+#[gtest]
+fn an_arbiter_that_stood_still_keeps_a_limit_that_others_heard_of() {
+    let hear = |daemons: &mut Daemons| hear_limit(daemons, 1);
+    each_pause(hear, |daemons, pause| {
+        // One is due each two seconds.
+        let grants = grants_to(daemons, 0, Duration::from_millis(300));
+        expect_that!(grants, le(1), "{pause} ms");
+    });
+}
+
+#[gtest]
+fn an_arbiter_that_stood_still_spares_a_brittle_runner_that_others_heard_of() {
+    let brittle = |ticket| requester::Event::Brittle(ticket, 1);
+    let hear = |daemons: &mut Daemons| hear(daemons, 1, brittle, End::Done);
+    each_pause(hear, |daemons, pause| {
+        // One whose request may yet be turned away is all that it bears.
+        let grants = grants_to(daemons, 0, Duration::from_millis(100));
+        expect_that!(grants, le(1), "{pause} ms");
+    });
+}
