arbiter: daemons that have not told a new arbiter in time are asked again

What callers would see: after a change of arbiters on a lossy or slow network, runners get more than the limit that they name, and brittle ones more than they can turn away, until another answer says so again.

Cause: a new arbiter asks each daemon once and waits 120 ms. If the question or its answer is lost with a link, nobody asks again: only a daemon that holds or awaits slots sends heartbeats, whose digest shows a difference, so one that is idle never tells what it heard of limits, exposures, unconfirmed marks and streams. Class: what is not known here is taken not to exist.

Change: the daemons that had not told when the wait ended are asked again each 500 ms, as long as they are live, until they tell. Requests do not wait for that.

Not run: real processes.

--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -287,6 +287,7 @@
     marks: crash::Overlay,
     /// Set until the daemons have reported their slots; no grants meanwhile.
     collecting: Option<collect::Collecting>,
+    untold: collect::Untold,
     askers: IndexMap<InstanceId, hold::Asker>,
     instances: IndexMap<u32, InstanceId>,
     domains: Arc<IndexMap<InstanceId, DomainId>>,
@@ -346,6 +347,7 @@
             catalogue: Arc::default(),
             marks: crash::Overlay::default(),
             collecting: Some(collecting),
+            untold: collect::Untold::default(),
             askers: IndexMap::new(),
             instances: IndexMap::new(),
             domains: Arc::default(),
@@ -547,6 +549,7 @@
         self.judge_crashes(now, effects);
         self.clear_excused(now, effects);
         self.copy_records(now, effects);
+        self.ask_untold(now, effects);
     }
 
     /// Records the limit that a runner named in an answer to a daemon.
--- a/crates/policy/src/arbiter/collect.rs
+++ b/crates/policy/src/arbiter/collect.rs
@@ -2,7 +2,8 @@
 //!
 //! A new arbiter asks all daemons. One whose process stood still asks them again: askers
 //! may have gone to another arbiter meanwhile, and what that one granted and was told
-//! (slots, limits of runners, exposures, records of streams) is not known here.
+//! (slots, limits of runners, exposures, records of streams) is not known here. Daemons
+//! that have not told within the time for which grants wait are asked until they do.
 
 use std::time::{Duration, Instant};
 
@@ -15,6 +16,9 @@
 /// Askers go on after 200 ms without an answer, and the next arbiter collects first.
 const MAX_GAP: Duration = Duration::from_millis(400);
 
+/// Time between two questions to daemons that have not told.
+const REPEAT_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Wait of an arbiter for the daemons' slots.
 #[derive(Debug)]
 pub(super) struct Collecting {
@@ -25,6 +29,13 @@
     pub(super) list_until: Instant,
 }
 
+/// Daemons that had not reported when the wait for them ended.
+#[derive(Debug, Default)]
+pub(super) struct Untold {
+    missing: IndexSet<InstanceId>,
+    asked_at: Option<Instant>,
+}
+
 impl Arbiter {
     /// Asks all daemons again, and grants nothing until they have told, if this process
     /// has stood still.
@@ -55,10 +66,37 @@
             .collecting
             .as_ref()
             .is_some_and(|it| now < it.list_until && self.pool.is_unusable());
-        if ended && !awaits_list {
-            self.collecting = None;
+        if ended
+            && !awaits_list
+            && let Some(collecting) = self.collecting.take()
+        {
+            self.untold = Untold {
+                missing: collecting.missing,
+                asked_at: Some(now),
+            };
             self.refuse_without_runner(now, effects);
             self.decide_builds(now, effects);
         }
     }
+
+    /// Asks daemons that have not told what they hold again.
+    pub(super) fn ask_untold(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        let is_early = |at| now.saturating_duration_since(at) < REPEAT_INTERVAL;
+        let live = self.searches.live();
+        self.untold.missing.retain(|it| live.contains(it));
+        if self.untold.missing.is_empty() || self.untold.asked_at.is_some_and(is_early) {
+            return;
+        }
+        self.untold.asked_at = Some(now);
+        let missing = self.untold.missing.iter().cloned();
+        effects.extend(missing.map(|it| Effect::Send(it, Reply::RequestInventory)));
+    }
+
+    /// Records that a daemon has told what it holds.
+    pub(super) fn on_told(&mut self, from: &InstanceId) {
+        self.untold.missing.swap_remove(from);
+        if let Some(collecting) = &mut self.collecting {
+            collecting.missing.swap_remove(from);
+        }
+    }
 }
--- a/crates/policy/src/arbiter/hold.rs
+++ b/crates/policy/src/arbiter/hold.rs
@@ -503,9 +503,7 @@
                 self.withdraw(now, key, effects);
             }
         }
-        if let Some(collecting) = &mut self.collecting {
-            collecting.missing.swap_remove(from);
-        }
+        self.on_told(from);
     }
 
     fn apply_marks(
--- a/crates/policy/tests/unheard.rs
+++ b/crates/policy/tests/unheard.rs
@@ -12,7 +12,7 @@
     requester::{self, Requester},
 };
 use googletest::prelude::*;
-use slots::{Daemons, Outcome, ask, catalogue, done, runners, sample};
+use slots::{Daemons, Message, Outcome, ask, catalogue, done, runners, sample};
 
 /// Limit that the only runner names, in requests per second.
 const LIMIT: f64 = 0.5;
@@ -112,3 +112,19 @@
         expect_that!(grants, le(1), "{pause} ms");
     });
 }
+
+/// The message that asked it is lost, with the link to it, and it has nothing to ask.
+#[gtest]
+fn a_daemon_that_did_not_tell_a_new_arbiter_in_time_is_asked_again() {
+    let mut daemons = daemons();
+    hear_limit(&mut daemons, 2);
+    daemons.kill(0);
+    daemons.announce_live();
+    daemons.start_arbiter(1);
+    let is_lost = |it: &Message| matches!(it, Message::Reply { to: 2, .. });
+    daemons.in_flight.retain(|it| !is_lost(it));
+    daemons.deliver_all();
+    daemons.run(Duration::from_secs(1));
+    let grants = grants_to(&mut daemons, 3, Duration::from_millis(300));
+    expect_that!(grants, le(1));
+}
