requester: an idle one tells the next arbiter what it heard before it asks

What callers would see: after the arbiter of a service moved, a runner gets more than the limit that it named, by requests of the very instance that had heard it.

Cause: a requester lists what it holds and knows as it goes to another arbiter, but not if nothing is held or waits at that moment. Its next ask then goes to an arbiter that need not have asked it (it had started before, came back, or did not know this instance) and the ask says nothing of limits, brittle runners, exposures, unconfirmed marks and streams. Class: what is not known here is taken not to exist; the documentation said that each new arbiter is told before the first ask.

Change: a requester that had nothing to ask as it moved sends its inventory before its next ask, unless that is empty or was asked for meanwhile.

Evidence: the new test (a daemon alone heard of one request each two seconds, is idle, and goes to an arbiter that did not ask it) failed before with 6 grants in 300 ms and passes. All 57 result lines of the policy crate are ok. Not run: real processes.

--- a/crates/policy/src/requester.rs
+++ b/crates/policy/src/requester.rs
@@ -209,6 +209,9 @@
     estimator: Estimator,
     /// When the arbiter last answered, or was first asked.
     last_heard: Instant,
+    /// Whether the daemon that is asked was not told yet what is known here, as there was
+    /// nothing to ask of it.
+    untold: bool,
 }
 
 impl Requester {
@@ -233,6 +236,7 @@
             last_heartbeat: now,
             estimator: Estimator::default(),
             last_heard: now,
+            untold: false,
         }
     }
 
@@ -323,6 +327,14 @@
             asked_at: now,
             acknowledged: false,
         };
+        if std::mem::take(&mut self.untold)
+            && let Some(arbiter) = self.arbiter().cloned()
+        {
+            let inventory = self.inventory(now, false);
+            if inventory != Inventory::default() {
+                self.send_to(&arbiter, Request::Inventory(inventory), effects);
+            }
+        }
         self.digest ^= ticket_hash(ticket);
         self.waiting.insert(ticket, waiting);
         self.send_ask(now, ticket, effects);
@@ -528,7 +540,10 @@
                     effects.push(Effect::Preempted(ticket));
                 }
             }
-            Reply::RequestInventory => self.send_inventory(now, from, true, effects),
+            Reply::RequestInventory => {
+                self.untold = false;
+                self.send_inventory(now, from, true, effects);
+            }
             Reply::Unknown(tickets) => {
                 for ticket in tickets {
                     self.send_ask(now, ticket, effects);
@@ -734,7 +749,8 @@
             self.refuse_all(effects);
             return;
         };
-        if self.waiting.is_empty() && self.held.is_empty() {
+        self.untold = self.waiting.is_empty() && self.held.is_empty();
+        if self.untold {
             return;
         }
         self.send_inventory(now, &arbiter, false, effects);
@@ -744,7 +760,6 @@
         }
     }
 
-    /// Sends the list of held slots, and of waiting tickets if `to_arbiter`.
     fn send_inventory(
         &self,
         now: Instant,
@@ -752,6 +767,13 @@
         to_arbiter: bool,
         effects: &mut Vec<Effect>,
     ) {
+        let inventory = self.inventory(now, to_arbiter);
+        self.send_to(to, Request::Inventory(inventory), effects);
+    }
+
+    /// The list of held slots, and of waiting tickets if `to_arbiter`, with what is known
+    /// of runners, requests and streams.
+    fn inventory(&self, now: Instant, to_arbiter: bool) -> Inventory {
         let hold = |held: &Held| Hold {
             ask: held.ask.clone(),
             runner: held.runner.clone(),
@@ -776,7 +798,7 @@
                 Step::Cleared(_) => {}
             }
         }
-        self.send_to(to, Request::Inventory(inventory), effects);
+        inventory
     }
 
     /// Limits that were named lately; an older one may have ended.
--- a/crates/policy/tests/unheard.rs
+++ b/crates/policy/tests/unheard.rs
@@ -128,3 +128,18 @@
     let grants = grants_to(&mut daemons, 3, Duration::from_millis(300));
     expect_that!(grants, le(1));
 }
+
+/// Nothing of it is held or waits as the arbiter moves, to one that does not know it yet.
+#[gtest]
+fn an_idle_daemon_tells_the_next_arbiter_what_it_heard_before_it_asks() {
+    let mut daemons = daemons();
+    hear_limit(&mut daemons, 2);
+    let unknown = daemons.requesters[2].take();
+    daemons.start_arbiter(1);
+    daemons.run(Duration::from_millis(200));
+    daemons.requesters[2] = unknown;
+    daemons.set_ranks(2, &[1, 0, 2, 3].map(slots::name));
+    daemons.deliver_all();
+    let grants = grants_to(&mut daemons, 2, Duration::from_millis(300));
+    expect_that!(grants, le(1));
+}
