slots: the arbiters end after a suspension, which the steady clock does not count

What callers would see: beside an instance whose machine was suspended, slots are granted twice over and limits of runners that others heard of are exceeded, until the membership or the askers correct it.

Cause: a process that stood still for 2 s gives its arbiters up, as others have granted meanwhile. The pause was measured by the steady clock, which does not count a suspension of the machine; so an arbiter came back from one of any length with leases, limits and slots that it took for current. Class: what is not known here is taken not to exist.

Change: `policy::standstill` compares the boot-time clock, which leases of duties and catalogue use already, with the steady one. A pause of 2 s by either clock ends the arbiters, and so does a suspension of 400 ms: an arbiter notices a stop of that length by itself and asks all daemons again, but not what its clock does not show.

Evidence: with the former rule in its place the new test (suspensions of 0.5, 2 and 8 s) fails at each length; it passes now. Daemon test `slots` 2 of 2.

--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -28,6 +28,7 @@
     member::Members,
     platform::{List, reader::Role},
     requester::{self, Requester},
+    standstill::Standstill,
     stream::Stream,
 };
 use citron_wire::{
@@ -41,7 +42,7 @@
 pub use citron_policy::arbiter::{End, Load, Part, Refusal, Report, Sample};
 pub use metrics::Metrics;
 
-use crate::{event::Ring, peers::Hub, platform::Need, shared_hosts::SharedHosts};
+use crate::{clock, event::Ring, peers::Hub, platform::Need, shared_hosts::SharedHosts};
 use host::{Host, Work};
 use progress::Stream as RunningStream;
 
@@ -141,8 +142,8 @@
     next_ticket: Cell<Ticket>,
     /// Whether `drive` is running; events queued meanwhile are processed by that call.
     driving: Cell<bool>,
-    /// When `drive` last ran.
-    last_drive: Cell<Instant>,
+    /// Pauses between two runs of `drive`.
+    standstill: RefCell<Standstill>,
     /// Signals that the gauges of the arbiters are out of date.
     stats_changed: Notify,
 }
@@ -192,7 +193,7 @@
             streams: RefCell::default(),
             next_ticket: Cell::new(first),
             driving: Cell::new(false),
-            last_drive: Cell::new(Instant::now()),
+            standstill: RefCell::new(Standstill::new(Instant::now(), clock::now())),
             stats_changed: Notify::new(),
         };
         Self {
--- a/crates/daemon/src/slots/host.rs
+++ b/crates/daemon/src/slots/host.rs
@@ -26,7 +26,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::{Grant, Inner, Waiter, metrics, progress};
-use crate::fingerprint;
+use crate::{clock, fingerprint};
 
 /// Longest wait of a new arbiter for the list of runners, where none was read before.
 /// Without the list all requests would be refused, so it covers a reading of many pages.
@@ -36,11 +36,6 @@
 /// read: a few round trips to the platform, and less than [`LIST_TIMEOUT`].
 const STALE_LIST_AFTER: Duration = Duration::from_millis(150);
 
-/// Longest pause of this process after which its arbiters are kept. It equals the
-/// lease of slots: after a longer pause other arbiters may have granted slots that
-/// these still count as held.
-const MAX_PAUSE: Duration = Duration::from_secs(2);
-
 /// Minimum time between two updates of the gauges; a tenth of the time within which
 /// a caller's disconnection must be visible.
 const STATS_INTERVAL: Duration = Duration::from_millis(10);
@@ -213,10 +208,9 @@
     /// Drops the arbiters after a long pause of this process; the next request starts new
     /// ones, which collect the held slots from all askers.
     fn drop_after_pause(&self, now: Instant) {
-        let pause = now.saturating_duration_since(self.last_drive.replace(now));
-        if pause < MAX_PAUSE {
+        let Some(pause) = self.standstill.borrow_mut().on_work(now, clock::now()) else {
             return;
-        }
+        };
         let dropped = std::mem::take(&mut self.host.borrow_mut().arbiters);
         for (service, hosted) in &dropped {
             self.metrics.on_retired(service, &hosted.arbiter.stats());
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod retry;
 pub mod route;
 pub mod silence;
+pub mod standstill;
 pub mod state;
 pub mod stream;
 pub mod swim;
