arbiter: copies that wait are parked when their request is told as exposed

What callers would see: a request that was in flight at a crash runs in two copies at once after a change of arbiters, so that it crashes two runners where it may crash one before it is suspected.

Cause: copies are counted as they are admitted, two at most, or one of a request that is known to have been in flight at a crash. The exposures that other daemons know come with their inventories; a new arbiter, or one that stood still, admits what is asked meanwhile, and took what it had not been told for not so. Class: what is not known here is taken not to have happened.

Change: as an exposure is told, copies that wait are counted again, and those beyond one are parked.

Evidence: two new tests (copies asked by two daemons before the third has told its crash; copies at an arbiter that stood still for 0.6, 1.0 and 1.9 s) failed before with two copies granted in each case, and pass.

--- a/crates/policy/src/arbiter/admit.rs
+++ b/crates/policy/src/arbiter/admit.rs
@@ -385,6 +385,21 @@
         }
     }
 
+    /// Parks waiting copies of a request, as fewer may run since it is exposed.
+    pub(super) fn park_copies(&mut self, fingerprint: Fingerprint) {
+        let copies = self.queue.items();
+        let copies = copies.filter(|it| it.fingerprint == fingerprint);
+        let keys: Vec<Key> = copies.map(|it| it.key).collect();
+        let items: Vec<Item> = keys
+            .into_iter()
+            .filter_map(|it| self.queue.remove(it))
+            .collect();
+        self.suspects.remove_copies(fingerprint, items.len());
+        for item in items {
+            self.push_copy(item);
+        }
+    }
+
     /// Ends a copy that did not complete; parked ones may take its place.
     pub(super) fn end_copy(&mut self, fingerprint: Fingerprint) {
         let exposed = self.marks.is_exposed(fingerprint);
--- a/crates/policy/src/arbiter/hold.rs
+++ b/crates/policy/src/arbiter/hold.rs
@@ -514,7 +514,10 @@
         effects: &mut Vec<Effect>,
     ) {
         for it in &inventory.exposed {
-            self.marks.expose(*it);
+            if !self.marks.is_exposed(*it) {
+                self.marks.expose(*it);
+                self.park_copies(*it);
+            }
         }
         let new = inventory.suspected.iter().copied();
         let new = new.filter(|it| *it != NO_FINGERPRINT && self.marks.get(*it).is_none());
--- a/crates/policy/src/arbiter/suspect.rs
+++ b/crates/policy/src/arbiter/suspect.rs
@@ -125,6 +125,13 @@
         }
     }
 
+    /// Ends the count of copies that are admitted anew.
+    pub(super) fn remove_copies(&mut self, fingerprint: Fingerprint, count: usize) {
+        if let Some(copies) = self.copies.get_mut(&fingerprint) {
+            *copies = copies.saturating_sub(u32::try_from(count).unwrap_or(u32::MAX));
+        }
+    }
+
     /// Ends a copy that did not complete; returns the parked copies that replace it.
     pub(super) fn end_copy(&mut self, fingerprint: Fingerprint, exposed: bool) -> Vec<Item> {
         let Some(copies) = self.copies.get_mut(&fingerprint) else {
--- a/crates/policy/tests/unheard.rs
+++ b/crates/policy/tests/unheard.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use citron_policy::{
-    arbiter::{Arbiter, End},
+    arbiter::{Arbiter, Ask, End},
     requester::{self, Requester},
 };
 use googletest::prelude::*;
@@ -17,6 +17,9 @@
 /// Limit that the only runner names, in requests per second.
 const LIMIT: f64 = 0.5;
 
+/// Fingerprint of a request in flight at a crash.
+const REQUEST: u64 = 0x5e7;
+
 fn daemons() -> Daemons {
     Daemons::new(4, catalogue(8, |_| {}), runners(1))
 }
@@ -63,6 +66,14 @@
     outcomes.iter().filter(granted).count()
 }
 
+/// Asks for a copy of the same request.
+fn copy(ticket: u64) -> Ask {
+    Ask {
+        fingerprint: REQUEST,
+        ..ask(ticket, "c0", "a")
+    }
+}
+
 /// Slots that requests of a daemon get within a time.
 fn grants_to(daemons: &mut Daemons, daemon: usize, time: Duration) -> usize {
     for ticket in 100..106 {
@@ -143,3 +154,45 @@
     let grants = grants_to(&mut daemons, 2, Duration::from_millis(300));
     expect_that!(grants, le(1));
 }
+
+/// The daemon that saw the crash tells while copies of the request wait already.
+#[gtest]
+fn copies_that_wait_are_parked_when_the_exposure_of_their_request_is_told() {
+    let mut daemons = daemons();
+    daemons.acquire(1, copy(10));
+    daemons.deliver_all();
+    daemons.release(1, 10, sample(End::Broken, Duration::from_millis(500)));
+    daemons.deliver_all();
+    daemons.take_outcomes();
+    daemons.kill(0);
+    // The next arbiter starts with two asks, before any daemon has told it anything.
+    daemons.start_arbiter(1);
+    let told = std::mem::take(&mut daemons.in_flight);
+    for daemon in [2, 3] {
+        daemons.set_ranks(daemon, &[1, 2, 3].map(slots::name));
+        daemons.acquire(daemon, copy(100));
+    }
+    daemons.in_flight.extend(told);
+    daemons.deliver_all();
+    daemons.run(Duration::from_millis(300));
+    expect_that!(granted(&daemons.take_outcomes()), eq(1));
+}
+
+#[gtest]
+fn an_arbiter_that_stood_still_runs_one_copy_of_what_was_in_flight_at_a_crash() {
+    let hear = |daemons: &mut Daemons| {
+        daemons.acquire(1, copy(10));
+        daemons.run(Duration::from_millis(300));
+        daemons.release(1, 10, sample(End::Broken, Duration::from_millis(500)));
+        daemons.deliver_all();
+        daemons.take_outcomes();
+    };
+    each_pause(hear, |daemons, pause| {
+        for ticket in [100, 101] {
+            daemons.acquire(0, copy(ticket));
+        }
+        daemons.deliver_all();
+        daemons.run(Duration::from_millis(100));
+        expect_that!(granted(&daemons.take_outcomes()), eq(1), "{pause} ms");
+    });
+}
