--- a/crates/policy/src/arbiter/collect.rs
+++ b/crates/policy/src/arbiter/collect.rs
@@ -93,7 +93,7 @@
     }
 
     /// Records that a daemon has told what it holds.
-    pub(super) fn on_told(&mut self, from: &InstanceId) {
+    pub(super) fn on_reported(&mut self, from: &InstanceId) {
         self.untold.missing.swap_remove(from);
         if let Some(collecting) = &mut self.collecting {
             collecting.missing.swap_remove(from);
--- a/crates/policy/src/arbiter/hold.rs
+++ b/crates/policy/src/arbiter/hold.rs
@@ -502,7 +502,7 @@
                 self.withdraw(now, key, effects);
             }
         }
-        self.on_told(from);
+        self.on_reported(from);
     }
 
     fn apply_marks(
