--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -15,6 +15,7 @@
 
 use std::{cell::Cell, path::PathBuf, rc::Rc, sync::Arc, time::Duration};
 
+use citron_journal::Files;
 use citron_policy::{
     feed,
     id::{Fingerprint, Index, InstanceId, ReplicaId, Term, Version, WindowId},
@@ -38,7 +39,11 @@
     driver::{Mailbox, Outgoing, Peers},
     metrics::Metrics,
 };
-pub use self::{form::form, replica::Replica, store::Store};
+pub use self::{
+    form::form,
+    replica::{Replica, Source},
+    store::Store,
+};
 
 /// Settings of a replica.
 #[derive(Clone, Debug)]
@@ -174,11 +179,14 @@
 impl Control {
     /// Starts the thread of the replica, if there is one.
     #[must_use]
-    pub fn start(
+    pub fn start<F>(
         hub: &Hub,
         members: watch::Receiver<Arc<Members>>,
-        replica: Option<Replica>,
-    ) -> Started {
+        replica: Option<Replica<F>>,
+    ) -> Started
+    where
+        F: Files + Send + 'static,
+    {
         let metrics = Metrics::default();
         let (failure_sender, failed) = oneshot::channel();
         let (local, feed) = mpsc::channel(driver::FEED_QUEUE);
--- a/crates/daemon/src/control/replica.rs
+++ b/crates/daemon/src/control/replica.rs
@@ -1,8 +1,13 @@
 //! Opens a data folder and starts the replica thread on it.
 
-use std::{fmt, sync::mpsc::sync_channel, thread, time::Duration};
+use std::{
+    fmt, io,
+    sync::{Arc, mpsc::sync_channel},
+    thread,
+    time::Duration,
+};
 
-use citron_journal::{Disk, Error as JournalError};
+use citron_journal::{Disk, Error as JournalError, Files};
 use citron_policy::{
     feed,
     id::ReplicaId,
@@ -23,15 +28,25 @@
 /// Time between two attempts to reopen the data folder after the disk was full.
 const REOPEN_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Gives access to the data folder, each time that it is opened.
+pub type Source<F> = Arc<dyn Fn() -> io::Result<F> + Send + Sync>;
+
 /// A replica whose data folder is open, not yet taking part.
-pub struct Replica {
+pub struct Replica<F = Disk>
+where
+    F: Files,
+{
     settings: Settings,
-    store: Store<Disk>,
+    source: Source<F>,
+    store: Store<F>,
     stored: Stored,
     machine: Machine,
 }
 
-impl fmt::Debug for Replica {
+impl<F> fmt::Debug for Replica<F>
+where
+    F: Files,
+{
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Replica")
             .field("id", &self.stored.id)
@@ -45,7 +60,21 @@
     /// # Errors
     /// When the folder is damaged or cannot be written; the text names the remedy.
     pub fn open(settings: &Settings) -> Result<Self, Error> {
-        let files = Disk::new(&settings.folder).map_err(|error| Error::Refused {
+        let folder = settings.folder.clone();
+        Self::open_from(settings, Arc::new(move || Disk::new(&folder)))
+    }
+}
+
+impl<F> Replica<F>
+where
+    F: Files + Send + 'static,
+{
+    /// Opens the journal in the data folder that a source gives access to.
+    ///
+    /// # Errors
+    /// As for [`Replica::open`].
+    pub fn open_from(settings: &Settings, source: Source<F>) -> Result<Self, Error> {
+        let files = source().map_err(|error| Error::Refused {
             reason: format!(
                 "data folder {}: {error}: check that it exists and is writable",
                 settings.folder.display()
@@ -54,6 +83,7 @@
         let (store, stored, machine) = Store::open(files, settings.limits)?;
         Ok(Self {
             settings: settings.clone(),
+            source,
             store,
             stored,
             machine,
@@ -89,12 +119,12 @@
             feed,
             metrics,
         };
-        let settings = self.settings.clone();
+        let (settings, source) = (self.settings.clone(), self.source);
         let driver = Driver::new(self.settings, node, self.store, self.machine, channels);
         let failure_sender = FailureSender(Some(failure_sender));
         let spawned = thread::Builder::new()
             .name("control".to_owned())
-            .spawn(move || serve(&settings, driver, failure_sender));
+            .spawn(move || serve(&settings, &source, driver, failure_sender));
         if let Err(error) = spawned {
             // The failure sender was dropped with the closure, so no failure is reported
             // and this replica answers nothing.
@@ -104,7 +134,14 @@
     }
 }
 
-fn serve(settings: &Settings, mut driver: Driver<Disk>, mut failure_sender: FailureSender) {
+fn serve<F>(
+    settings: &Settings,
+    source: &Source<F>,
+    mut driver: Driver<F>,
+    mut failure_sender: FailureSender,
+) where
+    F: Files + Send + 'static,
+{
     while let Err(error) = driver.run() {
         if !settings.outlive_disk {
             failure_sender.report(error.to_string());
@@ -112,7 +149,7 @@
         }
         log::error!(event = "CP0413"; "control replica suspended: {error}");
         driver.suspend();
-        if !wait_for_disk(settings, &mut driver, &error) {
+        if !wait_for_disk(settings, source, &mut driver, &error) {
             return;
         }
         log::info!(event = "CP0414"; "control replica resumed");
@@ -123,12 +160,20 @@
 ///
 /// After any other failure the content of the disk is in doubt, so the replica
 /// stays suspended until the process is restarted.
-fn wait_for_disk(settings: &Settings, driver: &mut Driver<Disk>, error: &JournalError) -> bool {
+fn wait_for_disk<F>(
+    settings: &Settings,
+    source: &Source<F>,
+    driver: &mut Driver<F>,
+    error: &JournalError,
+) -> bool
+where
+    F: Files + Send + 'static,
+{
     while driver.refuse_inputs(REOPEN_INTERVAL) {
         if !error.is_full() {
             continue;
         }
-        match Replica::open(settings) {
+        match Replica::open_from(settings, Arc::clone(source)) {
             Ok(replica) => {
                 driver.resume(replica.store, replica.stored, replica.machine);
                 return true;
--- /dev/null
+++ b/crates/daemon/tests/full_disks.rs
@@ -0,0 +1,194 @@
+//! Disks that are full for a moment, one after another, at each step of the store.
+//!
+//! Real replicas on real files, which the test's own file layer refuses at a chosen step.
+
+mod full_disk;
+
+use std::{fmt::Write, thread, time::Duration};
+
+use googletest::prelude::*;
+
+use full_disk::{
+    cluster::{Cluster, Plan},
+    files::Step,
+};
+
+/// How long a disk has no room.
+const FULL_TIME: Duration = Duration::from_millis(1_200);
+
+/// Longest wait for the answer to a change once the last disk has room again.
+const ANSWER_BOUND: Duration = Duration::from_secs(4);
+
+/// Steps that each replica takes while changes come in.
+const STEPS: [Step; 14] = [
+    Step::Append,
+    Step::ShortAppend,
+    Step::LogSync,
+    Step::NewSegment,
+    Step::ShortSegment,
+    Step::SegmentSync,
+    Step::Marker,
+    Step::SnapshotWrite,
+    Step::ShortSnapshot,
+    Step::SnapshotSync,
+    Step::SnapshotRename,
+    Step::FolderSync,
+    Step::Removal,
+    Step::Cut,
+];
+
+/// Replicas in the order in which their disks fill up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Order {
+    LeaderFirst,
+    FollowersFirst,
+}
+
+/// Fills the disk of each replica at one step, twice in turn; returns what went wrong.
+async fn fill_in_turn(plan: Plan, step: Step, order: Order) -> String {
+    let mut wrong = String::new();
+    let cluster = Cluster::form(plan).await;
+    for turn in 0..2 {
+        let leader = cluster.leader().await;
+        let mut turns: Vec<usize> = (0..cluster.len()).collect();
+        turns.sort_by_key(|it| (Some(*it) == leader) == (order == Order::FollowersFirst));
+        for replica in turns {
+            let at = format!("{step:?}, {order:?}, turn {turn}, replica {replica}");
+            let disk = cluster.disk(replica);
+            disk.fill(step, FULL_TIME);
+            if !cluster.change_until(|| disk.has_begun()).await {
+                writeln!(wrong, "{at}: the step was not reached").expect("text");
+                disk.empty();
+                continue;
+            }
+            cluster.change_until(|| disk.has_room()).await;
+            // No change but this one comes.
+            let answered = cluster.change(ANSWER_BOUND).await;
+            if let Err(error) = answered {
+                writeln!(wrong, "{at}: no answer: {error}").expect("text");
+                return wrong;
+            }
+            if let Err(state) = cluster.settled(ANSWER_BOUND).await {
+                writeln!(wrong, "{at}: not settled: {state}").expect("text");
+            }
+        }
+    }
+    wrong
+}
+
+/// Runs one cluster for each step, all at the same time.
+fn fill_at_each_step(plan: Plan, order: Order) -> String {
+    let runs = STEPS.map(|step| {
+        thread::spawn(move || actix_rt::System::new().block_on(fill_in_turn(plan, step, order)))
+    });
+    runs.into_iter()
+        .map(|run| {
+            run.join()
+                .unwrap_or_else(|_| "a run ended early\n".to_owned())
+        })
+        .collect()
+}
+
+#[gtest]
+fn changes_are_answered_after_disks_were_full_leader_first() {
+    let plan = Plan::default();
+    expect_that!(fill_at_each_step(plan, Order::LeaderFirst), eq(""));
+}
+
+#[gtest]
+fn changes_are_answered_after_disks_were_full_followers_first() {
+    let plan = Plan::default();
+    expect_that!(fill_at_each_step(plan, Order::FollowersFirst), eq(""));
+}
+
+/// Voters are replaced by learners while their disks are full.
+#[gtest]
+fn seats_are_filled_after_disks_of_voters_and_learners_were_full() {
+    let plan = Plan {
+        replicas: 5,
+        ..Plan::default()
+    };
+    expect_that!(fill_at_each_step(plan, Order::LeaderFirst), eq(""));
+}
+
+/// A replica that lags is sent the state of the leader, and its disk fills up at that.
+#[gtest]
+fn a_disk_full_during_the_install_of_a_snapshot_leaves_nothing_pending() {
+    let steps = [
+        Step::SnapshotWrite,
+        Step::ShortSnapshot,
+        Step::SnapshotSync,
+        Step::SnapshotRename,
+        Step::SegmentSync,
+        Step::FolderSync,
+        Step::Removal,
+    ];
+    let runs = steps.map(|step| {
+        thread::spawn(move || {
+            actix_rt::System::new().block_on(async move {
+                let cluster = Cluster::form(Plan::default()).await;
+                let leader = cluster.leader().await.expect("a leader");
+                let lagging = (leader + 1) % 3;
+                let disk = cluster.disk(lagging);
+                // Out for so long that the others drop the entries that it lacks.
+                disk.fill(Step::Append, FULL_TIME);
+                cluster.change_until(|| disk.has_begun()).await;
+                cluster.change_until(|| disk.has_room()).await;
+                disk.fill(step, FULL_TIME);
+                let begun = cluster.change_until(|| disk.has_begun()).await;
+                cluster.change_until(|| disk.has_room()).await;
+                let answered = cluster.change(ANSWER_BOUND).await;
+                let settled = cluster.settled(ANSWER_BOUND).await;
+                match (begun, answered, settled) {
+                    (true, Ok(()), Ok(())) => String::new(),
+                    other => format!("{step:?}: {other:?}\n"),
+                }
+            })
+        })
+    });
+    let wrong: String = runs
+        .into_iter()
+        .map(|run| {
+            run.join()
+                .unwrap_or_else(|_| "a run ended early\n".to_owned())
+        })
+        .collect();
+    expect_that!(wrong, eq(""));
+}
+
+/// A daemon is started again while the disk of another is full.
+#[gtest]
+fn a_restart_beside_a_full_disk_leaves_changes_answered() {
+    let runs = [Step::Append, Step::LogSync, Step::SnapshotWrite, Step::Cut].map(|step| {
+        thread::spawn(move || {
+            actix_rt::System::new().block_on(async move {
+                let mut wrong = String::new();
+                let mut cluster = Cluster::form(Plan::default()).await;
+                for number in 0..6 {
+                    let full = number % 3;
+                    let disk = cluster.disk(full);
+                    disk.fill(step, FULL_TIME);
+                    cluster.change_until(|| disk.has_begun()).await;
+                    cluster.restart((full + 1 + number / 3) % 3).await;
+                    cluster.change_until(|| disk.has_room()).await;
+                    if let Err(error) = cluster.change(ANSWER_BOUND).await {
+                        writeln!(wrong, "{step:?}, {number}: no answer: {error}").expect("text");
+                    }
+                    if let Err(state) = cluster.settled(ANSWER_BOUND).await {
+                        writeln!(wrong, "{step:?}, {number}: not settled: {state}").expect("text");
+                        break;
+                    }
+                }
+                wrong
+            })
+        })
+    });
+    let wrong: String = runs
+        .into_iter()
+        .map(|run| {
+            run.join()
+                .unwrap_or_else(|_| "a run ended early\n".to_owned())
+        })
+        .collect();
+    expect_that!(wrong, eq(""));
+}
--- a/crates/journal/src/error.rs
+++ b/crates/journal/src/error.rs
@@ -6,9 +6,6 @@
 
 use crate::{Index, ReplicaId};
 
-/// Prefix of the names of sync steps.
-const SYNC: &str = "sync";
-
 /// Why a journal operation failed.
 #[derive(Debug, Display, Error)]
 pub enum Error {
@@ -110,16 +107,16 @@
 }
 
 impl Error {
-    /// Whether the disk was full and all synced data is intact, so that the folder
-    /// can be reopened once there is space.
+    /// Whether the disk was full, so that the folder can be reopened once there is space.
     ///
-    /// Excludes a failed sync: the data it covered may be lost without another error.
+    /// Includes a failed sync: what it covered is dropped or written again when the folder
+    /// is opened.
     #[must_use]
     pub fn is_full(&self) -> bool {
         match self {
-            Self::Io { step, source, .. } => {
+            Self::Io { source, .. } => {
                 let full = [io::ErrorKind::StorageFull, io::ErrorKind::QuotaExceeded];
-                !step.starts_with(SYNC) && full.contains(&source.kind())
+                full.contains(&source.kind())
             }
             _ => false,
         }
--- a/crates/journal/src/files.rs
+++ b/crates/journal/src/files.rs
@@ -5,7 +5,7 @@
 
 use std::{
     fs::{self, File, OpenOptions, TryLockError},
-    io::{self, Write},
+    io::{self, Seek, SeekFrom, Write},
     path::{Path, PathBuf},
 };
 
@@ -38,6 +38,12 @@
     /// The operating system's error.
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
 
+    /// Writes a part of a file again, with the bytes that it already has, and makes it durable.
+    ///
+    /// # Errors
+    /// The operating system's error.
+    fn rewrite(&mut self, name: &str, offset: u64, bytes: &[u8]) -> io::Result<()>;
+
     /// Truncates a file to `length` bytes.
     ///
     /// # Errors
@@ -157,6 +163,14 @@
         self.handle(name)?.write_all(bytes)
     }
 
+    fn rewrite(&mut self, name: &str, offset: u64, bytes: &[u8]) -> io::Result<()> {
+        // A file opened to append writes at its end only.
+        let mut file = OpenOptions::new().write(true).open(self.path(name))?;
+        file.seek(SeekFrom::Start(offset))?;
+        file.write_all(bytes)?;
+        file.sync_data()
+    }
+
     fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
         self.handle(name)?.set_len(length)
     }
--- a/crates/journal/src/recover.rs
+++ b/crates/journal/src/recover.rs
@@ -3,7 +3,7 @@
 use crate::{
     Error, Files, Index, Journal, Record, Recovered, ReplicaId, Settings, frame, identity,
     journal::SegmentMeta,
-    segment::{self, Body, Header, Item, Segment},
+    segment::{self, Body, Frame, Header, Item, Segment},
     snapshot,
 };
 
@@ -144,13 +144,17 @@
         let first_valid = stored.as_ref().map_or(0, |it| it.first_segment);
         let snapshot = stored.map(|it| it.snapshot);
         self.snapshot = snapshot.as_ref().map_or(0, |it| it.index);
-        let segments = self.read_segments(&inventory.segments)?;
+        let mut segments = self.read_segments(&inventory.segments)?;
+        let unmarked = segments.iter_mut();
+        let unmarked = unmarked.filter_map(|it| Some((it.number, it.unmarked.take()?)));
+        let unmarked: Vec<(u64, Frame)> = unmarked.collect();
         let end = segments.last().map_or(0, |it| it.end);
         let log = Log::replay(segments, self.snapshot, first_valid)?;
         self.segments = log.segments;
         self.hard = log.hard;
         self.last = log.last.max(self.snapshot);
         self.synced = self.last;
+        self.rewrite(unmarked)?;
         self.remove_stale(&inventory)?;
         self.make_durable(end)?;
         if log.last < self.snapshot || self.segment_number() < first_valid {
@@ -220,6 +224,17 @@
         Err(Error::Foreign { file, theirs, ours })
     }
 
+    /// Writes frames again whose sync may have failed: the system may then take them for
+    /// written, so that another sync alone would not keep them.
+    fn rewrite(&mut self, frames: Vec<(u64, Frame)>) -> Result<(), Error> {
+        for (number, Frame { offset, bytes }) in frames {
+            let name = segment::name(number);
+            let offset = offset as u64;
+            self.run("rewrite", &name, |it| it.rewrite(&name, offset, &bytes))?;
+        }
+        Ok(())
+    }
+
     /// Removes files left by an interrupted step or a removal that was not durable.
     fn remove_stale(&mut self, inventory: &Inventory) -> Result<(), Error> {
         let mut stale: Vec<String> = Vec::new();
--- a/crates/journal/src/segment.rs
+++ b/crates/journal/src/segment.rs
@@ -207,6 +207,17 @@
     pub(crate) closed: bool,
     /// Offset after the last complete frame, without its marker.
     pub(crate) end: usize,
+    /// The last complete frame, unless a marker shows that it was synced.
+    pub(crate) unmarked: Option<Frame>,
+}
+
+/// A frame as read from its file.
+#[derive(Debug)]
+pub(crate) struct Frame {
+    /// Its offset.
+    pub(crate) offset: usize,
+    /// Its bytes.
+    pub(crate) bytes: Vec<u8>,
 }
 
 /// Decodes a segment; `None` if its header is incomplete, so nothing was synced.
@@ -231,18 +242,34 @@
         items: Vec::new(),
         closed: false,
         end: HEADER_BYTES + body.len(),
+        unmarked: None,
     };
-    segment.read_frames(&file, bytes)?;
+    let last = segment.read_frames(&file, bytes)?;
+    segment.unmarked = unmarked(number, bytes, last, segment.end);
     Ok(Some(segment))
 }
 
+/// The frame between two offsets, unless a marker follows it.
+fn unmarked(number: u64, bytes: &[u8], offset: usize, end: usize) -> Option<Frame> {
+    let marker = frame::marker(number, end as u64);
+    if bytes.get(end..)?.starts_with(&marker) {
+        return None;
+    }
+    let bytes = bytes.get(offset..end)?.to_vec();
+    Some(Frame { offset, bytes })
+}
+
 impl Segment {
-    fn read_frames(&mut self, file: &str, bytes: &[u8]) -> Result<(), Error> {
+    /// Reads the frames after the header; returns the offset of the last one.
+    fn read_frames(&mut self, file: &str, bytes: &[u8]) -> Result<usize, Error> {
+        let mut last = 0;
         loop {
             let offset = self.end + MARKER_BYTES;
             let Some(body) = frame::decode(self.number, bytes, offset) else {
-                return check_torn(file, self.number, bytes, offset);
+                check_torn(file, self.number, bytes, offset)?;
+                return Ok(last);
             };
+            last = offset;
             match Body::decode(body).map_err(|it| it.into_error(file, offset))? {
                 Body::Batch(items) if !self.closed => self.items.extend(items),
                 Body::Closed if !self.closed => self.closed = true,
--- a/crates/journal/tests/crash.rs
+++ b/crates/journal/tests/crash.rs
@@ -225,6 +225,7 @@
         return Err(context(format!("found {again:?} after {found:?}")));
     }
     crash_during_recovery(&memory, loss, &found).map_err(context)?;
+    fail_during_recovery(&memory, &found).map_err(context)?;
     write_after_recovery(&memory, found).map_err(context)?;
     Ok(done)
 }
@@ -253,6 +254,30 @@
     Ok(())
 }
 
+/// Fails every operation of the recovery in the running process, then loses the machine.
+fn fail_during_recovery(memory: &Memory, expected: &Content) -> std::result::Result<(), String> {
+    for fault in [Fault::Fail, Fault::Forget] {
+        for at in 0.. {
+            memory.restart(Loss::Nothing);
+            memory.inject(at, fault);
+            let done = reopen(memory).is_ok();
+            for loss in [Loss::Nothing, Loss::Everything] {
+                memory.restart(loss);
+                let found = reopen(memory)?;
+                if found != *expected {
+                    return Err(format!(
+                        "found {found:?} after {fault:?} at {at} of the recovery and {loss:?}"
+                    ));
+                }
+            }
+            if done {
+                break;
+            }
+        }
+    }
+    Ok(())
+}
+
 /// Writes more records after a recovery, then loses the machine again.
 fn write_after_recovery(memory: &Memory, mut expected: Content) -> std::result::Result<(), String> {
     memory.restart(Loss::Everything);
@@ -277,7 +302,7 @@
 /// Crashes at every operation, with both faults and every loss, up to the first violation.
 fn sweep(omission: Omission) -> std::result::Result<usize, String> {
     let mut crashes = 0;
-    for fault in [Fault::Stop, Fault::Fail] {
+    for fault in [Fault::Stop, Fault::Fail, Fault::Forget] {
         for loss in LOSSES {
             for at in 0.. {
                 crashes += 1;
@@ -300,7 +325,7 @@
 #[gtest]
 fn a_kill_and_then_a_loss_during_the_recovery_lose_nothing_synced() {
     let mut losses = 0;
-    for fault in [Fault::Stop, Fault::Fail] {
+    for fault in [Fault::Stop, Fault::Fail, Fault::Forget] {
         for at in 0.. {
             let memory = Memory::default();
             memory.inject(at, fault);
--- a/crates/journal/tests/memory/mod.rs
+++ b/crates/journal/tests/memory/mod.rs
@@ -2,7 +2,7 @@
 //! loses, tears or keeps unsynced data.
 
 #![allow(dead_code, reason = "each test program uses another part")]
-use std::{cell::RefCell, io, rc::Rc};
+use std::{cell::RefCell, collections::BTreeSet, io, rc::Rc};
 
 use citron_journal::Files;
 
@@ -29,6 +29,9 @@
     Stop,
     /// It does half of its work and fails; later operations would succeed.
     Fail,
+    /// As [`Self::Fail`], and what a failed sync covered counts as written: later syncs
+    /// skip it, unless it is written again.
+    Forget,
 }
 
 /// What happens to unsynced data.
@@ -46,6 +49,31 @@
 struct Inode {
     synced: Vec<u8>,
     live: Vec<u8>,
+    /// Places that syncs skip.
+    forgotten: BTreeSet<usize>,
+}
+
+impl Inode {
+    /// Makes the content durable, except the places that syncs skip.
+    fn sync(&mut self) {
+        let kept = |at: usize| self.synced.get(at).copied().unwrap_or(0);
+        let bytes = self.live.iter().enumerate();
+        let synced = bytes.map(|(at, byte)| {
+            if self.forgotten.contains(&at) {
+                kept(at)
+            } else {
+                *byte
+            }
+        });
+        self.synced = synced.collect();
+    }
+
+    /// Makes later syncs skip what is not durable.
+    fn forget(&mut self) {
+        let bytes = self.live.iter().enumerate();
+        let lost = bytes.filter(|(at, byte)| self.synced.get(*at) != Some(*byte));
+        self.forgotten.extend(lost.map(|(at, _)| at));
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -146,6 +174,7 @@
         state.inodes.push(Inode {
             synced: bytes.to_vec(),
             live: bytes.to_vec(),
+            ..Inode::default()
         });
         let inode = state.inodes.len() - 1;
         state.live.push((name.to_owned(), inode));
@@ -171,7 +200,7 @@
         state.operations += 1;
         match state.fault {
             Some((at, Fault::Stop)) if number >= at => Err(io::Error::other("killed")),
-            Some((at, Fault::Fail)) if number == at => {
+            Some((at, Fault::Fail | Fault::Forget)) if number == at => {
                 drop(operation(&mut state, true));
                 Err(io::Error::other("input/output error"))
             }
@@ -229,6 +258,7 @@
     }
     inode.live.clone_from(&bytes);
     inode.synced = bytes;
+    inode.forgotten.clear();
 }
 
 fn apply(names: &mut Vec<(String, usize)>, change: &NameChange) {
@@ -278,12 +308,32 @@
         })
     }
 
+    fn rewrite(&mut self, name: &str, offset: u64, bytes: &[u8]) -> io::Result<()> {
+        self.operate(|state, partial| {
+            let inode = state.require(name)?;
+            let forget = partial && matches!(state.fault, Some((_, Fault::Forget)));
+            let inode = &mut state.inodes[inode];
+            let start = usize::try_from(offset).expect("a small file");
+            let found = inode.live.get(start..start + bytes.len());
+            assert_eq!(found, Some(bytes), "{name} at {offset}");
+            if forget {
+                inode.forget();
+            } else if !partial {
+                let end = start + bytes.len();
+                inode.forgotten.retain(|it| !(start..end).contains(it));
+                inode.sync();
+            }
+            Ok(())
+        })
+    }
+
     fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
         self.operate(|state, partial| {
             let inode = state.require(name)?;
             let length = usize::try_from(length).expect("a small file");
             if !partial && state.omission != Some(Omission::Truncate) {
                 state.inodes[inode].live.resize(length, 0);
+                state.inodes[inode].forgotten.split_off(&length);
             }
             Ok(())
         })
@@ -296,8 +346,10 @@
                 state.omission,
                 Some(Omission::FileSync(prefix)) if name.starts_with(prefix)
             );
-            if !partial && !skipped {
-                state.inodes[inode].synced = state.inodes[inode].live.clone();
+            if partial && matches!(state.fault, Some((_, Fault::Forget))) {
+                state.inodes[inode].forget();
+            } else if !partial && !skipped {
+                state.inodes[inode].sync();
             }
             Ok(())
         })
