control: a replica knows who joined while its disk was full

What callers see: nothing at once. A replica whose disk was full leads later and does not know a replica that joined, or came back, meanwhile: it sends that one nothing, and when a voter is lost its seat stays empty, so that the next loss stops all changes.

Cause: a daemon tells its replica each change of the known replicas once, and a suspended replica dropped all inputs, these included. Class: a state that is told once is dropped like a message that is sent again.

Change: a suspended replica notes the replicas that it is told of, and begins with them.

Evidence: a_replica_that_joined_while_the_leaders_disk_was_full_gets_a_lost_seat fails without the change (the learner stays at term 2 and entry 5, while the leader in term 3 is at 7; the lost voter still counts 8 s later), and passes with it, 4 of 4 runs.

--- a/crates/daemon/src/control/driver.rs
+++ b/crates/daemon/src/control/driver.rs
@@ -200,14 +200,17 @@
         self.metrics.leads.set(0);
     }
 
-    /// Refuses all inputs for a time; false once the daemon has dropped all its mailboxes.
-    pub(super) fn refuse_inputs(&self, within: Duration) -> bool {
+    /// Refuses all requests for a time; false once the daemon has dropped all its mailboxes.
+    ///
+    /// Notes the replicas known meanwhile, since the daemon tells each change of them once.
+    pub(super) fn refuse_inputs(&mut self, within: Duration) -> bool {
         let end = Instant::now() + within;
         loop {
             let left = end.saturating_duration_since(Instant::now());
             match self.inputs.recv_timeout(left) {
                 Ok(Input::Request(_, reply)) => answer(reply, outcome::not_leader(None)),
-                Ok(Input::Raft(_) | Input::Peers(_)) => {}
+                Ok(Input::Raft(_)) => {}
+                Ok(Input::Peers(peers)) => self.peers = peers,
                 Err(RecvTimeoutError::Timeout) => return true,
                 Err(RecvTimeoutError::Disconnected) => return false,
             }
--- a/crates/daemon/tests/full_disk/cluster.rs
+++ b/crates/daemon/tests/full_disk/cluster.rs
@@ -226,6 +226,11 @@
         }
     }
 
+    pub fn introduce(&self, number: usize) {
+        self.introduced.borrow_mut()[number] = true;
+        self.announce();
+    }
+
     pub fn len(&self) -> usize {
         self.daemons.len()
     }
