control: known replicas that found the queue full are told again

It needs a queue of 8,192 inputs that is full at the moment when the daemon tells its replica who is known, as behind a disk that stands still.

Cause: the daemon tried again only when the members changed once more. Class: a retry that waits for an event which need not come.

Change: it is tried again after 100 ms.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -402,6 +402,9 @@
     }
 }
 
+/// Time after which the known replicas are told again if the queue was full.
+const PEERS_RETRY_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Raft group that this daemon takes part in.
 const GROUP: u32 = 0;
 
@@ -441,9 +444,14 @@
             let replicas = present.filter_map(|it| Some((it.replica?, it.domain.clone())));
             replicas.collect()
         };
-        if known != told && mailbox.peers(known.clone()) {
-            told = known;
+        if known != told && !mailbox.peers(known.clone()) {
+            let changed = actix_rt::time::timeout(PEERS_RETRY_INTERVAL, members.changed());
+            if matches!(changed.await, Ok(Err(_))) {
+                return;
+            }
+            continue;
         }
+        told = known;
         if members.changed().await.is_err() {
             return;
         }
--- a/crates/daemon/tests/full_disk/cluster.rs
+++ b/crates/daemon/tests/full_disk/cluster.rs
@@ -21,7 +21,7 @@
     raft,
     state::Command,
 };
-use citron_wire::Body;
+use citron_wire::{Body, generated::control as proto};
 use futures_util::future::LocalBoxFuture;
 use indexmap::IndexMap;
 use tokio::sync::watch;
@@ -37,6 +37,9 @@
 /// Longest row of changes.
 const ROW_TIME: Duration = Duration::from_secs(12);
 
+/// More messages than the queue of a replica holds.
+const FLOOD_MESSAGES: usize = 10_000;
+
 /// Size of a cluster.
 #[derive(Clone, Copy, Debug)]
 pub struct Plan {
@@ -231,6 +234,18 @@
         self.announce();
     }
 
+    /// Fills the queue of a replica whose thread does not take any input.
+    pub fn flood(&self, number: usize) {
+        let control = self.daemons[number].control();
+        for _ in 0..FLOOD_MESSAGES {
+            let message = proto::Message {
+                group: 0,
+                body: Some(proto::message::Body::Raft(proto::Raft::default())),
+            };
+            control.on_message(&name(number), message);
+        }
+    }
+
     pub fn len(&self) -> usize {
         self.daemons.len()
     }
--- a/crates/daemon/tests/full_disk/files.rs
+++ b/crates/daemon/tests/full_disk/files.rs
@@ -4,6 +4,7 @@
     io,
     path::Path,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    thread,
     time::{Duration, Instant},
 };
 
@@ -50,6 +51,8 @@
     planned: Option<(Step, Duration)>,
     full: Option<(Step, Instant)>,
     begun: bool,
+    /// How long the next sync of a segment takes.
+    stall: Option<Duration>,
 }
 
 /// One replica's disk; clones share it.
@@ -71,6 +74,25 @@
         };
     }
 
+    /// Makes the next sync of a segment take a time; there is room after it.
+    pub fn stall(&self, time: Duration) {
+        *self.state() = State {
+            stall: Some(time),
+            ..State::default()
+        };
+    }
+
+    fn wait(&self) {
+        let mut state = self.state();
+        let Some(time) = state.stall.take() else {
+            return;
+        };
+        state.begun = true;
+        state.full = Some((Step::LogSync, Instant::now() + time));
+        drop(state);
+        thread::sleep(time);
+    }
+
     /// Withdraws what was planned.
     pub fn empty(&self) {
         *self.state() = State::default();
@@ -185,6 +207,7 @@
     }
 
     fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.room.wait();
         let known = self.known.iter().any(|it| it == name);
         let done = if name.starts_with("snapshot") {
             Step::SnapshotSync
--- a/crates/daemon/tests/full_disks.rs
+++ b/crates/daemon/tests/full_disks.rs
@@ -111,6 +111,32 @@
     expect_that!(fill_at_each_step(plan, Order::LeaderFirst), eq(""));
 }
 
+/// Makes replica 0 the leader, takes replica 1 away, and waits until 3 has its seat.
+async fn fill_seat(cluster: &Cluster) -> std::result::Result<(), String> {
+    for _ in 0..20 {
+        match cluster.leader().await {
+            Some(0) => break,
+            Some(leader) => {
+                let disk = cluster.disk(leader);
+                disk.fill(Step::Append, FULL_TIME);
+                cluster.change_until(|| disk.has_begun()).await;
+                cluster.change_until(|| disk.has_room()).await;
+                drop(cluster.settled(ANSWER_BOUND).await);
+            }
+            None => actix_rt::time::sleep(Duration::from_millis(50)).await,
+        }
+    }
+    expect_that!(cluster.leader().await, some(eq(0)));
+    let lost = cluster.disk(1);
+    lost.fill(Step::Append, Duration::from_hours(1));
+    assert!(cluster.change_until(|| lost.has_begun()).await);
+    let filled = cluster.until(ANSWER_BOUND * 2, |all| {
+        all.iter()
+            .any(|it| it.voters.contains(&cluster.id(3)) && !it.voters.contains(&cluster.id(1)))
+    });
+    filled.await
+}
+
 /// What a daemon learns of others while its disk is full counts once it has room.
 #[gtest]
 fn a_replica_that_joined_while_the_leaders_disk_was_full_gets_a_lost_seat() {
@@ -126,29 +152,26 @@
         cluster.introduce(3);
         cluster.change_until(|| disk.has_room()).await;
         cluster.settled(ANSWER_BOUND).await.expect("settled");
-        // The others' disks fill up until replica 0 leads.
-        for _ in 0..20 {
-            match cluster.leader().await {
-                Some(0) => break,
-                Some(leader) => {
-                    let disk = cluster.disk(leader);
-                    disk.fill(Step::Append, FULL_TIME);
-                    cluster.change_until(|| disk.has_begun()).await;
-                    cluster.change_until(|| disk.has_room()).await;
-                    drop(cluster.settled(ANSWER_BOUND).await);
-                }
-                None => actix_rt::time::sleep(Duration::from_millis(50)).await,
-            }
-        }
-        expect_that!(cluster.leader().await, some(eq(0)));
-        let lost = cluster.disk(1);
-        lost.fill(Step::Append, Duration::from_hours(1));
-        assert!(cluster.change_until(|| lost.has_begun()).await);
-        let filled = cluster.until(ANSWER_BOUND * 2, |all| {
-            all.iter()
-                .any(|it| it.voters.contains(&cluster.id(3)) && !it.voters.contains(&cluster.id(1)))
-        });
-        expect_that!(filled.await, ok(anything()));
+        expect_that!(fill_seat(&cluster).await, ok(anything()));
+    });
+}
+
+/// The thread waits for its disk, and its queue is full, when the daemon learns of another.
+#[gtest]
+fn a_replica_that_joined_beside_a_full_queue_gets_a_lost_seat() {
+    actix_rt::System::new().block_on(async {
+        let plan = Plan {
+            replicas: 4,
+            ..Plan::default()
+        };
+        let cluster = Cluster::form_without(plan, 3).await;
+        cluster.disk(0).stall(FULL_TIME);
+        assert!(cluster.change_until(|| cluster.disk(0).has_begun()).await);
+        cluster.flood(0);
+        cluster.introduce(3);
+        cluster.change_until(|| cluster.disk(0).has_room()).await;
+        cluster.settled(ANSWER_BOUND).await.expect("settled");
+        expect_that!(fill_seat(&cluster).await, ok(anything()));
     });
 }
 
