output: logs go on after their disk was full

What operators see: a process whose standard output goes to a file on a disk that is full once writes no log line any more until it is restarted.

Cause: the writer thread ended at the first failed write.

Change: a line that cannot be written counts as dropped, and CP0113 tells the number with the next one that can; only a reader that is gone ends the thread. A line of which a part was written is ended first, so that the next one stays whole.

--- a/crates/daemon/src/output.rs
+++ b/crates/daemon/src/output.rs
@@ -37,10 +37,10 @@
 /// Name of the writer thread.
 const THREAD: &str = "output";
 
-/// Lines dropped because the queue was full.
+/// Lines dropped because the queue was full or the output failed.
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
-/// Lines dropped since the start because the queue was full.
+/// Lines dropped since the start because the queue was full or the output failed.
 #[must_use]
 pub fn dropped() -> u64 {
     DROPPED.load(Ordering::Relaxed)
@@ -123,12 +123,15 @@
     Flush(SyncSender<()>),
 }
 
-/// Writes lines until the process ends.
+/// Writes lines until the process ends or nobody can read them any more.
+///
+/// Other failures pass, such as that of a full disk: the line counts as dropped.
 fn write<W>(entries: &Receiver<Entry>, mut sink: W)
 where
     W: Write,
 {
     let mut reported = 0;
+    let mut torn = false;
     while let Ok(entry) = entries.recv() {
         let line = match entry {
             Entry::Line(line) => line,
@@ -138,17 +141,25 @@
                 continue;
             }
         };
+        let mut text = String::new();
+        if torn {
+            text.push('\n');
+        }
         let lost = dropped();
         if lost > reported {
             let note = json!({"level": "WARN", "event": "CP0113", "dropped": lost - reported,
-                "message": "log lines dropped: the reader of standard output is too slow"});
-            reported = lost;
-            if writeln!(sink, "{note}").is_err() {
-                return;
-            }
+                "message": "log lines dropped: standard output took them too late or not at all"});
+            text.push_str(&note.to_string());
+            text.push('\n');
         }
-        if sink.write_all(line.as_bytes()).is_err() {
-            return;
+        text.push_str(&line);
+        match sink.write_all(text.as_bytes()) {
+            Ok(()) => (reported, torn) = (lost, false),
+            Err(error) if error.kind() == io::ErrorKind::BrokenPipe => return,
+            Err(_) => {
+                DROPPED.fetch_add(1, Ordering::Relaxed);
+                torn = true;
+            }
         }
     }
 }
