run: a daemon starts though its standard output is full

What operators see: a daemon that is started while its standard output goes to a file on a full disk ends with exit code 101.

Cause: the line with its addresses was printed by a macro that panics if it cannot. Class: a diagnostic that can fail ends what it describes.

Change: the failure is ignored; CP0101 has the same addresses.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -7,7 +7,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    io,
+    io::{self, Write},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -156,7 +156,8 @@
         tokens,
     };
     let (parts, failed) = Parts::start(&settings, listeners, resources);
-    println!("{announcement}");
+    // The next line logs it as well, and the output may be a file on a full disk.
+    drop(writeln!(io::stdout(), "{announcement}"));
     log::info!(
         "CP0101 instance {} is up: {announcement}",
         settings.instance
--- a/crates/daemon/tests/output_full.rs
+++ b/crates/daemon/tests/output_full.rs
@@ -1,8 +1,12 @@
 //! Logs of a process whose output goes to a disk that is full for a while.
 
 use std::{
+    fs,
     io::{self, Write},
+    process::{Command, Stdio},
     sync::{Arc, Mutex, MutexGuard},
+    thread,
+    time::{Duration, Instant},
 };
 
 use citron_daemon::output::Output;
@@ -73,3 +77,40 @@
     expect_that!(events, eq(&["CP0101", "CP0113", "CP0103"]), "{lines:?}");
     expect_that!(whole[1]["dropped"], eq(&serde_json::json!(2)));
 }
+
+/// Longest wait for a daemon to write its first log line.
+const START_TIME: Duration = Duration::from_secs(10);
+
+/// Time after it in which a daemon that fails at the start would end.
+const SETTLE_TIME: Duration = Duration::from_millis(300);
+
+#[gtest]
+fn a_daemon_starts_though_its_output_is_full() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let log = folder.path().join("log");
+    let full = fs::OpenOptions::new().write(true).open("/dev/full");
+    let mut daemon = Command::new(env!("CARGO_BIN_EXE_citrond"))
+        .args(["--instance=a", "--domain=x", "--cluster=tests"])
+        .args(["--callers=127.0.0.1:0", "--peer=127.0.0.1:0"])
+        .args(["--admin=127.0.0.1:0", "--platform=http://127.0.0.1:9"])
+        .env("CITRON_OPERATOR_TOKENS", "ann obviously-fake-token")
+        .stdin(Stdio::null())
+        .stdout(full.expect("a device that is always full"))
+        .stderr(fs::File::create(&log).expect("a log file"))
+        .spawn()
+        .expect("the daemon");
+    let end = Instant::now() + START_TIME;
+    while Instant::now() < end && fs::read(&log).is_ok_and(|it| it.is_empty()) {
+        thread::sleep(Duration::from_millis(20));
+    }
+    thread::sleep(SETTLE_TIME);
+    let ended = daemon.try_wait().expect("its state");
+    daemon.kill().expect("ended");
+    daemon.wait().expect("ended");
+    expect_that!(
+        ended,
+        none(),
+        "{}",
+        fs::read_to_string(&log).unwrap_or_default()
+    );
+}
