upstream: an answer without a final status of HTTP is no answer

Cause: the HTTP library takes any three digits from 100 on for a status, and what was not 1xx counted as final. Class: what is not excluded is taken for valid. The one place that reads the heads of runners and peers takes 200 to 599 now; anything else is a failed exchange that may have run, so the caller gets 502 and only what may be repeated is made again.

--- a/crates/daemon/src/upstream/head.rs
+++ b/crates/daemon/src/upstream/head.rs
@@ -197,14 +197,16 @@
     S: Stream<Item = Result<ResponseHead, ParseError>> + Unpin,
 {
     for _ in 0..=MAX_INTERIM_RESPONSES {
-        match answers.next().await {
-            Some(Ok(head)) if !head.status.is_informational() => return Ok(head),
-            Some(Ok(head)) if head.status == StatusCode::SWITCHING_PROTOCOLS => {
-                return Err(Failure::Garbled("it switches protocols unasked".to_owned()));
-            }
-            Some(Ok(_)) => {}
+        let head = match answers.next().await {
+            Some(Ok(head)) => head,
             Some(Err(ParseError::Io(_))) | None => return Err(Failure::Unanswered),
             Some(Err(error)) => return Err(Failure::Garbled(error.to_string())),
+        };
+        match head.status.as_u16() {
+            200..=599 => return Ok(head),
+            101 => return Err(Failure::Garbled("it switches protocols unasked".to_owned())),
+            100..=199 => {}
+            status => return Err(Failure::Garbled(format!("{status} is no status of HTTP"))),
         }
     }
     Err(Failure::Garbled("too many interim answers".to_owned()))
--- a/crates/daemon/tests/upstream_exchange.rs
+++ b/crates/daemon/tests/upstream_exchange.rs
@@ -417,6 +417,31 @@
     expect_that!(failure_of(&text), matches_pattern!(Failure::Garbled(_)));
 }
 
+/// The library takes any three digits from 100 on for a status.
+#[gtest]
+fn an_answer_without_a_final_status_is_garbled() {
+    let statuses = [
+        "000", "001", "099", "101", "600", "700", "999", "1000", "0200", "2000", "20", "+200",
+        "-200", "2x0", "OK", "",
+    ];
+    for status in statuses {
+        let head = HEAD.replacen("200 OK", &format!("{status} Trouble"), 1);
+        let failure = failure_of(&format!("{head}content-length: 5\r\n\r\nwhole"));
+        expect_that!(failure, matches_pattern!(Failure::Garbled(_)), "{status:?}");
+        expect_that!(failure.fate(), eq(Fate::Unknown), "{status:?}");
+    }
+}
+
+#[gtest]
+fn an_answer_whose_final_status_does_not_come_is_unanswered() {
+    for status in ["100 Continue", "103 Early Hints", "199 Trouble"] {
+        let head = HEAD.replacen("200 OK", status, 1);
+        let failure = failure_of(&format!("{head}\r\n"));
+        expect_that!(failure, eq(&Failure::Unanswered), "{status:?}");
+        expect_that!(failure.fate(), eq(Fate::Unknown), "{status:?}");
+    }
+}
+
 #[gtest]
 fn answers_that_have_no_body_are_whole() {
     expect_that!(
