upstream: an interim answer with a body is no answer

What callers saw: a runner answered with 100, 103 or 199 and a length or chunks (MIXED; a 1xx where a final answer is due). Their connection ended without an answer, as the task of the exchange panicked. This is a debug assertion of the HTTP library; builds without it read the body as the next head, which fails unless it is one (read, not run).

Cause: the library sets up the body of each head, interim ones too, and takes no further head until it was read. Interim answers have none (RFC 9110, 15.2): one that states a body, or comes from HTTP/1.0, is refused, as 502. A length of 0 states none and is skipped as before.

--- a/crates/daemon/src/upstream/head.rs
+++ b/crates/daemon/src/upstream/head.rs
@@ -11,7 +11,7 @@
     Uri,
     body::BodySize,
     error::{ParseError, PayloadError},
-    h1::{ClientCodec, ClientPayloadCodec, Message},
+    h1::{ClientCodec, ClientPayloadCodec, Message, MessageType},
     header::{self, HeaderMap, HeaderName, HeaderValue},
 };
 use bytes::{Bytes, BytesMut};
@@ -105,7 +105,13 @@
     type Error = ParseError;
 
     fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Self::Item>, Self::Error> {
-        self.0.decode(src)
+        let head = self.0.decode(src)?;
+        // An interim answer has no body; the library reads no head while it expects one.
+        let is_interim = head.as_ref().is_some_and(|it| it.status.is_informational());
+        if is_interim && matches!(self.0.message_type(), MessageType::Payload) {
+            return Err(ParseError::Header);
+        }
+        Ok(head)
     }
 }
 
--- a/crates/daemon/tests/upstream_exchange.rs
+++ b/crates/daemon/tests/upstream_exchange.rs
@@ -411,6 +411,27 @@
     expect_that!(outcome_of(&text), ok(eq(&Bytes::from("whole"))));
 }
 
+/// The task of the exchange panicked, and its caller got no answer.
+#[gtest]
+fn an_interim_answer_with_a_body_is_garbled() {
+    let framings = ["content-length: 4\r\n", "transfer-encoding: chunked\r\n"];
+    for framing in framings {
+        for status in ["100 Continue", "103 Early Hints", "199 Trouble"] {
+            let text = format!(
+                "HTTP/1.1 {status}\r\n{framing}\r\npart{HEAD}content-length: 5\r\n\r\nwhole"
+            );
+            let failure = failure_of(&text);
+            expect_that!(failure, matches_pattern!(Failure::Garbled(_)), "{text}");
+        }
+    }
+    let text = format!("HTTP/1.0 100 Continue\r\n\r\n{HEAD}content-length: 5\r\n\r\nwhole");
+    expect_that!(failure_of(&text), matches_pattern!(Failure::Garbled(_)));
+    let text = format!(
+        "HTTP/1.1 100 Continue\r\ncontent-length: 0\r\n\r\n{HEAD}content-length: 5\r\n\r\nwhole"
+    );
+    expect_that!(outcome_of(&text), ok(eq(&Bytes::from("whole"))));
+}
+
 #[gtest]
 fn too_many_interim_answers_are_garbled() {
     let text = "HTTP/1.1 100 Continue\r\n\r\n".repeat(50);
