--- a/crates/daemon/src/upstream/head.rs
+++ b/crates/daemon/src/upstream/head.rs
@@ -11,7 +11,7 @@
     Uri,
     body::BodySize,
     error::{ParseError, PayloadError},
-    h1::{ClientCodec, ClientPayloadCodec, Message},
+    h1::{ClientCodec, ClientPayloadCodec, Message, MessageType},
     header::{self, HeaderMap, HeaderName, HeaderValue},
 };
 use bytes::{Bytes, BytesMut};
@@ -105,7 +105,13 @@
     type Error = ParseError;
 
     fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Self::Item>, Self::Error> {
-        self.0.decode(src)
+        let head = self.0.decode(src)?;
+        // An interim answer has no body; the library reads no head while it expects one.
+        let is_interim = head.as_ref().is_some_and(|it| it.status.is_informational());
+        if is_interim && matches!(self.0.message_type(), MessageType::Payload) {
+            return Err(ParseError::Header);
+        }
+        Ok(head)
     }
 }
 
@@ -197,14 +203,16 @@
     S: Stream<Item = Result<ResponseHead, ParseError>> + Unpin,
 {
     for _ in 0..=MAX_INTERIM_RESPONSES {
-        match answers.next().await {
-            Some(Ok(head)) if !head.status.is_informational() => return Ok(head),
-            Some(Ok(head)) if head.status == StatusCode::SWITCHING_PROTOCOLS => {
-                return Err(Failure::Garbled("it switches protocols unasked".to_owned()));
-            }
-            Some(Ok(_)) => {}
+        let head = match answers.next().await {
+            Some(Ok(head)) => head,
             Some(Err(ParseError::Io(_))) | None => return Err(Failure::Unanswered),
             Some(Err(error)) => return Err(Failure::Garbled(error.to_string())),
+        };
+        match head.status.as_u16() {
+            200..=599 => return Ok(head),
+            101 => return Err(Failure::Garbled("it switches protocols unasked".to_owned())),
+            100..=199 => {}
+            status => return Err(Failure::Garbled(format!("{status} is no status of HTTP"))),
         }
     }
     Err(Failure::Garbled("too many interim answers".to_owned()))
--- a/crates/daemon/tests/upstream_exchange.rs
+++ b/crates/daemon/tests/upstream_exchange.rs
@@ -411,12 +411,58 @@
     expect_that!(outcome_of(&text), ok(eq(&Bytes::from("whole"))));
 }
 
+/// The task of the exchange panicked, and its caller got no answer.
+#[gtest]
+fn an_interim_answer_with_a_body_is_garbled() {
+    let framings = ["content-length: 4\r\n", "transfer-encoding: chunked\r\n"];
+    for framing in framings {
+        for status in ["100 Continue", "103 Early Hints", "199 Trouble"] {
+            let text = format!(
+                "HTTP/1.1 {status}\r\n{framing}\r\npart{HEAD}content-length: 5\r\n\r\nwhole"
+            );
+            let failure = failure_of(&text);
+            expect_that!(failure, matches_pattern!(Failure::Garbled(_)), "{text}");
+        }
+    }
+    let text = format!("HTTP/1.0 100 Continue\r\n\r\n{HEAD}content-length: 5\r\n\r\nwhole");
+    expect_that!(failure_of(&text), matches_pattern!(Failure::Garbled(_)));
+    let text = format!(
+        "HTTP/1.1 100 Continue\r\ncontent-length: 0\r\n\r\n{HEAD}content-length: 5\r\n\r\nwhole"
+    );
+    expect_that!(outcome_of(&text), ok(eq(&Bytes::from("whole"))));
+}
+
 #[gtest]
 fn too_many_interim_answers_are_garbled() {
     let text = "HTTP/1.1 100 Continue\r\n\r\n".repeat(50);
     expect_that!(failure_of(&text), matches_pattern!(Failure::Garbled(_)));
 }
 
+/// The library takes any three digits from 100 on for a status.
+#[gtest]
+fn an_answer_without_a_final_status_is_garbled() {
+    let statuses = [
+        "000", "001", "099", "101", "600", "700", "999", "1000", "0200", "2000", "20", "+200",
+        "-200", "2x0", "OK", "",
+    ];
+    for status in statuses {
+        let head = HEAD.replacen("200 OK", &format!("{status} Trouble"), 1);
+        let failure = failure_of(&format!("{head}content-length: 5\r\n\r\nwhole"));
+        expect_that!(failure, matches_pattern!(Failure::Garbled(_)), "{status:?}");
+        expect_that!(failure.fate(), eq(Fate::Unknown), "{status:?}");
+    }
+}
+
+#[gtest]
+fn an_answer_whose_final_status_does_not_come_is_unanswered() {
+    for status in ["100 Continue", "103 Early Hints", "199 Trouble"] {
+        let head = HEAD.replacen("200 OK", status, 1);
+        let failure = failure_of(&format!("{head}\r\n"));
+        expect_that!(failure, eq(&Failure::Unanswered), "{status:?}");
+        expect_that!(failure.fate(), eq(Fate::Unknown), "{status:?}");
+    }
+}
+
 #[gtest]
 fn answers_that_have_no_body_are_whole() {
     expect_that!(
