exchange: a stream that may not be resumed begins anew whatever its caller has

What callers would see since: on a route whose streams may not be resumed, a request with Last-Event-Id got 503 (unknown-build). Such a stream is whole from its first event, so it has no build to keep; it begins at any. With the name of the request before it, only a record decides, as elsewhere.

--- a/crates/daemon/src/exchange/run/stream.rs
+++ b/crates/daemon/src/exchange/run/stream.rs
@@ -69,6 +69,8 @@
         let origin = match &self.build {
             Some(build) => Origin::Build(build.clone()),
             None if !self.is_continued() => Origin::New,
+            // Such a stream is whole from its first event.
+            None if !route.is_repeatable() && caller_head.resumes.is_none() => Origin::New,
             // Older arbiters take the only build that they know for one that is unknown.
             None if route.backends.len() > 1 || caller_head.resumes.is_some() => Origin::Recorded,
             None => Origin::Unknown,
