arbiter: one that was cut off asks all daemons again as askers come back

What callers would see: after a cut between instances, a runner gets more than the limit that it named to others meanwhile, and a brittle one more than it bears.

Cause: an arbiter that is cut off runs on, so that no pause shows it that another one stood in. After the cut askers come back to it. Those that hold or await slots tell it what they know, and those that ask later tell before; what only others heard of, which are idle, it took for not so. Class: what is not known here is taken not to exist.

Change: an asker names the lowest epoch whose grants it takes, one beyond the highest that any arbiter has answered it in. If that is beyond the next epoch of the arbiter to which it comes, another arbiter has answered it since, and this one asks all live daemons again before it grants, 120 ms at most and once in 2 s at most. Not covered: its own requests between the end of the cut and the first asker.

--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -288,6 +288,8 @@
     /// Set until the daemons have reported their slots; no grants meanwhile.
     collecting: Option<collect::Collecting>,
     untold: collect::Untold,
+    /// When all daemons were last asked.
+    collected_at: Instant,
     askers: IndexMap<InstanceId, hold::Asker>,
     instances: IndexMap<u32, InstanceId>,
     domains: Arc<IndexMap<InstanceId, DomainId>>,
@@ -348,6 +350,7 @@
             marks: crash::Overlay::default(),
             collecting: Some(collecting),
             untold: collect::Untold::default(),
+            collected_at: now,
             askers: IndexMap::new(),
             instances: IndexMap::new(),
             domains: Arc::default(),
@@ -472,6 +475,7 @@
         effects: &mut Vec<Effect>,
     ) {
         let Asked { least, request, .. } = message;
+        self.collect_beside_others(now, least, effects);
         self.epoch = self.epoch.max(least);
         let Some(asker) = self.register_asker(now, from) else {
             refuse_excess_asker(from, &request, effects);
--- a/crates/policy/src/arbiter/collect.rs
+++ b/crates/policy/src/arbiter/collect.rs
@@ -2,7 +2,8 @@
 //!
 //! A new arbiter asks all daemons. One whose process stood still asks them again: askers
 //! may have gone to another arbiter meanwhile, and what that one granted and was told
-//! (slots, limits of runners, exposures, records of streams) is not known here. Daemons
+//! (slots, limits of runners, exposures, records of streams) is not known here. The same
+//! holds for one that was cut off from the askers, which shows as they come back. Daemons
 //! that have not told within the time for which grants wait are asked until they do.
 
 use std::time::{Duration, Instant};
@@ -10,7 +11,7 @@
 use indexmap::IndexSet;
 
 use super::{Arbiter, Effect, Reply};
-use crate::id::InstanceId;
+use crate::id::{Epoch, InstanceId};
 
 /// Time without any event, ticks included, after which the daemons are asked again.
 /// Askers go on after 200 ms without an answer, and the next arbiter collects first.
@@ -42,9 +43,27 @@
     pub(super) fn collect_after_gap(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         let gap = now.saturating_duration_since(self.last_event);
         self.last_event = now;
-        if gap < MAX_GAP {
-            return;
+        if gap >= MAX_GAP {
+            self.collect_again(now, effects);
+        }
+    }
+
+    /// Does the same if an asker that comes takes grants from a later epoch only than the
+    /// next one, as another arbiter has answered it in that one.
+    pub(super) fn collect_beside_others(
+        &mut self,
+        now: Instant,
+        least: Epoch,
+        effects: &mut Vec<Effect>,
+    ) {
+        let is_early = now.saturating_duration_since(self.collected_at) < self.settings.lease;
+        if least > self.epoch + 1 && self.collecting.is_none() && !is_early {
+            self.collect_again(now, effects);
         }
+    }
+
+    fn collect_again(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        self.collected_at = now;
         let missing = self.searches.live().clone();
         let list_until = self.collecting.as_ref().map_or(now, |it| it.list_until);
         let asked = missing.iter().cloned();
--- a/crates/policy/tests/unheard.rs
+++ b/crates/policy/tests/unheard.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use citron_policy::{
-    arbiter::{Arbiter, Ask, End},
+    arbiter::{self, Arbiter, Ask, End},
     requester::{self, Requester},
 };
 use googletest::prelude::*;
@@ -196,3 +196,36 @@
         expect_that!(granted(&daemons.take_outcomes()), eq(1), "{pause} ms");
     });
 }
+
+/// It ran all the while, so that nothing shows it by itself that another one stood in.
+#[gtest]
+fn an_arbiter_that_was_cut_off_learns_a_limit_that_an_idle_daemon_heard_of() {
+    let mut daemons = daemons();
+    daemons.acquire(3, ask(1, "c0", "a"));
+    daemons.deliver_all();
+    daemons.release(3, 1, done());
+    daemons.deliver_all();
+    let (requester, mut arbiter) = set_aside(&mut daemons);
+    let mut tick = |daemons: &Daemons| {
+        let cut_off = arbiter.as_mut().expect("an arbiter");
+        drop(cut_off.on_event(daemons.now, arbiter::Event::Tick));
+    };
+    daemons.acquire(3, ask(2, "c0", "a"));
+    daemons.run(Duration::from_millis(300));
+    daemons.release(3, 2, done());
+    daemons.take_outcomes();
+    tick(&daemons);
+    hear_limit(&mut daemons, 2);
+    for _ in 0..60 {
+        tick(&daemons);
+        daemons.run(Duration::from_millis(50));
+    }
+    tick(&daemons);
+    daemons.take_outcomes();
+    bring_back(&mut daemons, (requester, arbiter));
+    daemons.arbiters.swap_remove(&1);
+    daemons.announce_live();
+    daemons.run(Duration::from_millis(500));
+    let grants = grants_to(&mut daemons, 3, Duration::from_millis(300));
+    expect_that!(grants, le(1));
+}
