--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -286,6 +286,8 @@
     /// Set until the daemons have reported their slots; no grants meanwhile.
     collecting: Option<collect::Collecting>,
     untold: collect::Untold,
+    /// When all daemons were last asked.
+    collected_at: Instant,
     askers: IndexMap<InstanceId, hold::Asker>,
     instances: IndexMap<u32, InstanceId>,
     domains: Arc<IndexMap<InstanceId, DomainId>>,
@@ -346,6 +348,7 @@
             marks: crash::Overlay::default(),
             collecting: Some(collecting),
             untold: collect::Untold::default(),
+            collected_at: now,
             askers: IndexMap::new(),
             instances: IndexMap::new(),
             domains: Arc::default(),
@@ -474,6 +477,7 @@
             self.searches.on_found(from, *search);
             return;
         }
+        self.collect_beside_others(now, least, effects);
         self.epoch = self.epoch.max(least);
         let Some(asker) = self.register_asker(now, from) else {
             refuse_excess_asker(from, &request, effects);
