control: a daemon started without a usable disk takes part once it has one

What callers see: a daemon behind an adapter that is started while its disk has no room for more than 6 s runs on without its replica until it is restarted. Two of three, or the only one, and changes are refused for good, while all processes run.

Cause: the wait at the start ended for good.

Change: the daemon tells the identity of its folder, which is read without a write, and its replica begins suspended: it opens the folder each 500 ms, as after a full disk. A folder that was never used has no identity, and the daemon does without as before.

--- a/crates/daemon/src/control/driver.rs
+++ b/crates/daemon/src/control/driver.rs
@@ -147,7 +147,7 @@
     pub(super) fn new(
         settings: Settings,
         node: Node,
-        store: Store<F>,
+        store: Option<Store<F>>,
         machine: Machine,
         channels: Channels,
     ) -> Self {
@@ -156,7 +156,7 @@
             snapshot_index: machine.index(),
             feeder: Feeder::new(channels.feed, channels.metrics.clone()),
             node,
-            store: Some(store),
+            store,
             machine,
             inputs: channels.inputs,
             outgoing: channels.outgoing,
@@ -188,6 +188,11 @@
         }
     }
 
+    /// Whether it takes no part, as its data folder is not open.
+    pub(super) fn is_suspended(&self) -> bool {
+        self.store.is_none()
+    }
+
     /// Stops taking part: from now on it writes, votes and acknowledges nothing.
     pub(super) fn suspend(&mut self) {
         self.store = None;
--- a/crates/daemon/src/control/replica.rs
+++ b/crates/daemon/src/control/replica.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use citron_journal::{Disk, Error as JournalError, Files};
+use citron_journal::{Disk, Files, Journal};
 use citron_policy::{
     feed,
     id::ReplicaId,
@@ -31,13 +31,23 @@
 /// Gives access to the data folder, each time that it is opened.
 pub type Source<F> = Arc<dyn Fn() -> io::Result<F> + Send + Sync>;
 
-/// A replica whose data folder is open, not yet taking part.
+/// A replica that does not take part yet.
 pub struct Replica<F = Disk>
 where
     F: Files,
 {
     settings: Settings,
     source: Source<F>,
+    id: ReplicaId,
+    /// None while the folder cannot be opened.
+    opened: Option<Opened<F>>,
+}
+
+/// An open data folder, and what it holds.
+struct Opened<F>
+where
+    F: Files,
+{
     store: Store<F>,
     stored: Stored,
     machine: Machine,
@@ -49,7 +59,7 @@
 {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Replica")
-            .field("id", &self.stored.id)
+            .field("id", &self.id)
             .finish_non_exhaustive()
     }
 }
@@ -60,11 +70,24 @@
     /// # Errors
     /// When the folder is damaged or cannot be written; the text names the remedy.
     pub fn open(settings: &Settings) -> Result<Self, Error> {
-        let folder = settings.folder.clone();
-        Self::open_from(settings, Arc::new(move || Disk::new(&folder)))
+        Self::open_from(settings, source(settings))
+    }
+
+    /// Stands for a data folder that cannot be opened yet; none if it was never used.
+    ///
+    /// # Errors
+    /// When the folder cannot be read.
+    pub fn wait(settings: &Settings) -> Result<Option<Self>, Error> {
+        Self::wait_for(settings, source(settings))
     }
 }
 
+/// The data folder that the settings name.
+fn source(settings: &Settings) -> Source<Disk> {
+    let folder = settings.folder.clone();
+    Arc::new(move || Disk::new(&folder))
+}
+
 impl<F> Replica<F>
 where
     F: Files + Send + 'static,
@@ -74,26 +97,38 @@
     /// # Errors
     /// As for [`Replica::open`].
     pub fn open_from(settings: &Settings, source: Source<F>) -> Result<Self, Error> {
-        let files = source().map_err(|error| Error::Refused {
-            reason: format!(
-                "data folder {}: {error}: check that it exists and is writable",
-                settings.folder.display()
-            ),
-        })?;
-        let (store, stored, machine) = Store::open(files, settings.limits)?;
+        let opened = open(settings, &source)?;
         Ok(Self {
             settings: settings.clone(),
             source,
-            store,
-            stored,
-            machine,
+            id: opened.stored.id,
+            opened: Some(opened),
         })
     }
 
+    /// Stands for a data folder that cannot be opened yet; none if it was never used.
+    ///
+    /// Once it takes part, the replica tries to open the folder until that succeeds.
+    ///
+    /// # Errors
+    /// As for [`Replica::wait`].
+    pub fn wait_for(settings: &Settings, source: Source<F>) -> Result<Option<Self>, Error> {
+        let mut files = access(settings, &source)?;
+        let id = Journal::identity(&mut files).map_err(|error| Error::Refused {
+            reason: error.to_string(),
+        })?;
+        Ok(id.map(|id| Self {
+            settings: settings.clone(),
+            source,
+            id,
+            opened: None,
+        }))
+    }
+
     /// Random identity of the data folder.
     #[must_use]
     pub fn id(&self) -> ReplicaId {
-        self.stored.id
+        self.id
     }
 
     /// Takes part, on its own thread, until the mailbox and its clones are dropped.
@@ -105,14 +140,18 @@
         failure_sender: oneshot::Sender<String>,
     ) -> Mailbox {
         let (sender, inputs) = sync_channel(INPUT_QUEUE);
-        let mailbox = Mailbox::new(self.id(), sender, metrics.clone());
-        let mut rng = rand::rng();
-        let node = Node::new(
-            clock::now(),
-            self.settings.raft.clone(),
-            self.stored,
-            &mut rng,
-        );
+        let mailbox = Mailbox::new(self.id, sender, metrics.clone());
+        let (store, stored, machine) = if let Some(it) = self.opened {
+            (Some(it.store), it.stored, it.machine)
+        } else {
+            let stored = Stored {
+                id: self.id,
+                ..Stored::default()
+            };
+            (None, stored, Machine::new(self.settings.limits))
+        };
+        let raft = self.settings.raft.clone();
+        let node = Node::new(clock::now(), raft, stored, &mut rand::rng());
         let channels = Channels {
             inputs,
             outgoing,
@@ -120,7 +159,7 @@
             metrics,
         };
         let (settings, source) = (self.settings.clone(), self.source);
-        let driver = Driver::new(self.settings, node, self.store, self.machine, channels);
+        let driver = Driver::new(self.settings, node, store, machine, channels);
         let failure_sender = FailureSender(Some(failure_sender));
         let spawned = thread::Builder::new()
             .name("control".to_owned())
@@ -134,14 +173,39 @@
     }
 }
 
+fn open<F>(settings: &Settings, source: &Source<F>) -> Result<Opened<F>, Error>
+where
+    F: Files,
+{
+    let files = access(settings, source)?;
+    let (store, stored, machine) = Store::open(files, settings.limits)?;
+    Ok(Opened {
+        store,
+        stored,
+        machine,
+    })
+}
+
+fn access<F>(settings: &Settings, source: &Source<F>) -> Result<F, Error> {
+    source().map_err(|error| Error::Refused {
+        reason: format!(
+            "data folder {}: {error}: check that it exists and is writable",
+            settings.folder.display()
+        ),
+    })
+}
+
 fn serve<F>(
     settings: &Settings,
     source: &Source<F>,
     mut driver: Driver<F>,
     mut failure_sender: FailureSender,
 ) where
-    F: Files + Send + 'static,
+    F: Files,
 {
+    if driver.is_suspended() && !reopen(settings, source, &mut driver) {
+        return;
+    }
     while let Err(error) = driver.run() {
         if !settings.outlive_disk {
             failure_sender.report(error.to_string());
@@ -149,33 +213,29 @@
         }
         log::error!(event = "CP0413"; "control replica suspended: {error}");
         driver.suspend();
-        if !wait_for_disk(settings, source, &mut driver, &error) {
+        // After any other failure the content of the disk is in doubt, so the replica
+        // stays suspended until the process is restarted.
+        while !error.is_full() {
+            if !driver.refuse_inputs(REOPEN_INTERVAL) {
+                return;
+            }
+        }
+        if !reopen(settings, source, &mut driver) {
             return;
         }
-        log::info!(event = "CP0414"; "control replica resumed");
     }
 }
 
-/// Reopens the data folder once a full disk has space again; false at shutdown.
-///
-/// After any other failure the content of the disk is in doubt, so the replica
-/// stays suspended until the process is restarted.
-fn wait_for_disk<F>(
-    settings: &Settings,
-    source: &Source<F>,
-    driver: &mut Driver<F>,
-    error: &JournalError,
-) -> bool
+/// Opens the data folder once that is possible, and takes part; false at shutdown.
+fn reopen<F>(settings: &Settings, source: &Source<F>, driver: &mut Driver<F>) -> bool
 where
-    F: Files + Send + 'static,
+    F: Files,
 {
     while driver.refuse_inputs(REOPEN_INTERVAL) {
-        if !error.is_full() {
-            continue;
-        }
-        match Replica::open_from(settings, Arc::clone(source)) {
-            Ok(replica) => {
-                driver.resume(replica.store, replica.stored, replica.machine);
+        match open(settings, source) {
+            Ok(it) => {
+                driver.resume(it.store, it.stored, it.machine);
+                log::info!(event = "CP0414"; "control replica resumed");
                 return true;
             }
             Err(error) => log::debug!(event = "CP0413"; "data folder not opened yet: {error}"),
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -177,7 +177,7 @@
 /// Opens the data folder, if one is configured.
 ///
 /// A daemon that can run without its disk retries until [`DISK_TIMEOUT`] and then
-/// starts without a control replica.
+/// starts; its control replica takes part once the folder can be opened.
 async fn open_replica(
     settings: &Settings,
     outlive_disk: bool,
@@ -201,7 +201,8 @@
             Err(error) if !outlive_disk => return Err(error),
             Err(error) if Instant::now() >= end => {
                 log::error!(event = "CP0413"; "started without a control replica: {error}");
-                return Ok(None);
+                // An unused folder has no identity yet that others could be told.
+                return Ok(Replica::wait(&settings).unwrap_or_default());
             }
             Err(_) => actix_rt::time::sleep(DISK_RETRY_INTERVAL).await,
         }
--- a/crates/daemon/tests/full_disk/cluster.rs
+++ b/crates/daemon/tests/full_disk/cluster.rs
@@ -258,14 +258,20 @@
         self.daemons[number].room.clone()
     }
 
-    /// Ends a daemon's replica and starts it again on the same folder.
-    pub async fn restart(&mut self, number: usize) {
+    /// Ends a daemon's replica.
+    fn stop(&mut self, number: usize) {
         let daemon = &mut self.daemons[number];
         *daemon.router.0.borrow_mut() = None;
         *daemon.started.borrow_mut() = None;
         // Ends the tasks that hold the old replica's mailbox.
         let members = daemon.members.borrow().clone();
         daemon.members = watch::channel(members).0;
+    }
+
+    /// Ends a daemon's replica and starts it again on the same folder, once that opens.
+    pub async fn restart(&mut self, number: usize) {
+        self.stop(number);
+        let daemon = &self.daemons[number];
         let source = Daemon::source(&daemon.settings, &daemon.room);
         let end = Instant::now() + Duration::from_secs(5);
         loop {
@@ -280,6 +286,15 @@
         }
     }
 
+    /// Ends a daemon's replica and starts it again though its folder does not open yet.
+    pub fn restart_without(&mut self, number: usize) {
+        self.stop(number);
+        let daemon = &self.daemons[number];
+        let source = Daemon::source(&daemon.settings, &daemon.room);
+        let replica = Replica::wait_for(&daemon.settings, source);
+        daemon.start(replica.expect("its identity").expect("a folder in use"));
+    }
+
     async fn statuses(&self) -> Vec<Status> {
         let mut all = Vec::new();
         for daemon in &self.daemons {
--- a/crates/daemon/tests/full_disks.rs
+++ b/crates/daemon/tests/full_disks.rs
@@ -256,3 +256,20 @@
         .collect();
     expect_that!(wrong, eq(""));
 }
+
+/// The disk is full for longer than a start waits for it.
+#[gtest]
+fn a_daemon_started_on_a_full_disk_takes_part_once_there_is_room() {
+    actix_rt::System::new().block_on(async {
+        let mut cluster = Cluster::form(Plan::default()).await;
+        for number in 0..3 {
+            let disk = cluster.disk(number);
+            disk.fill(Step::Append, FULL_TIME * 2);
+            assert!(cluster.change_until(|| disk.has_begun()).await);
+            cluster.restart_without(number);
+            cluster.change_until(|| disk.has_room()).await;
+            expect_that!(cluster.change(ANSWER_BOUND).await, ok(anything()));
+            expect_that!(cluster.settled(ANSWER_BOUND).await, ok(anything()));
+        }
+    });
+}
--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -120,6 +120,14 @@
         recover::open(settings, files, new_id)
     }
 
+    /// Identity of a folder, read without writing to it; none if it has none yet.
+    ///
+    /// # Errors
+    /// The disk fails, or the identity is damaged.
+    pub fn identity(files: &mut F) -> Result<Option<ReplicaId>, Error> {
+        recover::identity(files)
+    }
+
     /// Identity of the folder.
     #[must_use]
     pub fn id(&self) -> ReplicaId {
--- a/crates/journal/src/recover.rs
+++ b/crates/journal/src/recover.rs
@@ -54,6 +54,24 @@
     Ok((journal, recovered))
 }
 
+/// Reads the identity of a folder; see [`Journal::identity`].
+pub(crate) fn identity<F>(files: &mut F) -> Result<Option<ReplicaId>, Error>
+where
+    F: Files,
+{
+    let failed = |step, file: &str| {
+        let file = file.to_owned();
+        move |source| Error::Io { step, file, source }
+    };
+    let names = files.list().map_err(failed("list", "the folder"))?;
+    if !names.iter().any(|name| name == identity::NAME) {
+        return Ok(None);
+    }
+    let bytes = files.read(identity::NAME);
+    let bytes = bytes.map_err(failed("read", identity::NAME))?;
+    identity::decode(&bytes).map(Some)
+}
+
 /// Files of a folder by kind.
 #[derive(Debug, Default)]
 struct Inventory {
