upstream: the rest of a request is written while its answer is read

What callers saw: a runner that begins to answer before it has read a long request, and reads on, never got the rest. Both sides waited: 504 at the deadline on plain routes, streams cut after their first events. No part looked complete, nor did other bytes come to the runner.

Cause: the head of the answer ended the write of the request. Class: the first half of a thing is taken for all of it. The socket keeps the rest now and writes it with each read of the answer. A failed write no longer ends the exchange, as a whole answer may have arrived before. The system reports a reset once: if the write has taken the report, the next read finds an orderly end, so the socket remembers it and lets that read fail. The body of a request is no longer copied.

Evidence: a_runner_that_answers_early_gets_the_rest_of_the_request failed before (uploads of 4 MB, with a length and chunked; three framings; 504, or a stream that was cut, on all four routes) and passes. The other tests of early_answers.rs (parts with a length or chunks; whole 413 and 500 from runners that close or reset unread) passed before and pass.

--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -1,7 +1,7 @@
 //! HTTP client for runners that detects truncated responses and unsent requests.
 //!
-//! The response is awaited while the request is still being written, since a runner
-//! may respond before it has read a long body.
+//! The response is read while the request is still being written, since a runner may
+//! respond before it has read a long body, and read on later.
 //!
 //! Each exchange uses a new connection, so nothing is written to a connection that
 //! the peer may have closed, and a late response cannot be taken for that of another
--- a/crates/daemon/src/upstream/head.rs
+++ b/crates/daemon/src/upstream/head.rs
@@ -7,15 +7,14 @@
 
 use actix_codec::{Decoder, Encoder, Framed};
 use actix_http::{
-    ConnectionType, Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode,
-    Uri,
+    ConnectionType, Method, RequestHead, ResponseHead, ServiceConfig, StatusCode, Uri,
     body::BodySize,
     error::{ParseError, PayloadError},
     h1::{ClientCodec, ClientPayloadCodec, Message, MessageType},
     header::{self, HeaderMap, HeaderName, HeaderValue},
 };
 use bytes::{Bytes, BytesMut};
-use futures_util::{Sink, SinkExt, Stream, StreamExt};
+use futures_util::{Stream, StreamExt};
 use tokio::time::Instant;
 
 use super::{Body, Failure, Limits, Request, Response, Socket};
@@ -115,18 +114,6 @@
     }
 }
 
-impl Encoder<Message<(RequestHeadType, BodySize)>> for Codec {
-    type Error = std::io::Error;
-
-    fn encode(
-        &mut self,
-        item: Message<(RequestHeadType, BodySize)>,
-        dst: &mut BytesMut,
-    ) -> Result<(), Self::Error> {
-        self.0.encode(item, dst)
-    }
-}
-
 /// The head of a request, with its id and `Host` header.
 pub(super) fn request(target: SocketAddr, request: &Request) -> Result<RequestHead, Failure> {
     let uri: Uri = request
@@ -158,43 +145,28 @@
     head: RequestHead,
     body: Bytes,
 ) -> Result<ResponseHead, Failure> {
-    let cause = {
-        let (sink, stream) = (&mut *framed).split();
-        let (send, receive) = (send(sink, head, body), receive(stream));
-        tokio::pin!(send, receive);
-        tokio::select! {
-            // A closed connection may be seen by the read before the write fails.
-            answer = &mut receive => match answer {
-                Err(Failure::Unanswered) => "the runner closed the connection".to_owned(),
-                answer => return answer,
-            },
-            outcome = &mut send => match outcome {
-                Ok(()) => return receive.await,
-                Err(error) => error.to_string(),
-            },
-        }
-    };
-    log::debug!("CP0601 request not written: {cause}");
-    if framed.io_ref().wrote() {
-        Err(Failure::PartlyWritten)
-    } else {
-        Err(Failure::Unwritten)
-    }
-}
-
-async fn send<S>(mut sink: S, head: RequestHead, body: Bytes) -> io::Result<()>
-where
-    S: Sink<Message<(RequestHeadType, BodySize)>, Error = io::Error> + Unpin,
-{
     let size = match (body.len(), &head.method) {
         (0, &Method::GET | &Method::HEAD) => BodySize::None,
         (length, _) => BodySize::Sized(length as u64),
     };
-    sink.feed(Message::Item((head.into(), size))).await?;
-    if !body.is_empty() {
-        sink.feed(Message::Chunk(Some(body))).await?;
+    let mut written = BytesMut::new();
+    let message = Message::Item((head.into(), size));
+    if let Err(error) = framed.codec_mut().0.encode(message, &mut written) {
+        log::debug!("CP0601 request not written: {error}");
+        return Err(Failure::Unwritten);
+    }
+    framed.io_mut().send(written.freeze(), body);
+    let answer = receive(&mut *framed).await;
+    let socket = framed.io_ref();
+    if !matches!(answer, Err(Failure::Unanswered)) || socket.wrote_all() {
+        return answer;
+    }
+    log::debug!("CP0601 request not written: {:?}", socket.broken());
+    if socket.wrote() {
+        Err(Failure::PartlyWritten)
+    } else {
+        Err(Failure::Unwritten)
     }
-    sink.flush().await
 }
 
 /// Waits for the final response head; skips interim responses.
