upstream: an answer without a length ends only if the request is taken

The caller got the part as a complete answer, on plain routes and streams. A reset or a plain close in place of the half-close was a cut before, too.

Cause: the end of the runner's sending side was the end of such an answer, whatever became of the request. Class: the end is the absence of more. At that end the rest of the request is written now, for up to 0.5 s; if the runner does not take it, or has reset the connection, the answer is cut. The system may hold 32 KiB beyond the runner's window (TCP_NOTSENT_LOWAT), and not megabytes, so that a request that is not taken shows. An answer that ends early is whole if its runner reads on.

Evidence: a_part_without_a_length_in_answer_to_a_long_request failed before (16 of 32 cases: both half-closes, on four routes, after 0 and 200 kB of the upload) and passes; with the wait alone, without the option, the 8 cases after 200 kB still failed. All 6 tests of early_answers.rs pass, one run; daemon tests answers, early_ends, upstream_exchange, upstream_model and upstream_standin pass. The other platform tests were not run again on this commit.

--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -25,6 +25,7 @@
 };
 use actix_rt::net::TcpStream;
 use bytes::Bytes;
+use socket2::SockRef;
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::socket::Patience;
@@ -37,6 +38,9 @@
 };
 use self::{head::Codec, socket::Socket};
 
+/// Most bytes that the system takes of a request beyond what the runner has room for.
+const MAX_UNSENT_BYTES: u32 = 32 << 10;
+
 /// Header with the request id, which the response must repeat.
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 
@@ -194,10 +198,11 @@
         Err(_) => return Err(Failure::Unreachable),
     };
     // With Nagle's algorithm small writes wait for acknowledgements. An error here only
-    // costs time.
+    // costs time, or hides that a runner takes no more of a request.
     if let Err(error) = stream
         .set_nodelay(true)
         .and_then(|()| Patience::RUNNER.apply(&stream))
+        .and_then(|()| SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES))
     {
         log::debug!("CP0601 cannot set socket options for {target}: {error}");
     }
--- a/crates/daemon/src/upstream/body.rs
+++ b/crates/daemon/src/upstream/body.rs
@@ -22,6 +22,9 @@
 /// Most chunks read in one turn of the thread.
 const MAX_TURN_CHUNKS: u32 = 32;
 
+/// Longest wait for a runner that has ended its answer to take the rest of the request.
+const REST_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Longest wait for a runner to accept or refuse a connection.
 const GONE_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -204,7 +207,11 @@
     match framed.next().await {
         Some(Ok(chunk)) => Ok(Some(chunk.freeze())),
         Some(Err(_)) => Err(Failure::Cut),
-        None => Ok(None),
+        // One that has failed ends its sending side in order, and may reset the rest.
+        None => match timeout(REST_TIMEOUT, framed.io_mut().write_rest()).await {
+            Ok(Ok(())) => Ok(None),
+            Ok(Err(_)) | Err(_) => Err(Failure::Cut),
+        },
     }
 }
 
--- a/crates/daemon/src/upstream/socket.rs
+++ b/crates/daemon/src/upstream/socket.rs
@@ -6,6 +6,7 @@
 
 use std::{
     fmt,
+    future::poll_fn,
     io::{self, ErrorKind, IoSlice},
     pin::Pin,
     task::{Context, Poll, ready},
@@ -69,6 +70,21 @@
         self.broken
     }
 
+    /// Writes the rest of the request.
+    ///
+    /// # Errors
+    /// If it cannot be written, or the connection was reset since.
+    pub(super) async fn write_rest(&mut self) -> io::Result<()> {
+        poll_fn(|cx| self.poll_rest(cx)).await;
+        if let Some(kind) = self.broken {
+            return Err(kind.into());
+        }
+        match self.stream.take_error()? {
+            Some(error) => Err(error),
+            None => Ok(()),
+        }
+    }
+
     /// Ready once nothing more can be written.
     fn poll_rest(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         while self.rest.has_remaining() && self.broken.is_none() {
