A service without slots refuses its requests

Callers: after a configuration that gives an engine no slots, machines answered no request to any service, not even at the route's timeout, and stayed so after the figure was set right. They said that they were ready.

Cause: a runner's concurrency limit was clamped between one and the number of slots, and clamp panics if that is zero. The catalogue's own check asks for one slot at least, but a configuration of the platform is not checked by it, and must not be: no slots are no reason to refuse it. The panic ended the task that handles slots of all services; that it can is a fault of its own.

Fix: a runner without slots is unusable. It is neither granted nor probed, what waits is refused at once as not run with a time to come back, what runs goes on, and a new arbiter does not wait for a list that cannot help. That is the state that an arbiter without a usable runner is in anyway, so nothing else had to change.

--- a/crates/policy/src/arbiter.rs
+++ b/crates/policy/src/arbiter.rs
@@ -615,6 +615,12 @@
         self.catalogue.services.get(&self.service)
     }
 
+    /// Whether the service has slots, as far as known; without any it is out of use.
+    fn has_slots(&self) -> bool {
+        self.declared_service()
+            .is_none_or(|it| it.max_running_per_runner > 0)
+    }
+
     fn instance_of(&self, asker: u32) -> InstanceId {
         self.instances.get(&asker).cloned().unwrap_or_default()
     }
--- a/crates/policy/src/arbiter/collect.rs
+++ b/crates/policy/src/arbiter/collect.rs
@@ -84,7 +84,8 @@
         let awaits_list = self
             .collecting
             .as_ref()
-            .is_some_and(|it| now < it.list_until && self.pool.is_unusable());
+            .is_some_and(|it| now < it.list_until && self.pool.is_unusable())
+            && self.has_slots();
         if ended
             && !awaits_list
             && let Some(collecting) = self.collecting.take()
--- a/crates/policy/src/arbiter/runner.rs
+++ b/crates/policy/src/arbiter/runner.rs
@@ -263,14 +263,14 @@
         self.slots = slots;
     }
 
-    /// Concurrency limit.
+    /// Concurrency limit; zero without slots.
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
-        reason = "between one and the catalogue's maximum"
+        reason = "a float is cut to the integer's range"
     )]
     pub(super) fn limit(&self) -> u32 {
-        let limit = (self.limit as u32).clamp(1, self.max);
+        let limit = (self.limit as u32).max(1).min(self.max);
         if self.slots == 0 {
             limit
         } else {
@@ -287,7 +287,12 @@
     }
 
     pub(super) fn is_usable(&self) -> bool {
-        !self.leaving && self.health == Health::Healthy
+        self.has_slots() && !self.leaving && self.health == Health::Healthy
+    }
+
+    /// Whether its service is in use: one without slots takes no requests.
+    fn has_slots(&self) -> bool {
+        self.max > 0
     }
 
     /// Whether it gets requests as soon as it has a free slot.
@@ -353,12 +358,17 @@
     /// Whether nothing but the time of its probe keeps it from one.
     pub(super) fn may_be_probed(&self, now: Instant) -> bool {
         let idle = matches!(self.health, Health::Excluded { probing: false, .. });
-        idle && !self.leaving && !self.reserved && self.held == 0 && !self.is_held_back(now)
+        idle && self.has_slots()
+            && !self.leaving
+            && !self.reserved
+            && self.held == 0
+            && !self.is_held_back(now)
     }
 
     /// When it may be probed, if it is excluded; `outage`: no runner is usable.
     pub(super) fn probe_at(&self, outage: bool) -> Option<Instant> {
         match self.health {
+            _ if !self.has_slots() => None,
             Health::Excluded {
                 since, probe_at, ..
             } if outage => Some(probe_at.min(since + MAX_OUTAGE_PROBE_DELAY)),
--- a/crates/policy/src/catalogue.rs
+++ b/crates/policy/src/catalogue.rs
@@ -132,7 +132,8 @@
     /// Calls that must run at most once.
     #[serde(default)]
     pub once: Vec<Call>,
-    /// Maximum number of concurrent requests on one runner.
+    /// Maximum number of concurrent requests on one runner. Zero, which an adapter's
+    /// declaration may hold, takes the service out of use.
     pub max_running_per_runner: u32,
     /// Retry budget, in percent of requests.
     #[serde(default = "default_retry_percent")]
