A panic at one service leaves the others alone

No request to any service was answered from then on, while the instance said that it was ready.

All requesters and arbiters of a daemon are driven by one loop, which marks itself as running. A panic left that mark set, so that every later event was queued for a loop that had ended; if it came in the task of the slots, that ended too, and with it the timers which refuse what waits too long. A request then waits for a message that nobody sends, without a bound of its own.

Fix: a panic ends the requester or the arbiter that it came from. That is the loss of a part of one service with its daemon, which the other daemons and the next arbiter handle already. It is logged as CP0317 and counted. The arbiters of scaled services start in the same loop now instead of the task of the duties.

Ruled out: to end the process. A configuration that makes a decision panic is stored, so that all instances would restart again and again.

--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -151,6 +151,7 @@
 /// A request that is waiting for its slot.
 struct Waiter {
     request: RequestId,
+    service: ServiceId,
     class: ClassId,
     sender: oneshot::Sender<Result<Grant, Refusal>>,
 }
@@ -267,6 +268,7 @@
         let (sender, receiver) = oneshot::channel();
         let waiter = Waiter {
             request: demand.request,
+            service: demand.service.clone(),
             class: demand.class.clone(),
             sender,
         };
--- a/crates/daemon/src/slots/host.rs
+++ b/crates/daemon/src/slots/host.rs
@@ -2,9 +2,14 @@
 //!
 //! Messages to this daemon itself are queued and processed without the network;
 //! those to others are batched into one message per receiver and shard.
+//!
+//! A panic costs the requester or arbiter that it came from, as if that were lost with its
+//! daemon, and nothing of another service.
 
 use std::{
+    any::Any,
     collections::VecDeque,
+    panic::{self, AssertUnwindSafe},
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -23,6 +28,7 @@
     requester::{self, Requester},
 };
 use citron_wire::{Body, slot as form};
+use derive_more::Display;
 use indexmap::{IndexMap, IndexSet};
 
 use super::{Grant, Inner, Waiter, metrics, progress};
@@ -49,11 +55,25 @@
 /// Number of ranks that may host an arbiter if those before do not respond.
 const MAX_CANDIDATES: usize = 3;
 
+/// Retry delay for requests whose requester was lost: the next one knows nothing yet.
+const LOST_RETRY_AFTER: Duration = Duration::from_millis(250);
+
 /// An event for a requester or a hosted arbiter.
 #[derive(Debug)]
 pub(super) enum Work {
     Requester(ServiceId, requester::Event),
     Arbiter(ServiceId, arbiter::Event),
+    /// Starts an arbiter here, unless it is hosted here already.
+    Host(ServiceId),
+}
+
+/// What holds the state of a service here.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+enum Part {
+    #[display("requester")]
+    Requester,
+    #[display("arbiter")]
+    Arbiter,
 }
 
 impl Work {
@@ -154,11 +174,22 @@
         loop {
             let work = self.host.borrow_mut().queue.pop_front();
             match work {
-                Some(Work::Requester(service, event)) => self.on_requester(now, &service, event),
+                Some(Work::Requester(service, event)) => {
+                    self.contain(&service, Part::Requester, || {
+                        self.on_requester(now, &service, event);
+                    });
+                }
                 Some(Work::Arbiter(service, event)) => {
                     events += 1;
-                    self.on_arbiter(now, &service, event);
+                    self.contain(&service, Part::Arbiter, || {
+                        self.on_arbiter(now, &service, event);
+                    });
                 }
+                Some(Work::Host(service)) => self.contain(&service, Part::Arbiter, || {
+                    if !self.host.borrow().arbiters.contains_key(&service) {
+                        self.start_arbiter(now, &service, false);
+                    }
+                }),
                 None => break,
             }
         }
@@ -170,6 +201,51 @@
         self.send_all();
     }
 
+    /// Does work for a service; a panic ends the part of the service that it is for.
+    fn contain<F>(&self, service: &ServiceId, part: Part, work: F)
+    where
+        F: FnOnce(),
+    {
+        // What the panic leaves half changed is dropped.
+        if let Err(cause) = panic::catch_unwind(AssertUnwindSafe(work)) {
+            self.on_panic(service, part, cause.as_ref());
+        }
+    }
+
+    fn on_panic(&self, service: &ServiceId, part: Part, cause: &(dyn Any + Send)) {
+        self.metrics.panics.inc();
+        log::error!(
+            event = "CP0317", service = service.as_str(), part:% = part, cause = text_of(cause);
+            "state of a service is dropped after a panic"
+        );
+        match part {
+            Part::Arbiter => {
+                let count = {
+                    let mut host = self.host.borrow_mut();
+                    host.arbiters.swap_remove(service);
+                    host.arbiters.len()
+                };
+                self.metrics.set_arbiters(count);
+                self.metrics.on_retired(service, &arbiter::Stats::default());
+            }
+            Part::Requester => {
+                self.host.borrow_mut().requesters.swap_remove(service);
+                let is_lost = |_: &Ticket, it: &mut Waiter| it.service == *service;
+                let lost: Vec<_> = {
+                    let mut waiting = self.waiting.borrow_mut();
+                    waiting.extract_if(.., is_lost).collect()
+                };
+                for (_, waiter) in lost {
+                    // Without a grant, the request was not sent.
+                    let refusal = arbiter::Refusal::Unreachable {
+                        retry_after: LOST_RETRY_AFTER,
+                    };
+                    drop(waiter.sender.send(Err(refusal)));
+                }
+            }
+        }
+    }
+
     /// Keeps the gauges of the hosted arbiters up to date; never returns.
     pub(super) async fn export_stats(&self) {
         loop {
@@ -389,12 +465,9 @@
     /// runners are known before the first request comes.
     fn host_scaled(&self, catalogue: &Catalogue) {
         let services = catalogue.services.values();
-        for service in services.filter(|it| it.scaling.is_some()) {
-            let is_hosted = self.host.borrow().arbiters.contains_key(&service.name);
-            if !is_hosted && self.ranks(&service.name).first() == Some(self.hub.me()) {
-                self.start_arbiter(Instant::now(), &service.name, false);
-            }
-        }
+        let scaled = services.filter(|it| it.scaling.is_some());
+        let own = scaled.filter(|it| self.ranks(&it.name).first() == Some(self.hub.me()));
+        self.drive(own.map(|it| Work::Host(it.name.clone())).collect());
     }
 
     fn start_arbiter(&self, now: Instant, service: &ServiceId, fallback: bool) {
@@ -824,6 +897,13 @@
     }
 }
 
+/// Message of a panic.
+fn text_of(cause: &(dyn Any + Send)) -> &str {
+    let text = cause.downcast_ref::<String>().map(String::as_str);
+    text.or_else(|| cause.downcast_ref::<&str>().copied())
+        .unwrap_or("unknown")
+}
+
 fn service_key(service: &ServiceId) -> Key {
     Key {
         kind: Kind::Service,
--- a/crates/daemon/src/slots/metrics.rs
+++ b/crates/daemon/src/slots/metrics.rs
@@ -93,6 +93,8 @@
     pub(super) lost_askers: Counter,
     /// Malformed messages from other daemons.
     pub(super) malformed: Counter,
+    /// Requesters and arbiters that were dropped after a panic.
+    pub(super) panics: Counter,
     wait: Family<TierLabel, Histogram>,
     queued: Family<QueueLabel, Gauge>,
     running: Family<ServiceLabel, Gauge>,
@@ -122,6 +124,7 @@
             transitions: Family::default(),
             lost_askers: Counter::default(),
             malformed: Counter::default(),
+            panics: Counter::default(),
             wait: Family::new_with_constructor(wait),
             queued: Family::default(),
             running: Family::default(),
@@ -161,6 +164,11 @@
         );
         registrar.add("lost_askers", "Askers whose lease ended", &self.lost_askers);
         registrar.add("garbage", "Messages that made no sense", &self.malformed);
+        registrar.add(
+            "panics",
+            "Requesters and arbiters that were dropped after a panic",
+            &self.panics,
+        );
         registrar.add("wait_seconds", "Time from ask to grant", &self.wait);
         registrar.add(
             "queued",
