Runners of two services with one id take nothing from each other

Callers: if the list names runners of two services with the same id, requests to the service whose entry comes first were refused for want of a runner, as long as both were listed.

A reading kept its runners by id alone, because an entry may come on two pages, so the later one replaced the one of another service. All users of the list look at the runners of one service; an id has to be unique there only. The address of a grant that holds none was looked up by id alone too.

Not seen from users, and the platform is not known to give an id twice; entries of other writers may.

--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -19,7 +19,7 @@
 
 use actix_http::StatusCode;
 use citron_policy::{
-    id::RunnerId,
+    id::{RunnerId, ServiceId},
     platform::{
         Instance, List, Runner,
         reader::{self, Role, Schedule},
@@ -422,12 +422,17 @@
     }
 }
 
+/// What tells runners apart: those of two services may have the same id.
+fn key(runner: &Runner) -> (&ServiceId, &RunnerId) {
+    (&runner.service, &runner.id)
+}
+
 /// Logs the runners that a new list adds, changes or removes.
 fn log_changes(old: &List, new: &List) {
-    let mut removed: IndexMap<&RunnerId, &Runner> =
-        old.runners.iter().map(|it| (&it.id, it)).collect();
+    let mut removed: IndexMap<(&ServiceId, &RunnerId), &Runner> =
+        old.runners.iter().map(|it| (key(it), it)).collect();
     for runner in &new.runners {
-        let before = removed.swap_remove(&runner.id);
+        let before = removed.swap_remove(&key(runner));
         let changed = |it: &&Runner| {
             it.standing != runner.standing
                 || it.address != runner.address
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -288,7 +288,9 @@
                 return Err(refusal);
             }
         };
-        let address = grant.address.or_else(|| self.inner.address(&grant.runner));
+        let address = grant
+            .address
+            .or_else(|| self.inner.address(&guard.service, &grant.runner));
         let Some(address) = address else {
             return Err(Refusal::NoRunner {
                 retry_after: TICK * 10,
@@ -427,10 +429,10 @@
             .unwrap_or_default()
     }
 
-    fn address(&self, runner: &RunnerId) -> Option<SocketAddr> {
+    fn address(&self, service: &ServiceId, runner: &RunnerId) -> Option<SocketAddr> {
         let list = self.inputs.platform.borrow();
-        let listed = list.runners.iter().find(|it| it.id == *runner);
-        listed.map(|it| it.address)
+        let mut of_service = list.runners.iter().filter(|it| it.service == *service);
+        of_service.find(|it| it.id == *runner).map(|it| it.address)
     }
 }
 
--- a/crates/policy/src/platform/reading.rs
+++ b/crates/policy/src/platform/reading.rs
@@ -12,7 +12,7 @@
 use rand::{Rng, RngExt};
 
 use super::{Instance, List, Runner};
-use crate::id::{InstanceId, RunnerId};
+use crate::id::{InstanceId, RunnerId, ServiceId};
 
 /// Token by which the platform names a page.
 pub type PageToken = String;
@@ -104,7 +104,8 @@
 pub struct Reading {
     began: Instant,
     entries: IndexMap<InstanceId, Instance>,
-    runners: IndexMap<RunnerId, Runner>,
+    /// Runners of two services may have the same id.
+    runners: IndexMap<(ServiceId, RunnerId), Runner>,
     token: Option<PageToken>,
     /// Tokens of the pages read.
     read: IndexSet<PageToken>,
@@ -169,7 +170,8 @@
         let entries = page.list.entries.into_iter();
         self.entries.extend(entries.map(|it| (it.id.clone(), it)));
         let runners = page.list.runners.into_iter();
-        self.runners.extend(runners.map(|it| (it.id.clone(), it)));
+        let keyed = runners.map(|it| ((it.service.clone(), it.id.clone()), it));
+        self.runners.extend(keyed);
         let Some(next) = page.next.filter(|it| !it.is_empty()) else {
             return Step::Done(List {
                 entries: std::mem::take(&mut self.entries).into_values().collect(),
--- a/crates/policy/tests/list_readers.rs
+++ b/crates/policy/tests/list_readers.rs
@@ -250,6 +250,35 @@
     expect_that!(list.runners[3].standing, eq(Standing::Leaving));
 }
 
+/// A service lost a runner to an entry of another service with the same id.
+#[gtest]
+fn runners_of_two_services_with_one_id_are_two_runners() {
+    let now = Instant::now();
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut reading = Reading::new(now);
+    let mut page = page(0, 2);
+    page.list.runners.push(Runner {
+        service: "desk".to_owned(),
+        ..runner(0)
+    });
+    let Step::Done(list) = reading.on_page(now, Ok(page), &mut rng) else {
+        panic!("not done");
+    };
+    let listed: Vec<(&str, &str)> = list
+        .runners
+        .iter()
+        .map(|it| (it.service.as_str(), it.id.as_str()))
+        .collect();
+    expect_that!(
+        listed,
+        unordered_elements_are![
+            eq(&("assistant", "r-0")),
+            eq(&("assistant", "r-1")),
+            eq(&("desk", "r-0"))
+        ]
+    );
+}
+
 #[gtest]
 fn a_new_standby_waits_and_a_new_host_does_not() {
     let now = Instant::now();
