Long names of routes and tenants are carried between daemons

Callers: after a configuration that gives a route or a tenant a name of over 256 bytes, requests of that route or tenant got 503 at most machines, those that are not next in line to place requests of the service.

Cause: an ask for a slot names class and account, and daemons refuse a message with a name of over 256 bytes whole (CP0301), with the asks of other requests in it. The product's own declarations allow 64 bytes; the reader of the platform's configurations passes names of any length on. The asker takes the arbiter for dead and goes to the next one, at last to itself, so that a service had several arbiters meanwhile.

Five daemons, one booking at each: before, 2 of 5 refused for the route and 2 of 5 for the tenant, with CP0301 at three daemons.

Older daemons still refuse messages that name such a tenant.

Tests: requests_of_a_route_or_tenant_with_a_long_name_are_served_by_each_daemon failed before and passes now. parts_that_are_absent_or_too_long_are_refused tests one byte over the new limit in place of 44 over the old one.

--- a/crates/wire/src/slot.rs
+++ b/crates/wire/src/slot.rs
@@ -18,8 +18,8 @@
 /// Most items in a message, and in each of its lists.
 pub const MAX_ITEMS: usize = 65_536;
 
-/// Longest name in a message, in bytes.
-const MAX_NAME_BYTES: usize = 256;
+/// Longest name in a message, in bytes. Account names go into a header, which holds no longer one.
+const MAX_NAME_BYTES: usize = 16 << 10;
 
 /// Longest duration in a message.
 const MAX_DURATION: Duration = Duration::from_hours(24);
