No request is sent without the names that its runner must get

Callers: if the list names a runner by an id that ends with a line break, and another service's runner has its address later, that one runs the first one's requests, and callers get its answers with status 200. Likewise, requests of a tenant whose name has a line break ran without that name.

Cause: a header cannot hold such a value. The header was left out with a line in the log (CP1101) and the request sent all the same, so that a runner had nothing to compare with its own id.

A request whose runner or tenant cannot be named is not sent; it is refused as not run, and its failure says nothing of the runner.

Ruled out: to refuse the configuration.

--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -128,6 +128,16 @@
     pub after: Option<u64>,
 }
 
+/// A name that no header can hold unchanged.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[display("header {header} cannot hold {name:?}: change the name where it is declared or listed")]
+pub struct Unwritable {
+    /// Header that is to hold it.
+    pub header: HeaderName,
+    /// The name.
+    pub name: String,
+}
+
 /// What is changed in a caller's request that a peer is to serve.
 #[derive(Clone, Debug)]
 pub struct Forward<'a> {
@@ -196,7 +206,11 @@
     fn id_header(&self) -> HeaderName;
 
     /// Rewrites a caller's headers for a runner.
-    fn dispatch(&self, dispatch: &Dispatch<'_>, headers: &mut HeaderMap);
+    ///
+    /// # Errors
+    /// [`Unwritable`] if a header that the runner must get cannot be written; the request
+    /// must not be sent then.
+    fn dispatch(&self, dispatch: &Dispatch<'_>, headers: &mut HeaderMap) -> Result<(), Unwritable>;
 
     /// Reads the head of a response.
     fn read(&self, status: StatusCode, headers: &HeaderMap) -> RunnerHead;
--- a/crates/daemon/src/exchange/attempt.rs
+++ b/crates/daemon/src/exchange/attempt.rs
@@ -77,7 +77,8 @@
         rank: admitted.rank,
         after: last_event.or(admitted.caller_head.after),
     };
-    ports.adapter.runners.dispatch(&dispatch, &mut headers);
+    let written = ports.adapter.runners.dispatch(&dispatch, &mut headers);
+    written.map_err(|error| Failure::Invalid(error.to_string()))?;
     let request = request(exchange, admitted, headers);
     ports.upstream.exchanges.inc();
     let mut response = upstream::exchange(slot.address, request, &limits).await?;
--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -762,8 +762,8 @@
 fn end_for(failure: &Failure) -> End {
     match failure {
         Failure::Late | Failure::Silent => End::Late,
-        // It says nothing of the runner.
-        Failure::NoMemory => End::Cancelled,
+        // They say nothing of the runner.
+        Failure::NoMemory | Failure::Invalid(_) => End::Cancelled,
         // It takes no requests now; nothing shows that one of them ended it.
         Failure::Gone => End::Unreachable,
         failure if failure.is_unconnected() => End::Unreachable,
