Tests restart daemons where no client's connection takes their port

Shown by hand: with a client's connection bound to a port that was freed, a listener with SO_REUSEADDR fails there at 127.0.0.1 and succeeds at 127.0.0.2. Clients' connections to either come from 127.0.0.1, so the daemons of the tests listen at 127.0.0.2 now. No check has changed. The eight tests of the file pass.

--- a/crates/daemon/tests/common/cluster.rs
+++ b/crates/daemon/tests/common/cluster.rs
@@ -1,6 +1,10 @@
 //! A cluster of several daemons with stand-ins for the platform and the runners.
 
-use std::{net::SocketAddr, path::Path, time::Duration};
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    path::Path,
+    time::Duration,
+};
 
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
@@ -20,6 +24,10 @@
 pub const OTHER_OPERATOR: &str = "rival";
 pub const OTHER_TOKEN: &str = "another-token-of-the-tests-0123456789";
 
+/// Address of the daemons. Clients' connections come from 127.0.0.1 and may take the port of
+/// a daemon that is stopped, which could not listen there again.
+const DAEMON_IP: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 2);
+
 /// Shell script that only executes the program.
 const EXEC_SCRIPT: &str = r#"exec "$0" "$@""#;
 
@@ -122,7 +130,7 @@
         let services = start("service", plan.services, &plan.service_arguments);
         let operators = format!("{OPERATOR} {TOKEN}\n{OTHER_OPERATOR} {OTHER_TOKEN}\n");
         std::fs::write(path.join("operators"), operators).expect("a file");
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let any = SocketAddr::from((DAEMON_IP, 0));
         let daemons = (0..plan.daemons)
             .map(|number| {
                 let data = number < plan.replicas;
