A peer serves requests with the version of the instance that sends them

Callers: at an instance that reaches no runner, requests were run by the new service of a route, and up to half a second later others by the old one again, if a core machine stood still while the route moved.

Cause: peers make the attempts of such an instance, and each admits them by its own copy of the configuration. Copies differ for up to a second while the parent of some in the feed stands still. No copy goes back, but the callers of one instance see those of all its peers, and nothing compared them.

Fix: a request that is passed on names the sender's version. A peer with an older one waits for it for up to 0.8 s, or a third of the caller's time, and is unable then; one with a newer one names that and serves nothing, also right before it sends to a runner. The sender takes no work below that version, so its own refusals cannot be older either, and asks again. Older builds name no version and are served as before.

Ruled out: to tell the version with the answer, as the runner has seen the effect long before.

--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -28,7 +28,7 @@
 use citron_policy::{
     detour::{self, Detour},
     feed::View,
-    id::{ClassId, InstanceId},
+    id::{ClassId, InstanceId, Version},
     member::{Members, State},
     retry, work,
 };
@@ -185,7 +185,9 @@
             Err(problem) => return self.refuse("", &problem, None),
         };
         let id = caller_head.id.clone();
-        if hop::is_hop(&request.head().headers) && !self.may_serve_peers() {
+        if hop::is_hop(&request.head().headers)
+            && !(self.may_serve_peers() && self.has_version(&request, &caller_head, arrived).await)
+        {
             return self.refuse_hop(&id);
         }
         match self.admit(&mut request, caller_head, arrived).await {
@@ -196,7 +198,44 @@
 
     /// Whether this instance may make attempts for others.
     fn may_serve_peers(&self) -> bool {
-        !*self.ports().draining.borrow() && admit::is_current(self.ports()) && !self.is_cut_off()
+        !*self.ports().draining.borrow() && self.is_current() && !self.is_cut_off()
+    }
+
+    /// Version of the declaration in force; zero without one.
+    fn version(&self) -> Version {
+        let view = self.ports().view.borrow();
+        view.declaration.as_ref().map_or(0, |it| it.version)
+    }
+
+    /// Version below which this instance takes no work.
+    fn least_version(&self) -> Version {
+        let detour = self.inner.detour.borrow();
+        detour.least_version(Instant::now()).max(self.version())
+    }
+
+    /// Whether the catalogue is known to be current.
+    fn is_current(&self) -> bool {
+        let ports = self.ports();
+        ports.follow.may_take_work(clock::now())
+            && ports.view.borrow().declaration.is_some()
+            && self.version() >= self.least_version()
+    }
+
+    /// Whether the declaration of the peer that passed a request on is in force here, now
+    /// or after a short wait.
+    async fn has_version(
+        &self,
+        request: &Request,
+        caller_head: &CallerHead,
+        arrived: Instant,
+    ) -> bool {
+        let Some(version) = hop::version(&request.head().headers) else {
+            return true;
+        };
+        let watch = request.conn_data::<Watch>();
+        let has_reached = || self.version() >= version;
+        wait_until(has_reached, caller_head, arrived, watch).await;
+        self.version() == version
     }
 
     async fn admit(
@@ -208,28 +247,11 @@
         let body =
             payload::read(request, self.ports().max_body_bytes, &self.ports().buffers).await?;
         let watch = request.conn_data::<Watch>().cloned();
-        self.wait_until_current(&caller_head, arrived, watch.as_ref())
-            .await;
-        admit::admit(self.ports(), request, caller_head, body, watch, arrived)
-    }
-
-    /// Waits briefly for the catalogue to become current, after a start or a lost
-    /// connection to the control log; a caller refused at once could only retry at
-    /// another daemon in the same state.
-    async fn wait_until_current(
-        &self,
-        caller_head: &CallerHead,
-        arrived: Instant,
-        watch: Option<&Watch>,
-    ) {
-        let share = caller_head.timeout.unwrap_or(CATALOGUE_WAIT) / CATALOGUE_WAIT_DIVISOR;
-        let end = arrived + CATALOGUE_WAIT.min(share);
-        while !admit::is_current(self.ports()) && Instant::now() < end {
-            tokio::select! {
-                () = actix_rt::time::sleep(CATALOGUE_POLL_INTERVAL) => {}
-                () = caller_disconnected(watch) => return,
-            }
-        }
+        // After a start or a lost connection to the control log, a caller refused at once
+        // could only retry at another daemon in the same state.
+        let is_current = || self.is_current();
+        wait_until(is_current, &caller_head, arrived, watch.as_ref()).await;
+        admit::admit(self, request, caller_head, body, watch, arrived)
     }
 
     async fn serve(&self, admitted: Admitted, guard: InFlight) -> Response<BoxBody> {
@@ -251,6 +273,10 @@
         };
         match first {
             Step::Whole(answer) => answer.response(),
+            Step::Failed(problem) if run.is_outdated() => {
+                run.record_failure(&problem);
+                self.refuse_hop(&id)
+            }
             Step::Failed(problem) => {
                 run.record_failure(&problem);
                 self.refuse(&id, &problem, Some(&run.admitted))
@@ -360,6 +386,21 @@
     proof_age: Option<Duration>,
 }
 
+/// Waits briefly until a condition holds, the caller leaves, or its time would be used up.
+async fn wait_until<F>(holds: F, caller_head: &CallerHead, arrived: Instant, watch: Option<&Watch>)
+where
+    F: Fn() -> bool,
+{
+    let share = caller_head.timeout.unwrap_or(CATALOGUE_WAIT) / CATALOGUE_WAIT_DIVISOR;
+    let end = arrived + CATALOGUE_WAIT.min(share);
+    while !holds() && Instant::now() < end {
+        tokio::select! {
+            () = actix_rt::time::sleep(CATALOGUE_POLL_INTERVAL) => {}
+            () = caller_disconnected(watch) => return,
+        }
+    }
+}
+
 /// Resolves when the caller has disconnected; never without a watch.
 async fn caller_disconnected(watch: Option<&Watch>) {
     match watch {
--- a/crates/daemon/src/exchange/admit.rs
+++ b/crates/daemon/src/exchange/admit.rs
@@ -15,14 +15,13 @@
 use bytes::Bytes;
 use citron_policy::{
     catalogue::{Account, Catalogue, Class, Service},
-    id::Fingerprint,
+    id::{Fingerprint, Version},
     route::Route,
 };
 use sha2::{Digest, Sha256};
 
-use super::{Ports, hop};
+use super::{Exchange, hop};
 use crate::{
-    clock,
     edge::{CallerHead, Problem},
     fingerprint::fingerprint,
     http::Watch,
@@ -55,6 +54,8 @@
     pub(super) watch: Option<Watch>,
     /// Whether a peer passed it on, so that it must not be passed on again.
     pub(super) is_hop: bool,
+    /// Version of the declaration at that peer; none if it is of an older build.
+    pub(super) hop_version: Option<Version>,
 }
 
 impl Admitted {
@@ -81,14 +82,14 @@
 
 /// Admits a request, or gives the reason for refusing it.
 pub(super) fn admit(
-    ports: &Ports,
+    exchange: &Exchange,
     request: &Request,
     caller_head: CallerHead,
     body: Bytes,
     watch: Option<Watch>,
     arrived: Instant,
 ) -> Result<Admitted, Problem> {
-    let catalogue = current_catalogue(ports)?;
+    let catalogue = current_catalogue(exchange)?;
     let allowed = allow(&catalogue, &caller_head, request.path())?;
     let service = choose_service(&catalogue, &allowed.route)?;
     let allowance = caller_head.timeout.unwrap_or(allowed.route.timeout);
@@ -100,11 +101,12 @@
     let method = request.method().clone();
     let account = allowed.account.as_ref().map_or("", |it| it.name.as_str());
     let is_hop = hop::is_hop(request.headers());
+    let hop_version = hop::version(request.headers()).filter(|_| is_hop);
     let mut headers = upstream::end_to_end(request.headers());
     if let Some(host) = request.headers().get(header::HOST) {
         headers.insert(header::HOST, host.clone());
     }
-    hop::remove_mark(&mut headers);
+    hop::remove_marks(&mut headers);
     let names = [account, &caller_head.host, method.as_str(), &path];
     Ok(Admitted {
         fingerprint: fingerprint(&names, &body),
@@ -121,18 +123,14 @@
         deadline,
         watch,
         is_hop,
+        hop_version,
         caller_head,
     })
 }
 
-/// Whether the catalogue is known to be current.
-pub(super) fn is_current(ports: &Ports) -> bool {
-    ports.follow.may_take_work(clock::now()) && ports.view.borrow().declaration.is_some()
-}
-
 /// The catalogue, or an error if it is not known to be current.
-pub(super) fn current_catalogue(ports: &Ports) -> Result<Arc<Catalogue>, Problem> {
-    if !is_current(ports) {
+pub(super) fn current_catalogue(exchange: &Exchange) -> Result<Arc<Catalogue>, Problem> {
+    if !exchange.is_current() {
         return Err(Problem {
             status: StatusCode::SERVICE_UNAVAILABLE,
             kind: "cut-off",
@@ -141,7 +139,7 @@
             retry_after: Some(STALE_RETRY_AFTER),
         });
     }
-    Ok(Arc::clone(&ports.view.borrow().catalogue))
+    Ok(Arc::clone(&exchange.ports().view.borrow().catalogue))
 }
 
 /// The route, class and account of a request.
--- a/crates/daemon/src/exchange/attempt.rs
+++ b/crates/daemon/src/exchange/attempt.rs
@@ -83,7 +83,7 @@
     ports.upstream.exchanges.inc();
     let mut response = upstream::exchange(slot.address, request, &limits).await?;
     // Only a peer may say that it cannot serve the request.
-    hop::remove_mark(&mut response.headers);
+    hop::remove_marks(&mut response.headers);
     let runner_head = ports
         .adapter
         .runners
--- a/crates/daemon/src/exchange/hop.rs
+++ b/crates/daemon/src/exchange/hop.rs
@@ -3,6 +3,10 @@
 //! The request is sent to the peer's listener for callers as the caller sent it, with the
 //! time that is left. The peer admits it, takes the slot, and answers as it answers its
 //! own callers; it never passes it on again. Dropping the exchange cancels the work there.
+//!
+//! Both must have the same declaration in force: callers of this instance must not see the
+//! effects of a newer version and then those of an older one. The request names the version;
+//! a peer waits for it, and one with a newer version names that instead of serving.
 
 use std::{
     net::SocketAddr,
@@ -14,7 +18,7 @@
     body::BoxBody,
     header::{HeaderMap, HeaderName, HeaderValue},
 };
-use citron_policy::id::InstanceId;
+use citron_policy::id::{InstanceId, Version};
 use tokio::io::AsyncReadExt as _;
 
 use super::{Exchange, admit::Admitted, attempt, millis};
@@ -26,6 +30,9 @@
 /// Marks a request that a peer passed on, and the answer of a peer that cannot serve it.
 const HOP: HeaderName = HeaderName::from_static("citron-hop");
 
+/// Version of the declaration that the sender has in force.
+const VERSION: HeaderName = HeaderName::from_static("citron-declaration");
+
 /// Longest time to connect to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -69,9 +76,15 @@
     headers.contains_key(HOP)
 }
 
-/// Removes the mark from a request that a peer passed on, or from a runner's answer.
-pub(super) fn remove_mark(headers: &mut HeaderMap) {
+/// Version of the declaration that a peer names; none if it is of an older build.
+pub(super) fn version(headers: &HeaderMap) -> Option<Version> {
+    headers.get(VERSION)?.to_str().ok()?.parse().ok()
+}
+
+/// Removes the marks from a request that a peer passed on, or from a runner's answer.
+pub(super) fn remove_marks(headers: &mut HeaderMap) {
     headers.remove(HOP);
+    headers.remove(VERSION);
 }
 
 /// Sends a request to a peer and waits for the head of its answer.
@@ -80,6 +93,7 @@
     admitted: &Admitted,
     address: SocketAddr,
     after: Option<u64>,
+    version: Version,
 ) -> Result<upstream::Response, Failure> {
     let adapter = &exchange.ports().adapter;
     let left = admitted.deadline.saturating_duration_since(Instant::now());
@@ -98,6 +112,7 @@
     };
     adapter.callers.forward(&forward, &mut headers);
     headers.insert(HOP, HeaderValue::from_static("1"));
+    headers.insert(VERSION, HeaderValue::from(version));
     let request = attempt::request(exchange, admitted, headers);
     let limits = attempt::limits(CONNECT_TIMEOUT, left);
     upstream::exchange(address, request, &limits).await
@@ -120,9 +135,21 @@
         let mut response = self.refuse(id, &problem, None);
         let unable = HeaderValue::from_static("unable");
         response.headers_mut().insert(HOP, unable);
+        let version = HeaderValue::from(self.version());
+        response.headers_mut().insert(VERSION, version);
         response
     }
 
+    /// Takes the version that a peer names; true if it is newer than `sent`.
+    pub(super) fn learn(&self, response: &upstream::Response, sent: Version) -> bool {
+        let newer = version(&response.headers).filter(|it| *it > sent);
+        if let Some(newer) = newer {
+            let mut detour = self.inner.detour.borrow_mut();
+            detour.on_version(Instant::now(), newer);
+        }
+        newer.is_some()
+    }
+
     /// Whether this instance reaches no runner.
     pub(super) fn is_cut_off(&self) -> bool {
         self.inner.detour.borrow().is_cut_off(Instant::now())
--- a/crates/daemon/src/exchange/run.rs
+++ b/crates/daemon/src/exchange/run.rs
@@ -15,7 +15,7 @@
 use actix_http::{StatusCode, header::HeaderMap};
 use bytes::Bytes;
 use citron_policy::{
-    id::{BuildId, InstanceId, RunnerId, ServiceId},
+    id::{BuildId, InstanceId, RunnerId, ServiceId, Version},
     retry::{Attempt, Decision, Fate, Rerun},
     route::Repeat,
     silence::{self, Wait},
@@ -73,6 +73,17 @@
     All,
 }
 
+/// How the declaration in force here compares with that of a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Versions {
+    /// Equal, as far as is known.
+    Equal,
+    /// A peer had a newer one and was asked again.
+    Renewed,
+    /// The peer that passed the request on has an older one.
+    Outdated,
+}
+
 /// One request and its attempts.
 pub(super) struct Run {
     exchange: Exchange,
@@ -97,6 +108,7 @@
     is_trial: bool,
     /// Peers that were asked to make an attempt.
     asked_peers: Vec<InstanceId>,
+    versions: Versions,
     /// Whether the runner of this attempt answered without naming a limit.
     unlimited: bool,
     start: Start,
@@ -120,6 +132,7 @@
             searched: Vec::new(),
             is_trial: false,
             asked_peers: Vec::new(),
+            versions: Versions::Equal,
             unlimited: false,
             start: Start::Awaited,
             load: None,
@@ -146,6 +159,11 @@
         }
     }
 
+    /// Whether nothing ran, as the peer that passed the request on has an older declaration.
+    pub(super) fn is_outdated(&self) -> bool {
+        self.versions == Versions::Outdated
+    }
+
     /// Id of the last event passed to the caller.
     pub(super) fn last_id(&self) -> Option<u64> {
         self.received.last_id
@@ -393,8 +411,8 @@
     /// were asked.
     fn search_next_service(&mut self) -> Result<bool, Problem> {
         self.searched.push(self.admitted.service.name.clone());
-        let ports = self.exchange.ports();
-        let catalogue = admit::current_catalogue(ports).map_err(|it| self.adjust_status(it))?;
+        let catalogue = admit::current_catalogue(&self.exchange);
+        let catalogue = catalogue.map_err(|it| self.adjust_status(it))?;
         let route = &self.admitted.route;
         let mut others = route.backends.iter().filter(|it| it.weight > 0);
         let next = others.find(|it| !self.searched.contains(&it.service));
@@ -446,8 +464,20 @@
     /// Repeats the admission checks after the wait; false if the route no longer leads
     /// to the service that the slot is for.
     fn recheck(&mut self) -> Result<bool, Problem> {
-        let ports = self.exchange.ports();
-        let catalogue = admit::current_catalogue(ports).map_err(|it| self.adjust_status(it))?;
+        let catalogue = admit::current_catalogue(&self.exchange);
+        let catalogue = catalogue.map_err(|it| self.adjust_status(it))?;
+        let is_newer = |it: Version| self.exchange.version() > it;
+        if self.ran == 0 && self.admitted.hop_version.is_some_and(is_newer) {
+            self.versions = Versions::Outdated;
+            return Err(Problem {
+                status: StatusCode::SERVICE_UNAVAILABLE,
+                kind: "version",
+                detail: "this instance has a newer declaration than the peer that passed the \
+                         request on"
+                    .to_owned(),
+                retry_after: Some(Duration::ZERO),
+            });
+        }
         let path = self.admitted.path.split('?').next().unwrap_or_default();
         let allowed = admit::allow(&catalogue, &self.admitted.caller_head, path)
             .map_err(|it| self.adjust_status(it))?;
--- a/crates/daemon/src/exchange/run/peer.rs
+++ b/crates/daemon/src/exchange/run/peer.rs
@@ -14,7 +14,7 @@
         lease::Lease,
         millis,
     },
-    Run, Step, end_for, promises_not_run,
+    Run, Step, Versions, end_for, promises_not_run,
 };
 use crate::{
     edge::Problem,
@@ -58,12 +58,19 @@
             self.asked_peers.push(peer.clone());
             let hop = Hop::begin(&self.exchange, &peer);
             let started = Instant::now();
-            let answer = hop::send(&self.exchange, &self.admitted, address, self.last_id()).await;
+            let version = self.exchange.least_version();
+            let last_id = self.last_id();
+            let answer = hop::send(&self.exchange, &self.admitted, address, last_id, version).await;
             let unable = match &answer {
                 Ok(response) => hop::is_unable(response),
                 Err(failure) => failure.is_unconnected(),
             };
+            let is_newer = match &answer {
+                Ok(response) if unable => self.exchange.learn(response, version),
+                _ => false,
+            };
             let outcome = match &answer {
+                _ if is_newer => "newer",
                 _ if unable => "unable",
                 Ok(_) => "answered",
                 Err(_) => "failed",
@@ -72,8 +79,13 @@
             if !unable {
                 return self.on_peer_answer(hop, answer, started).await;
             }
-            let mut detour = self.exchange.inner.detour.borrow_mut();
-            detour.on_unable(Instant::now(), &peer);
+            if !is_newer {
+                let mut detour = self.exchange.inner.detour.borrow_mut();
+                detour.on_unable(Instant::now(), &peer);
+            } else if self.versions == Versions::Equal {
+                self.versions = Versions::Renewed;
+                self.asked_peers.pop();
+            }
         }
         Ok(Hopped::No)
     }
--- a/crates/policy/src/detour.rs
+++ b/crates/policy/src/detour.rs
@@ -6,6 +6,9 @@
 //! then go to a peer that has a path, which makes the attempt in all respects, and a
 //! runner is tested now and then. A connection that is opened need not let a request
 //! through, so the detour ends only with the answer to one request that may run again.
+//!
+//! A peer may have a newer declaration in force. What it does for this instance must not be
+//! followed by an older one's effects, so this instance takes no work below that version.
 
 use std::{
     net::SocketAddr,
@@ -15,7 +18,7 @@
 use indexmap::IndexMap;
 
 use crate::{
-    id::{InstanceId, RunnerId},
+    id::{InstanceId, RunnerId, Version},
     member::{Member, Members},
 };
 
@@ -32,6 +35,9 @@
     pub peer_pause: Duration,
     /// Time for which the outcome of a trial is awaited.
     pub trial_time: Duration,
+    /// Time for which a peer's version binds; a proof of the catalogue that is newer than
+    /// this covers it, so it is longer than the lease of the catalogue.
+    pub version_memory: Duration,
 }
 
 impl Default for Settings {
@@ -42,6 +48,7 @@
             test_interval: Duration::from_millis(500),
             peer_pause: Duration::from_secs(2),
             trial_time: Duration::from_secs(2),
+            version_memory: Duration::from_secs(5),
         }
     }
 }
@@ -64,6 +71,8 @@
     tested_at: Option<Instant>,
     trial: Trial,
     peers: IndexMap<InstanceId, Peer>,
+    /// Newest version that a peer named, and when.
+    newest: Option<(Version, Instant)>,
 }
 
 /// The request that shows whether the path is back.
@@ -213,6 +222,22 @@
         peer.paused_until = Some(now + self.settings.peer_pause);
     }
 
+    /// Records the version of the declaration that a peer has in force.
+    pub fn on_version(&mut self, now: Instant, version: Version) {
+        if version > self.least_version(now) {
+            self.newest = Some((version, now));
+        }
+    }
+
+    /// Version below which this instance takes no work; zero if no peer named one lately.
+    #[must_use]
+    pub fn least_version(&self, now: Instant) -> Version {
+        let memory = self.settings.version_memory;
+        let binds = |at: Instant| now.saturating_duration_since(at) <= memory;
+        let newest = self.newest.filter(|(_, at)| binds(*at));
+        newest.map_or(0, |(version, _)| version)
+    }
+
     /// Forgets peers that are no members any more.
     pub fn retain_peers(&mut self, members: &Members) {
         self.peers.retain(|peer, _| members.contains_key(peer));
--- a/crates/policy/tests/detour.rs
+++ b/crates/policy/tests/detour.rs
@@ -165,3 +165,18 @@
     let later = now + Duration::from_secs(3);
     expect_that!(choose(&detour, later, &members, &tried), some(eq("i1")));
 }
+
+/// Effects of a newer version at a peer were followed by those of an older one here.
+#[gtest]
+fn work_waits_for_the_newest_version_that_a_peer_named_lately() {
+    let now = Instant::now();
+    let mut detour = cut_off(now);
+    expect_that!(detour.least_version(now), eq(0));
+    detour.on_version(now, 9);
+    detour.on_version(now + Duration::from_secs(1), 8);
+    expect_that!(detour.least_version(now + Duration::from_secs(4)), eq(9));
+    // A proof of the catalogue that is younger than this covers the version.
+    expect_that!(detour.least_version(now + Duration::from_secs(6)), eq(0));
+    detour.on_version(now + Duration::from_secs(7), 8);
+    expect_that!(detour.least_version(now + Duration::from_secs(7)), eq(8));
+}
